Add cell state, membership and takeover

First version of the shared state of a cell: the change log applied to a state, membership that registers, verifies and accepts changes, and the takeover of partitions. It covers the calm path, so that the entry program can link with it.

The tests run several membership instances over an in-memory network and platform with a manual clock (tests/cell.c).

Two additions to the contract: mb_push_done() takes the answer to a push, because a push answer that passed through mb_status_done() would refresh a verification that it does not belong to; cs_members_before() gives the list that accepts the last change of the list.

--- a/plan/member.h
+++ b/plan/member.h
@@ -28,8 +28,8 @@
  * @insert: insert a change if its revision is free -> mb_insert_done()
  * @status: STATUS call to an address -> mb_status_done()
  * @fetch: CHANGES call to an address -> mb_fetch_done()
- * @push: send changes to an address, for which no answer is awaited except
- *     mb_status_done() with what the peer then holds
+ * @push: send the changes of mb_changes_after() to an address; the answer may
+ *     be given to mb_push_done()
  * @applied: a revision was applied to the state
  * @accepted: the highest accepted revision rose
  * @confirmed: a member is known to hold a revision
@@ -125,15 +125,28 @@
 void mb_insert_done(
     struct mb *m, uint64_t revision, enum mb_insert result, const char *winner);
 
-/** mb_status_done() - answer to status; @status NULL when it failed */
+/**
+ * mb_status_done() - answer to status; @status NULL when it failed
+ *
+ * Called once for each status, and for nothing else: a verification is as old
+ * as the call that is answered, and the answer is taken for that of the only
+ * call to the address that is open.
+ */
 void mb_status_done(
     struct mb *m, const char *address, const struct pd_status *status);
 
+/** mb_push_done() - answer to push; @held NULL when it failed */
+void mb_push_done(
+    struct mb *m, const char *address, const struct pd_held *held);
+
 /** mb_fetch_done() - answer to fetch; @changes NULL when it failed */
 void mb_fetch_done(
     struct mb *m, const char *address, const struct pd_changes *changes);
 
-/** mb_status_called() - a peer called STATUS; fills the answer, borrowed */
+/**
+ * mb_status_called() - a peer called STATUS; fills the answer, borrowed
+ * @from: the peer's status; NULL to fill the arguments of an own call
+ */
 void mb_status_called(
     struct mb *m, const struct pd_status *from, struct pd_status *out);
 
--- /dev/null
+++ b/plan/member_list.c
@@ -0,0 +1,172 @@
+#include <inttypes.h>
+#include <string.h>
+
+#include "log.h"
+#include "member_impl.h"
+
+static json_t *
+list_change(
+    struct mb *m, const char *kind, const char *name, uint64_t incarnation)
+{
+	char id[17], text[17];
+
+	g_snprintf(id, sizeof(id), "%016" PRIx64, rn_u64(m->rng));
+	g_snprintf(text, sizeof(text), "%016" PRIx64, incarnation);
+	return (json_pack("{s:s, s:s, s:s, s:s, s:s}", "change_id", id, "by",
+	    m->name, "kind", kind, "name", name, "incarnation", text));
+}
+
+static void
+write_add(struct mb *m)
+{
+	json_t *c;
+
+	c = list_change(m, "entry_add", m->name, m->incarnation);
+	json_object_set_new(c, "address", json_string(m->address));
+	json_object_set_new(c, "az", json_string(m->az));
+	mb_own_change(m, c);
+}
+
+static void
+write_replace(struct mb *m, uint64_t previous)
+{
+	char text[17];
+	json_t *c;
+
+	c = list_change(m, "entry_replace", m->name, m->incarnation);
+	g_snprintf(text, sizeof(text), "%016" PRIx64, previous);
+	json_object_set_new(c, "previous", json_string(text));
+	mb_own_change(m, c);
+}
+
+static void
+register_self(struct mb *m)
+{
+	const struct cs_member *members;
+	size_t n, i;
+
+	members = cs_members(m->state, &n);
+	for (i = 0; i < n; i++) {
+		if (strcmp(members[i].name, m->name) == 0 &&
+		    strcmp(members[i].address, m->address) == 0) {
+			write_replace(m, members[i].incarnation);
+			return;
+		}
+		/* The others remove that entry when it is missing. */
+		if (strcmp(members[i].name, m->name) == 0 ||
+		    strcmp(members[i].address, m->address) == 0)
+			return;
+	}
+	/* An addition that cannot be accepted would block the list. */
+	if (mb_reachable(m) || (m->variant & MB_V_NO_OVERLAP) != 0)
+		write_add(m);
+}
+
+static bool
+reports_missing(const struct mb_known *k, uint64_t incarnation)
+{
+	guint i;
+
+	for (i = 0; i < k->missing->len; i++) {
+		if (g_array_index(k->missing, uint64_t, i) == incarnation)
+			return (true);
+	}
+	return (false);
+}
+
+/* Whether enough entries miss a member and no entry hears it. */
+static bool
+agreed_missing(const struct mb *m, uint64_t incarnation)
+{
+	const struct cs_member *members;
+	const struct mb_known *k;
+	size_t n, i, agree;
+
+	members = cs_members(m->state, &n);
+	agree = 1;
+	for (i = 0; i < n; i++) {
+		if (members[i].incarnation == m->incarnation ||
+		    members[i].incarnation == incarnation)
+			continue;
+		k = mb_lookup(m, members[i].incarnation);
+		if (k == NULL || !k->alive ||
+		    mb_now(m) - k->missing_ms > MB_FRESH_MS)
+			continue;
+		if (!reports_missing(k, incarnation))
+			return (false);
+		agree++;
+	}
+	return (agree >= (n + 1) / 2);
+}
+
+/* Number of live members with a lower name than this entry. */
+static unsigned
+rank(const struct mb *m)
+{
+	const struct cs_member *members;
+	size_t n, i;
+	unsigned lower;
+
+	members = cs_members(m->state, &n);
+	lower = 0;
+	for (i = 0; i < n && strcmp(members[i].name, m->name) < 0; i++) {
+		if (!mb_missing(m, members[i].incarnation))
+			lower++;
+	}
+	return (lower);
+}
+
+static void
+remove_missing(struct mb *m)
+{
+	const struct cs_member *members;
+	const struct mb_known *k;
+	uint64_t limit;
+	size_t n, i;
+
+	members = cs_members(m->state, &n);
+	limit = MB_MISSING_MS + (uint64_t)rank(m) * MB_RANK_MS;
+	for (i = 0; i < n; i++) {
+		if (!mb_missing(m, members[i].incarnation))
+			continue;
+		k = mb_lookup(m, members[i].incarnation);
+		if (mb_now(m) - k->heard_ms < limit ||
+		    !agreed_missing(m, members[i].incarnation))
+			continue;
+		lg_write(LOG_NOTICE, "member",
+		    "Removing entry %s, not heard for %" PRIu64 " ms.",
+		    members[i].name, mb_now(m) - k->heard_ms);
+		mb_own_change(m,
+		    list_change(m, "entry_remove", members[i].name,
+			members[i].incarnation));
+		return;
+	}
+}
+
+void
+mb_list_run(struct mb *m)
+{
+	if (m->left || !m->read_once || mb_now(m) < m->own_retry_ms ||
+	    mb_platform_silent(m) || mb_own_busy(m) ||
+	    !mb_list_settled(m, NULL))
+		return;
+	if (!mb_registered(m))
+		register_self(m);
+	else
+		remove_missing(m);
+}
+
+void
+mb_leave(struct mb *m, mb_change_fn done, void *arg)
+{
+	json_t *c;
+
+	m->left = true;
+	if (!mb_registered(m)) {
+		done(arg, MB_ACCEPTED, cs_revision(m->state), "not registered");
+		return;
+	}
+	c = list_change(m, "entry_leave", m->name, m->incarnation);
+	mb_op_add(m, c, 0, done, arg);
+	mb_ops_run(m);
+}
--- /dev/null
+++ b/plan/member_verify.c
@@ -0,0 +1,254 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "member_impl.h"
+
+static int
+descending(const void *a, const void *b)
+{
+	uint64_t x = *(const uint64_t *)a;
+	uint64_t y = *(const uint64_t *)b;
+
+	return (x < y ? 1 : x > y ? -1 : 0);
+}
+
+/* The greatest value that @k of @n values reach. */
+static uint64_t
+reached_by(uint64_t *values, size_t n, size_t k)
+{
+	if (k == 0)
+		return (UINT64_MAX);
+	if (k > n)
+		return (0);
+	qsort(values, n, sizeof(*values), descending);
+	return (values[k - 1]);
+}
+
+static size_t
+half_up(size_t n)
+{
+	return ((n + 1) / 2);
+}
+
+bool
+mb_platform_silent(const struct mb *m)
+{
+	return (m->scan_failed ||
+	    (m->scan_outstanding && m->scan_ticks >= MB_SILENT_TICKS));
+}
+
+/* When a member is known to have held no newer revision than this entry. */
+static uint64_t
+confirmed_ms(const struct mb *m, const struct cs_member *member)
+{
+	const struct mb_known *k;
+
+	/* The age of the own reading counts from the last tick, so that a
+	 * single entry does not verify itself right after a pause. */
+	if (member->incarnation == m->incarnation)
+		return ((m->variant & MB_V_NO_PAUSE_CHECK) != 0 ? mb_now(m)
+								: m->tick_ms);
+	k = mb_lookup(m, member->incarnation);
+	if (k == NULL || !k->asked || k->asked_revision > cs_revision(m->state))
+		return (0);
+	return (k->asked_ms);
+}
+
+static uint64_t
+majority_ms(const struct mb *m)
+{
+	const struct cs_member *members;
+	uint64_t at[PD_MEMBERS_MAX];
+	size_t n, i;
+
+	members = cs_members(m->state, &n);
+	for (i = 0; i < n && i < PD_MEMBERS_MAX; i++)
+		at[i] = confirmed_ms(m, &members[i]);
+	if ((m->variant & MB_V_SMALL_QUORUM) != 0)
+		return (reached_by(at, n, half_up(n)));
+	return (reached_by(at, n, n / 2 + 1));
+}
+
+static bool
+recent(const struct mb *m, uint64_t at)
+{
+	return (mb_now(m) - at <= MB_VERIFY_LIMIT_MS);
+}
+
+bool
+mb_verified(const struct mb *m)
+{
+	uint64_t at;
+
+	if (!mb_registered(m))
+		return (false);
+	if (m->read_verified && recent(m, m->read_verified_ms))
+		return (true);
+	/* A majority counts only while the platform does not respond: the
+	 * platform may know that all of these entries were forgotten. */
+	if (!mb_platform_silent(m))
+		return (false);
+	at = majority_ms(m);
+	return (at != 0 && recent(m, at));
+}
+
+static uint64_t
+held_by(const struct mb *m, uint64_t incarnation)
+{
+	const struct mb_known *k;
+
+	if (incarnation == m->incarnation)
+		return (cs_revision(m->state));
+	k = mb_lookup(m, incarnation);
+	if (k == NULL)
+		return (0);
+	if (k->gone && (m->variant & MB_V_NO_CONSENT) == 0)
+		return (UINT64_MAX);
+	return (k->held);
+}
+
+static bool
+named(const struct mb *m, const json_t *names, uint64_t incarnation)
+{
+	const struct cs_member *members;
+	const json_t *name;
+	size_t n, i, j;
+
+	if ((m->variant & MB_V_NO_FORGET) != 0)
+		return (false);
+	members = cs_members(m->state, &n);
+	for (i = 0; i < n; i++) {
+		if (members[i].incarnation != incarnation)
+			continue;
+		json_array_foreach(names, j, name)
+		{
+			if (strcmp(json_string_value(name), members[i].name) ==
+			    0)
+				return (true);
+		}
+	}
+	return (false);
+}
+
+/* The highest revision that enough of the list before the last change of the
+ * list hold. */
+static uint64_t
+held_before(const struct mb *m, const json_t *forgotten)
+{
+	const struct cs_member *members;
+	uint64_t held[2 * PD_MEMBERS_MAX];
+	size_t n, consents, i;
+
+	members = cs_members_before(m->state, &n, &consents);
+	for (i = 0; i < n; i++)
+		held[i] = named(m, forgotten, members[i].incarnation)
+		    ? UINT64_MAX
+		    : held_by(m, members[i].incarnation);
+	for (i = 0; i < consents; i++)
+		held[n + i] =
+		    (m->variant & MB_V_NO_CONSENT) != 0 ? 0 : UINT64_MAX;
+	return (reached_by(held, n + consents, half_up(n + consents)));
+}
+
+static uint64_t
+held_now(const struct mb *m)
+{
+	const struct cs_member *members;
+	uint64_t held[PD_MEMBERS_MAX];
+	size_t n, i;
+
+	members = cs_members(m->state, &n);
+	for (i = 0; i < n; i++)
+		held[i] = held_by(m, members[i].incarnation);
+	return (reached_by(held, n, half_up(n)));
+}
+
+void
+mb_raise(struct mb *m, uint64_t revision)
+{
+	if (revision <= m->accepted)
+		return;
+	m->accepted = revision;
+	m->ops->accepted(m->arg, revision);
+}
+
+/*
+ * A revision is accepted when the last change of the list up to it is accepted
+ * by the list before that change, and the revision by the list that it is
+ * under. Earlier changes of the list are accepted, or the last one would not
+ * have been written.
+ */
+void
+mb_accept(struct mb *m)
+{
+	uint64_t view, before;
+
+	view = cs_view(m->state);
+	if (m->accepted < view) {
+		before = held_before(m, NULL);
+		if (before < view) {
+			mb_raise(m, MIN(before, view - 1));
+			return;
+		}
+		mb_raise(m, view);
+	}
+	mb_raise(m, MIN(held_now(m), cs_revision(m->state)));
+}
+
+bool
+mb_list_settled(const struct mb *m, const json_t *forgotten)
+{
+	uint64_t view;
+
+	view = cs_view(m->state);
+	return (m->accepted >= view || held_before(m, forgotten) >= view ||
+	    (m->variant & MB_V_NO_OVERLAP) != 0);
+}
+
+char *
+mb_unconfirmed(const struct mb *m, uint64_t revision)
+{
+	const struct cs_member *members;
+	GString *out;
+	size_t n, consents, i;
+
+	out = g_string_new("not confirmed by");
+	members = cs_view(m->state) == revision
+	    ? cs_members_before(m->state, &n, &consents)
+	    : cs_members(m->state, &n);
+	for (i = 0; i < n; i++) {
+		if (held_by(m, members[i].incarnation) < revision)
+			g_string_append_printf(out, " %s", members[i].name);
+	}
+	return (g_string_free(out, FALSE));
+}
+
+bool
+mb_missing(const struct mb *m, uint64_t incarnation)
+{
+	const struct mb_known *k;
+
+	if (incarnation == m->incarnation)
+		return (false);
+	k = mb_lookup(m, incarnation);
+	return (k != NULL && mb_now(m) - k->heard_ms >= MB_MISSING_MS);
+}
+
+bool
+mb_reachable(const struct mb *m)
+{
+	const struct cs_member *members;
+	const struct mb_known *k;
+	size_t n, i, alive;
+
+	members = cs_members(m->state, &n);
+	alive = 0;
+	for (i = 0; i < n; i++) {
+		k = mb_lookup(m, members[i].incarnation);
+		if (k != NULL &&
+		    (k->gone ||
+			(k->alive && !mb_missing(m, members[i].incarnation))))
+			alive++;
+	}
+	return (alive >= half_up(n));
+}
--- a/plan/state.h
+++ b/plan/state.h
@@ -17,12 +17,19 @@
  *	team_put			name, weight, max_running
  *	rule_put			name, team, service, az, allow
  *	rule_delete			name
- *	inventory_put			endpoints, azs, teams, rules (replaces
- *all) entry_add			name, incarnation, address, az
+ *	inventory_put			endpoints, azs, teams, rules
+ *	entry_add			name, incarnation, address, az
  *	entry_leave, entry_remove	name, incarnation
  *	entry_replace			name, incarnation, previous
  *	entries_forget			names
  *
+ * inventory_put replaces all four lists. A zone that is out of service stays
+ * out and a retired endpoint stays retired, unless the endpoint's description
+ * has "retired". An item of azs is a name, or an object with "name" and "out".
+ *
+ * A rule field that is absent or empty matches everything. The first matching
+ * rule in the order of the names decides; without one the work is allowed.
+ *
  * Incarnations are written as hexadecimal strings, since JSON numbers lose
  * bits above 2^53.
  */
@@ -75,8 +82,8 @@
  * @error: text of the reason when the result is not CS_OK
  * @error_size: bytes at @error
  *
- * A CS_INVALID change in the log still advances the revision and changes
- * nothing else, so that every entry stays at the same state.
+ * A CS_INVALID or CS_MALFORMED change in the log still advances the revision
+ * and changes nothing else, so that every entry stays at the same state.
  */
 enum cs_error cs_apply(struct cs *s, uint64_t revision, const char *json,
     char *error, size_t error_size);
@@ -85,10 +92,17 @@
 enum cs_error cs_check(
     const struct cs *s, const char *json, char *error, size_t error_size);
 
-/** cs_snapshot() - state as JSON text, released with free() */
+/**
+ * cs_snapshot() - state as JSON text {"revision", "state"}, released with
+ * free()
+ */
 char *cs_snapshot(const struct cs *s);
 
-/** cs_restore() - replace the state by a snapshot */
+/**
+ * cs_restore() - replace the state by a snapshot
+ *
+ * Return: CS_OK, or CS_MALFORMED with the state unchanged.
+ */
 enum cs_error cs_restore(struct cs *s, const char *json);
 
 /** cs_revision() - revision of the last applied change */
@@ -100,6 +114,24 @@
 /** cs_members() - registered entries ordered by name, borrowed */
 const struct cs_member *cs_members(const struct cs *s, size_t *n);
 
+/**
+ * cs_members_before() - the list before the change at cs_view(), borrowed
+ * @n: number of entries returned
+ * @consents: number of further entries of that list, which the change shows to
+ *     have exited (a replaced predecessor, forgotten entries)
+ *
+ * The change is accepted by that list of @n + @consents entries.
+ */
+const struct cs_member *cs_members_before(
+    const struct cs *s, size_t *n, size_t *consents);
+
+/**
+ * cs_change_revision() - where a change is in the log
+ *
+ * Return: revision of the change among the last 256 that took effect, else 0.
+ */
+uint64_t cs_change_revision(const struct cs *s, const char *change_id);
+
 /**
  * cs_owner() - owner of a partition
  *
--- /dev/null
+++ b/tests/cell.h
@@ -0,0 +1,134 @@
+#ifndef CELL_H
+#define CELL_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "clock.h"
+#include "counters.h"
+#include "member.h"
+#include "rng.h"
+
+/**
+ * DOC: cell - several mb instances in one process, joined by an in-memory
+ * network and platform that tests make slow, cut or lossy. Time is a manual
+ * clock, so a run is the same on each machine.
+ */
+
+#define CELL_NODES 6
+
+/** struct cell_node - one entry process */
+struct cell_node {
+	struct cell *cell;
+	unsigned index;
+	char name[16];
+	char address[32];
+	const char *az;
+	struct mb *mb; /* NULL when the process is not running */
+	unsigned generation;
+	bool frozen;
+	bool platform_cut;
+	uint64_t tick_due;
+	uint64_t last_revision;
+	GQueue *deferred;  /* events that arrived while frozen */
+	unsigned statuses; /* calls sent */
+};
+
+/** struct cell_hooks - what a test adds to a node; any may be NULL */
+struct cell_hooks {
+	void (*started)(struct cell_node *n);
+	void (*stopped)(struct cell_node *n);
+	void (*applied)(struct cell_node *n, uint64_t revision);
+	void (*accepted)(struct cell_node *n, uint64_t revision);
+	void (*confirmed)(
+	    struct cell_node *n, uint64_t incarnation, uint64_t revision);
+};
+
+/** struct cell_result - what became of an operator's change */
+struct cell_result {
+	bool ended;
+	unsigned calls;
+	enum mb_outcome outcome;
+	uint64_t revision;
+	char text[1024];
+};
+
+struct cell {
+	struct ck *clock;
+	struct ct *counters;
+	struct rn *rng;
+	unsigned variant; /* of nodes that start */
+	struct cell_node nodes[CELL_NODES];
+	unsigned count;
+	bool cut[CELL_NODES][CELL_NODES];
+	GPtrArray *rows; /* char *, row i has revision i + 1 */
+	char *snapshot;  /* object of the platform, or NULL */
+	bool platform_down;
+	bool platform_refuses; /* answers failures at once when down */
+	bool lose_insert;      /* lose answers of inserts after the write */
+	unsigned platform_ms;  /* one way */
+	unsigned link_ms;      /* one way */
+	unsigned jitter_ms;    /* added to both, at random */
+	GQueue *events;
+	uint64_t sequence;
+	const struct cell_hooks *hooks;
+	GHashTable *states;  /* revision -> snapshot text */
+	GArray *accepts;     /* struct cell_accept */
+	char violation[512]; /* the first broken rule, or "" */
+};
+
+/** struct cell_accept - when a revision was first reported as accepted */
+struct cell_accept {
+	uint64_t ms;
+	uint64_t revision;
+};
+
+/** cell_new() - cell of @count entries that are not started; owned */
+struct cell *cell_new(unsigned count, uint64_t seed);
+
+/** cell_free() - consumed */
+void cell_free(struct cell *c);
+
+/** cell_start() - start an entry's process */
+void cell_start(struct cell *c, unsigned node);
+
+/** cell_kill() - end an entry's process */
+void cell_kill(struct cell *c, unsigned node);
+
+/** cell_freeze() - stop a process; events wait for it */
+void cell_freeze(struct cell *c, unsigned node);
+
+/** cell_wake() - let a process run again */
+void cell_wake(struct cell *c, unsigned node);
+
+/** cell_cut() - cut or join the network between two nodes */
+void cell_cut(struct cell *c, unsigned a, unsigned b, bool cut);
+
+/** cell_run() - let time pass, in ms */
+void cell_run(struct cell *c, uint64_t ms);
+
+/** cell_now() - ms */
+uint64_t cell_now(const struct cell *c);
+
+/** cell_change() - an operator's change at a node */
+void cell_change(struct cell *c, unsigned node, const char *json,
+    uint64_t expect, struct cell_result *result);
+
+/** cell_done() - callback of mb_change() that fills a struct cell_result */
+void cell_done(
+    void *arg, enum mb_outcome outcome, uint64_t revision, const char *text);
+
+/** cell_violation() - record the first broken rule */
+void cell_violation(struct cell *c, const char *fmt, ...)
+    __attribute__((format(printf, 2, 3)));
+
+/** cell_ready() - number of running entries that are registered and verified */
+unsigned cell_ready(const struct cell *c);
+
+/** cell_later() - run a function at a node after a time, if it still runs */
+void cell_later(struct cell_node *n, uint64_t ms,
+    void (*fn)(struct cell_node *n, void *arg), void *arg,
+    GDestroyNotify release);
+
+#endif
