--- a/tests/cell.c
+++ b/tests/cell.c
@@ -378,7 +378,9 @@
 {
 	struct cell *c = call->node->cell;
 
-	post(c, EV_REPLY, delay(c, base), call, call->node);
+	/* An answer never reaches the successor of the process that asked. */
+	post(c, EV_REPLY, delay(c, base), call, call->node)->generation =
+	    call->generation;
 }
 
 static void
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -633,14 +633,23 @@
 static void
 test_refused_changes(void **state)
 {
-	static const char *const cases[] = {
-	    "nonsense",
-	    "{\"kind\":\"entry_remove\",\"name\":\"entry-1\"}",
-	    "{\"kind\":\"az_out\",\"az\":\"nowhere\"}",
-	    "{\"kind\":\"az_out\"}",
-	    "{\"kind\":\"az_out\",\"az\":\"armor\",\"change_id\":7}",
-	    "{\"kind\":\"entries_forget\",\"names\":[\"entry-2\"]}",
-	    "{\"kind\":\"entries_forget\",\"names\":[7]}",
+	static const struct {
+		const char *json;
+		const char *text;
+	} cases[] = {
+	    {"nonsense", "not a change for operators"},
+	    {"{\"kind\":\"entry_remove\",\"name\":\"entry-1\","
+	     "\"incarnation\":\"1\"}",
+		"not a change for operators"},
+	    {"{\"kind\":\"az_out\",\"az\":\"nowhere\"}",
+		"availability zone nowhere is unknown"},
+	    {"{\"kind\":\"az_out\"}", "az: missing or malformed"},
+	    {"{\"kind\":\"az_out\",\"az\":\"armor\",\"change_id\":7}",
+		"not a change for operators"},
+	    {"{\"kind\":\"entries_forget\",\"names\":[\"entry-2\"]}",
+		"entry entry-2 answers and cannot be forgotten"},
+	    {"{\"kind\":\"entries_forget\",\"names\":[7]}",
+		"names: missing or malformed"},
 	};
 	struct cell_result r;
 	struct cell *c;
@@ -651,10 +660,11 @@
 	c = started(3, 0);
 	rows = c->rows->len;
 	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
-		cell_change(c, 0, cases[i], 0, &r);
+		cell_change(c, 0, cases[i].json, 0, &r);
 		cell_run(c, 500);
 		assert_true(r.ended);
 		assert_int_equal(MB_REFUSED, r.outcome);
+		assert_string_equal(cases[i].text, r.text);
 		assert_int_equal(rows, c->rows->len);
 	}
 	cell_free(c);
