--- /dev/null
+++ b/agent/sessions.h
@@ -0,0 +1,54 @@
+#ifndef SESSIONS_H
+#define SESSIONS_H
+
+#include <stdint.h>
+
+#include "gate.h"
+
+/**
+ * DOC: ss - sessions with the entries: one connection to each address
+ */
+struct ss;
+struct kn;
+
+/**
+ * ss_new() - connect to all entries
+ * @kernel: finds "settings", "clock", "counters", "loop", "identity", "gate"
+ *
+ * Return: owned handle.
+ */
+struct ss *ss_new(struct kn *kernel);
+
+/** ss_free() - close all connections; consumed, NULL is allowed */
+void ss_free(struct ss *s);
+
+/**
+ * ss_report() - send a record to an entry, batched per loop pass
+ * @r: copied
+ */
+void ss_report(struct ss *s, ga_session session, const struct pd_record *r);
+
+/** ss_heartbeat() - send a heartbeat to all entries now */
+void ss_heartbeat(struct ss *s);
+
+/**
+ * ss_finish() - close each connection once its entry has read all reports
+ * @done: called once, when all are closed or after 3 s
+ */
+void ss_finish(struct ss *s, void (*done)(void *arg), void *arg);
+
+/** ss_open() - number of sessions that are open */
+unsigned ss_open(const struct ss *s);
+
+/** struct ss_bytes - traffic with the entries since the start */
+struct ss_bytes {
+	uint64_t sent_control;     /* all but task bodies */
+	uint64_t received_control; /* all but task bodies */
+	uint64_t sent_bodies;
+	uint64_t received_bodies;
+};
+
+/** ss_bytes() - traffic with the entries */
+struct ss_bytes ss_bytes(const struct ss *s);
+
+#endif
--- /dev/null
+++ b/plan/gate.c
@@ -0,0 +1,768 @@
+#include <glib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "clock.h"
+#include "counters.h"
+#include "gate.h"
+#include "health.h"
+#include "partition.h"
+#include "startlog.h"
+
+#define REASONS (PD_R_FORGOTTEN + 1)
+#define STATES (PD_OUTCOME_UNKNOWN + 1)
+
+/* Bytes of a record on the wire besides id and body. */
+#define RECORD_WIRE_BYTES 64
+
+/* An entry that was heard of; kept while it has a session or a valid permit. */
+struct entry {
+	uint64_t incarnation;
+	ga_session session; /* GA_NO_SESSION while down */
+	bool permitted;
+	uint64_t permit_ms; /* own clock reading that the permit echoes */
+};
+
+struct fence {
+	uint64_t view;
+	uint64_t entry;
+};
+
+struct ga {
+	struct ck *clock;
+	struct ga_settings settings;
+	const struct ga_ops *ops;
+	void *arg;
+	struct sl *log;
+	struct he health;
+	GArray *entries;
+	ga_session last_session;
+	struct fence fences[PD_PARTITIONS];
+	GQueue queue;             /* sl_record, oldest first */
+	struct sl_record **slots; /* NULL for a free slot */
+	unsigned running;
+	uint64_t revision;
+	bool in_service;
+	bool draining;
+	GArray *page; /* pd_record of the last fence reply */
+	struct ct_metric *refusals[REASONS];
+	struct ct_metric *results[STATES];
+	struct ct_metric *starts;
+	struct ct_metric *permits_ignored;
+};
+
+static const char *const reason_names[REASONS] = {
+    [PD_R_NONE] = "none",
+    [PD_R_STALE_VIEW] = "stale_view",
+    [PD_R_WRONG_INCARNATION] = "wrong_incarnation",
+    [PD_R_NO_PERMIT] = "no_permit",
+    [PD_R_OUT_OF_SERVICE] = "out_of_service",
+    [PD_R_QUEUE_FULL] = "queue_full",
+    [PD_R_EJECTED] = "ejected",
+    [PD_R_DRAINING] = "draining",
+    [PD_R_DEADLINE] = "deadline",
+    [PD_R_DUPLICATE] = "duplicate",
+    [PD_R_VOIDED] = "voided",
+    [PD_R_CANCELLED] = "cancelled",
+    [PD_R_ENDPOINT_ERROR] = "endpoint_error",
+    [PD_R_ENDPOINT_TIMEOUT] = "endpoint_timeout",
+    [PD_R_ENDPOINT_REFUSED] = "endpoint_refused",
+    [PD_R_FORGOTTEN] = "forgotten",
+};
+
+static const char *const state_names[STATES] = {
+    [PD_NOT_STARTED] = "not_started",
+    [PD_QUEUED] = "queued",
+    [PD_RUNNING] = "running",
+    [PD_DONE] = "done",
+    [PD_FAILED] = "failed",
+    [PD_OUTCOME_UNKNOWN] = "outcome_unknown",
+};
+
+/* Result of a call by its end; body is kept only with PD_DONE. */
+static const struct {
+	enum pd_task_state state;
+	enum pd_reason reason;
+	bool fault; /* counts against the endpoint */
+} ends[] = {
+    [GA_OK] = {PD_DONE, PD_R_NONE, false},
+    [GA_REJECTED] = {PD_FAILED, PD_R_ENDPOINT_ERROR, false},
+    [GA_ERROR] = {PD_FAILED, PD_R_ENDPOINT_ERROR, true},
+    [GA_BROKEN] = {PD_OUTCOME_UNKNOWN, PD_R_ENDPOINT_ERROR, true},
+    [GA_TIMEOUT] = {PD_OUTCOME_UNKNOWN, PD_R_ENDPOINT_TIMEOUT, true},
+    [GA_REFUSED] = {PD_NOT_STARTED, PD_R_ENDPOINT_REFUSED, true},
+    [GA_LATE] = {PD_NOT_STARTED, PD_R_NO_PERMIT, false},
+};
+
+static void
+make_counters(struct ga *g, struct ct *counters)
+{
+	char labels[64];
+	unsigned i;
+
+	for (i = 1; i < REASONS; i++) {
+		g_snprintf(
+		    labels, sizeof(labels), "reason=\"%s\"", reason_names[i]);
+		g->refusals[i] =
+		    ct_get(counters, CT_COUNTER, "pd_agent_refusals_total",
+			"Grants that did not lead to a start", labels);
+	}
+	for (i = 0; i < STATES; i++) {
+		g_snprintf(
+		    labels, sizeof(labels), "state=\"%s\"", state_names[i]);
+		g->results[i] =
+		    ct_get(counters, CT_COUNTER, "pd_agent_results_total",
+			"Ends of tasks that entered a slot", labels);
+	}
+	g->starts = ct_get(counters, CT_COUNTER, "pd_agent_starts_total",
+	    "Tasks that entered a slot", "");
+	g->permits_ignored =
+	    ct_get(counters, CT_COUNTER, "pd_agent_permits_ignored_total",
+		"Permits of an older revision or with an impossible clock", "");
+}
+
+struct ga *
+ga_new(struct ck *clock, struct ct *counters,
+    const struct ga_settings *settings, const struct ga_ops *ops, void *arg)
+{
+	struct ga *g;
+
+	g = g_new0(struct ga, 1);
+	g->clock = clock;
+	g->settings = *settings;
+	g->ops = ops;
+	g->arg = arg;
+	g->log = sl_new(settings->life_ms, settings->records_bytes);
+	g->entries = g_array_new(FALSE, FALSE, sizeof(struct entry));
+	g->page = g_array_new(FALSE, FALSE, sizeof(struct pd_record));
+	g->slots = g_new0(struct sl_record *, settings->slots);
+	g->in_service = true;
+	g_queue_init(&g->queue);
+	make_counters(g, counters);
+	return (g);
+}
+
+void
+ga_free(struct ga *g)
+{
+	if (g == NULL)
+		return;
+	g_queue_clear(&g->queue);
+	sl_free(g->log);
+	g_array_free(g->entries, TRUE);
+	g_array_free(g->page, TRUE);
+	g_free(g->slots);
+	g_free(g);
+}
+
+static struct entry *
+entry_find(const struct ga *g, uint64_t incarnation)
+{
+	struct entry *e;
+	guint i;
+
+	for (i = 0; i < g->entries->len; i++) {
+		e = &g_array_index(g->entries, struct entry, i);
+		if (e->incarnation == incarnation)
+			return (e);
+	}
+	return (NULL);
+}
+
+static struct entry *
+entry_of_session(const struct ga *g, ga_session session)
+{
+	struct entry *e;
+	guint i;
+
+	for (i = 0; i < g->entries->len && session != GA_NO_SESSION; i++) {
+		e = &g_array_index(g->entries, struct entry, i);
+		if (e->session == session)
+			return (e);
+	}
+	return (NULL);
+}
+
+static bool
+has_permit(const struct ga *g, uint64_t incarnation)
+{
+	const struct entry *e;
+
+	e = entry_find(g, incarnation);
+	return (e != NULL && e->permitted &&
+	    ck_mono_ms(g->clock) - e->permit_ms <= GA_PERMIT_LIMIT_MS);
+}
+
+static uint64_t
+sub_hash(const struct sl_record *r)
+{
+	const struct pd_id *id = &r->sub->id;
+
+	return (XXH3_64bits_withSeed(id->id, strlen(id->id), id->created_ms));
+}
+
+/* Session that gets the reports of a task, which is that of the entry that
+ * fenced its partition after the grant, if there is one. */
+static ga_session
+route(const struct ga *g, const struct sl_record *r)
+{
+	const struct fence *f = &g->fences[r->sub->partition];
+	const struct entry *e;
+
+	e = entry_find(g,
+	    f->entry != 0 && f->view >= r->grant->view ? f->entry
+						       : r->grant->entry);
+	return (e != NULL ? e->session : GA_NO_SESSION);
+}
+
+static void
+report(struct ga *g, ga_session session, const struct sl_record *r)
+{
+	struct pd_record out;
+
+	if (session == GA_NO_SESSION)
+		return;
+	sl_export(r, &out);
+	g->ops->report(g->arg, session, &out);
+}
+
+/* Reports a record as not started and removes it. */
+static void
+give_back(struct ga *g, struct sl_record *r, enum pd_reason reason)
+{
+	r->state = PD_NOT_STARTED;
+	r->reason = (uint8_t)reason;
+	ct_add(g->refusals[reason], 1);
+	if (r->grant->probe)
+		he_probe_end(&g->health, false, false, ck_mono_ms(g->clock));
+	report(g, route(g, r), r);
+	sl_remove(g->log, r);
+}
+
+static void
+drop_queued(struct ga *g, struct sl_record *r, enum pd_reason reason)
+{
+	g_queue_remove(&g->queue, r);
+	r->queue_ms = (uint32_t)(ck_mono_ms(g->clock) - r->grant->queued_ms);
+	give_back(g, r, reason);
+}
+
+static void
+drop_all_queued(struct ga *g, enum pd_reason reason)
+{
+	struct sl_record *r;
+
+	while ((r = g_queue_peek_head(&g->queue)) != NULL)
+		drop_queued(g, r, reason);
+}
+
+static void
+drop_expired(struct ga *g)
+{
+	uint64_t now = ck_mono_ms(g->clock);
+	struct sl_record *r;
+	GList *at, *next;
+
+	for (at = g->queue.head; at != NULL; at = next) {
+		next = at->next;
+		r = at->data;
+		if (now >= r->grant->deadline_ms)
+			drop_queued(g, r, PD_R_DEADLINE);
+	}
+}
+
+static void
+start(struct ga *g, struct sl_record *r)
+{
+	uint64_t now = ck_mono_ms(g->clock);
+	struct sl_grant *grant = r->grant;
+	struct ga_task task;
+	unsigned slot;
+
+	for (slot = 0; g->slots[slot] != NULL; slot++)
+		continue;
+	g_queue_remove(&g->queue, r);
+	g->slots[slot] = r;
+	g->running++;
+	r->state = PD_RUNNING;
+	r->revision = g->revision;
+	r->queue_ms = (uint32_t)(now - grant->queued_ms);
+	grant->started_ms = now;
+	task = (struct ga_task){
+	    .slot = slot,
+	    .key = {r->sub->id, r->task, r->attempt},
+	    .start_by_ms =
+		entry_find(g, grant->entry)->permit_ms + GA_PERMIT_LIMIT_MS,
+	    /* The clock may have moved since the deadline was checked. */
+	    .timeout_ms = (unsigned)(MAX(grant->deadline_ms, now + 1) - now),
+	    .body = grant->body,
+	    .body_len = grant->body_len,
+	};
+	grant->body = NULL;
+	ct_add(g->starts, 1);
+	g->ops->start(g->arg, &task);
+}
+
+static struct sl_record *
+next_startable(const struct ga *g)
+{
+	struct sl_record *r;
+	GList *at;
+
+	for (at = g->queue.head; at != NULL; at = at->next) {
+		r = at->data;
+		if (has_permit(g, r->grant->entry))
+			return (r);
+	}
+	return (NULL);
+}
+
+static void
+start_queued(struct ga *g)
+{
+	struct sl_record *r;
+
+	drop_expired(g);
+	if (!g->in_service || g->draining)
+		return;
+	while (g->running < he_limit(&g->health, g->settings.slots) &&
+	    (r = next_startable(g)) != NULL)
+		start(g, r);
+}
+
+ga_session
+ga_session_up(struct ga *g, uint64_t incarnation)
+{
+	struct entry fresh = {.incarnation = incarnation};
+	struct entry *e;
+
+	/* 0 stands for "no entry" in the fences. */
+	if (incarnation == 0)
+		return (GA_NO_SESSION);
+	e = entry_find(g, incarnation);
+	if (e == NULL) {
+		g_array_append_val(g->entries, fresh);
+		e = &g_array_index(
+		    g->entries, struct entry, g->entries->len - 1);
+	}
+	e->session = ++g->last_session;
+	return (e->session);
+}
+
+void
+ga_session_down(struct ga *g, ga_session session)
+{
+	struct entry *e;
+
+	e = entry_of_session(g, session);
+	if (e != NULL)
+		e->session = GA_NO_SESSION;
+}
+
+void
+ga_entry_gone(struct ga *g, uint64_t incarnation)
+{
+	struct sl_record *r;
+	GList *at, *next;
+
+	for (at = g->queue.head; at != NULL; at = next) {
+		next = at->next;
+		r = at->data;
+		if (r->grant->entry == incarnation)
+			drop_queued(g, r, PD_R_NO_PERMIT);
+	}
+}
+
+void
+ga_heartbeat(const struct ga *g, struct pd_heartbeat *out)
+{
+	*out = (struct pd_heartbeat){
+	    .clock_ms = ck_mono_ms(g->clock),
+	    .running = g->running,
+	    .queued = g->queue.length,
+	    .health = g->health.state,
+	    .draining = g->draining,
+	};
+}
+
+void
+ga_permit(struct ga *g, ga_session session, const struct pd_permit *p)
+{
+	struct entry *e;
+
+	e = entry_of_session(g, session);
+	if (e == NULL || !p->granted)
+		return;
+	if (p->revision < g->revision || p->clock_ms > ck_mono_ms(g->clock)) {
+		ct_add(g->permits_ignored, 1);
+		return;
+	}
+	g->revision = p->revision;
+	g->in_service = p->in_service;
+	if (!e->permitted || p->clock_ms > e->permit_ms)
+		e->permit_ms = p->clock_ms;
+	e->permitted = true;
+	if (!g->in_service)
+		drop_all_queued(g, PD_R_OUT_OF_SERVICE);
+	start_queued(g);
+}
+
+static void
+refuse(struct ga *g, ga_session session, const struct pd_grant *grant,
+    enum pd_task_state state, enum pd_reason reason)
+{
+	struct pd_record out = {
+	    .key = grant->key,
+	    .state = state,
+	    .reason = reason,
+	    .ntasks = grant->ntasks,
+	    .revision = g->revision,
+	};
+
+	ct_add(g->refusals[reason], 1);
+	g->ops->report(g->arg, session, &out);
+}
+
+/* Answers a grant whose key has a record; returns false when it has none. */
+static bool
+answer_known(struct ga *g, ga_session session, const struct pd_grant *grant)
+{
+	struct pd_record out;
+	struct sl_record *r;
+
+	r = sl_find(g->log, &grant->key);
+	if (r == NULL)
+		return (false);
+	sl_export(r, &out);
+	if (r->grant != NULL)
+		out.reason = PD_R_DUPLICATE;
+	ct_add(g->refusals[r->state == PD_NOT_STARTED ? PD_R_VOIDED
+						      : PD_R_DUPLICATE],
+	    1);
+	g->ops->report(g->arg, session, &out);
+	return (true);
+}
+
+/* Whether the task is known under another attempt that excludes this one. */
+static bool
+excluded(const struct ga *g, const struct pd_grant *grant)
+{
+	bool single = !grant->idempotent || grant->ntasks != 1;
+	const struct sl_record *r;
+	const struct sl_sub *sub;
+
+	sub = sl_sub_find(g->log, &grant->key.sub);
+	for (r = sub != NULL ? sub->first : NULL; r != NULL; r = r->sibling)
+		if (r->task == grant->key.task && r->state != PD_NOT_STARTED &&
+		    (single || r->single))
+			return (true);
+	return (false);
+}
+
+/* Reason why a grant with an unknown key cannot be queued. */
+static enum pd_reason
+admission(struct ga *g, const struct pd_grant *grant)
+{
+	if (excluded(g, grant))
+		return (PD_R_DUPLICATE);
+	if (g->draining)
+		return (PD_R_DRAINING);
+	if (!g->in_service)
+		return (PD_R_OUT_OF_SERVICE);
+	if (grant->timeout_ms == 0)
+		return (PD_R_DEADLINE);
+	if (!he_admit(&g->health, ck_mono_ms(g->clock)))
+		return (PD_R_EJECTED);
+	return (PD_R_NONE);
+}
+
+static void
+enqueue(struct ga *g, const struct entry *e, const struct pd_grant *grant)
+{
+	uint64_t now = ck_mono_ms(g->clock);
+	struct sl_grant *kept;
+
+	kept = g_new0(struct sl_grant, 1);
+	kept->entry = e->incarnation;
+	kept->view = grant->view;
+	kept->queued_ms = now;
+	kept->deadline_ms = now + grant->timeout_ms;
+	kept->idempotent = grant->idempotent;
+	kept->probe = g->health.state == PD_EJECTED;
+	kept->body = g_memdup2(grant->body.body_val, grant->body.body_len);
+	kept->body_len = grant->body.body_len;
+	g_queue_push_tail(
+	    &g->queue, sl_add(g->log, &grant->key, grant->ntasks, kept, now));
+}
+
+/* A full queue gives up a grant that cannot start before one that can, so
+ * that an entry without permits does not hold up the others. */
+static void
+limit_queue(struct ga *g)
+{
+	struct sl_record *last, *r;
+	GList *at;
+
+	if (g->queue.length <= g->settings.queue_max)
+		return;
+	last = g_queue_peek_tail(&g->queue);
+	if (has_permit(g, last->grant->entry))
+		for (at = g->queue.head; at != NULL; at = at->next) {
+			r = at->data;
+			if (!has_permit(g, r->grant->entry)) {
+				drop_queued(g, r, PD_R_NO_PERMIT);
+				return;
+			}
+		}
+	drop_queued(g, last, PD_R_QUEUE_FULL);
+}
+
+void
+ga_grant(struct ga *g, ga_session session, const struct pd_grant *grant)
+{
+	const struct entry *e;
+	enum pd_reason reason;
+
+	e = entry_of_session(g, session);
+	if (e == NULL)
+		return;
+	if (grant->incarnation != g->settings.incarnation) {
+		refuse(
+		    g, session, grant, PD_NOT_STARTED, PD_R_WRONG_INCARNATION);
+		return;
+	}
+	if (grant->view < g->fences[pt_of(&grant->key.sub)].view) {
+		refuse(g, session, grant, PD_NOT_STARTED, PD_R_STALE_VIEW);
+		return;
+	}
+	if (answer_known(g, session, grant))
+		return;
+	if (grant->key.sub.created_ms <= sl_horizon(g->log)) {
+		refuse(g, session, grant, PD_OUTCOME_UNKNOWN, PD_R_FORGOTTEN);
+		return;
+	}
+	reason = admission(g, grant);
+	if (reason != PD_R_NONE) {
+		refuse(g, session, grant, PD_NOT_STARTED, reason);
+		return;
+	}
+	enqueue(g, e, grant);
+	start_queued(g);
+	limit_queue(g);
+}
+
+static void
+note_health(struct ga *g, const struct sl_record *r, enum ga_end end)
+{
+	uint64_t now = ck_mono_ms(g->clock);
+
+	if (end == GA_OK) {
+		he_success(&g->health);
+		return;
+	}
+	if (r->grant->probe && g->health.state == PD_EJECTED)
+		he_probe_end(&g->health, ends[end].fault, end != GA_LATE, now);
+	else if (ends[end].fault &&
+	    he_failure(&g->health, sub_hash(r), end == GA_REFUSED, now))
+		drop_all_queued(g, PD_R_EJECTED);
+}
+
+void
+ga_done(
+    struct ga *g, unsigned slot, enum ga_end end, char *body, size_t body_len)
+{
+	uint64_t now = ck_mono_ms(g->clock);
+	struct sl_record *r = g->slots[slot];
+	ga_session session;
+
+	g->slots[slot] = NULL;
+	g->running--;
+	r->run_ms = (uint32_t)(now - r->grant->started_ms);
+	ct_add(g->results[ends[end].state], 1);
+	note_health(g, r, end);
+	session = route(g, r);
+	if (end != GA_OK) {
+		g_free(body);
+		body = NULL;
+		body_len = 0;
+	}
+	sl_finish(
+	    g->log, r, ends[end].state, ends[end].reason, body, body_len, now);
+	report(g, session, r);
+	if (ends[end].state == PD_NOT_STARTED) {
+		ct_add(g->refusals[ends[end].reason], 1);
+		sl_remove(g->log, r);
+	}
+	sl_expire(g->log, now);
+	start_queued(g);
+}
+
+void
+ga_resolve(struct ga *g, const struct pd_key *key, struct pd_record *out)
+{
+	const struct sl_record *r;
+
+	r = sl_find(g->log, key);
+	if (r == NULL && key->sub.created_ms <= sl_horizon(g->log)) {
+		*out = (struct pd_record){.key = *key,
+		    .state = PD_OUTCOME_UNKNOWN,
+		    .reason = PD_R_FORGOTTEN};
+		return;
+	}
+	if (r == NULL)
+		r = sl_add(g->log, key, 0, NULL, ck_mono_ms(g->clock));
+	sl_export(r, out);
+}
+
+void
+ga_cancel(struct ga *g, const struct pd_key *key)
+{
+	struct sl_record *r;
+
+	r = sl_find(g->log, key);
+	if (r != NULL && r->state == PD_QUEUED)
+		drop_queued(g, r, PD_R_CANCELLED);
+}
+
+static bool
+fence_allowed(const struct ga *g, const struct pd_fence *f)
+{
+	unsigned i;
+
+	for (i = 0; i < PD_PARTITIONS; i++)
+		if ((f->partitions & pt_bit(i)) != 0 &&
+		    g->fences[i].view > f->view)
+			return (false);
+	return (true);
+}
+
+static void
+set_fences(struct ga *g, const struct entry *e, const struct pd_fence *f)
+{
+	struct sl_record *r;
+	uint64_t risen = 0;
+	GList *at, *next;
+	unsigned i;
+
+	for (i = 0; i < PD_PARTITIONS; i++) {
+		if ((f->partitions & pt_bit(i)) == 0)
+			continue;
+		if (g->fences[i].view < f->view)
+			risen |= pt_bit(i);
+		g->fences[i] = (struct fence){f->view, e->incarnation};
+	}
+	/* The grants for which keys were voided have a lower view. */
+	if (risen != 0)
+		sl_unvoid(g->log, risen);
+	for (at = g->queue.head; at != NULL; at = next) {
+		next = at->next;
+		r = at->data;
+		if ((f->partitions & pt_bit(r->sub->partition)) != 0 &&
+		    r->grant->view < f->view)
+			drop_queued(g, r, PD_R_STALE_VIEW);
+	}
+}
+
+struct page {
+	GArray *list;
+	size_t bytes;
+};
+
+static bool
+page_add(void *arg, const struct sl_record *r)
+{
+	struct page *p = arg;
+	struct pd_record out;
+
+	if (p->list->len == PD_BATCH_MAX || p->bytes >= GA_PAGE_BYTES)
+		return (false);
+	sl_export(r, &out);
+	p->bytes += RECORD_WIRE_BYTES + strlen(r->sub->id.id) + r->body_len;
+	g_array_append_val(p->list, out);
+	return (true);
+}
+
+void
+ga_fence(struct ga *g, ga_session session, const struct pd_fence *f,
+    struct pd_fence_reply *out)
+{
+	const struct entry *e;
+	struct page page = {g->page, 0};
+
+	*out = (struct pd_fence_reply){
+	    .incarnation = g->settings.incarnation,
+	    .started_ms = ga_complete_since(g),
+	};
+	e = entry_of_session(g, session);
+	if (e == NULL || !fence_allowed(g, f)) {
+		out->refused = true;
+		return;
+	}
+	set_fences(g, e, f);
+	start_queued(g);
+	g_array_set_size(g->page, 0);
+	out->next = sl_page(g->log, f->partitions, f->cursor, page_add, &page);
+	out->list.list_len = g->page->len;
+	out->list.list_val = (struct pd_record *)(void *)g->page->data;
+}
+
+void
+ga_drain(struct ga *g)
+{
+	g->draining = true;
+	drop_all_queued(g, PD_R_DRAINING);
+}
+
+bool
+ga_drained(const struct ga *g)
+{
+	return (g->draining && g->running == 0);
+}
+
+static void
+forget_entries(struct ga *g)
+{
+	const struct entry *e;
+	guint i;
+
+	for (i = g->entries->len; i > 0; i--) {
+		e = &g_array_index(g->entries, struct entry, i - 1);
+		if (e->session == GA_NO_SESSION &&
+		    !has_permit(g, e->incarnation))
+			g_array_remove_index(g->entries, i - 1);
+	}
+}
+
+void
+ga_tick(struct ga *g)
+{
+	start_queued(g);
+	sl_expire(g->log, ck_mono_ms(g->clock));
+	forget_entries(g);
+}
+
+uint64_t
+ga_complete_since(const struct ga *g)
+{
+	uint64_t horizon = sl_horizon(g->log);
+
+	return (MAX(g->settings.started_ms, horizon > 0 ? horizon + 1 : 0));
+}
+
+struct ga_stats
+ga_stats(const struct ga *g)
+{
+	struct sl_stats s = sl_stats(g->log);
+
+	return ((struct ga_stats){
+	    .running = g->running,
+	    .queued = g->queue.length,
+	    .records = s.records,
+	    .record_bytes = s.bytes,
+	    .bodies_dropped = s.bodies_dropped,
+	    .records_dropped = s.records_dropped,
+	    .revision = g->revision,
+	    .in_service = g->in_service,
+	    .health = g->health.state,
+	});
+}
--- /dev/null
+++ b/plan/health.h
@@ -0,0 +1,58 @@
+#ifndef HEALTH_H
+#define HEALTH_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "pd.h"
+
+/**
+ * DOC: he - health of an endpoint: outlier ejection by consecutive failures
+ */
+
+/** HE_EJECT_FAILURES - failures in a row after which an endpoint is ejected */
+#define HE_EJECT_FAILURES 3
+/** HE_PROBE_FIRST_MS - wait before the first probe */
+#define HE_PROBE_FIRST_MS 1000
+/** HE_PROBE_MAX_MS - longest wait between probes */
+#define HE_PROBE_MAX_MS 30000
+
+/** struct he - state; zeroed is healthy, the fields are private */
+struct he {
+	enum pd_health state;
+	unsigned failures;  /* in a row */
+	uint64_t first_sub; /* hash of the submission of the first failure */
+	bool two_subs;      /* failures came from at least two submissions */
+	bool probing;       /* a probe is queued or runs */
+	uint64_t interval_ms;
+	uint64_t next_probe_ms;
+};
+
+/** he_success() - a task succeeded; the endpoint is healthy */
+void he_success(struct he *h);
+
+/**
+ * he_failure() - a task failed by fault of the endpoint
+ * @sub: hash of its submission
+ * @any_sub: the failure cannot be the fault of the task, so that it counts
+ *     like failures of two submissions
+ * @now_ms: monotonic ms
+ *
+ * Return: whether this failure ejected the endpoint.
+ */
+bool he_failure(struct he *h, uint64_t sub, bool any_sub, uint64_t now_ms);
+
+/** he_admit() - whether a grant is admitted now; if ejected, as the probe */
+bool he_admit(struct he *h, uint64_t now_ms);
+
+/**
+ * he_probe_end() - the admitted probe ended without success
+ * @failed: by fault of the endpoint; the wait for the next one doubles
+ * @ran: false when it was never started; another one is admitted at once
+ */
+void he_probe_end(struct he *h, bool failed, bool ran, uint64_t now_ms);
+
+/** he_limit() - tasks that may run at a time */
+unsigned he_limit(const struct he *h, unsigned slots);
+
+#endif
--- /dev/null
+++ b/tests/gate_fixture.h
@@ -0,0 +1,236 @@
+#ifndef GATE_FIXTURE_H
+#define GATE_FIXTURE_H
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <glib.h>
+
+#include "clock.h"
+#include "counters.h"
+#include "gate.h"
+#include "partition.h"
+
+/**
+ * DOC: a gate with a paused clock and recorded outputs
+ */
+
+#define FIX_INCARNATION 77
+#define FIX_WALL_MS 1767225600000ULL
+#define FIX_ALL (~0ULL)
+#define FIX_EVENTS 4096
+
+/** struct fix_report - one recorded report */
+struct fix_report {
+	ga_session session;
+	char id[32];
+	unsigned task;
+	unsigned attempt;
+	enum pd_task_state state;
+	enum pd_reason reason;
+	unsigned body_len;
+};
+
+/** struct fix_start - one recorded start */
+struct fix_start {
+	unsigned slot;
+	char id[32];
+	unsigned task;
+	unsigned attempt;
+	uint64_t start_by_ms;
+	unsigned timeout_ms;
+};
+
+/** struct fix - gate under test */
+struct fix {
+	struct ck *clock;
+	struct ct *counters;
+	struct ga *gate;
+	struct ga_settings settings;
+	struct fix_report reports[FIX_EVENTS];
+	size_t nreports;
+	struct fix_start starts[FIX_EVENTS];
+	size_t nstarts;
+	uint64_t revision;
+};
+
+static inline void
+fix_on_start(void *arg, const struct ga_task *task)
+{
+	struct fix *f = arg;
+	struct fix_start *s = &f->starts[f->nstarts++ % FIX_EVENTS];
+
+	*s = (struct fix_start){task->slot, "", task->key.task,
+	    task->key.attempt, task->start_by_ms, task->timeout_ms};
+	g_strlcpy(s->id, task->key.sub.id, sizeof(s->id));
+	g_free(task->body);
+}
+
+static inline void
+fix_on_report(void *arg, ga_session session, const struct pd_record *r)
+{
+	struct fix *f = arg;
+	struct fix_report *to = &f->reports[f->nreports++ % FIX_EVENTS];
+
+	*to = (struct fix_report){session, "", r->key.task, r->key.attempt,
+	    r->state, r->reason, r->body.body_len};
+	g_strlcpy(to->id, r->key.sub.id, sizeof(to->id));
+}
+
+static const struct ga_ops fix_ops = {fix_on_start, fix_on_report};
+
+/** fix_open() - new gate with the settings of @f; an older one is freed */
+static inline void
+fix_open(struct fix *f)
+{
+	ga_free(f->gate);
+	f->gate = ga_new(f->clock, f->counters, &f->settings, &fix_ops, f);
+}
+
+/** fix_new() - gate with 2 slots and a queue of 4 */
+static inline struct fix *
+fix_new(void)
+{
+	struct fix *f;
+
+	f = g_new0(struct fix, 1);
+	f->clock = ck_new_manual(100000, FIX_WALL_MS);
+	f->counters = ct_new();
+	f->settings = (struct ga_settings){
+	    .incarnation = FIX_INCARNATION,
+	    .started_ms = FIX_WALL_MS - 1000,
+	    .slots = 2,
+	    .queue_max = 4,
+	    .life_ms = 600000,
+	    .records_bytes = 1048576,
+	};
+	f->revision = 1;
+	fix_open(f);
+	return (f);
+}
+
+/** fix_free() - consumed */
+static inline void
+fix_free(struct fix *f)
+{
+	ga_free(f->gate);
+	ct_free(f->counters);
+	ck_free(f->clock);
+	g_free(f);
+}
+
+/** fix_permit_at() - permit that echoes a clock reading */
+static inline void
+fix_permit_at(struct fix *f, ga_session session, uint64_t clock_ms)
+{
+	const struct pd_permit p = {true, clock_ms, f->revision, 1, true};
+
+	ga_permit(f->gate, session, &p);
+}
+
+/** fix_permit() - permit for a heartbeat of now */
+static inline void
+fix_permit(struct fix *f, ga_session session)
+{
+	fix_permit_at(f, session, ck_mono_ms(f->clock));
+}
+
+/** fix_id() - id created at the start of the test clock */
+static inline struct pd_id
+fix_id(const char *id)
+{
+	return ((struct pd_id){(char *)(uintptr_t)id, FIX_WALL_MS});
+}
+
+/** fix_key() - key of attempt 0 */
+static inline struct pd_key
+fix_key(const char *id, unsigned task)
+{
+	return ((struct pd_key){fix_id(id), task, 0});
+}
+
+/** fix_make() - grant of view 1, in a submission of 3 tasks, for 60 s */
+static inline struct pd_grant
+fix_make(const char *id, unsigned task)
+{
+	static char team[] = "lids", body[] = "body";
+
+	return ((struct pd_grant){
+	    .key = fix_key(id, task),
+	    .view = 1,
+	    .incarnation = FIX_INCARNATION,
+	    .ntasks = 3,
+	    .size_ms = 100,
+	    .timeout_ms = 60000,
+	    .team = team,
+	    .body = {4, body},
+	});
+}
+
+/** fix_grant() - grant as from fix_make() */
+static inline void
+fix_grant(struct fix *f, ga_session session, const char *id, unsigned task)
+{
+	const struct pd_grant g = fix_make(id, task);
+
+	ga_grant(f->gate, session, &g);
+}
+
+/** fix_last() - last report */
+static inline const struct fix_report *
+fix_last(const struct fix *f)
+{
+	assert_true(f->nreports > 0);
+	return (&f->reports[(f->nreports - 1) % FIX_EVENTS]);
+}
+
+/** fix_reported() - number of reports with a state and a reason */
+static inline unsigned
+fix_reported(
+    const struct fix *f, enum pd_task_state state, enum pd_reason reason)
+{
+	unsigned n = 0;
+	size_t i;
+
+	for (i = 0; i < f->nreports; i++)
+		n += f->reports[i].state == state &&
+		    f->reports[i].reason == reason;
+	return (n);
+}
+
+/** fix_end() - the call of a slot ended; GA_OK has a result of @body_len */
+static inline void
+fix_end(struct fix *f, unsigned slot, enum ga_end end, size_t body_len)
+{
+	ga_done(f->gate, slot, end, body_len > 0 ? g_malloc0(body_len) : NULL,
+	    body_len);
+}
+
+/** fix_fence() - first page of a fence */
+static inline struct pd_fence_reply
+fix_fence(struct fix *f, ga_session session, uint64_t partitions, uint64_t view)
+{
+	const struct pd_fence fence = {view, partitions, 0};
+	struct pd_fence_reply reply;
+
+	ga_fence(f->gate, session, &fence, &reply);
+	return (reply);
+}
+
+/** fix_resolve() - state of a key; the body is not kept */
+static inline struct pd_record
+fix_resolve(struct fix *f, struct pd_key key)
+{
+	struct pd_record r;
+
+	ga_resolve(f->gate, &key, &r);
+	return (r);
+}
+
+#endif
--- /dev/null
+++ b/tests/test_gate.c
@@ -0,0 +1,839 @@
+#include "gate_fixture.h"
+
+#define E1 11
+#define E2 22
+
+static int
+setup(void **state)
+{
+	*state = fix_new();
+	return (0);
+}
+
+static int
+teardown(void **state)
+{
+	fix_free(*state);
+	return (0);
+}
+
+static int64_t
+counter(const struct fix *f, const char *name, const char *labels)
+{
+	return (ct_value(ct_get(f->counters, CT_COUNTER, name, "", labels)));
+}
+
+/* Guards against a start on a permit that a pause has made too old, wherever
+ * the pause was. */
+static void
+test_permit_age_at_start(void **state)
+{
+	static const struct {
+		const char *where;
+		unsigned before_permit;
+		unsigned before_grant;
+		unsigned before_slot;
+		bool starts;
+	} cases[] = {
+	    {"no pause", 0, 0, 0, true},
+	    {"limit reached exactly", 1650, 0, 0, true},
+	    {"reply late", 1651, 0, 0, false},
+	    {"between permit and grant", 0, 1651, 0, false},
+	    {"in the queue", 0, 0, 1651, false},
+	    {"in parts", 600, 600, 451, false},
+	    {"in parts, within the limit", 600, 600, 450, true},
+	};
+	struct fix *f = *state;
+	ga_session s, other;
+	uint64_t heartbeat;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		fix_open(f);
+		f->nstarts = 0;
+		s = ga_session_up(f->gate, E1);
+		other = ga_session_up(f->gate, E2);
+		fix_permit(f, other);
+		fix_grant(f, other, "busy", 0);
+		fix_grant(f, other, "busy", 1);
+		assert_int_equal(2, f->nstarts);
+		heartbeat = ck_mono_ms(f->clock);
+		ck_advance_ms(f->clock, cases[i].before_permit);
+		fix_permit_at(f, s, heartbeat);
+		ck_advance_ms(f->clock, cases[i].before_grant);
+		fix_grant(f, s, "job", 0);
+		ck_advance_ms(f->clock, cases[i].before_slot);
+		fix_end(f, 0, GA_OK, 1);
+		if ((f->nstarts == 3) != cases[i].starts)
+			fail_msg("%s: started %zu", cases[i].where, f->nstarts);
+		/* It waits, and starts with the next permit. */
+		fix_permit(f, s);
+		assert_int_equal(3, f->nstarts);
+	}
+}
+
+/* Guards against a slot thread that calls the endpoint after a pause between
+ * the check and the call. */
+static void
+test_start_carries_permit_end(void **state)
+{
+	struct fix *f = *state;
+	ga_session s = ga_session_up(f->gate, E1);
+	uint64_t now = ck_mono_ms(f->clock);
+
+	fix_permit(f, s);
+	ck_advance_ms(f->clock, 500);
+	fix_grant(f, s, "job", 0);
+	assert_int_equal(now + GA_PERMIT_LIMIT_MS, f->starts[0].start_by_ms);
+	fix_end(f, 0, GA_LATE, 0);
+	assert_int_equal(PD_NOT_STARTED, fix_last(f)->state);
+	assert_int_equal(PD_R_NO_PERMIT, fix_last(f)->reason);
+	assert_int_equal(PD_HEALTHY, ga_stats(f->gate).health);
+}
+
+/* Guards against permits that must not count. */
+static void
+test_permit_ignored(void **state)
+{
+	struct fix *f = *state;
+	uint64_t now = ck_mono_ms(f->clock);
+	const struct {
+		const char *what;
+		struct pd_permit permit;
+	} cases[] = {
+	    {"entry is unverified", {false, now, 9, 1, true}},
+	    {"older revision", {true, now, 8, 1, true}},
+	    {"clock reading of the future", {true, now + 1, 9, 1, true}},
+	};
+	ga_session s, other;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		fix_open(f);
+		f->nstarts = 0;
+		f->revision = 9;
+		s = ga_session_up(f->gate, E1);
+		other = ga_session_up(f->gate, E2);
+		fix_permit(f, other);
+		fix_grant(f, s, "job", 0);
+		ga_permit(f->gate, s, &cases[i].permit);
+		if (f->nstarts != 0)
+			fail_msg("%s: started", cases[i].what);
+		assert_int_equal(9, ga_stats(f->gate).revision);
+	}
+	assert_int_equal(2, counter(f, "pd_agent_permits_ignored_total", ""));
+}
+
+/* Guards against a permit of one entry that lets another entry's task start,
+ * and against a permit that a late reply makes older. */
+static void
+test_permit_belongs_to_entry(void **state)
+{
+	struct fix *f = *state;
+	ga_session s1 = ga_session_up(f->gate, E1);
+	ga_session s2 = ga_session_up(f->gate, E2);
+	uint64_t now = ck_mono_ms(f->clock);
+
+	fix_permit(f, s2);
+	fix_grant(f, s1, "job", 0);
+	assert_int_equal(0, f->nstarts);
+	fix_permit(f, s1);
+	assert_int_equal(1, f->nstarts);
+	ck_advance_ms(f->clock, 1000);
+	fix_permit(f, s1);
+	fix_permit_at(f, s1, now);
+	ck_advance_ms(f->clock, 1000);
+	fix_grant(f, s1, "job", 1);
+	assert_int_equal(2, f->nstarts);
+}
+
+/* Guards against starts in a zone or at an endpoint out of service, also when
+ * an entry that is behind still says that it is in service. */
+static void
+test_out_of_service(void **state)
+{
+	struct fix *f = *state;
+	ga_session s1 = ga_session_up(f->gate, E1);
+	ga_session s2 = ga_session_up(f->gate, E2);
+	const struct pd_permit out = {true, ck_mono_ms(f->clock), 5, 1, false};
+	unsigned i;
+
+	f->revision = 4;
+	fix_permit(f, s1);
+	for (i = 0; i < 4; i++)
+		fix_grant(f, s1, "job", i);
+	assert_int_equal(2, f->nstarts);
+	ga_permit(f->gate, s2, &out);
+	assert_int_equal(
+	    2, fix_reported(f, PD_NOT_STARTED, PD_R_OUT_OF_SERVICE));
+	fix_permit(f, s1);
+	fix_end(f, 0, GA_OK, 1);
+	assert_int_equal(PD_DONE, fix_last(f)->state);
+	fix_grant(f, s1, "job", 5);
+	assert_int_equal(PD_R_OUT_OF_SERVICE, fix_last(f)->reason);
+	assert_int_equal(2, f->nstarts);
+	f->revision = 6;
+	fix_permit(f, s1);
+	fix_grant(f, s1, "job", 5);
+	assert_int_equal(3, f->nstarts);
+}
+
+/* Guards against a start of a grant that must be refused. */
+static void
+test_refused_on_arrival(void **state)
+{
+	struct fix *f = *state;
+	ga_session s = ga_session_up(f->gate, E1);
+	struct pd_grant g;
+
+	fix_permit(f, s);
+	g = fix_make("job", 0);
+	g.incarnation = FIX_INCARNATION - 1;
+	ga_grant(f->gate, s, &g);
+	assert_int_equal(PD_R_WRONG_INCARNATION, fix_last(f)->reason);
+	g = fix_make("job", 0);
+	g.timeout_ms = 0;
+	ga_grant(f->gate, s, &g);
+	assert_int_equal(PD_R_DEADLINE, fix_last(f)->reason);
+	assert_int_equal(2, f->nreports);
+	fix_grant(f, GA_NO_SESSION, "job", 0);
+	fix_grant(f, s + 100, "job", 0);
+	assert_int_equal(2, f->nreports);
+	assert_int_equal(0, f->nstarts);
+	/* A refusal leaves no trace, so the key may be granted again. */
+	fix_grant(f, s, "job", 0);
+	assert_int_equal(1, f->nstarts);
+	assert_int_equal(1,
+	    counter(
+		f, "pd_agent_refusals_total", "reason=\"wrong_incarnation\""));
+}
+
+/* Guards against a restarted agent that takes grants meant for the process
+ * before it, which may have started the task. */
+static void
+test_restart_refuses_old_incarnation(void **state)
+{
+	struct fix *f = *state;
+	ga_session s = ga_session_up(f->gate, E1);
+
+	fix_permit(f, s);
+	fix_grant(f, s, "job", 0);
+	assert_int_equal(1, f->nstarts);
+	f->settings.incarnation = FIX_INCARNATION + 1;
+	fix_open(f);
+	s = ga_session_up(f->gate, E1);
+	fix_permit(f, s);
+	fix_grant(f, s, "job", 0);
+	assert_int_equal(1, f->nstarts);
+	assert_int_equal(PD_NOT_STARTED, fix_last(f)->state);
+	assert_int_equal(PD_R_WRONG_INCARNATION, fix_last(f)->reason);
+}
+
+/* Guards against an unbounded queue, and against slots that stay free. */
+static void
+test_queue_bound(void **state)
+{
+	struct fix *f = *state;
+	ga_session s = ga_session_up(f->gate, E1);
+	unsigned i;
+
+	fix_permit(f, s);
+	for (i = 0; i < 7; i++)
+		fix_grant(f, s, "job", i);
+	assert_int_equal(2, f->nstarts);
+	assert_int_equal(4, ga_stats(f->gate).queued);
+	assert_int_equal(1, f->nreports);
+	assert_int_equal(PD_R_QUEUE_FULL, fix_last(f)->reason);
+	assert_int_equal(6, fix_last(f)->task);
+	fix_end(f, 1, GA_OK, 1);
+	assert_int_equal(3, f->nstarts);
+	assert_int_equal(2, f->starts[2].task);
+	assert_int_equal(1, f->starts[2].slot);
+}
+
+/* Guards against an entry without permits that blocks the queue for the
+ * others. */
+static void
+test_queue_prefers_permitted(void **state)
+{
+	struct fix *f = *state;
+	ga_session s1 = ga_session_up(f->gate, E1);
+	ga_session s2 = ga_session_up(f->gate, E2);
+	unsigned i;
+
+	for (i = 0; i < 4; i++)
+		fix_grant(f, s1, "stuck", i);
+	fix_permit(f, s2);
+	for (i = 0; i < 3; i++)
+		fix_grant(f, s2, "job", i);
+	assert_int_equal(2, f->nstarts);
+	assert_int_equal(1, f->nreports);
+	assert_int_equal(s1, fix_last(f)->session);
+	assert_int_equal(PD_R_NO_PERMIT, fix_last(f)->reason);
+	fix_grant(f, s1, "stuck", 9);
+	assert_int_equal(PD_R_QUEUE_FULL, fix_last(f)->reason);
+}
+
+/* Guards against a start after the deadline. */
+static void
+test_deadline_in_queue(void **state)
+{
+	struct fix *f = *state;
+	ga_session s = ga_session_up(f->gate, E1);
+	struct pd_grant g = fix_make("late", 0);
+	uint64_t now;
+
+	g.timeout_ms = 300;
+	ga_grant(f->gate, s, &g);
+	fix_grant(f, s, "job", 0);
+	ck_advance_ms(f->clock, 299);
+	ga_tick(f->gate);
+	assert_int_equal(0, f->nreports);
+	now = ck_mono_ms(f->clock);
+	ck_advance_ms(f->clock, 1);
+	fix_permit_at(f, s, now);
+	assert_int_equal(1, f->nreports);
+	assert_int_equal(PD_R_DEADLINE, fix_last(f)->reason);
+	assert_int_equal(1, f->nstarts);
+	assert_string_equal("job", f->starts[0].id);
+	assert_int_equal(59700, f->starts[0].timeout_ms);
+}
+
+/* Guards against a second start of a key in any state of the first. */
+static void
+test_duplicates(void **state)
+{
+	static const struct {
+		enum ga_end end;
+		enum pd_task_state state;
+		enum pd_reason reason;
+	} cases[] = {
+	    {GA_OK, PD_DONE, PD_R_NONE},
+	    {GA_REJECTED, PD_FAILED, PD_R_ENDPOINT_ERROR},
+	    {GA_ERROR, PD_FAILED, PD_R_ENDPOINT_ERROR},
+	    {GA_BROKEN, PD_OUTCOME_UNKNOWN, PD_R_ENDPOINT_ERROR},
+	    {GA_TIMEOUT, PD_OUTCOME_UNKNOWN, PD_R_ENDPOINT_TIMEOUT},
+	};
+	struct fix *f = *state;
+	ga_session s;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		fix_open(f);
+		f->nstarts = 0;
+		s = ga_session_up(f->gate, E1);
+		fix_grant(f, s, "job", 0);
+		fix_grant(f, s, "job", 0);
+		assert_int_equal(PD_QUEUED, fix_last(f)->state);
+		assert_int_equal(PD_R_DUPLICATE, fix_last(f)->reason);
+		fix_permit(f, s);
+		fix_grant(f, s, "job", 0);
+		assert_int_equal(PD_RUNNING, fix_last(f)->state);
+		assert_int_equal(PD_R_DUPLICATE, fix_last(f)->reason);
+		fix_end(f, 0, cases[i].end, 5);
+		assert_int_equal(cases[i].state, fix_last(f)->state);
+		assert_int_equal(cases[i].reason, fix_last(f)->reason);
+		f->nreports = 0;
+		fix_grant(f, s, "job", 0);
+		assert_int_equal(cases[i].state, fix_last(f)->state);
+		assert_int_equal(cases[i].reason, fix_last(f)->reason);
+		assert_int_equal(
+		    cases[i].end == GA_OK ? 5 : 0, fix_last(f)->body_len);
+		assert_int_equal(1, f->nstarts);
+	}
+}
+
+/* Guards against a task of a submission that starts under two attempts. */
+static void
+test_attempts(void **state)
+{
+	static const struct {
+		bool idempotent;
+		unsigned ntasks;
+		unsigned starts;
+	} cases[] = {
+	    {false, 1, 1},
+	    {false, 3, 1},
+	    {true, 3, 1},
+	    {true, 1, 2},
+	};
+	struct fix *f = *state;
+	struct pd_grant g;
+	ga_session s;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		fix_open(f);
+		f->nstarts = 0;
+		s = ga_session_up(f->gate, E1);
+		fix_permit(f, s);
+		g = fix_make("job", 0);
+		g.idempotent = cases[i].idempotent;
+		g.ntasks = cases[i].ntasks;
+		ga_grant(f->gate, s, &g);
+		g.key.attempt = 1;
+		ga_grant(f->gate, s, &g);
+		assert_int_equal(cases[i].starts, f->nstarts);
+		fix_end(f, 0, GA_ERROR, 0);
+		g.key.attempt = 2;
+		ga_grant(f->gate, s, &g);
+		if (cases[i].starts == 1)
+			assert_int_equal(PD_R_DUPLICATE, fix_last(f)->reason);
+	}
+	/* A mark that differs between attempts must not weaken the first. */
+	fix_open(f);
+	f->nstarts = 0;
+	s = ga_session_up(f->gate, E1);
+	fix_permit(f, s);
+	g = fix_make("mixed", 0);
+	g.ntasks = 1;
+	ga_grant(f->gate, s, &g);
+	g.key.attempt = 1;
+	g.idempotent = true;
+	ga_grant(f->gate, s, &g);
+	assert_int_equal(1, f->nstarts);
+}
+
+/* Guards against a grant that arrives after its task was given to another
+ * endpoint. */
+static void
+test_voided_grant(void **state)
+{
+	struct fix *f = *state;
+	ga_session s = ga_session_up(f->gate, E1);
+	struct pd_record r;
+
+	fix_permit(f, s);
+	r = fix_resolve(f, fix_key("job", 0));
+	assert_int_equal(PD_NOT_STARTED, r.state);
+	assert_int_equal(PD_R_VOIDED, r.reason);
+	ga_session_down(f->gate, s);
+	s = ga_session_up(f->gate, E1);
+	fix_grant(f, s, "job", 0);
+	assert_int_equal(0, f->nstarts);
+	assert_int_equal(PD_NOT_STARTED, fix_last(f)->state);
+	assert_int_equal(PD_R_VOIDED, fix_last(f)->reason);
+	/* Other tasks and attempts are not concerned. */
+	fix_grant(f, s, "job", 1);
+	assert_int_equal(1, f->nstarts);
+	/* A fence refuses the lost grant by its view, so a new owner may use
+	 * the key; the same fence again changes nothing. */
+	fix_fence(f, s, FIX_ALL, 2);
+	fix_resolve(f, fix_key("other", 0));
+	fix_fence(f, s, FIX_ALL, 2);
+	fix_grant(f, s, "job", 0);
+	assert_int_equal(PD_R_STALE_VIEW, fix_last(f)->reason);
+	assert_int_equal(
+	    PD_R_VOIDED, fix_resolve(f, fix_key("other", 0)).reason);
+}
+
+/* Guards against RESOLVE that changes or hides the state of a known key. */
+static void
+test_resolve_known(void **state)
+{
+	struct fix *f = *state;
+	ga_session s = ga_session_up(f->gate, E1);
+	struct pd_record r;
+
+	fix_grant(f, s, "job", 0);
+	assert_int_equal(PD_QUEUED, fix_resolve(f, fix_key("job", 0)).state);
+	fix_permit(f, s);
+	assert_int_equal(PD_RUNNING, fix_resolve(f, fix_key("job", 0)).state);
+	ga_session_down(f->gate, s);
+	ck_advance_ms(f->clock, 40);
+	fix_end(f, 0, GA_OK, 7);
+	assert_int_equal(0, f->nreports);
+	r = fix_resolve(f, fix_key("job", 0));
+	assert_int_equal(PD_DONE, r.state);
+	assert_int_equal(7, r.body.body_len);
+	assert_int_equal(3, r.ntasks);
+	assert_int_equal(40, r.run_ms);
+	assert_int_equal(1, r.revision);
+}
+
+/* Guards against cancellation that stops a running task or that answers for
+ * a task twice. */
+static void
+test_cancel(void **state)
+{
+	struct fix *f = *state;
+	ga_session s = ga_session_up(f->gate, E1);
+	struct pd_key key;
+	unsigned i;
+
+	fix_permit(f, s);
+	for (i = 0; i < 4; i++)
+		fix_grant(f, s, "job", i);
+	for (i = 0; i < 5; i++) {
+		key = fix_key("job", i);
+		ga_cancel(f->gate, &key);
+		ga_cancel(f->gate, &key);
+	}
+	assert_int_equal(2, f->nreports);
+	assert_int_equal(2, fix_reported(f, PD_NOT_STARTED, PD_R_CANCELLED));
+	assert_int_equal(2, ga_stats(f->gate).running);
+	fix_end(f, 0, GA_OK, 1);
+	assert_int_equal(PD_DONE, fix_last(f)->state);
+	assert_int_equal(2, f->nstarts);
+}
+
+/* Guards against a grant of an old owner that starts after a takeover, be it
+ * in the queue or still on its way. */
+static void
+test_fence_stops_old_owner(void **state)
+{
+	struct fix *f = *state;
+	ga_session s1 = ga_session_up(f->gate, E1);
+	ga_session s2 = ga_session_up(f->gate, E2);
+	struct pd_fence_reply reply;
+	struct pd_grant g;
+	unsigned i;
+
+	fix_permit(f, s1);
+	for (i = 0; i < 3; i++)
+		fix_grant(f, s1, "job", i);
+	reply = fix_fence(f, s2, FIX_ALL, 5);
+	assert_false(reply.refused);
+	assert_int_equal(FIX_INCARNATION, reply.incarnation);
+	assert_int_equal(0, reply.next);
+	assert_int_equal(2, reply.list.list_len);
+	assert_int_equal(PD_RUNNING, reply.list.list_val[0].state);
+	assert_int_equal(1, f->nreports);
+	assert_int_equal(PD_R_STALE_VIEW, fix_last(f)->reason);
+	assert_int_equal(2, fix_last(f)->task);
+	assert_int_equal(s2, fix_last(f)->session);
+	fix_grant(f, s1, "job", 2);
+	assert_int_equal(s1, fix_last(f)->session);
+	assert_int_equal(PD_R_STALE_VIEW, fix_last(f)->reason);
+	fix_end(f, 0, GA_OK, 9);
+	assert_int_equal(s2, fix_last(f)->session);
+	assert_int_equal(PD_DONE, fix_last(f)->state);
+	assert_int_equal(2, f->nstarts);
+	fix_permit(f, s2);
+	g = fix_make("job", 2);
+	g.view = 5;
+	ga_grant(f->gate, s2, &g);
+	assert_int_equal(3, f->nstarts);
+	reply = fix_fence(f, s1, FIX_ALL, 4);
+	assert_true(reply.refused);
+	assert_int_equal(0, reply.list.list_len);
+}
+
+/* Guards against a fence that reaches beyond its partitions. */
+static void
+test_fence_of_one_partition(void **state)
+{
+	struct fix *f = *state;
+	ga_session s1 = ga_session_up(f->gate, E1);
+	ga_session s2 = ga_session_up(f->gate, E2);
+	const struct pd_id a = fix_id("job-a"), b = fix_id("job-b");
+	struct pd_fence_reply reply;
+
+	assert_true(pt_of(&a) != pt_of(&b));
+	fix_permit(f, s1);
+	fix_grant(f, s1, "job-a", 0);
+	fix_grant(f, s1, "job-b", 0);
+	fix_grant(f, s1, "job-a", 1);
+	fix_grant(f, s1, "job-b", 1);
+	reply = fix_fence(f, s2, pt_bit(pt_of(&a)), 2);
+	assert_int_equal(1, reply.list.list_len);
+	assert_string_equal("job-a", reply.list.list_val[0].key.sub.id);
+	assert_int_equal(1, f->nreports);
+	assert_string_equal("job-a", fix_last(f)->id);
+	fix_end(f, 0, GA_OK, 1);
+	assert_int_equal(s2, fix_last(f)->session);
+	assert_string_equal("job-b", f->starts[2].id);
+	fix_end(f, 1, GA_OK, 1);
+	assert_int_equal(s1, fix_last(f)->session);
+}
+
+/* Guards against reports that follow a session instead of the entry. */
+static void
+test_reports_follow_reconnected_entry(void **state)
+{
+	struct fix *f = *state;
+	ga_session s1 = ga_session_up(f->gate, E1);
+	ga_session s2;
+
+	fix_permit(f, s1);
+	fix_grant(f, s1, "job", 0);
+	fix_grant(f, s1, "job", 1);
+	ga_session_down(f->gate, s1);
+	s2 = ga_session_up(f->gate, E1);
+	/* The end of the old connection may be noticed late. */
+	ga_session_down(f->gate, s1);
+	fix_end(f, 0, GA_OK, 1);
+	assert_int_equal(s2, fix_last(f)->session);
+	/* The entry that fenced is down: nobody else gets the report, and
+	 * FENCE gives it. */
+	s1 = ga_session_up(f->gate, E2);
+	fix_fence(f, s1, FIX_ALL, 3);
+	ga_session_down(f->gate, s1);
+	f->nreports = 0;
+	fix_end(f, 1, GA_OK, 6);
+	assert_int_equal(0, f->nreports);
+	s1 = ga_session_up(f->gate, E2);
+	assert_int_equal(2, fix_fence(f, s1, FIX_ALL, 3).list.list_len);
+}
+
+/* Guards against a restarted agent, which has lost its fence, that starts the
+ * grants of an owner that was paused during its own removal. */
+static void
+test_restart_without_fence_and_frozen_owner(void **state)
+{
+	struct fix *f = *state;
+	ga_session frozen, s2;
+	uint64_t before;
+	unsigned i;
+
+	frozen = ga_session_up(f->gate, E1);
+	fix_permit(f, frozen);
+	before = ck_mono_ms(f->clock);
+	s2 = ga_session_up(f->gate, E2);
+	fix_fence(f, s2, FIX_ALL, 9);
+	fix_open(f);
+	frozen = ga_session_up(f->gate, E1);
+	/* The grant was sent for this incarnation before the pause. */
+	for (i = 0; i < 3; i++)
+		fix_grant(f, frozen, "job", i);
+	ck_advance_ms(f->clock, 3150);
+	fix_permit_at(f, frozen, before);
+	ga_tick(f->gate);
+	assert_int_equal(0, f->nstarts);
+	s2 = ga_session_up(f->gate, E2);
+	fix_permit(f, s2);
+	fix_fence(f, s2, FIX_ALL, 9);
+	assert_int_equal(3, fix_reported(f, PD_NOT_STARTED, PD_R_STALE_VIEW));
+	fix_permit(f, frozen);
+	assert_int_equal(0, f->nstarts);
+}
+
+/* Guards against a queue that the grants of a replaced entry fill until their
+ * deadline. */
+static void
+test_entry_gone(void **state)
+{
+	struct fix *f = *state;
+	ga_session s1 = ga_session_up(f->gate, E1);
+	ga_session s2;
+	unsigned i;
+
+	for (i = 0; i < 3; i++)
+		fix_grant(f, s1, "job", i);
+	ga_session_down(f->gate, s1);
+	s2 = ga_session_up(f->gate, E2);
+	fix_grant(f, s2, "other", 0);
+	ga_entry_gone(f->gate, E1);
+	assert_int_equal(1, ga_stats(f->gate).queued);
+	assert_int_equal(0, f->nreports);
+}
+
+/* Guards against pages that lose or repeat records, and that are too large
+ * for one message. */
+static void
+test_fence_pages(void **state)
+{
+	static const struct {
+		unsigned records;
+		size_t body;
+		unsigned pages;
+	} cases[] = {
+	    {1, 0, 1},
+	    {PD_BATCH_MAX, 0, 1},
+	    {PD_BATCH_MAX + 1, 0, 2},
+	    {40, PD_BODY_MAX, 3},
+	};
+	struct fix *f = *state;
+	struct pd_fence_reply reply;
+	struct pd_fence fence;
+	unsigned i, pages, records;
+	size_t c, bytes;
+	ga_session s;
+
+	f->settings.records_bytes = 64U << 20;
+	for (c = 0; c < G_N_ELEMENTS(cases); c++) {
+		fix_open(f);
+		s = ga_session_up(f->gate, E1);
+		fix_permit(f, s);
+		for (i = 0; i < cases[c].records; i++) {
+			fix_grant(f, s, "job", i);
+			fix_end(f, 0, GA_OK, cases[c].body);
+		}
+		fence = (struct pd_fence){2, FIX_ALL, 0};
+		for (pages = records = 0;; pages++) {
+			ga_fence(f->gate, s, &fence, &reply);
+			bytes = 0;
+			for (i = 0; i < reply.list.list_len; i++) {
+				assert_int_equal(
+				    records++, reply.list.list_val[i].key.task);
+				bytes += reply.list.list_val[i].body.body_len;
+			}
+			assert_true(bytes <= GA_PAGE_BYTES + PD_BODY_MAX);
+			fence.cursor = reply.next;
+			if (reply.next == 0)
+				break;
+		}
+		assert_int_equal(cases[c].records, records);
+		assert_int_equal(cases[c].pages, pages + 1);
+	}
+}
+
+/* Guards against records that use memory without bound, and against a record
+ * without result that looks like a result. */
+static void
+test_bodies_dropped_first(void **state)
+{
+	struct fix *f = *state;
+	struct pd_record r;
+	ga_session s;
+	unsigned i;
+
+	f->settings.records_bytes = 65536;
+	fix_open(f);
+	s = ga_session_up(f->gate, E1);
+	fix_permit(f, s);
+	for (i = 0; i < 100; i++) {
+		fix_grant(f, s, "job", i);
+		fix_end(f, 0, GA_OK, 1000);
+		assert_true(ga_stats(f->gate).record_bytes <= 65536);
+	}
+	assert_int_equal(100, ga_stats(f->gate).records);
+	assert_true(ga_stats(f->gate).bodies_dropped > 0);
+	r = fix_resolve(f, fix_key("job", 0));
+	assert_int_equal(PD_OUTCOME_UNKNOWN, r.state);
+	assert_int_equal(PD_R_FORGOTTEN, r.reason);
+	assert_int_equal(PD_DONE, fix_resolve(f, fix_key("job", 99)).state);
+	fix_grant(f, s, "job", 0);
+	assert_int_equal(100, f->nstarts);
+	assert_int_equal(f->settings.started_ms, ga_complete_since(f->gate));
+}
+
+/* Guards against a dropped record whose task looks as if it never started. */
+static void
+test_records_dropped_last(void **state)
+{
+	struct fix *f = *state;
+	struct pd_record r;
+	struct pd_grant g;
+	ga_session s;
+	char id[16];
+	unsigned i;
+
+	f->settings.records_bytes = 16384;
+	fix_open(f);
+	s = ga_session_up(f->gate, E1);
+	for (i = 0; i < 200; i++) {
+		fix_permit(f, s);
+		snprintf(id, sizeof(id), "job-%u", i);
+		g = fix_make(id, 0);
+		g.key.sub.created_ms = ck_wall_ms(f->clock);
+		ga_grant(f->gate, s, &g);
+		fix_end(f, 0, GA_OK, 0);
+		ck_advance_ms(f->clock, 10);
+	}
+	assert_int_equal(200, f->nstarts);
+	assert_true(ga_stats(f->gate).records_dropped > 0);
+	assert_true(ga_stats(f->gate).record_bytes <= 16384);
+	r = fix_resolve(f, fix_key("job-0", 0));
+	assert_int_equal(PD_OUTCOME_UNKNOWN, r.state);
+	assert_int_equal(PD_R_FORGOTTEN, r.reason);
+	fix_grant(f, s, "job-0", 0);
+	assert_int_equal(PD_OUTCOME_UNKNOWN, fix_last(f)->state);
+	assert_int_equal(PD_R_FORGOTTEN, fix_last(f)->reason);
+	assert_int_equal(200, f->nstarts);
+	/* The gather learns that older ids may lack records. */
+	assert_true(fix_fence(f, s, FIX_ALL, 2).started_ms > FIX_WALL_MS);
+	assert_true(
+	    fix_fence(f, s, FIX_ALL, 2).started_ms <= ck_wall_ms(f->clock));
+}
+
+/* Guards against records that outlive their id, and against a start of an id
+ * whose records have expired. */
+static void
+test_records_expire(void **state)
+{
+	struct fix *f = *state;
+	ga_session s = ga_session_up(f->gate, E1);
+
+	fix_permit(f, s);
+	fix_grant(f, s, "job", 0);
+	fix_grant(f, s, "long", 0);
+	fix_end(f, 0, GA_OK, 10);
+	ck_advance_ms(f->clock, f->settings.life_ms);
+	ga_tick(f->gate);
+	assert_int_equal(2, ga_stats(f->gate).records);
+	ck_advance_ms(f->clock, 1);
+	ga_tick(f->gate);
+	assert_int_equal(1, ga_stats(f->gate).records);
+	fix_permit(f, s);
+	fix_grant(f, s, "job", 0);
+	assert_int_equal(2, f->nstarts);
+	fix_end(f, 1, GA_OK, 10);
+	assert_int_equal(PD_DONE, fix_last(f)->state);
+}
+
+/* Guards against a shutdown that drops a running task or starts a new one. */
+static void
+test_drain(void **state)
+{
+	struct fix *f = *state;
+	ga_session s = ga_session_up(f->gate, E1);
+	struct pd_heartbeat h;
+	unsigned i;
+
+	fix_permit(f, s);
+	for (i = 0; i < 4; i++)
+		fix_grant(f, s, "job", i);
+	assert_false(ga_drained(f->gate));
+	ga_drain(f->gate);
+	assert_int_equal(2, fix_reported(f, PD_NOT_STARTED, PD_R_DRAINING));
+	fix_grant(f, s, "job", 9);
+	assert_int_equal(3, fix_reported(f, PD_NOT_STARTED, PD_R_DRAINING));
+	ga_heartbeat(f->gate, &h);
+	assert_true(h.draining);
+	assert_int_equal(2, h.running);
+	assert_int_equal(0, h.queued);
+	assert_int_equal(ck_mono_ms(f->clock), h.clock_ms);
+	fix_end(f, 0, GA_OK, 1);
+	assert_false(ga_drained(f->gate));
+	fix_end(f, 1, GA_OK, 1);
+	assert_true(ga_drained(f->gate));
+	assert_int_equal(2, fix_reported(f, PD_DONE, PD_R_NONE));
+	assert_int_equal(2, f->nstarts);
+}
+
+#define TEST(name) cmocka_unit_test_setup_teardown(name, setup, teardown)
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    TEST(test_permit_age_at_start),
+	    TEST(test_start_carries_permit_end),
+	    TEST(test_permit_ignored),
+	    TEST(test_permit_belongs_to_entry),
+	    TEST(test_out_of_service),
+	    TEST(test_refused_on_arrival),
+	    TEST(test_restart_refuses_old_incarnation),
+	    TEST(test_queue_bound),
+	    TEST(test_queue_prefers_permitted),
+	    TEST(test_deadline_in_queue),
+	    TEST(test_duplicates),
+	    TEST(test_attempts),
+	    TEST(test_voided_grant),
+	    TEST(test_resolve_known),
+	    TEST(test_cancel),
+	    TEST(test_fence_stops_old_owner),
+	    TEST(test_fence_of_one_partition),
+	    TEST(test_reports_follow_reconnected_entry),
+	    TEST(test_restart_without_fence_and_frozen_owner),
+	    TEST(test_entry_gone),
+	    TEST(test_fence_pages),
+	    TEST(test_bodies_dropped_first),
+	    TEST(test_records_dropped_last),
+	    TEST(test_records_expire),
+	    TEST(test_drain),
+	};
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
