--- /dev/null
+++ b/plan/dispatch.c
@@ -0,0 +1,690 @@
+#include <glib.h>
+#include <string.h>
+
+#include "dispatch_impl.h"
+#include "partition.h"
+
+/* Shortest time between two looks at whether a deadline can be met. */
+#define CHECK_MIN_US 5000
+/* Declared sizes are wrong by up to this factor. */
+#define SIZE_ERROR 10.0
+
+struct dp *
+dp_new(struct ck *clock, struct ct *counters, struct hi *history,
+    const struct po_ops *policy, const struct dp_settings *settings,
+    const struct dp_ops *ops, void *arg)
+{
+	struct dp *d;
+
+	d = g_new0(struct dp, 1);
+	d->clock = clock;
+	d->counters = counters;
+	d->history = history;
+	d->policy = policy;
+	d->settings = *settings;
+	d->ops = ops;
+	d->arg = arg;
+	d->rng = rn_new(settings->seed);
+	d->queue = qu_new();
+	d->sessions = pl_new(sizeof(struct session));
+	d->doubtful = g_ptr_array_new();
+	sb_table_init(&d->table);
+	ln_init(d);
+	d->m_submissions = ct_get(counters, CT_COUNTER, "pd_submissions_total",
+	    "submissions accepted", "");
+	d->m_grants = ct_get(
+	    counters, CT_COUNTER, "pd_grants_total", "tasks granted", "");
+	d->m_ignored = ct_get(counters, CT_COUNTER, "pd_reports_ignored_total",
+	    "reports that match no outstanding grant", "");
+	return (d);
+}
+
+void
+dp_free(struct dp *d)
+{
+	if (d == NULL)
+		return;
+	sb_table_release(&d->table);
+	ln_release(d);
+	g_ptr_array_free(d->doubtful, TRUE);
+	pl_free(d->sessions);
+	qu_free(d->queue);
+	rn_free(d->rng);
+	hp_release(&d->checks);
+	hp_release(&d->expiries);
+	hp_release(&d->parked);
+	hp_release(&d->dues);
+	hp_release(&d->wakes);
+	g_free(d);
+}
+
+void
+dp_configure(struct dp *d, const struct cs *state)
+{
+	d->state = state;
+	ln_configure(d);
+}
+
+static void
+pump_all(struct dp *d)
+{
+	guint i;
+
+	for (i = 0; i < d->service_list->len; i++)
+		pm_pump(d, g_ptr_array_index(d->service_list, i));
+}
+
+void
+dp_set_verified(struct dp *d, bool verified)
+{
+	if (verified == d->verified)
+		return;
+	d->verified = verified;
+	pump_all(d);
+}
+
+/* The deadline cannot be met even if declared sizes are far too large. */
+static bool
+is_unreachable(struct dp *d, struct sb *s, uint64_t now_us)
+{
+	double left, wait;
+
+	if (s->lane == NULL || s->ngranted > 0 || s->nstarted > 0 ||
+	    !d->verified || s->lane->service->nopen > 0)
+		return (false);
+	left = (double)(s->deadline_us - now_us) / 1000;
+	wait = ln_wait_ms(d, s->lane, s->left_ms);
+	return (wait > 0 && wait + s->left_ms / SIZE_ERROR / 64 > left);
+}
+
+static void
+refuse_unreachable(struct dp *d, struct sb *s)
+{
+	oc_conclude(d, s, "deadline_unreachable",
+	    g_strdup("The work that waits ahead takes longer than the time "
+		     "left until the deadline."));
+}
+
+static void
+deadline(struct dp *d, struct sb *s)
+{
+	if (d->verified || s->ngranted > 0 || s->nstarted > 0)
+		oc_conclude(d, s, "deadline",
+		    g_strdup("The deadline passed before every task had a "
+			     "result."));
+	else
+		oc_conclude(d, s, "unverified",
+		    g_strdup("This entry could not verify its configuration "
+			     "before the deadline."));
+}
+
+/* Looks halve the time left, so their number is logarithmic. */
+static void
+check_later(struct dp *d, struct sb *s, uint64_t now_us)
+{
+	uint64_t step;
+
+	step = (s->deadline_us - now_us) / 2;
+	hp_set(&d->checks, &s->check,
+	    step < CHECK_MIN_US ? s->deadline_us : now_us + step);
+}
+
+void
+dp_check_deadlines(struct dp *d, uint64_t now_us)
+{
+	struct hp_node *n;
+	struct sb *s;
+
+	while ((n = hp_first(&d->checks)) != NULL && n->key <= now_us) {
+		s = hp_item(n, struct sb, check);
+		if (s->deadline_us <= now_us)
+			deadline(d, s);
+		else if (is_unreachable(d, s, now_us))
+			refuse_unreachable(d, s);
+		else
+			check_later(d, s, now_us);
+	}
+}
+
+/* Starts the dispatch of a submission whose partition is active. */
+static void
+run(struct dp *d, struct sb *s)
+{
+	const char *reason;
+	struct lane *l;
+	uint64_t now;
+	char *detail;
+
+	if (s->cancelled || !oc_records_decide(d, s)) {
+		oc_conclude(d, s, "cancelled",
+		    g_strdup("The submission was cancelled."));
+		return;
+	}
+	detail = NULL;
+	l = ln_find(d, s->team, s->service, s->az, &reason, &detail);
+	if (l == NULL) {
+		oc_conclude(d, s, reason, detail);
+		return;
+	}
+	s->lane = l;
+	s->phase = SB_RUNNING;
+	d->queued += s->nwaiting;
+	now = dp_now(d);
+	if (is_unreachable(d, s, now)) {
+		refuse_unreachable(d, s);
+		return;
+	}
+	check_later(d, s, now);
+	pm_enqueue(d, s);
+	pm_pump(d, l->service);
+}
+
+static void
+expire_at(struct dp *d, struct sb *s)
+{
+	uint64_t wall, end;
+
+	wall = ck_wall_ms(d->clock);
+	end = s->id.created_ms + d->settings.life_ms;
+	hp_set(&d->expiries, &s->expiry,
+	    dp_now(d) + (end > wall ? (end - wall) * 1000 : 0));
+}
+
+static void
+forget_partition(struct dp *d, unsigned partition)
+{
+	struct sb *s;
+	GArray *waiters;
+	guint i;
+
+	while ((s = d->table.partitions[partition]) != NULL) {
+		waiters = s->waiters;
+		s->waiters = NULL;
+		for (i = 0; waiters != NULL && i < waiters->len; i++) {
+			uint64_t w = g_array_index(waiters, uint64_t, i);
+
+			g_hash_table_remove(
+			    d->table.waiters, (gpointer)(uintptr_t)w);
+			oc_answer(d, &s->id, w, PD_NOT_OWNER, "not_owner",
+			    "Another entry owns this id.", false);
+		}
+		if (waiters != NULL)
+			g_array_free(waiters, TRUE);
+		oc_forget(d, s);
+	}
+}
+
+static void
+activate(struct dp *d, unsigned partition)
+{
+	struct sb *s, *next;
+
+	for (s = d->table.partitions[partition]; s != NULL; s = next) {
+		next = s->next;
+		if (s->phase != SB_HELD)
+			continue;
+		if (s->payload)
+			run(d, s);
+		else
+			oc_settle(d, s);
+	}
+}
+
+void
+dp_set_partition(struct dp *d, unsigned partition,
+    enum dp_partition_state state, uint64_t view, bool records_complete,
+    uint64_t takeover_wall_ms)
+{
+	struct partition *p;
+	enum dp_partition_state before;
+
+	if (partition >= PD_PARTITIONS)
+		return;
+	p = &d->partitions[partition];
+	before = p->state;
+	p->state = state;
+	p->view = view;
+	p->complete = records_complete;
+	p->takeover_ms = takeover_wall_ms;
+	if (state == DP_FOREIGN ||
+	    (state == DP_GATHERING && before == DP_ACTIVE)) {
+		forget_partition(d, partition);
+		pump_all(d);
+	} else if (state == DP_ACTIVE && before != DP_ACTIVE)
+		activate(d, partition);
+}
+
+void
+dp_gathered(struct dp *d, dp_agent agent, const struct pd_record *r)
+{
+	const struct session *session;
+	struct partition *p;
+	struct sb *s;
+
+	p = &d->partitions[pt_of(&r->key.sub)];
+	if (p->state == DP_FOREIGN || r->ntasks == 0 ||
+	    r->ntasks > PD_TASKS_MAX)
+		return;
+	s = sb_find(&d->table, &r->key.sub);
+	if (s == NULL) {
+		if (r->state == PD_NOT_STARTED)
+			return;
+		if (g_hash_table_size(d->table.subs) >=
+		    d->settings.submissions_max) {
+			/* A record without a place is a lost record. */
+			p->complete = false;
+			p->takeover_ms =
+			    MAX(p->takeover_ms, ck_wall_ms(d->clock));
+			return;
+		}
+		s = sb_new(&d->table, &r->key.sub, r->ntasks);
+		expire_at(d, s);
+	}
+	session = pl_get(d->sessions, agent);
+	oc_adopt(d, s, session != NULL ? session->ep : NULL, r);
+}
+
+/* Refuses without an entry in the table, which may be full. */
+static void
+refuse(
+    struct dp *d, const struct pd_id *id, uint64_t waiter, const char *detail)
+{
+	uint64_t wall, life;
+
+	wall = ck_wall_ms(d->clock);
+	life = d->settings.life_ms;
+	sb_refuse(&d->table, id, wall > life ? wall - life : 0,
+	    d->settings.submissions_max);
+	ct_count(d->counters, "pd_not_complete_total",
+	    "answers other than complete by reason", "reason", "overload");
+	hi_add(d->history, id, "answered", "refused: overload");
+	oc_answer(d, id, waiter, PD_REFUSED, "overload", detail, true);
+}
+
+/* Whether the age of an unknown id lets it run; answers it if not. */
+static bool
+age_allows(struct dp *d, const struct pd_submit *p, uint64_t waiter)
+{
+	uint64_t wall;
+
+	wall = ck_wall_ms(d->clock);
+	if (p->sub.created_ms + d->settings.life_ms < wall) {
+		oc_answer(d, &p->sub, waiter, PD_UNKNOWN, "id_expired",
+		    "The id is older than the time for which answers are "
+		    "kept.",
+		    false);
+		return (false);
+	}
+	return (true);
+}
+
+static const char *
+overload(const struct dp *d, const struct pd_submit *p)
+{
+	if (sb_refused(&d->table, &p->sub))
+		return ("The submission was refused before.");
+	if (g_hash_table_size(d->table.subs) >= d->settings.submissions_max)
+		return ("The entry remembers as many submissions as it may.");
+	if (d->queued + p->tasks.tasks_len > d->settings.queue_tasks_max)
+		return ("Too many tasks wait at the entry.");
+	return (NULL);
+}
+
+/* A submission that is known, from a caller or from start records. */
+static void
+submit_known(
+    struct dp *d, struct sb *s, const struct pd_submit *p, uint64_t waiter)
+{
+	if (p->tasks.tasks_len != s->ntasks ||
+	    (s->body_hash != 0 && s->body_hash != sb_body_hash(p))) {
+		oc_answer(d, &s->id, waiter, PD_REFUSED, "id_reused",
+		    "The id was used before with another body.", true);
+		return;
+	}
+	if (s->phase == SB_ANSWERED)
+		oc_reply(d, s, waiter);
+	else
+		sb_wait(&d->table, s, waiter);
+}
+
+static void
+take_payload(struct dp *d, struct sb *s, const struct pd_submit *p)
+{
+	sb_fill(s, p);
+	s->body_hash = sb_body_hash(p);
+	s->deadline_us = dp_now(d) + (uint64_t)p->left_ms * 1000;
+	d->pending++;
+	ct_add(d->m_submissions, 1);
+	hi_add(d->history, &s->id, "submitted", "%u tasks of team %s for %s",
+	    s->ntasks, s->team, s->service);
+	hp_set(&d->checks, &s->check, s->deadline_us);
+	if (d->partitions[s->partition].state == DP_ACTIVE)
+		run(d, s);
+}
+
+static bool
+in_future(const struct dp *d, const struct pd_id *id)
+{
+	return (
+	    id->created_ms > ck_wall_ms(d->clock) + d->settings.clock_error_ms);
+}
+
+static void
+submit_new(struct dp *d, const struct pd_submit *p, uint64_t waiter)
+{
+	const char *full;
+	struct sb *s;
+
+	if (!age_allows(d, p, waiter))
+		return;
+	full = overload(d, p);
+	if (full != NULL) {
+		refuse(d, &p->sub, waiter, full);
+		return;
+	}
+	s = sb_new(&d->table, &p->sub, p->tasks.tasks_len);
+	sb_wait(&d->table, s, waiter);
+	expire_at(d, s);
+	if (in_future(d, &p->sub)) {
+		s->body_hash = sb_body_hash(p);
+		oc_finish(d, s, PD_REFUSED, "created_in_future",
+		    g_strdup("created_ms is in the future of this entry."),
+		    true);
+		return;
+	}
+	take_payload(d, s, p);
+}
+
+void
+dp_submit(struct dp *d, const struct pd_submit *p, uint64_t waiter)
+{
+	struct sb *s;
+
+	if (d->partitions[pt_of(&p->sub)].state == DP_FOREIGN) {
+		oc_answer(d, &p->sub, waiter, PD_NOT_OWNER, "not_owner",
+		    "Another entry owns this id.", false);
+		return;
+	}
+	if (p->tasks.tasks_len == 0 || p->tasks.tasks_len > PD_TASKS_MAX) {
+		oc_answer(d, &p->sub, waiter, PD_REFUSED, "malformed",
+		    "A submission has 1 to 540 tasks.", true);
+		return;
+	}
+	s = sb_find(&d->table, &p->sub);
+	if (s == NULL) {
+		submit_new(d, p, waiter);
+		return;
+	}
+	submit_known(d, s, p, waiter);
+	if (s->phase == SB_HELD && !s->payload &&
+	    p->tasks.tasks_len == s->ntasks)
+		take_payload(d, s, p);
+}
+
+void
+dp_lookup(struct dp *d, const struct pd_id *id, bool cancel, uint64_t waiter)
+{
+	struct sb *s;
+
+	if (d->partitions[pt_of(id)].state == DP_FOREIGN) {
+		oc_answer(d, id, waiter, PD_NOT_OWNER, "not_owner",
+		    "Another entry owns this id.", false);
+		return;
+	}
+	s = sb_find(&d->table, id);
+	if (s == NULL) {
+		oc_answer(d, id, waiter, PD_NOT_FOUND, "not_found",
+		    "The submission is not known.", false);
+		return;
+	}
+	if (s->phase == SB_ANSWERED) {
+		oc_reply(d, s, waiter);
+		return;
+	}
+	sb_wait(&d->table, s, waiter);
+	if (cancel)
+		oc_cancel(d, s);
+}
+
+void
+dp_detach(struct dp *d, uint64_t waiter)
+{
+	sb_detach(&d->table, waiter);
+}
+
+/* Grants to a former incarnation of the agent. */
+static void
+lose_grants(struct dp *d, struct ep *e)
+{
+	struct sb_task *t;
+
+	while ((t = e->grants) != NULL)
+		oc_lost(d, t);
+}
+
+static void
+doubt_grants(struct dp *d, struct ep *e)
+{
+	struct sb_task *t;
+
+	for (t = e->grants; t != NULL; t = t->next)
+		oc_doubt(d, t);
+	oc_resolve(d);
+}
+
+static void
+ep_hello(struct ep *e, const struct pd_hello *h)
+{
+	g_free(e->hello_service);
+	e->hello_service = g_strdup(h->service);
+	if (e->service == NULL) {
+		g_free(e->az);
+		e->az = g_strdup(h->az);
+	}
+	e->slots = h->slots > 0 ? h->slots : 1;
+	e->queue_max = h->queue_max;
+	e->draining = false;
+	e->hold_us = 0;
+}
+
+dp_agent
+dp_agent_up(struct dp *d, const struct pd_hello *h)
+{
+	struct session *session;
+	struct ep *e;
+	void *item;
+
+	e = g_hash_table_lookup(d->eps, h->name);
+	if (e == NULL) {
+		e = ep_new(h->name);
+		g_hash_table_insert(d->eps, e->name, e);
+	}
+	pl_release(d->sessions, e->session);
+	e->session = pl_alloc(d->sessions, &item);
+	session = item;
+	session->ep = e;
+	session->incarnation = h->incarnation;
+	ep_hello(e, h);
+	if (e->incarnation != h->incarnation) {
+		e->health = PD_HEALTHY;
+		e->running = e->queued = e->others = 0;
+		lose_grants(d, e);
+		e->incarnation = h->incarnation;
+	}
+	ln_endpoint(d, e);
+	doubt_grants(d, e);
+	pm_pump(d, e->service);
+	return (e->session);
+}
+
+void
+dp_agent_load(struct dp *d, dp_agent agent, unsigned running, unsigned queued,
+    enum pd_health health, bool draining)
+{
+	const struct session *session;
+	struct ep *e;
+	uint64_t now;
+
+	session = pl_get(d->sessions, agent);
+	if (session == NULL)
+		return;
+	e = session->ep;
+	now = dp_now(d);
+	ep_load(e, running, queued, now);
+	ep_health(e, &d->wakes, health, now);
+	e->draining = draining;
+	pm_refresh(d, e);
+	pm_pump(d, e->service);
+}
+
+/* An idempotent request does not wait for the agent to come back. */
+static void
+retry_idempotent(struct dp *d, struct ep *e)
+{
+	struct sb_task *t, *next;
+
+	for (t = e->grants; t != NULL; t = next) {
+		next = t->next;
+		if (t->sub->idempotent)
+			oc_lost(d, t);
+	}
+}
+
+void
+dp_agent_down(struct dp *d, dp_agent agent)
+{
+	const struct session *session;
+	struct ep *e;
+
+	session = pl_get(d->sessions, agent);
+	if (session == NULL)
+		return;
+	e = session->ep;
+	e->session = PL_NONE;
+	pl_release(d->sessions, agent);
+	pm_refresh(d, e);
+	retry_idempotent(d, e);
+	pm_pump(d, e->service);
+}
+
+/* The outstanding grant that a report is about, NULL when it is stale. */
+static struct sb_task *
+reported_task(const struct dp *d, const struct ep *e, const struct pd_record *r)
+{
+	struct sb_task *t;
+	struct sb *s;
+
+	s = sb_find(&d->table, &r->key.sub);
+	if (s == NULL || s->tasks == NULL || r->key.task >= s->ntasks)
+		return (NULL);
+	t = &s->tasks[r->key.task];
+	if (t->state != SB_GRANTED || t->attempt != r->key.attempt)
+		return (NULL);
+	/* Known only from a start record of an agent without a session. */
+	if (t->ep == NULL)
+		return (r->state == PD_NOT_STARTED ? NULL : t);
+	if (t->ep != e || t->incarnation != e->incarnation)
+		return (NULL);
+	return (t);
+}
+
+void
+dp_report(struct dp *d, dp_agent agent, const struct pd_record *r)
+{
+	const struct session *session;
+	struct sb_task *t;
+
+	session = pl_get(d->sessions, agent);
+	t = session != NULL ? reported_task(d, session->ep, r) : NULL;
+	if (t == NULL) {
+		ct_add(d->m_ignored, 1);
+		return;
+	}
+	oc_record(d, t, r);
+	pm_pump(d, session->ep->service);
+}
+
+static void
+check_dues(struct dp *d, uint64_t now_us)
+{
+	struct hp_node *n;
+
+	while ((n = hp_first(&d->dues)) != NULL && n->key <= now_us)
+		oc_doubt(d, hp_item(n, struct sb_task, due));
+	oc_resolve(d);
+}
+
+static void
+expire(struct dp *d, uint64_t now_us)
+{
+	struct hp_node *n;
+	struct sb *s;
+
+	while ((n = hp_first(&d->expiries)) != NULL && n->key <= now_us) {
+		s = hp_item(n, struct sb, expiry);
+		if (s->phase == SB_ANSWERED) {
+			oc_forget(d, s);
+			continue;
+		}
+		if (s->payload) {
+			hp_set(&d->expiries, n, s->deadline_us + 1);
+			continue;
+		}
+		oc_finish(d, s, PD_UNKNOWN, "id_expired",
+		    g_strdup("The id is older than the time for which "
+			     "answers are kept."),
+		    false);
+	}
+}
+
+void
+dp_tick(struct dp *d)
+{
+	uint64_t now;
+
+	now = dp_now(d);
+	dp_check_deadlines(d, now);
+	check_dues(d, now);
+	expire(d, now);
+	pm_tick(d);
+}
+
+struct dp_stats
+dp_stats(const struct dp *d)
+{
+	struct dp_stats s;
+
+	s.submissions = g_hash_table_size(d->table.subs);
+	s.pending = d->pending;
+	s.queued = d->queued;
+	s.granted = d->granted;
+	return (s);
+}
+
+void
+dp_endpoints(const struct dp *d,
+    void (*visit)(void *arg, const struct dp_endpoint_info *info), void *arg)
+{
+	struct dp_endpoint_info info;
+	const struct ep *e;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, d->eps);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		e = value;
+		info.name = e->name;
+		info.az = e->az;
+		info.service = e->service->name;
+		info.connected = e->session != PL_NONE;
+		info.in_service = e->in_service;
+		info.draining = e->draining;
+		info.health = e->health;
+		info.slots = e->slots;
+		info.running = e->running;
+		info.queued = e->queued;
+		info.outstanding = e->own;
+		info.speed = 1 / po_unit(&e->view.speed, dp_now(d));
+		visit(arg, &info);
+	}
+}
--- /dev/null
+++ b/plan/dispatch_impl.h
@@ -0,0 +1,194 @@
+#ifndef DISPATCH_IMPL_H
+#define DISPATCH_IMPL_H
+
+#include <glib.h>
+
+#include "clock.h"
+#include "counters.h"
+#include "dispatch.h"
+#include "endpoint.h"
+#include "heap.h"
+#include "history.h"
+#include "policy.h"
+#include "pool.h"
+#include "quota.h"
+#include "rng.h"
+#include "submission.h"
+
+/**
+ * DOC: dp - parts of the dispatcher
+ *
+ * dispatch.c takes input, lane.c maps the configuration to endpoints,
+ * placement.c grants waiting tasks, outcome.c handles reports and answers.
+ */
+
+/**
+ * struct lane - jobs of one team that may use the same endpoints
+ * @impossible: reason why they can never run, NULL when they can
+ */
+struct lane {
+	char *team;
+	char *az;
+	struct service *service;
+	struct qu_lane *queue;
+	GPtrArray *eps; /* struct po_endpoint, borrowed */
+	const char *impossible;
+	char *detail;
+	double rate; /* declared work per time, from this entry's share */
+	uint64_t rate_us;
+};
+
+/** struct session - session with an agent */
+struct session {
+	struct ep *ep;
+	uint64_t incarnation;
+};
+
+/** struct partition - what this entry may do with a partition */
+struct partition {
+	enum dp_partition_state state;
+	uint64_t view;
+	bool complete;
+	uint64_t takeover_ms;
+};
+
+struct dp {
+	struct ck *clock;
+	struct ct *counters;
+	struct hi *history;
+	const struct po_ops *policy;
+	struct dp_settings settings;
+	const struct dp_ops *ops;
+	void *arg;
+	struct rn *rng;
+	const struct cs *state;
+	bool verified;
+	struct partition partitions[PD_PARTITIONS];
+	struct sb_table table;
+	struct qu *queue;
+	GHashTable *services; /* name -> struct service */
+	GPtrArray *service_list;
+	GHashTable *azs;   /* set of names in the inventory */
+	GHashTable *lanes; /* "team/service/az" -> struct lane */
+	GHashTable *eps;   /* name -> struct ep */
+	struct pl *sessions;
+	struct hp checks;    /* struct sb by next look at the deadline */
+	struct hp expiries;  /* struct sb by end of life */
+	struct hp parked;    /* struct sb by time of return to its lane */
+	struct hp dues;      /* struct sb_task by next RESOLVE */
+	struct hp wakes;     /* struct ep */
+	GPtrArray *doubtful; /* struct ep with tasks to resolve */
+	size_t pending;
+	size_t queued;
+	size_t granted;
+	struct ct_metric *m_submissions;
+	struct ct_metric *m_grants;
+	struct ct_metric *m_ignored;
+};
+
+static inline uint64_t
+dp_now(const struct dp *d)
+{
+	return (ck_mono_us(d->clock));
+}
+
+/* dispatch.c */
+
+/** dp_check_deadlines() - end the submissions whose deadline passed */
+void dp_check_deadlines(struct dp *d, uint64_t now_us);
+
+/* lane.c */
+
+/** ln_init() - allocate the maps */
+void ln_init(struct dp *d);
+
+/** ln_release() - free the maps */
+void ln_release(struct dp *d);
+
+/** ln_configure() - follow a new revision of the cell state */
+void ln_configure(struct dp *d);
+
+/** ln_endpoint() - an endpoint announced itself: find its place */
+void ln_endpoint(struct dp *d, struct ep *e);
+
+/**
+ * ln_find() - lane of a submission
+ * @reason: set when there is none because the job can never run
+ * @detail: set with @reason, owned by the caller
+ */
+struct lane *ln_find(struct dp *d, const char *team, const char *service,
+    const char *az, const char **reason, char **detail);
+
+/**
+ * ln_wait_ms() - expected time until new work of a lane is done
+ * @work_ms: declared work
+ */
+double ln_wait_ms(struct dp *d, struct lane *l, double work_ms);
+
+/* placement.c */
+
+/** pm_enqueue() - put a submission with waiting tasks into its lane */
+void pm_enqueue(struct dp *d, struct sb *s);
+
+/** pm_dequeue() - take a submission out of its lane */
+void pm_dequeue(struct dp *d, struct sb *s);
+
+/** pm_pump() - grant what can be granted at a service */
+void pm_pump(struct dp *d, struct service *s);
+
+/** pm_refresh() - the load of an endpoint changed */
+void pm_refresh(struct dp *d, struct ep *e);
+
+/** pm_tick() - end of holds, next probes, parked submissions */
+void pm_tick(struct dp *d);
+
+/* outcome.c */
+
+/** oc_answer() - answer a waiter that is attached to no submission */
+void oc_answer(struct dp *d, const struct pd_id *id, uint64_t waiter,
+    pd_status_code status, const char *reason, const char *detail,
+    bool not_run);
+
+/** oc_reply() - answer a waiter from an answered submission */
+void oc_reply(struct dp *d, const struct sb *s, uint64_t waiter);
+
+/** oc_finish() - give a submission its answer; @detail is consumed */
+void oc_finish(struct dp *d, struct sb *s, pd_status_code status,
+    const char *reason, char *detail, bool not_run);
+
+/**
+ * oc_conclude() - end a submission that will not be completed: refused when
+ * no task started, unknown when an outcome is not known, else failed
+ * @detail: consumed
+ */
+void oc_conclude(struct dp *d, struct sb *s, const char *reason, char *detail);
+
+/** oc_settle() - answer a submission if its tasks decide the answer */
+void oc_settle(struct dp *d, struct sb *s);
+
+/** oc_records_decide() - whether the start records show what ran of it */
+bool oc_records_decide(const struct dp *d, const struct sb *s);
+
+/** oc_record() - the state of an outstanding grant was reported */
+void oc_record(struct dp *d, struct sb_task *t, const struct pd_record *r);
+
+/** oc_lost() - the outcome of an outstanding grant will never be known */
+void oc_lost(struct dp *d, struct sb_task *t);
+
+/** oc_adopt() - a start record was gathered for a known submission */
+void oc_adopt(
+    struct dp *d, struct sb *s, struct ep *e, const struct pd_record *r);
+
+/** oc_cancel() - withdraw what has not started */
+void oc_cancel(struct dp *d, struct sb *s);
+
+/** oc_forget() - forget a submission and its outstanding grants; consumed */
+void oc_forget(struct dp *d, struct sb *s);
+
+/** oc_doubt() - ask the agent for the state of an outstanding grant */
+void oc_doubt(struct dp *d, struct sb_task *t);
+
+/** oc_resolve() - send the questions collected by oc_doubt() */
+void oc_resolve(struct dp *d);
+
+#endif
--- /dev/null
+++ b/plan/outcome.c
@@ -0,0 +1,590 @@
+#include <glib.h>
+#include <string.h>
+
+#include "dispatch_impl.h"
+
+/* Reports that settle nothing, after which an outcome counts as lost. */
+#define DOUBTS_MAX 2
+/* Starts of an idempotent request, from the design page. */
+#define STARTS_MAX 3
+/* How long an endpoint that returned a grant gets no work. */
+#define HOLD_FULL_US 20000
+#define HOLD_REFUSED_US 250000
+
+static const char *
+reason_name(pd_reason r)
+{
+	static const char *const names[] = {
+	    [PD_R_NONE] = "no reason",
+	    [PD_R_STALE_VIEW] = "stale view",
+	    [PD_R_WRONG_INCARNATION] = "wrong incarnation",
+	    [PD_R_NO_PERMIT] = "no permit",
+	    [PD_R_OUT_OF_SERVICE] = "out of service",
+	    [PD_R_QUEUE_FULL] = "queue full",
+	    [PD_R_EJECTED] = "ejected",
+	    [PD_R_DRAINING] = "draining",
+	    [PD_R_DEADLINE] = "deadline",
+	    [PD_R_DUPLICATE] = "duplicate",
+	    [PD_R_VOIDED] = "voided",
+	    [PD_R_CANCELLED] = "cancelled",
+	    [PD_R_ENDPOINT_ERROR] = "error of the endpoint",
+	    [PD_R_ENDPOINT_TIMEOUT] = "timeout of the endpoint",
+	    [PD_R_ENDPOINT_REFUSED] = "connection refused by the endpoint",
+	    [PD_R_FORGOTTEN] = "result no longer kept",
+	};
+
+	if ((size_t)r >= sizeof(names) / sizeof(names[0]))
+		return ("unknown reason");
+	return (names[r]);
+}
+
+static const char *
+status_name(unsigned status)
+{
+	static const char *const names[] = {
+	    [PD_COMPLETE] = "complete",
+	    [PD_JOB_FAILED] = "failed",
+	    [PD_REFUSED] = "refused",
+	    [PD_UNKNOWN] = "unknown",
+	};
+
+	return (status < sizeof(names) / sizeof(names[0]) ? names[status]
+							  : "other");
+}
+
+void
+oc_answer(struct dp *d, const struct pd_id *id, uint64_t waiter,
+    pd_status_code status, const char *reason, const char *detail, bool not_run)
+{
+	struct pd_answer a;
+
+	if (waiter == 0)
+		return;
+	memset(&a, 0, sizeof(a));
+	a.sub = *id;
+	a.status = status;
+	a.reason = (char *)reason;
+	a.detail = (char *)detail;
+	a.not_run = not_run;
+	d->ops->answer(d->arg, waiter, &a);
+}
+
+void
+oc_reply(struct dp *d, const struct sb *s, uint64_t waiter)
+{
+	struct pd_answer a;
+
+	if (waiter == 0)
+		return;
+	sb_fill_answer(s, &a);
+	d->ops->answer(d->arg, waiter, &a);
+}
+
+static void
+count_answer(struct dp *d, const struct sb *s)
+{
+	ct_count(d->counters, "pd_answers_total", "answers by status", "status",
+	    status_name(s->status));
+	if (s->status != PD_COMPLETE)
+		ct_count(d->counters, "pd_not_complete_total",
+		    "answers other than complete by reason", "reason",
+		    s->reason);
+	hi_add(d->history, &s->id, "answered", "%s%s%s", status_name(s->status),
+	    s->reason[0] != '\0' ? ": " : "", s->reason);
+}
+
+static void
+notify(struct dp *d, struct sb *s)
+{
+	GArray *waiters;
+	struct pd_answer a;
+	uint64_t waiter;
+	guint i;
+
+	waiters = s->waiters;
+	if (waiters == NULL)
+		return;
+	s->waiters = NULL;
+	sb_fill_answer(s, &a);
+	for (i = 0; i < waiters->len; i++) {
+		waiter = g_array_index(waiters, uint64_t, i);
+		g_hash_table_remove(
+		    d->table.waiters, (gpointer)(uintptr_t)waiter);
+		d->ops->answer(d->arg, waiter, &a);
+	}
+	g_array_free(waiters, TRUE);
+}
+
+static void
+cancel_grants(struct dp *d, const struct sb *s)
+{
+	const struct sb_task *t;
+	struct pd_key key;
+	uint32_t i;
+
+	for (i = 0; s->ngranted > 0 && i < s->ntasks; i++) {
+		t = &s->tasks[i];
+		if (t->state != SB_GRANTED || t->ep == NULL ||
+		    t->ep->session == PL_NONE)
+			continue;
+		key.sub = s->id;
+		key.task = t->index;
+		key.attempt = t->attempt;
+		d->ops->cancel(d->arg, t->ep->session, &key);
+	}
+}
+
+/* Tasks that wait at the entry will not be granted. */
+static void
+drop_waiting(struct dp *d, struct sb *s)
+{
+	uint32_t i;
+
+	if (s->phase == SB_RUNNING) {
+		pm_dequeue(d, s);
+		d->queued -= s->nwaiting;
+	}
+	for (i = 0; s->nwaiting > 0 && i < s->ntasks; i++)
+		if (s->tasks[i].state == SB_WAITING) {
+			s->tasks[i].state = SB_OVER;
+			s->nwaiting--;
+		}
+}
+
+void
+oc_finish(struct dp *d, struct sb *s, pd_status_code status, const char *reason,
+    char *detail, bool not_run)
+{
+	drop_waiting(d, s);
+	hp_remove(&d->checks, &s->check);
+	if (s->payload && s->phase != SB_ANSWERED)
+		d->pending--;
+	s->phase = SB_ANSWERED;
+	s->status = (uint8_t)status;
+	s->reason = reason;
+	s->detail = detail != NULL ? detail : g_strdup("");
+	s->not_run = not_run;
+	count_answer(d, s);
+	if (!s->cancelled)
+		cancel_grants(d, s);
+	if (s->ngranted == 0)
+		sb_trim(s);
+	notify(d, s);
+}
+
+bool
+oc_records_decide(const struct dp *d, const struct sb *s)
+{
+	const struct partition *p;
+
+	p = &d->partitions[s->partition];
+	return (p->state == DP_ACTIVE &&
+	    (p->takeover_ms == 0 || p->complete || s->nwaiting == 0 ||
+		s->phase == SB_RUNNING ||
+		s->id.created_ms >
+		    p->takeover_ms + d->settings.clock_error_ms));
+}
+
+void
+oc_conclude(struct dp *d, struct sb *s, const char *reason, char *detail)
+{
+	if (!oc_records_decide(d, s)) {
+		g_free(detail);
+		oc_finish(d, s, PD_UNKNOWN, "record_lost",
+		    g_strdup("The start records of a former owner of this id "
+			     "are not complete."),
+		    false);
+	} else if (s->ngranted > 0 || s->lost)
+		oc_finish(d, s, PD_UNKNOWN, reason, detail, false);
+	else if (s->nstarted > 0)
+		oc_finish(d, s, PD_JOB_FAILED, reason, detail, false);
+	else
+		oc_finish(d, s, PD_REFUSED, reason, detail, true);
+}
+
+void
+oc_settle(struct dp *d, struct sb *s)
+{
+	if (s->phase == SB_ANSWERED) {
+		if (s->ngranted == 0)
+			sb_trim(s);
+	} else if (s->ndone == s->ntasks)
+		oc_finish(d, s, PD_COMPLETE, "", NULL, false);
+	else if (s->lost)
+		oc_finish(d, s, PD_UNKNOWN, "outcome_unknown",
+		    g_strdup("A task was sent to an endpoint and its outcome "
+			     "is not known."),
+		    false);
+	else if (s->failed)
+		oc_finish(d, s, PD_JOB_FAILED, "task_failed",
+		    g_strdup("A task ran and failed."), false);
+	else if (s->cancelled && s->ngranted == 0 &&
+	    d->partitions[s->partition].state == DP_ACTIVE)
+		oc_conclude(d, s, "cancelled",
+		    g_strdup("The submission was cancelled."));
+}
+
+/* Ends an outstanding grant in all accounts; @used_ms of slot time. */
+static struct ep *
+release(struct dp *d, struct sb_task *t, double used_ms)
+{
+	struct ep *e;
+	struct sb *s;
+
+	s = t->sub;
+	e = t->ep;
+	hp_remove(&d->dues, &t->due);
+	if (e != NULL) {
+		ep_release(e, t);
+		pm_refresh(d, e);
+	}
+	if (s->lane != NULL)
+		qu_ended(s->lane->queue, t->cost_ms, used_ms);
+	s->ngranted--;
+	d->granted--;
+	return (e);
+}
+
+static void
+started(struct sb_task *t)
+{
+	if (t->starts++ == 0)
+		t->sub->nstarted++;
+}
+
+/* The task goes back to the queue of the entry. */
+static void
+requeue(struct dp *d, struct sb_task *t)
+{
+	struct sb *s;
+	uint16_t index;
+
+	s = t->sub;
+	t->state = SB_WAITING;
+	t->doubts = 0;
+	s->nwaiting++;
+	s->left_ms += t->size_ms;
+	if (s->phase != SB_RUNNING)
+		return;
+	d->queued++;
+	index = (uint16_t)t->index;
+	if (s->again == NULL)
+		s->again = g_array_new(FALSE, FALSE, sizeof(uint16_t));
+	g_array_append_val(s->again, index);
+	pm_enqueue(d, s);
+}
+
+/*
+ * A key is not granted twice to the same agent: a late duplicate of its first
+ * "not started" would look like one for the second grant. An idempotent
+ * request gets a new attempt number instead.
+ */
+static void
+exclude(struct sb_task *t, uint64_t incarnation)
+{
+	if (t->sub->idempotent) {
+		t->attempt++;
+		return;
+	}
+	if (t->returned == NULL)
+		t->returned = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	g_array_append_val(t->returned, incarnation);
+}
+
+static void
+returned(struct dp *d, struct sb_task *t)
+{
+	struct sb *s;
+
+	s = t->sub;
+	exclude(t, t->incarnation);
+	if (s->phase == SB_ANSWERED || s->cancelled)
+		t->state = SB_OVER;
+	else
+		requeue(d, t);
+}
+
+static void
+hold(struct dp *d, struct ep *e, pd_reason reason)
+{
+	uint64_t now;
+
+	now = dp_now(d);
+	switch (reason) {
+	case PD_R_EJECTED:
+		ep_health(e, &d->wakes, PD_EJECTED, now);
+		break;
+	case PD_R_DRAINING:
+		e->draining = true;
+		break;
+	case PD_R_QUEUE_FULL:
+		ep_hold(e, &d->wakes, now + HOLD_FULL_US);
+		break;
+	case PD_R_NO_PERMIT:
+	case PD_R_OUT_OF_SERVICE:
+	case PD_R_WRONG_INCARNATION:
+	case PD_R_ENDPOINT_REFUSED:
+		ep_hold(e, &d->wakes, now + HOLD_REFUSED_US);
+		break;
+	default:
+		return;
+	}
+	pm_refresh(d, e);
+}
+
+/* An idempotent request may start again, under a new attempt number. */
+static bool
+retried(struct dp *d, struct sb_task *t)
+{
+	struct sb *s;
+
+	s = t->sub;
+	if (!s->idempotent || t->starts >= STARTS_MAX || s->cancelled ||
+	    s->phase != SB_RUNNING || s->deadline_us <= dp_now(d))
+		return (false);
+	t->attempt++;
+	requeue(d, t);
+	return (true);
+}
+
+static void
+ended_badly(struct dp *d, struct sb_task *t, bool lost)
+{
+	started(t);
+	if (retried(d, t))
+		return;
+	t->state = SB_OVER;
+	if (lost)
+		t->sub->lost = true;
+	else
+		t->sub->failed = true;
+}
+
+static void
+done(struct sb_task *t, const struct pd_record *r)
+{
+	started(t);
+	t->state = SB_DONE;
+	t->sub->ndone++;
+	if (t->sub->phase == SB_ANSWERED)
+		return;
+	t->result = g_memdup2(r->body.body_val, r->body.body_len);
+	t->result_len = r->body.body_len;
+}
+
+/* The task is alive at the agent: ask again later. */
+static void
+still_there(struct dp *d, struct sb_task *t)
+{
+	t->due_after_us *= 2;
+	hp_set(&d->dues, &t->due, dp_now(d) + t->due_after_us);
+}
+
+static bool
+is_doubtful(const struct pd_record *r)
+{
+	return (r->state == PD_NOT_STARTED && r->reason == PD_R_DUPLICATE);
+}
+
+static void
+record_ended(struct dp *d, struct sb_task *t, const struct pd_record *r)
+{
+	struct ep *e;
+
+	e = release(d, t, r->run_ms);
+	switch (r->state) {
+	case PD_NOT_STARTED:
+		returned(d, t);
+		if (e != NULL)
+			hold(d, e, r->reason);
+		break;
+	case PD_DONE:
+		if (e != NULL)
+			po_learn(&e->view.speed, t->declared_ms, r->run_ms);
+		if (r->reason == PD_R_FORGOTTEN)
+			ended_badly(d, t, true);
+		else
+			done(t, r);
+		break;
+	case PD_FAILED:
+		ended_badly(d, t, false);
+		break;
+	default:
+		ended_badly(d, t, true);
+		break;
+	}
+}
+
+void
+oc_record(struct dp *d, struct sb_task *t, const struct pd_record *r)
+{
+	struct sb *s;
+
+	s = t->sub;
+	if (r->state == PD_QUEUED || r->state == PD_RUNNING) {
+		still_there(d, t);
+		return;
+	}
+	/*
+	 * "Duplicate" does not say what became of the first grant with the
+	 * key, so it is no proof that the task did not start.
+	 */
+	if (is_doubtful(r) && t->doubts++ < DOUBTS_MAX) {
+		oc_doubt(d, t);
+		return;
+	}
+	hi_add(d->history, &s->id, "reported", "task %u: state %d, %s, %u ms",
+	    t->index, (int)r->state, reason_name(r->reason), r->run_ms);
+	if (is_doubtful(r))
+		oc_lost(d, t);
+	else {
+		record_ended(d, t, r);
+		oc_settle(d, s);
+	}
+}
+
+void
+oc_lost(struct dp *d, struct sb_task *t)
+{
+	struct sb *s;
+
+	s = t->sub;
+	(void)release(d, t, t->cost_ms);
+	hi_add(d->history, &s->id, "lost", "task %u", t->index);
+	ended_badly(d, t, true);
+	oc_settle(d, s);
+}
+
+/* A task that runs at an agent since before the takeover. */
+static void
+adopt_running(struct dp *d, struct sb_task *t, struct ep *e)
+{
+	struct sb *s;
+
+	s = t->sub;
+	t->state = SB_GRANTED;
+	t->cost_ms = 0;
+	if (e != NULL)
+		ep_grant(e, t, dp_now(d));
+	else
+		t->ep = NULL;
+	s->nwaiting--;
+	s->ngranted++;
+	d->granted++;
+	t->due_after_us = 1000000;
+	if (e != NULL)
+		hp_set(&d->dues, &t->due, dp_now(d) + t->due_after_us);
+}
+
+void
+oc_adopt(struct dp *d, struct sb *s, struct ep *e, const struct pd_record *r)
+{
+	struct sb_task *t;
+
+	if (s->phase != SB_HELD || r->key.task >= s->ntasks)
+		return;
+	t = &s->tasks[r->key.task];
+	if (t->state == SB_GRANTED && t->ep == NULL &&
+	    r->key.attempt == t->attempt && r->state != PD_RUNNING) {
+		record_ended(d, t, r);
+		oc_settle(d, s);
+		return;
+	}
+	if (t->state != SB_WAITING)
+		return;
+	if (r->state == PD_NOT_STARTED) {
+		if (e != NULL && !is_doubtful(r))
+			exclude(t, e->incarnation);
+		return;
+	}
+	t->attempt = r->key.attempt;
+	adopt_running(d, t, e);
+	if (r->state != PD_QUEUED && r->state != PD_RUNNING)
+		oc_record(d, t, r);
+	else
+		started(t);
+}
+
+void
+oc_cancel(struct dp *d, struct sb *s)
+{
+	if (s->phase == SB_ANSWERED || s->cancelled)
+		return;
+	s->cancelled = true;
+	hi_add(
+	    d->history, &s->id, "cancelled", "%u tasks granted", s->ngranted);
+	if (s->phase == SB_RUNNING)
+		drop_waiting(d, s);
+	cancel_grants(d, s);
+	oc_settle(d, s);
+}
+
+void
+oc_forget(struct dp *d, struct sb *s)
+{
+	uint32_t i;
+
+	if (s->phase == SB_RUNNING) {
+		pm_dequeue(d, s);
+		d->queued -= s->nwaiting;
+	}
+	for (i = 0; s->ngranted > 0 && i < s->ntasks; i++)
+		if (s->tasks[i].state == SB_GRANTED) {
+			(void)release(d, &s->tasks[i], s->tasks[i].cost_ms);
+			s->tasks[i].state = SB_OVER;
+		}
+	if (s->payload && s->phase != SB_ANSWERED)
+		d->pending--;
+	hp_remove(&d->checks, &s->check);
+	hp_remove(&d->expiries, &s->expiry);
+	sb_drop(&d->table, s);
+}
+
+void
+oc_doubt(struct dp *d, struct sb_task *t)
+{
+	struct ep *e;
+
+	e = t->ep;
+	t->due_after_us *= 2;
+	hp_set(&d->dues, &t->due, dp_now(d) + t->due_after_us);
+	if (e == NULL || e->session == PL_NONE)
+		return;
+	if (e->doubtful->len == 0)
+		g_ptr_array_add(d->doubtful, e);
+	g_ptr_array_add(e->doubtful, t);
+}
+
+static void
+resolve_endpoint(struct dp *d, struct ep *e)
+{
+	struct pd_key keys[64];
+	const struct sb_task *t;
+	dp_agent session;
+	size_t n;
+	guint i;
+
+	session = e->session;
+	for (i = 0, n = 0; i < e->doubtful->len; i++) {
+		t = g_ptr_array_index(e->doubtful, i);
+		keys[n].sub = t->sub->id;
+		keys[n].task = t->index;
+		keys[n].attempt = t->attempt;
+		if (++n == 64 || i + 1 == e->doubtful->len) {
+			if (session != PL_NONE)
+				d->ops->resolve(d->arg, session, keys, n);
+			n = 0;
+		}
+	}
+	g_ptr_array_set_size(e->doubtful, 0);
+}
+
+void
+oc_resolve(struct dp *d)
+{
+	guint i;
+
+	for (i = 0; i < d->doubtful->len; i++)
+		resolve_endpoint(d, g_ptr_array_index(d->doubtful, i));
+	g_ptr_array_set_size(d->doubtful, 0);
+}
--- /dev/null
+++ b/plan/placement.c
@@ -0,0 +1,303 @@
+#include <glib.h>
+
+#include "dispatch_impl.h"
+
+/* Submissions whose tasks fit nowhere are looked at again after this. */
+#define PARK_US 20000
+/*
+ * A grant without a result is doubted after this, or after DUE_FACTOR times
+ * its expected time: declared sizes are wrong by up to 10x.
+ */
+#define DUE_MIN_US 1000000
+#define DUE_FACTOR 10
+/* Time that a report needs, kept free before the deadline. */
+#define RETURN_MS 5
+
+/* One search for a job and an endpoint. */
+struct search {
+	struct dp *dp;
+	uint64_t now_us;
+	struct sb_task *task;
+	struct ep *ep;
+	struct sb *blocked; /* first job whose task no endpoint may get */
+};
+
+static bool
+was_returned(void *arg, const struct po_endpoint *e)
+{
+	const struct sb_task *t = arg;
+	const struct ep *ep = (const struct ep *)e;
+	guint i;
+
+	for (i = 0; i < t->returned->len; i++)
+		if (g_array_index(t->returned, uint64_t, i) == ep->incarnation)
+			return (true);
+	return (false);
+}
+
+/* An ejected endpoint whose probe is due gets the next task. */
+static bool
+place_probe(struct search *q, struct sb *s, struct sb_task *t)
+{
+	struct ep *e;
+	guint i;
+
+	for (i = 0; i < s->lane->eps->len; i++) {
+		e = g_ptr_array_index(s->lane->eps, i);
+		if (e->probing &&
+		    (t->returned == NULL || !was_returned(t, &e->view))) {
+			q->task = t;
+			q->ep = e;
+			return (true);
+		}
+	}
+	return (false);
+}
+
+static bool
+place(struct search *q, struct sb *s, struct sb_task *t)
+{
+	struct po_task task;
+	GPtrArray *eps;
+	size_t i;
+
+	if (s->lane->service->nprobing > 0 && place_probe(q, s, t))
+		return (true);
+	task.size_ms = t->size_ms;
+	task.now_us = q->now_us;
+	task.excluded = t->returned != NULL ? was_returned : NULL;
+	task.arg = t;
+	eps = s->lane->eps;
+	i = q->dp->policy->choose((struct po_endpoint *const *)eps->pdata,
+	    eps->len, &task, q->dp->rng);
+	if (i == PO_WAIT)
+		return (false);
+	q->task = t;
+	q->ep = g_ptr_array_index(eps, i);
+	return (true);
+}
+
+/* Next task that was never returned. */
+static struct sb_task *
+fresh_task(struct sb *s)
+{
+	struct sb_task *t;
+
+	for (; s->cursor < s->ntasks; s->cursor++) {
+		t = &s->tasks[s->order[s->cursor]];
+		if (t->state == SB_WAITING && t->returned == NULL &&
+		    t->attempt == 0)
+			return (t);
+	}
+	return (NULL);
+}
+
+/* Last of the tasks that came back; entries that are over are dropped. */
+static struct sb_task *
+again_task(struct sb *s)
+{
+	struct sb_task *t;
+
+	while (s->again != NULL && s->again->len > 0) {
+		t = &s->tasks[g_array_index(
+		    s->again, uint16_t, s->again->len - 1)];
+		if (t->state == SB_WAITING)
+			return (t);
+		g_array_set_size(s->again, s->again->len - 1);
+	}
+	return (NULL);
+}
+
+static void
+again_rotate(struct sb *s)
+{
+	uint16_t last;
+
+	last = g_array_index(s->again, uint16_t, s->again->len - 1);
+	g_array_set_size(s->again, s->again->len - 1);
+	g_array_prepend_val(s->again, last);
+}
+
+static bool
+fits(void *arg, struct qu_job *j)
+{
+	struct search *q = arg;
+	struct sb_task *t;
+	struct sb *s;
+
+	s = hp_item(j, struct sb, job);
+	t = again_task(s);
+	if (t != NULL) {
+		if (place(q, s, t))
+			return (true);
+		again_rotate(s);
+		if (q->blocked == NULL)
+			q->blocked = s;
+	}
+	t = fresh_task(s);
+	return (t != NULL && place(q, s, t));
+}
+
+/* Latest start: what remains at the speed of one slot for the largest task. */
+static uint64_t
+latest_start(const struct sb *s)
+{
+	uint64_t need;
+
+	need = 2000 * (uint64_t)s->tasks[s->order[0]].size_ms;
+	return (s->deadline_us > need ? s->deadline_us - need : 0);
+}
+
+void
+pm_enqueue(struct dp *d, struct sb *s)
+{
+	(void)d;
+	if (s->nwaiting > 0 && !hp_has(&s->parked))
+		qu_put(s->lane->queue, &s->job, s->left_ms, latest_start(s));
+}
+
+void
+pm_dequeue(struct dp *d, struct sb *s)
+{
+	qu_remove(&s->job);
+	hp_remove(&d->parked, &s->parked);
+}
+
+static void
+park(struct dp *d, struct sb *s)
+{
+	qu_remove(&s->job);
+	hp_set(&d->parked, &s->parked, dp_now(d) + PARK_US);
+}
+
+static void
+send_grant(
+    struct dp *d, const struct ep *e, const struct sb_task *t, uint64_t now_us)
+{
+	const struct sb *s;
+	struct pd_grant g;
+	uint64_t left;
+
+	s = t->sub;
+	left = (s->deadline_us - now_us) / 1000;
+	g.key.sub = s->id;
+	g.key.task = t->index;
+	g.key.attempt = t->attempt;
+	g.view = d->partitions[s->partition].view;
+	g.incarnation = e->incarnation;
+	g.ntasks = s->ntasks;
+	g.size_ms = t->size_ms;
+	g.timeout_ms = (u_int)(left > 10 * RETURN_MS ? left - RETURN_MS : left);
+	g.idempotent = s->idempotent;
+	g.team = (char *)s->team;
+	g.body.body_len = t->body_len;
+	g.body.body_val = (char *)t->body;
+	d->ops->grant(d->arg, e->session, &g);
+}
+
+static uint64_t
+due_after(const struct sb_task *t, uint64_t now_us)
+{
+	uint64_t after;
+
+	after = t->start_us - now_us + (uint64_t)(t->cost_ms * 1000);
+	return (MAX(DUE_MIN_US, after * DUE_FACTOR));
+}
+
+static void
+grant(struct dp *d, struct search *q)
+{
+	struct sb_task *t;
+	struct sb *s;
+	struct ep *e;
+
+	t = q->task;
+	s = t->sub;
+	e = q->ep;
+	t->state = SB_GRANTED;
+	t->granted_us = q->now_us;
+	t->cost_ms = t->size_ms * po_unit(&e->view.speed, q->now_us);
+	ep_grant(e, t, q->now_us);
+	if (e->health == PD_EJECTED)
+		ep_probed(e, &d->wakes, q->now_us);
+	pm_refresh(d, e);
+	s->nwaiting--;
+	s->ngranted++;
+	s->left_ms -= t->size_ms;
+	d->queued--;
+	d->granted++;
+	qu_granted(s->lane->queue, t->cost_ms);
+	if (s->nwaiting > 0)
+		pm_enqueue(d, s);
+	else
+		qu_remove(&s->job);
+	t->due_after_us = due_after(t, q->now_us);
+	hp_set(&d->dues, &t->due, q->now_us + t->due_after_us);
+	ct_add(d->m_grants, 1);
+	hi_add(
+	    d->history, &s->id, "granted", "task %u to %s", t->index, e->name);
+	send_grant(d, e, t, q->now_us);
+}
+
+void
+pm_pump(struct dp *d, struct service *s)
+{
+	struct search q;
+
+	if (!d->verified)
+		return;
+	q.dp = d;
+	q.now_us = dp_now(d);
+	dp_check_deadlines(d, q.now_us);
+	while (s->nopen > 0) {
+		q.blocked = NULL;
+		if (qu_next(d->queue, s->number, q.now_us, fits, &q) != NULL)
+			grant(d, &q);
+		else if (q.blocked != NULL)
+			park(d, q.blocked);
+		else
+			return;
+	}
+}
+
+void
+pm_refresh(struct dp *d, struct ep *e)
+{
+	ep_refresh(e, d->policy->queue, dp_now(d));
+}
+
+static void
+wake(struct dp *d, struct ep *e, uint64_t now_us)
+{
+	hp_remove(&d->wakes, &e->wake);
+	if (e->hold_us > now_us)
+		hp_set(&d->wakes, &e->wake, e->hold_us);
+	else if (e->health == PD_EJECTED && e->probe_us > now_us)
+		hp_set(&d->wakes, &e->wake, e->probe_us);
+	pm_refresh(d, e);
+	if (e->service != NULL)
+		pm_pump(d, e->service);
+}
+
+void
+pm_tick(struct dp *d)
+{
+	struct hp_node *n;
+	struct sb *s;
+	uint64_t now;
+
+	now = dp_now(d);
+	while ((n = hp_first(&d->wakes)) != NULL && n->key <= now)
+		wake(d, hp_item(n, struct ep, wake), now);
+	while ((n = hp_first(&d->parked)) != NULL && n->key <= now) {
+		s = hp_item(n, struct sb, parked);
+		hp_remove(&d->parked, n);
+		if (s->lane->impossible != NULL) {
+			oc_conclude(d, s, s->lane->impossible,
+			    g_strdup(s->lane->detail));
+			continue;
+		}
+		pm_enqueue(d, s);
+		pm_pump(d, s->lane->service);
+	}
+}
--- /dev/null
+++ b/plan/policy.c
@@ -0,0 +1,195 @@
+#include <limits.h>
+#include <math.h>
+#include <string.h>
+
+#include "policy.h"
+#include "rng.h"
+
+/* Factor of the moving average, from the design page. */
+#define SLOW_FACTOR 0.03
+/* The first samples count fully, so that a new endpoint is known soon. */
+#define FAST_FACTOR 0.15
+/*
+ * The recent average replaces the slow one when they differ by this factor.
+ * Declared sizes are wrong by up to 10x, so less would follow noise.
+ */
+#define JUMP 2.5
+/* Tasks behind FAST_FACTOR, for weighing tasks that still run against it. */
+#define FAST_TASKS (1.0 / FAST_FACTOR)
+/* Expected run time of an endpoint that has not finished a task yet. */
+#define FIRST_MEAN_MS 100.0
+
+static double
+average(double old, double value, double factor, uint64_t samples)
+{
+	double first;
+
+	first = 1.0 / (double)(samples + 1);
+	return (old + (value - old) * (first > factor ? first : factor));
+}
+
+/* Elapsed time per unit of size, summed over the running tasks. */
+static double
+running_units(const struct po_speed *s, uint64_t now_us)
+{
+	double units;
+
+	units = ((double)now_us * s->busy_rate - s->busy_since) / 1000.0;
+	return (units > 0 ? units : 0);
+}
+
+double
+po_unit(const struct po_speed *s, uint64_t now_us)
+{
+	double slow, recent;
+
+	if (s->samples == 0)
+		return (1.0);
+	slow = s->unit;
+	/* Running tasks are censored samples: they add time but no task. */
+	recent = s->recent + running_units(s, now_us) / FAST_TASKS;
+	if (recent > slow * JUMP)
+		return (recent);
+	if (s->recent * JUMP < slow && recent < slow)
+		return (recent);
+	return (slow);
+}
+
+static double
+mean_ms(const struct po_speed *s, uint64_t now_us)
+{
+	if (s->samples == 0)
+		return (FIRST_MEAN_MS);
+	return (s->mean_ms * po_unit(s, now_us) / s->unit);
+}
+
+double
+po_wait_ms(const struct po_endpoint *e, uint64_t now_us)
+{
+	if (e->load < e->slots || e->slots == 0)
+		return (0);
+	return (
+	    (e->load - e->slots + 1) * mean_ms(&e->speed, now_us) / e->slots);
+}
+
+void
+po_started(struct po_speed *s, double size_ms, uint64_t start_us)
+{
+	s->busy_rate += 1.0 / size_ms;
+	s->busy_since += (double)start_us / size_ms;
+}
+
+void
+po_ended(struct po_speed *s, double size_ms, uint64_t start_us)
+{
+	s->busy_rate -= 1.0 / size_ms;
+	s->busy_since -= (double)start_us / size_ms;
+	if (s->busy_rate < 1e-9) {
+		s->busy_rate = 0;
+		s->busy_since = 0;
+	}
+}
+
+void
+po_learn(struct po_speed *s, double size_ms, double run_ms)
+{
+	double unit;
+
+	unit = (run_ms > 0.1 ? run_ms : 0.1) / size_ms;
+	s->unit = average(s->unit, unit, SLOW_FACTOR, s->samples);
+	s->recent = average(s->recent, unit, FAST_FACTOR, s->samples);
+	s->mean_ms = average(s->mean_ms, run_ms, SLOW_FACTOR, s->samples);
+	s->samples++;
+}
+
+static bool
+usable(const struct po_endpoint *e, const struct po_task *t)
+{
+	return (po_open(e) && (t->excluded == NULL || !t->excluded(t->arg, e)));
+}
+
+/* Random starting point, then the next usable endpoint. */
+static size_t
+draw(struct po_endpoint *const *list, size_t n, const struct po_task *t,
+    struct rn *rng)
+{
+	size_t first, i, k;
+
+	if (n == 0)
+		return (PO_WAIT);
+	first = rn_below(rng, (uint32_t)n);
+	for (i = 0; i < n; i++) {
+		k = (first + i) % n;
+		if (usable(list[k], t))
+			return (k);
+	}
+	return (PO_WAIT);
+}
+
+static size_t
+choose_two(struct po_endpoint *const *list, size_t n, const struct po_task *t,
+    struct rn *rng)
+{
+	size_t a, b;
+
+	a = draw(list, n, t, rng);
+	if (a == PO_WAIT)
+		return (PO_WAIT);
+	b = draw(list, n, t, rng);
+	if (list[b]->load * list[a]->slots < list[a]->load * list[b]->slots)
+		return (b);
+	return (a);
+}
+
+static double
+finish_ms(const struct po_endpoint *e, const struct po_task *t)
+{
+	return (po_wait_ms(e, t->now_us) +
+	    t->size_ms * po_unit(&e->speed, t->now_us));
+}
+
+/* Endpoints looked at for one task; all of them in today's cells. */
+#define LOOK_MAX 48
+
+static size_t
+choose_learned(struct po_endpoint *const *list, size_t n,
+    const struct po_task *t, struct rn *rng)
+{
+	double best, finish;
+	size_t first, found, i, k, looked;
+
+	if (n == 0)
+		return (PO_WAIT);
+	best = INFINITY;
+	found = PO_WAIT;
+	first = rn_below(rng, (uint32_t)n);
+	for (i = 0, looked = 0; i < n && looked < LOOK_MAX; i++) {
+		k = (first + i) % n;
+		if (!usable(list[k], t))
+			continue;
+		looked++;
+		finish = finish_ms(list[k], t);
+		if (finish < best) {
+			best = finish;
+			found = k;
+		}
+	}
+	return (found);
+}
+
+static const struct po_ops policies[] = {
+    {"learned", 1, choose_learned},
+    {"random", UINT_MAX, draw},
+    {"two_choices", UINT_MAX, choose_two},
+};
+
+const struct po_ops *
+po_find(const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(policies) / sizeof(policies[0]); i++)
+		if (strcmp(policies[i].name, name) == 0)
+			return (&policies[i]);
+	return (NULL);
+}
--- /dev/null
+++ b/plan/policy.h
@@ -0,0 +1,102 @@
+#ifndef POLICY_H
+#define POLICY_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/**
+ * DOC: po - choice of the endpoint for a task
+ */
+struct rn;
+
+/** PO_WAIT - no endpoint: the task stays at the entry for now */
+#define PO_WAIT SIZE_MAX
+
+/**
+ * struct po_speed - learned run time of one endpoint
+ * @unit: run time per unit of declared size, slow average
+ * @recent: the same, over the last few tasks
+ * @mean_ms: average run time, milliseconds
+ * @samples: number of run times learned
+ * @busy_rate: sum of 1/size over the tasks that run now
+ * @busy_since: sum of start/size over the tasks that run now, microseconds
+ */
+struct po_speed {
+	double unit;
+	double recent;
+	double mean_ms;
+	uint64_t samples;
+	double busy_rate;
+	double busy_since;
+};
+
+/**
+ * struct po_endpoint - an endpoint as a policy sees it
+ * @slots: tasks it runs at a time
+ * @load: running and queued tasks of all entries, as far as known
+ * @limit: @load at which it takes no more; 0 when it gets no work
+ * @speed: learned run times
+ */
+struct po_endpoint {
+	unsigned slots;
+	unsigned load;
+	unsigned limit;
+	struct po_speed speed;
+};
+
+/**
+ * struct po_task - the task to be placed
+ * @size_ms: declared run time
+ * @now_us: monotonic time
+ * @excluded: whether an endpoint must not get the task; NULL for none
+ * @arg: passed to @excluded
+ */
+struct po_task {
+	double size_ms;
+	uint64_t now_us;
+	bool (*excluded)(void *arg, const struct po_endpoint *e);
+	void *arg;
+};
+
+/**
+ * struct po_ops - a policy
+ * @name: name in the settings
+ * @queue: tasks that an agent may hold beyond its slots; UINT_MAX for as
+ *     many as the agent takes
+ * @choose: index of the endpoint for a task, or PO_WAIT. Looks only at
+ *     endpoints with load < limit
+ */
+struct po_ops {
+	const char *name;
+	unsigned queue;
+	size_t (*choose)(struct po_endpoint *const *list, size_t n,
+	    const struct po_task *t, struct rn *rng);
+};
+
+/** po_find() - policy by name, NULL if unknown */
+const struct po_ops *po_find(const char *name);
+
+/** po_open() - whether an endpoint takes one more task */
+static inline bool
+po_open(const struct po_endpoint *e)
+{
+	return (e->load < e->limit);
+}
+
+/** po_unit() - run time per unit of declared size that is expected now */
+double po_unit(const struct po_speed *s, uint64_t now_us);
+
+/** po_wait_ms() - expected wait of a further task at an endpoint */
+double po_wait_ms(const struct po_endpoint *e, uint64_t now_us);
+
+/** po_started() - a task was granted; @start_us is its expected start */
+void po_started(struct po_speed *s, double size_ms, uint64_t start_us);
+
+/** po_ended() - a task given to po_started() with these values is over */
+void po_ended(struct po_speed *s, double size_ms, uint64_t start_us);
+
+/** po_learn() - a task of @size_ms ran for @run_ms */
+void po_learn(struct po_speed *s, double size_ms, double run_ms);
+
+#endif
--- /dev/null
+++ b/plan/quota.c
@@ -0,0 +1,366 @@
+#include <glib.h>
+#include <math.h>
+#include <string.h>
+
+#include "quota.h"
+
+/* A job goes first when its latest start is nearer than this. */
+#define URGENT_US 50000
+/* Powers of two of the work of a job, for qu_ahead_ms(). */
+#define BINS 32
+
+struct team {
+	char *name;
+	double weight;
+	unsigned max_running;
+	unsigned running;
+};
+
+/* The lanes of one team in one group. */
+struct flow {
+	struct team *team;
+	struct group *group;
+	double served; /* slot time per weight: the fair order */
+	GPtrArray *lanes;
+	size_t jobs;
+	double work[BINS]; /* waiting work by size of job */
+};
+
+struct group {
+	GPtrArray *flows;
+	GPtrArray *active; /* flows with jobs */
+	double served;     /* of the flow chosen last */
+};
+
+struct qu_lane {
+	struct flow *flow;
+	void *arg;
+	struct hp by_work;
+	struct hp by_start;
+};
+
+struct qu {
+	GHashTable *teams;
+	GPtrArray *groups;
+};
+
+static void
+team_free(gpointer p)
+{
+	struct team *t = p;
+
+	g_free(t->name);
+	g_free(t);
+}
+
+static void
+lane_free(gpointer p)
+{
+	struct qu_lane *l = p;
+
+	hp_release(&l->by_work);
+	hp_release(&l->by_start);
+	g_free(l);
+}
+
+static void
+flow_free(gpointer p)
+{
+	struct flow *f = p;
+
+	g_ptr_array_free(f->lanes, TRUE);
+	g_free(f);
+}
+
+static void
+group_free(gpointer p)
+{
+	struct group *g = p;
+
+	if (g == NULL)
+		return;
+	g_ptr_array_free(g->flows, TRUE);
+	g_ptr_array_free(g->active, TRUE);
+	g_free(g);
+}
+
+struct qu *
+qu_new(void)
+{
+	struct qu *q;
+
+	q = g_new0(struct qu, 1);
+	q->teams =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, team_free);
+	q->groups = g_ptr_array_new_with_free_func(group_free);
+	return (q);
+}
+
+void
+qu_free(struct qu *q)
+{
+	if (q == NULL)
+		return;
+	g_ptr_array_free(q->groups, TRUE);
+	g_hash_table_destroy(q->teams);
+	g_free(q);
+}
+
+static struct team *
+team_get(struct qu *q, const char *name)
+{
+	struct team *t;
+
+	t = g_hash_table_lookup(q->teams, name);
+	if (t != NULL)
+		return (t);
+	t = g_new0(struct team, 1);
+	t->name = g_strdup(name);
+	t->weight = 1;
+	g_hash_table_insert(q->teams, t->name, t);
+	return (t);
+}
+
+void
+qu_team(struct qu *q, const char *name, unsigned weight, unsigned max_running)
+{
+	struct team *t;
+
+	t = team_get(q, name);
+	t->weight = weight > 0 ? weight : 1;
+	t->max_running = max_running;
+}
+
+static struct group *
+group_get(struct qu *q, unsigned number)
+{
+	struct group *g;
+
+	if (number >= q->groups->len)
+		g_ptr_array_set_size(q->groups, (gint)number + 1);
+	g = g_ptr_array_index(q->groups, number);
+	if (g != NULL)
+		return (g);
+	g = g_new0(struct group, 1);
+	g->flows = g_ptr_array_new_with_free_func(flow_free);
+	g->active = g_ptr_array_new();
+	g_ptr_array_index(q->groups, number) = g;
+	return (g);
+}
+
+static struct flow *
+flow_get(struct group *g, struct team *t)
+{
+	struct flow *f;
+	guint i;
+
+	for (i = 0; i < g->flows->len; i++) {
+		f = g_ptr_array_index(g->flows, i);
+		if (f->team == t)
+			return (f);
+	}
+	f = g_new0(struct flow, 1);
+	f->team = t;
+	f->group = g;
+	f->lanes = g_ptr_array_new_with_free_func(lane_free);
+	g_ptr_array_add(g->flows, f);
+	return (f);
+}
+
+struct qu_lane *
+qu_lane(struct qu *q, unsigned group, const char *team, void *arg)
+{
+	struct qu_lane *l;
+
+	l = g_new0(struct qu_lane, 1);
+	l->flow = flow_get(group_get(q, group), team_get(q, team));
+	l->arg = arg;
+	g_ptr_array_add(l->flow->lanes, l);
+	return (l);
+}
+
+void *
+qu_lane_arg(const struct qu_lane *l)
+{
+	return (l->arg);
+}
+
+struct qu_job *
+qu_first(const struct qu_lane *l)
+{
+	struct hp_node *n;
+
+	n = hp_first(&l->by_work);
+	return (n != NULL ? hp_item(n, struct qu_job, by_work) : NULL);
+}
+
+static unsigned
+bin_of(double work_ms)
+{
+	int exponent;
+
+	(void)frexp(work_ms, &exponent);
+	if (exponent < 0)
+		return (0);
+	return (exponent < BINS ? (unsigned)exponent : BINS - 1);
+}
+
+/* A flow that was idle has no claim on the time that it did not use. */
+static void
+flow_wake(struct flow *f)
+{
+	if (f->served < f->group->served)
+		f->served = f->group->served;
+	g_ptr_array_add(f->group->active, f);
+}
+
+void
+qu_put(struct qu_lane *l, struct qu_job *j, double work_ms, uint64_t start_us)
+{
+	struct flow *f;
+
+	f = l->flow;
+	if (j->lane == NULL) {
+		j->lane = l;
+		if (f->jobs++ == 0)
+			flow_wake(f);
+	} else
+		f->work[bin_of(j->work_ms)] -= j->work_ms;
+	j->work_ms = work_ms;
+	f->work[bin_of(work_ms)] += work_ms;
+	hp_set(&l->by_work, &j->by_work, (uint64_t)(work_ms * 1000));
+	hp_set(&l->by_start, &j->by_start, start_us);
+}
+
+void
+qu_remove(struct qu_job *j)
+{
+	struct qu_lane *l;
+	struct flow *f;
+
+	l = j->lane;
+	if (l == NULL)
+		return;
+	f = l->flow;
+	f->work[bin_of(j->work_ms)] -= j->work_ms;
+	hp_remove(&l->by_work, &j->by_work);
+	hp_remove(&l->by_start, &j->by_start);
+	j->lane = NULL;
+	if (--f->jobs == 0) {
+		memset(f->work, 0, sizeof(f->work));
+		g_ptr_array_remove_fast(f->group->active, f);
+	}
+}
+
+static struct qu_job *
+lane_first(const struct qu_lane *l, uint64_t now_us)
+{
+	struct hp_node *n;
+
+	n = hp_first(&l->by_start);
+	if (n != NULL && n->key < now_us + URGENT_US)
+		return (hp_item(n, struct qu_job, by_start));
+	return (qu_first(l));
+}
+
+static struct qu_job *
+flow_first(const struct flow *f, uint64_t now_us,
+    bool (*fits)(void *arg, struct qu_job *j), void *arg)
+{
+	struct qu_job *j;
+	guint i;
+
+	for (i = 0; i < f->lanes->len; i++) {
+		j = lane_first(g_ptr_array_index(f->lanes, i), now_us);
+		if (j != NULL && fits(arg, j))
+			return (j);
+	}
+	return (NULL);
+}
+
+/* The flow served least after @after, in the order of (served, index). */
+static struct flow *
+flow_after(const struct group *g, double served, guint index, guint *found)
+{
+	struct flow *best, *f;
+	guint i;
+
+	best = NULL;
+	for (i = 0; i < g->active->len; i++) {
+		f = g_ptr_array_index(g->active, i);
+		if (f->team->max_running > 0 &&
+		    f->team->running >= f->team->max_running)
+			continue;
+		if (f->served < served || (f->served == served && i <= index))
+			continue;
+		if (best == NULL || f->served < best->served) {
+			best = f;
+			*found = i;
+		}
+	}
+	return (best);
+}
+
+struct qu_job *
+qu_next(struct qu *q, unsigned group, uint64_t now_us,
+    bool (*fits)(void *arg, struct qu_job *j), void *arg)
+{
+	struct group *g;
+	struct flow *f;
+	struct qu_job *j;
+	double served;
+	guint index, found;
+
+	g = group_get(q, group);
+	served = -INFINITY;
+	index = 0;
+	while ((f = flow_after(g, served, index, &found)) != NULL) {
+		j = flow_first(f, now_us, fits, arg);
+		if (j != NULL)
+			return (j);
+		served = f->served;
+		index = found;
+	}
+	return (NULL);
+}
+
+void
+qu_granted(struct qu_lane *l, double cost_ms)
+{
+	struct flow *f;
+
+	f = l->flow;
+	f->team->running++;
+	if (f->served > f->group->served)
+		f->group->served = f->served;
+	f->served += cost_ms / f->team->weight;
+}
+
+void
+qu_ended(struct qu_lane *l, double cost_ms, double used_ms)
+{
+	l->flow->team->running--;
+	l->flow->served += (used_ms - cost_ms) / l->flow->team->weight;
+}
+
+double
+qu_ahead_ms(const struct qu_lane *l, double work_ms)
+{
+	const struct flow *f, *other;
+	double ahead, weights;
+	unsigned i, own;
+	guint k;
+
+	f = l->flow;
+	own = bin_of(work_ms);
+	ahead = f->work[own] / 2;
+	for (i = 0; i < own; i++)
+		ahead += f->work[i];
+	weights = f->team->weight;
+	for (k = 0; k < f->group->active->len; k++) {
+		other = g_ptr_array_index(f->group->active, k);
+		if (other != f)
+			weights += other->team->weight;
+	}
+	return (ahead * weights / f->team->weight);
+}
--- /dev/null
+++ b/plan/submission.h
@@ -0,0 +1,173 @@
+#ifndef SUBMISSION_H
+#define SUBMISSION_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "heap.h"
+#include "pd.h"
+#include "quota.h"
+
+/**
+ * DOC: sb - table of submissions: their tasks, waiters and answers
+ *
+ * Private to the dispatcher. The table owns the submissions.
+ */
+struct ep;
+struct lane;
+struct sb;
+
+/**
+ * enum sb_state - state of a task
+ * @SB_WAITING: at the entry, or its payload is not known yet
+ * @SB_GRANTED: at an agent, outcome not known
+ * @SB_DONE: has its result
+ * @SB_OVER: failed, outcome lost, or dropped
+ */
+enum sb_state {
+	SB_WAITING = 0,
+	SB_GRANTED,
+	SB_DONE,
+	SB_OVER,
+};
+
+/** struct sb_task - one task of a submission */
+struct sb_task {
+	struct hp_node due; /* next RESOLVE when granted */
+	struct sb *sub;
+	struct ep *ep;        /* endpoint of the outstanding grant; NULL when
+				 it is not connected since a takeover */
+	struct sb_task *next; /* outstanding grants of the endpoint */
+	struct sb_task *prev;
+	GArray *returned;     /* incarnations that returned the task */
+	uint64_t incarnation; /* of the agent with the grant */
+	uint64_t granted_us;
+	uint64_t start_us; /* expected start */
+	uint64_t due_after_us;
+	double cost_ms;     /* expected slot time */
+	double declared_ms; /* size at the grant */
+	const char *body;
+	char *result; /* owned */
+	uint32_t body_len;
+	uint32_t result_len;
+	uint32_t index;
+	uint32_t attempt;
+	uint32_t size_ms;
+	uint8_t state;
+	uint8_t starts; /* attempts that may have started */
+	uint8_t doubts; /* reports that did not settle the outcome */
+};
+
+/**
+ * enum sb_phase - phase of a submission
+ * @SB_HELD: waits for its partition, or only known from start records
+ * @SB_RUNNING: its tasks are dispatched
+ * @SB_ANSWERED: has its answer
+ */
+enum sb_phase {
+	SB_HELD = 0,
+	SB_RUNNING,
+	SB_ANSWERED,
+};
+
+/** struct sb - submission */
+struct sb {
+	struct qu_job job;
+	struct hp_node check;  /* deadline, or an earlier check of it */
+	struct hp_node expiry; /* end of life */
+	struct hp_node parked; /* waits for an endpoint it may use */
+	struct sb *next;       /* submissions of the partition */
+	struct sb *prev;
+	struct pd_id id; /* id owned */
+	uint64_t hash;
+	uint64_t body_hash;
+	uint64_t deadline_us;
+	struct lane *lane; /* NULL until it runs */
+	char *texts;       /* owned: team, service, az, bodies */
+	const char *team;
+	const char *service;
+	const char *az;
+	struct sb_task *tasks;     /* owned */
+	uint16_t *order;           /* owned: tasks by falling size */
+	struct pd_result *results; /* owned: of a complete answer */
+	GArray *waiters;           /* owned: uint64_t, NULL when none */
+	GArray *again;             /* owned: indexes of returned tasks */
+	double left_ms;            /* declared work not granted */
+	uint32_t ntasks;
+	uint32_t cursor; /* in order */
+	uint32_t nwaiting;
+	uint32_t ngranted;
+	uint32_t ndone;
+	uint32_t nstarted; /* tasks that may have started */
+	uint8_t partition;
+	uint8_t phase;
+	bool payload;
+	bool idempotent;
+	bool cancelled;
+	bool lost;   /* the outcome of a task will never be known */
+	bool failed; /* a task failed */
+	uint8_t status;
+	bool not_run;
+	const char *reason;
+	char *detail; /* owned */
+};
+
+/** struct sb_table - all submissions that are remembered */
+struct sb_table {
+	GHashTable *subs;    /* set of struct sb */
+	GHashTable *waiters; /* waiter -> struct sb */
+	GHashTable *refused; /* hashes of ids refused without an entry here */
+	GQueue refused_order;
+	uint64_t floor_ms; /* ids up to here that are unknown stay refused */
+	struct sb *partitions[PD_PARTITIONS];
+};
+
+/** sb_table_init() - make an empty table */
+void sb_table_init(struct sb_table *t);
+
+/** sb_table_release() - free all submissions and the table's memory */
+void sb_table_release(struct sb_table *t);
+
+/** sb_find() - submission by id, borrowed; NULL if unknown */
+struct sb *sb_find(const struct sb_table *t, const struct pd_id *id);
+
+/** sb_new() - add a submission with @ntasks empty tasks; owned by the table */
+struct sb *sb_new(struct sb_table *t, const struct pd_id *id, uint32_t ntasks);
+
+/** sb_fill() - copy the payload of a submission */
+void sb_fill(struct sb *s, const struct pd_submit *p);
+
+/** sb_body_hash() - hash over all that makes two submissions the same */
+uint64_t sb_body_hash(const struct pd_submit *p);
+
+/**
+ * sb_drop() - forget a submission that is in no heap, lane or endpoint list
+ * @s: consumed
+ */
+void sb_drop(struct sb_table *t, struct sb *s);
+
+/** sb_wait() - attach a waiter; no effect when @waiter is 0 */
+void sb_wait(struct sb_table *t, struct sb *s, uint64_t waiter);
+
+/** sb_detach() - remove a waiter */
+void sb_detach(struct sb_table *t, uint64_t waiter);
+
+/** sb_fill_answer() - answer of an answered submission, borrowed */
+void sb_fill_answer(const struct sb *s, struct pd_answer *out);
+
+/**
+ * sb_trim() - free what an answered submission without outstanding grants
+ * does not need
+ */
+void sb_trim(struct sb *s);
+
+/** sb_refuse() - remember that an id was refused, without an entry */
+void sb_refuse(
+    struct sb_table *t, const struct pd_id *id, uint64_t oldest_ms, size_t max);
+
+/** sb_refused() - whether an unknown id was refused by sb_refuse() */
+bool sb_refused(const struct sb_table *t, const struct pd_id *id);
+
+#endif
