--- /dev/null
+++ b/fakes/caller.c
@@ -0,0 +1,408 @@
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "caller.h"
+#include "cleanup.h"
+#include "web.h"
+
+#define US_PER_MS 1000
+
+/* Pause before the next attempt, so that a dead entry is not called in a busy
+ * loop. */
+#define RETRY_MS 50
+/* A request waits this much longer than the time the entry was asked for. */
+#define HTTP_SLACK_MS 3000
+#define WAIT_MIN_MS 200
+
+struct ca {
+	struct event_base *base;
+	struct hc **entries;
+	unsigned nentries;
+	struct ca_options o;
+	struct ta *tally;
+	struct rn *rng;
+	unsigned next;
+	unsigned open;
+};
+
+/* One submission id. */
+struct sub {
+	struct ca *caller;
+	char id[96];
+	uint64_t created_ms;
+	uint64_t start_us;
+	json_t *tasks;
+	const char *team;
+	char *status; /* of the first final answer, NULL while there is none */
+	char reason[64];
+	bool not_run;
+	bool closed; /* final state counted */
+	unsigned entry;
+	unsigned attempts;
+	unsigned calls; /* HTTP requests in flight */
+	struct event *retry;
+	struct event *duplicate;
+	void (*ended)(void *arg);
+	void *arg;
+};
+
+/* One HTTP request of a submission. */
+struct call {
+	struct sub *sub;
+	bool duplicate;
+};
+
+static void send_next(struct sub *s);
+
+static unsigned
+elapsed_ms(const struct sub *s)
+{
+	return ((unsigned)((wb_mono_us() - s->start_us) / US_PER_MS));
+}
+
+static void
+sub_release(struct sub *s)
+{
+	if (!s->closed || s->calls > 0)
+		return;
+	event_free(s->retry);
+	event_free(s->duplicate);
+	json_decref(s->tasks);
+	free(s->status);
+	free(s);
+}
+
+/* Count and log the final state; the submission is freed with its last call. */
+static void
+sub_close(struct sub *s, enum ta_count state, const char *name)
+{
+	struct ca *c = s->caller;
+
+	if (s->closed)
+		return;
+	s->closed = true;
+	event_del(s->retry);
+	event_del(s->duplicate);
+	c->open--;
+	ta_add(c->tally, state, 1);
+	if (state == TA_COMPLETE)
+		ta_time(c->tally, wb_mono_us() - s->start_us);
+	if (c->o.log != NULL)
+		fprintf(c->o.log, "%llu\t%s\t%llu\t%s\t%s\t%d\t%zu\t%u\t%u\n",
+		    (unsigned long long)wb_wall_ms(), s->id,
+		    (unsigned long long)s->created_ms, name,
+		    s->reason[0] != '\0' ? s->reason : "-", s->not_run,
+		    json_array_size(s->tasks), elapsed_ms(s), s->attempts);
+	s->ended(s->arg);
+}
+
+static bool
+is_own_result(const struct sub *s, size_t i, const char *result)
+{
+	const char *body = json_string_value(
+	    json_object_get(json_array_get(s->tasks, i), "body"));
+
+	return (result != NULL && strncmp(result, "done:", 5) == 0 &&
+	    strcmp(result + 5, body) == 0);
+}
+
+static void
+check_results(const struct sub *s, const char *status, json_t *answer)
+{
+	json_t *results = json_object_get(answer, "results");
+	size_t n = json_array_size(results);
+	struct ta *t = s->caller->tally;
+
+	if (strcmp(status, "complete") != 0) {
+		if (n > 0)
+			ta_add(t, TA_PARTIAL, 1);
+		return;
+	}
+	if (n != json_array_size(s->tasks)) {
+		ta_add(t, TA_PARTIAL, 1);
+		return;
+	}
+	for (size_t i = 0; i < n; i++) {
+		if (!is_own_result(
+			s, i, json_string_value(json_array_get(results, i)))) {
+			ta_add(t, TA_FOREIGN, 1);
+			return;
+		}
+	}
+}
+
+static bool
+is_own_answer(const struct sub *s, json_t *answer)
+{
+	const char *id = json_string_value(json_object_get(answer, "id"));
+	json_t *created = json_object_get(answer, "created_ms");
+
+	return (id != NULL && strcmp(id, s->id) == 0 &&
+	    (uint64_t)json_integer_value(created) == s->created_ms);
+}
+
+static enum ta_count
+state_of(const char *status)
+{
+	static const struct {
+		const char *name;
+		enum ta_count state;
+	} states[] = {
+	    {"complete", TA_COMPLETE},
+	    {"failed", TA_FAILED},
+	    {"refused", TA_REFUSED},
+	    {"unknown", TA_UNKNOWN},
+	};
+
+	for (size_t i = 0; i < sizeof(states) / sizeof(states[0]); i++)
+		if (strcmp(states[i].name, status) == 0)
+			return (states[i].state);
+	return (TA_ERRORS);
+}
+
+/* An entry that lost the owner answers "unknown", and another one may know
+ * better; all other final answers must agree. */
+static void
+compare_answers(const struct sub *s, const char *status)
+{
+	if (strcmp(s->status, status) == 0 ||
+	    strcmp(s->status, "unknown") == 0 || strcmp(status, "unknown") == 0)
+		return;
+	ta_add(s->caller->tally, TA_MISMATCH, 1);
+	if (s->caller->o.log != NULL)
+		fprintf(s->caller->o.log, "# %s: %s and %s\n", s->id, s->status,
+		    status);
+}
+
+static void
+final_answer(struct sub *s, const char *status, json_t *answer)
+{
+	const char *reason =
+	    json_string_value(json_object_get(answer, "reason"));
+	struct ta *t = s->caller->tally;
+
+	check_results(s, status, answer);
+	if (s->status != NULL) {
+		compare_answers(s, status);
+		return;
+	}
+	s->status = strdup(status);
+	s->not_run = json_is_true(json_object_get(answer, "not_run"));
+	g_strlcpy(s->reason, reason != NULL ? reason : "", sizeof(s->reason));
+	if (strcmp(status, "refused") == 0 && !s->not_run)
+		ta_add(t, TA_REFUSED_RUN, 1);
+	sub_close(s, state_of(status), status);
+}
+
+static void
+answer_200(struct sub *s, const char *text, size_t len)
+{
+	json_t *answer = json_loadb(text, len, 0, NULL);
+	const char *status =
+	    json_string_value(json_object_get(answer, "status"));
+
+	if (status == NULL) {
+		g_strlcpy(s->reason, "malformed", sizeof(s->reason));
+		sub_close(s, TA_ERRORS, "error");
+	} else if (!is_own_answer(s, answer)) {
+		ta_add(s->caller->tally, TA_FOREIGN, 1);
+		g_strlcpy(s->reason, "foreign", sizeof(s->reason));
+		sub_close(s, TA_ERRORS, "error");
+	} else {
+		final_answer(s, status, answer);
+	}
+	json_decref(answer);
+}
+
+static void
+retry_later(struct sub *s)
+{
+	const struct ca_options *o = &s->caller->o;
+
+	if (elapsed_ms(s) > o->deadline_ms + o->grace_ms) {
+		sub_close(s, TA_UNANSWERED, "unanswered");
+		return;
+	}
+	wb_after(s->retry, (uint64_t)RETRY_MS * US_PER_MS);
+}
+
+static void
+http_error(struct sub *s, int code)
+{
+	/* 404 is the answer to a look-up of an id that no entry knows. */
+	if (code == 404 || code >= 500) {
+		s->entry++;
+		retry_later(s);
+		return;
+	}
+	g_snprintf(s->reason, sizeof(s->reason), "http_%d", code);
+	sub_close(s, TA_ERRORS, "error");
+}
+
+static void
+call_done(void *arg, int code, const char *text, size_t len)
+{
+	struct call *call = arg;
+	struct sub *s = call->sub;
+
+	s->calls--;
+	if (code == 200) {
+		answer_200(s, text, len);
+	} else if (!call->duplicate && !s->closed) {
+		if (code == 0) {
+			s->entry++;
+			ta_add(s->caller->tally, TA_RESUBMITTED, 1);
+			retry_later(s);
+		} else if (code == 202) {
+			retry_later(s);
+		} else {
+			http_error(s, code);
+		}
+	}
+	free(call);
+	sub_release(s);
+}
+
+static char *
+submission_text(const struct sub *s, unsigned left_ms)
+{
+	const struct ca_options *o = &s->caller->o;
+	json_t *json = json_pack("{s:s, s:I, s:s, s:s, s:i, s:b}", "id", s->id,
+	    "created_ms", (json_int_t)s->created_ms, "team", s->team, "service",
+	    o->workload->service, "deadline_ms", (int)left_ms, "idempotent",
+	    o->idempotent);
+	char *text;
+
+	if (o->requests)
+		json_object_set(json, "task", json_array_get(s->tasks, 0));
+	else
+		json_object_set(json, "tasks", s->tasks);
+	text = json_dumps(json, JSON_COMPACT);
+	json_decref(json);
+	return (text);
+}
+
+static void
+post(struct sub *s, unsigned entry, unsigned left_ms, bool duplicate)
+{
+	struct ca *c = s->caller;
+	struct call *call = g_new0(struct call, 1);
+	autofree char *text = submission_text(s, left_ms);
+	char path[128];
+
+	g_snprintf(path, sizeof(path), "/v1/%s?wait_ms=%u",
+	    c->o.requests ? "requests" : "submissions",
+	    left_ms + c->o.grace_ms);
+	call->sub = s;
+	call->duplicate = duplicate;
+	s->calls++;
+	s->attempts++;
+	hc_request(c->entries[entry % c->nentries], EVHTTP_REQ_POST, path, text,
+	    left_ms + c->o.grace_ms + HTTP_SLACK_MS, call_done, call);
+}
+
+static void
+fetch(struct sub *s, unsigned entry, unsigned wait_ms)
+{
+	struct ca *c = s->caller;
+	struct call *call = g_new0(struct call, 1);
+	char path[256];
+
+	g_snprintf(path, sizeof(path),
+	    "/v1/submissions/%s?created_ms=%llu&wait_ms=%u", s->id,
+	    (unsigned long long)s->created_ms, wait_ms);
+	call->sub = s;
+	s->calls++;
+	hc_request(c->entries[entry % c->nentries], EVHTTP_REQ_GET, path, NULL,
+	    wait_ms + HTTP_SLACK_MS, call_done, call);
+}
+
+/* Before the deadline the submission is sent, after it the answer is
+ * fetched. */
+static void
+send_next(struct sub *s)
+{
+	const struct ca_options *o = &s->caller->o;
+	unsigned elapsed = elapsed_ms(s);
+
+	if (elapsed < o->deadline_ms)
+		post(s, s->entry, o->deadline_ms - elapsed, false);
+	else
+		fetch(s, s->entry, WAIT_MIN_MS);
+}
+
+static void
+on_retry(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	send_next(arg);
+}
+
+static void
+on_duplicate(evutil_socket_t fd, short what, void *arg)
+{
+	struct sub *s = arg;
+	unsigned elapsed = elapsed_ms(s);
+
+	(void)fd;
+	(void)what;
+	if (elapsed >= s->caller->o.deadline_ms)
+		return;
+	ta_add(s->caller->tally, TA_DUPLICATES, 1);
+	post(s, s->entry + 1, s->caller->o.deadline_ms - elapsed, true);
+}
+
+struct ca *
+ca_new(struct event_base *base, struct hc **entries, unsigned nentries,
+    const struct ca_options *options, struct ta *tally)
+{
+	struct ca *c = g_new0(struct ca, 1);
+
+	c->base = base;
+	c->entries = entries;
+	c->nentries = nentries;
+	c->o = *options;
+	c->tally = tally;
+	c->rng = rn_new(options->seed);
+	return (c);
+}
+
+void
+ca_free(struct ca *c)
+{
+	rn_free(c->rng);
+	g_free(c);
+}
+
+void
+ca_submit(struct ca *c, void (*ended)(void *arg), void *arg)
+{
+	struct sub *s = g_new0(struct sub, 1);
+
+	s->caller = c;
+	s->ended = ended;
+	s->arg = arg;
+	s->created_ms = wb_wall_ms();
+	s->start_us = wb_mono_us();
+	g_snprintf(s->id, sizeof(s->id), "%s-%u", c->o.prefix, c->next);
+	s->team = c->o.teams[c->next % c->o.nteams];
+	s->entry = rn_below(c->rng, c->nentries);
+	s->tasks = wl_tasks(c->o.workload, c->rng, s->id);
+	s->retry = evtimer_new(c->base, on_retry, s);
+	s->duplicate = evtimer_new(c->base, on_duplicate, s);
+	c->next++;
+	c->open++;
+	ta_add(c->tally, TA_SUBMISSIONS, 1);
+	ta_add(c->tally, TA_TASKS, json_array_size(s->tasks));
+	if (rn_unit(c->rng) < c->o.duplicate_share)
+		wb_after(s->duplicate, rn_below(c->rng, 200 * US_PER_MS));
+	send_next(s);
+}
+
+unsigned
+ca_open(const struct ca *c)
+{
+	return (c->open);
+}
--- /dev/null
+++ b/fakes/fake_load.c
@@ -0,0 +1,320 @@
+#include <argtable2.h>
+#include <glib.h>
+#include <math.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "caller.h"
+#include "web.h"
+
+/**
+ * DOC: fake_load - load client
+ *
+ * Sends jobs to entries, open loop (--rate) or closed loop (--clients), and
+ * prints one line of counts and response times. The exit code is 0 when every
+ * submission got a whole answer of its own.
+ */
+
+#define US_PER_S 1000000.0
+#define ENTRIES_MAX 64
+#define TEAMS_MAX 128
+/* Progress of the end of the run is checked at this interval. */
+#define POLL_US 20000
+
+struct load {
+	struct event_base *base;
+	struct hc *entries[ENTRIES_MAX];
+	unsigned nentries;
+	struct ca *caller;
+	struct rn *rng;
+	struct event *arrival;
+	struct event *poll;
+	double rate;    /* submissions per second, 0 for a closed loop */
+	uint64_t limit; /* most submissions, 0 for no limit */
+	uint64_t sent;
+	uint64_t next_us; /* next arrival */
+	uint64_t end_us;
+};
+
+struct arguments {
+	struct arg_str *entry, *workload, *team, *service, *tasks, *run_ms;
+	struct arg_str *prefix, *log;
+	struct arg_dbl *rate, *duration, *duplicates, *size_error;
+	struct arg_int *clients, *seed, *deadline, *grace, *count;
+	struct arg_lit *requests, *idempotent;
+	struct arg_end *end;
+};
+
+static bool
+is_over(const struct load *l)
+{
+	return (
+	    wb_mono_us() >= l->end_us || (l->limit > 0 && l->sent >= l->limit));
+}
+
+static void
+open_ended(void *arg)
+{
+	(void)arg;
+}
+
+/* A client of the closed loop sends its next submission. */
+static void
+client_ended(void *arg)
+{
+	struct load *l = arg;
+
+	if (is_over(l))
+		return;
+	l->sent++;
+	ca_submit(l->caller, client_ended, l);
+}
+
+/* Send all submissions that are due; arrivals are a Poisson process. */
+static void
+on_arrival(evutil_socket_t fd, short what, void *arg)
+{
+	struct load *l = arg;
+	uint64_t now = wb_mono_us();
+
+	(void)fd;
+	(void)what;
+	while (l->next_us <= now) {
+		if (is_over(l))
+			return;
+		l->sent++;
+		ca_submit(l->caller, open_ended, NULL);
+		l->next_us +=
+		    (uint64_t)(-log(1 - rn_unit(l->rng)) / l->rate * US_PER_S);
+	}
+	now = wb_mono_us();
+	wb_after(l->arrival, l->next_us > now ? l->next_us - now : 0);
+}
+
+static void
+on_poll(evutil_socket_t fd, short what, void *arg)
+{
+	struct load *l = arg;
+
+	(void)fd;
+	(void)what;
+	if (is_over(l) && ca_open(l->caller) == 0)
+		event_base_loopbreak(l->base);
+	else
+		wb_after(l->poll, POLL_US);
+}
+
+static void
+run(struct load *l, unsigned clients)
+{
+	l->arrival = evtimer_new(l->base, on_arrival, l);
+	l->poll = evtimer_new(l->base, on_poll, l);
+	l->next_us = wb_mono_us();
+	if (l->rate > 0)
+		wb_after(l->arrival, 0);
+	for (unsigned i = 0; l->rate <= 0 && i < clients; i++)
+		client_ended(l);
+	wb_after(l->poll, POLL_US);
+	wb_run(l->base);
+	event_free(l->arrival);
+	event_free(l->poll);
+}
+
+/* "A" or "A-B" */
+static void
+parse_range(const struct arg_str *arg, unsigned *low, unsigned *high)
+{
+	char *rest;
+
+	if (arg->count == 0)
+		return;
+	*low = (unsigned)strtoul(arg->sval[0], &rest, 10);
+	*high = *rest == '-' ? (unsigned)strtoul(rest + 1, NULL, 10) : *low;
+	if (*low < 1)
+		*low = 1;
+	if (*high < *low)
+		*high = *low;
+}
+
+static void
+parse_workload(const struct arguments *a, struct wl *w)
+{
+	const struct wl *known = wl_find(a->workload->sval[0]);
+
+	if (known == NULL) {
+		fprintf(stderr, "unknown workload %s\n", a->workload->sval[0]);
+		exit(2);
+	}
+	*w = *known;
+	parse_range(a->tasks, &w->tasks_min, &w->tasks_max);
+	parse_range(a->run_ms, &w->run_min, &w->run_max);
+	if (a->run_ms->count > 0)
+		w->long_share = 0;
+	if (a->service->count > 0)
+		w->service = a->service->sval[0];
+	w->size_error = a->size_error->dval[0];
+}
+
+static void
+connect_entries(struct load *l, const struct arg_str *entry)
+{
+	for (int i = 0; i < entry->count; i++) {
+		l->entries[l->nentries] = hc_new(l->base, entry->sval[i]);
+		if (l->entries[l->nentries] == NULL) {
+			fprintf(stderr, "bad address %s\n", entry->sval[i]);
+			exit(2);
+		}
+		l->nentries++;
+	}
+}
+
+static FILE *
+open_log(const struct arg_str *log)
+{
+	FILE *f = log->count > 0 ? fopen(log->sval[0], "w") : NULL;
+
+	if (log->count > 0 && f == NULL) {
+		perror(log->sval[0]);
+		exit(1);
+	}
+	return (f);
+}
+
+static int
+verdict(const struct ta *t)
+{
+	static const enum ta_count faults[] = {TA_UNANSWERED, TA_ERRORS,
+	    TA_PARTIAL, TA_FOREIGN, TA_MISMATCH, TA_REFUSED_RUN};
+
+	for (size_t i = 0; i < sizeof(faults) / sizeof(faults[0]); i++)
+		if (ta_value(t, faults[i]) > 0)
+			return (1);
+	return (0);
+}
+
+static struct ca_options
+caller_options(const struct arguments *a, const struct wl *w, FILE *log)
+{
+	struct ca_options o = {
+	    .workload = w,
+	    .teams = a->team->sval,
+	    .nteams = a->team->count > 0 ? (unsigned)a->team->count : 1,
+	    .prefix = a->prefix->sval[0],
+	    .seed = (uint64_t)a->seed->ival[0],
+	    .deadline_ms = (unsigned)a->deadline->ival[0],
+	    .grace_ms = (unsigned)a->grace->ival[0],
+	    .duplicate_share = a->duplicates->dval[0],
+	    .requests = a->requests->count > 0,
+	    .idempotent = a->idempotent->count > 0,
+	    .log = log,
+	};
+
+	return (o);
+}
+
+static int
+run_load(const struct arguments *a)
+{
+	uint64_t start = wb_mono_us();
+	struct load l = {.base = wb_base_new()};
+	struct ta *tally = ta_new();
+	FILE *log = open_log(a->log);
+	struct ca_options o;
+	struct wl w;
+	int status;
+
+	parse_workload(a, &w);
+	connect_entries(&l, a->entry);
+	o = caller_options(a, &w, log);
+	l.caller = ca_new(l.base, l.entries, l.nentries, &o, tally);
+	l.rng = rn_new(o.seed + 1);
+	l.rate = a->rate->dval[0];
+	l.limit = (uint64_t)a->count->ival[0];
+	l.end_us = start + (uint64_t)(a->duration->dval[0] * US_PER_S);
+	run(&l, (unsigned)a->clients->ival[0]);
+	ta_add(tally, TA_UNANSWERED, ca_open(l.caller));
+	ta_print(tally, stdout, wb_mono_us() - start);
+	status = verdict(tally);
+	if (log != NULL)
+		fclose(log);
+	rn_free(l.rng);
+	ta_free(tally);
+	/* Connections and duplicate calls may still be open; the process ends
+	 * here. */
+	return (status);
+}
+
+static void
+make_arguments(struct arguments *a)
+{
+	a->entry = arg_strn(NULL, "entry", "IP:PORT", 1, ENTRIES_MAX,
+	    "address for callers, repeated");
+	a->workload =
+	    arg_str0(NULL, "workload", "NAME", "kerandour or himal-sapana");
+	a->team =
+	    arg_strn(NULL, "team", "NAME", 0, TEAMS_MAX, "teams, used in turn");
+	a->service = arg_str0(NULL, "service", "NAME", "service to call");
+	a->tasks = arg_str0(NULL, "tasks", "A-B", "tasks per job");
+	a->run_ms = arg_str0(NULL, "run-ms", "A-B", "run time of a task");
+	a->prefix = arg_str0(NULL, "prefix", "TEXT", "start of every id");
+	a->log = arg_str0(NULL, "log", "FILE", "a line per submission");
+	a->rate = arg_dbl0(NULL, "rate", "N", "submissions per second");
+	a->duration = arg_dbl0(NULL, "duration", "S", "seconds");
+	a->duplicates =
+	    arg_dbl0(NULL, "duplicates", "SHARE", "share that is sent twice");
+	a->size_error = arg_dbl0(
+	    NULL, "size-error", "X", "declared sizes wrong by up to X");
+	a->clients =
+	    arg_int0(NULL, "clients", "N", "clients of the closed loop");
+	a->seed = arg_int0(NULL, "seed", "N", "seed");
+	a->deadline = arg_int0(NULL, "deadline-ms", "MS", "deadline");
+	a->grace = arg_int0(NULL, "grace-ms", "MS",
+	    "time after the deadline until a submission is unanswered");
+	a->count = arg_int0(NULL, "count", "N", "most submissions");
+	a->requests =
+	    arg_lit0(NULL, "requests", "send stand-alone requests of one task");
+	a->idempotent = arg_lit0(NULL, "idempotent", "mark them idempotent");
+	a->end = arg_end(8);
+}
+
+static void
+set_defaults(struct arguments *a)
+{
+	a->workload->sval[0] = "kerandour";
+	a->team->sval[0] = "lids";
+	a->prefix->sval[0] = "load";
+	a->rate->dval[0] = 0;
+	a->duration->dval[0] = 10;
+	a->duplicates->dval[0] = 0;
+	a->size_error->dval[0] = 1;
+	a->clients->ival[0] = 4;
+	a->seed->ival[0] = 1;
+	a->deadline->ival[0] = 30000;
+	a->grace->ival[0] = 10000;
+	a->count->ival[0] = 0;
+}
+
+int
+main(int argc, char **argv)
+{
+	struct arguments a;
+	int status;
+
+	make_arguments(&a);
+	void *table[] = {a.entry, a.workload, a.team, a.service, a.tasks,
+	    a.run_ms, a.prefix, a.log, a.rate, a.duration, a.duplicates,
+	    a.size_error, a.clients, a.seed, a.deadline, a.grace, a.count,
+	    a.requests, a.idempotent, a.end};
+	set_defaults(&a);
+	if (arg_parse(argc, argv, table) != 0) {
+		arg_print_errors(stderr, a.end, argv[0]);
+		arg_print_glossary(stderr, table, "  %-24s %s\n");
+		return (2);
+	}
+	signal(SIGPIPE, SIG_IGN);
+	status = run_load(&a);
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return (status);
+}
