--- a/agent/endpoint.c
+++ b/agent/endpoint.c
@@ -128,10 +128,16 @@
 	    (unsigned long)((t->timeout_ms + MS_PER_S - 1) / MS_PER_S),
 	    U_OPT_HEADER_PARAMETER, "X-Pd-Submission", id,
 	    U_OPT_HEADER_PARAMETER, "X-Pd-Task", task, U_OPT_HEADER_PARAMETER,
-	    "X-Pd-Attempt", attempt, U_OPT_NONE);
+	    "X-Pd-Attempt", attempt, U_OPT_HEADER_PARAMETER, "Content-Type",
+	    "application/octet-stream", U_OPT_NONE);
+	/* Without a body ulfius leaves the length out, which some servers
+	 * refuse. */
 	if (t->body_len > 0)
 		ulfius_set_request_properties(request, U_OPT_BINARY_BODY,
 		    t->body, t->body_len, U_OPT_NONE);
+	else
+		ulfius_set_request_properties(request, U_OPT_HEADER_PARAMETER,
+		    "Content-Length", "0", U_OPT_NONE);
 	g_free(id);
 }
 
--- a/plan/gate.c
+++ b/plan/gate.c
@@ -51,8 +51,8 @@
 	struct ct_metric *permits_ignored;
 };
 
+/* Reasons for which a grant does not start; NULL for the others. */
 static const char *const reason_names[REASONS] = {
-    [PD_R_NONE] = "none",
     [PD_R_STALE_VIEW] = "stale_view",
     [PD_R_WRONG_INCARNATION] = "wrong_incarnation",
     [PD_R_NO_PERMIT] = "no_permit",
@@ -64,21 +64,10 @@
     [PD_R_DUPLICATE] = "duplicate",
     [PD_R_VOIDED] = "voided",
     [PD_R_CANCELLED] = "cancelled",
-    [PD_R_ENDPOINT_ERROR] = "endpoint_error",
-    [PD_R_ENDPOINT_TIMEOUT] = "endpoint_timeout",
     [PD_R_ENDPOINT_REFUSED] = "endpoint_refused",
     [PD_R_FORGOTTEN] = "forgotten",
 };
 
-static const char *const state_names[STATES] = {
-    [PD_NOT_STARTED] = "not_started",
-    [PD_QUEUED] = "queued",
-    [PD_RUNNING] = "running",
-    [PD_DONE] = "done",
-    [PD_FAILED] = "failed",
-    [PD_OUTCOME_UNKNOWN] = "outcome_unknown",
-};
-
 /* Result of a call by its end; body is kept only with PD_DONE. */
 static const struct {
 	enum pd_task_state state;
@@ -94,26 +83,36 @@
     [GA_LATE] = {PD_NOT_STARTED, PD_R_NO_PERMIT, false},
 };
 
+static struct ct_metric *
+result_counter(struct ct *counters, const char *state)
+{
+	char labels[64];
+
+	g_snprintf(labels, sizeof(labels), "state=\"%s\"", state);
+	return (ct_get(counters, CT_COUNTER, "pd_agent_results_total",
+	    "Ends of tasks that entered a slot", labels));
+}
+
 static void
 make_counters(struct ga *g, struct ct *counters)
 {
 	char labels[64];
 	unsigned i;
 
-	for (i = 1; i < REASONS; i++) {
+	for (i = 0; i < REASONS; i++) {
+		if (reason_names[i] == NULL)
+			continue;
 		g_snprintf(
 		    labels, sizeof(labels), "reason=\"%s\"", reason_names[i]);
 		g->refusals[i] =
 		    ct_get(counters, CT_COUNTER, "pd_agent_refusals_total",
 			"Grants that did not lead to a start", labels);
 	}
-	for (i = 0; i < STATES; i++) {
-		g_snprintf(
-		    labels, sizeof(labels), "state=\"%s\"", state_names[i]);
-		g->results[i] =
-		    ct_get(counters, CT_COUNTER, "pd_agent_results_total",
-			"Ends of tasks that entered a slot", labels);
-	}
+	g->results[PD_NOT_STARTED] = result_counter(counters, "not_started");
+	g->results[PD_DONE] = result_counter(counters, "done");
+	g->results[PD_FAILED] = result_counter(counters, "failed");
+	g->results[PD_OUTCOME_UNKNOWN] =
+	    result_counter(counters, "outcome_unknown");
 	g->starts = ct_get(counters, CT_COUNTER, "pd_agent_starts_total",
 	    "Tasks that entered a slot", "");
 	g->permits_ignored =
--- /dev/null
+++ b/tests/test_gate_health.c
@@ -0,0 +1,275 @@
+#include "gate_fixture.h"
+#include "health.h"
+
+#define ENTRY 11
+
+static int
+setup(void **state)
+{
+	struct fix *f = fix_new();
+
+	f->settings.slots = 8;
+	f->settings.queue_max = 8;
+	fix_open(f);
+	*state = f;
+	return (0);
+}
+
+static int
+teardown(void **state)
+{
+	fix_free(*state);
+	return (0);
+}
+
+/* Grants one task of a submission "<name>-<number>". */
+static void
+grant_numbered(struct fix *f, ga_session s, const char *name, unsigned number)
+{
+	char id[32];
+
+	snprintf(id, sizeof(id), "%s-%u", name, number);
+	fix_permit(f, s);
+	fix_grant(f, s, id, 0);
+}
+
+/* Ends the call of the oldest start that has not ended. */
+static void
+end_next(struct fix *f, size_t *ended, enum ga_end end)
+{
+	assert_true(*ended < f->nstarts);
+	fix_end(f, f->starts[(*ended)++].slot, end, 0);
+}
+
+/* Brings an endpoint to ejection by three failures. */
+static ga_session
+eject(struct fix *f)
+{
+	ga_session s = ga_session_up(f->gate, ENTRY);
+	size_t ended = 0;
+	unsigned i;
+
+	for (i = 0; i < HE_EJECT_FAILURES; i++) {
+		grant_numbered(f, s, "bad", i);
+		end_next(f, &ended, GA_ERROR);
+	}
+	assert_int_equal(PD_EJECTED, ga_stats(f->gate).health);
+	return (s);
+}
+
+/* Guards against an endpoint that fails everything and still gets many tasks,
+ * for any order of grants and failures. */
+static void
+test_failing_endpoint_gets_few_tasks(void **state)
+{
+	static const struct {
+		const char *what;
+		unsigned burst; /* grants before each failure */
+		enum ga_end end;
+		unsigned starts;
+	} cases[] = {
+	    {"one at a time", 1, GA_ERROR, 3},
+	    {"two at a time", 2, GA_ERROR, 3},
+	    {"all slots", 8, GA_ERROR, 8},
+	    {"slots and queue", 16, GA_BROKEN, 8},
+	    {"timeouts", 16, GA_TIMEOUT, 8},
+	    {"refused connections", 16, GA_REFUSED, 8},
+	};
+	struct fix *f = *state;
+	unsigned i, granted;
+	size_t c, ended;
+	ga_session s;
+
+	for (c = 0; c < G_N_ELEMENTS(cases); c++) {
+		fix_open(f);
+		f->nstarts = 0;
+		ended = 0;
+		granted = 0;
+		s = ga_session_up(f->gate, ENTRY);
+		for (;;) {
+			for (i = 0; i < cases[c].burst; i++)
+				grant_numbered(f, s, "job", granted++);
+			if (ended == f->nstarts)
+				break;
+			end_next(f, &ended, cases[c].end);
+		}
+		if (f->nstarts > 10 || f->nstarts != cases[c].starts)
+			fail_msg("%s: %zu starts", cases[c].what, f->nstarts);
+		assert_int_equal(PD_EJECTED, ga_stats(f->gate).health);
+		assert_int_equal(0, ga_stats(f->gate).queued);
+		grant_numbered(f, s, "job", granted);
+		assert_int_equal(PD_R_EJECTED, fix_last(f)->reason);
+	}
+}
+
+/* Guards against queued tasks that wait at an endpoint that was ejected. */
+static void
+test_ejection_returns_queue(void **state)
+{
+	struct fix *f = *state;
+	ga_session s = ga_session_up(f->gate, ENTRY);
+	size_t ended = 0;
+	unsigned i;
+
+	for (i = 0; i < 13; i++)
+		grant_numbered(f, s, "job", i);
+	end_next(f, &ended, GA_ERROR);
+	end_next(f, &ended, GA_ERROR);
+	assert_int_equal(PD_SUSPECT, ga_stats(f->gate).health);
+	assert_int_equal(5, ga_stats(f->gate).queued);
+	end_next(f, &ended, GA_ERROR);
+	assert_int_equal(5, fix_reported(f, PD_NOT_STARTED, PD_R_EJECTED));
+	assert_int_equal(8, f->nstarts);
+}
+
+/* Guards against ejection by one bad submission, whose tasks may fail
+ * everywhere; it is slowed down to one task at a time. */
+static void
+test_one_submission_does_not_eject(void **state)
+{
+	struct fix *f = *state;
+	ga_session s = ga_session_up(f->gate, ENTRY);
+	unsigned i;
+
+	fix_permit(f, s);
+	for (i = 0; i < 6; i++) {
+		fix_grant(f, s, "bad", i);
+		fix_end(f, 0, GA_ERROR, 0);
+	}
+	assert_int_equal(PD_SUSPECT, ga_stats(f->gate).health);
+	fix_grant(f, s, "bad", 10);
+	fix_grant(f, s, "bad", 11);
+	assert_int_equal(1, ga_stats(f->gate).running);
+	fix_end(f, 0, GA_OK, 1);
+	assert_int_equal(PD_HEALTHY, ga_stats(f->gate).health);
+	fix_grant(f, s, "bad", 12);
+	assert_int_equal(2, ga_stats(f->gate).running);
+}
+
+/* Guards against an endpoint that is down and bounces the tasks of one
+ * submission forever: a refused connection is never the task's fault. */
+static void
+test_refused_connections_eject(void **state)
+{
+	struct fix *f = *state;
+	ga_session s = ga_session_up(f->gate, ENTRY);
+	unsigned i;
+
+	fix_permit(f, s);
+	for (i = 0; i < 3; i++) {
+		fix_grant(f, s, "job", 0);
+		fix_end(f, 0, GA_REFUSED, 0);
+		assert_int_equal(PD_NOT_STARTED, fix_last(f)->state);
+		assert_int_equal(PD_R_ENDPOINT_REFUSED, fix_last(f)->reason);
+	}
+	assert_int_equal(PD_EJECTED, ga_stats(f->gate).health);
+	assert_int_equal(0, ga_stats(f->gate).records);
+}
+
+/* Guards against ejection of a good endpoint by tasks that it rejects. */
+static void
+test_poison_tasks_eject_nobody(void **state)
+{
+	struct fix *f = *state;
+	ga_session s = ga_session_up(f->gate, ENTRY);
+	unsigned i;
+
+	for (i = 0; i < 100; i++) {
+		grant_numbered(f, s, "poison", i);
+		fix_end(f, 0, GA_REJECTED, 0);
+		assert_int_equal(PD_FAILED, fix_last(f)->state);
+		assert_int_equal(PD_HEALTHY, ga_stats(f->gate).health);
+	}
+	/* Nor do they hide failures in between. */
+	for (i = 0; i < 3; i++) {
+		grant_numbered(f, s, "bad", i);
+		fix_end(f, 0, GA_ERROR, 0);
+		grant_numbered(f, s, "mixed", i);
+		if (ga_stats(f->gate).running > 0)
+			fix_end(f, 0, GA_REJECTED, 0);
+	}
+	assert_int_equal(PD_EJECTED, ga_stats(f->gate).health);
+}
+
+/* Guards against probes that come too often, and against waits that grow
+ * without bound. */
+static void
+test_probe_backoff(void **state)
+{
+	static const unsigned waits_ms[] = {
+	    1000, 2000, 4000, 8000, 16000, 30000, 30000};
+	struct fix *f = *state;
+	ga_session s = eject(f);
+	size_t i, starts;
+
+	for (i = 0; i < G_N_ELEMENTS(waits_ms); i++) {
+		starts = f->nstarts;
+		ck_advance_ms(f->clock, waits_ms[i] - 1);
+		grant_numbered(f, s, "early", (unsigned)i);
+		assert_int_equal(PD_R_EJECTED, fix_last(f)->reason);
+		ck_advance_ms(f->clock, 1);
+		grant_numbered(f, s, "probe", (unsigned)i);
+		grant_numbered(f, s, "second", (unsigned)i);
+		assert_int_equal(starts + 1, f->nstarts);
+		assert_int_equal(PD_R_EJECTED, fix_last(f)->reason);
+		fix_end(f, 0, GA_ERROR, 0);
+		assert_int_equal(PD_EJECTED, ga_stats(f->gate).health);
+	}
+	ck_advance_ms(f->clock, 30000);
+	grant_numbered(f, s, "probe", 100);
+	fix_end(f, 0, GA_OK, 1);
+	assert_int_equal(PD_HEALTHY, ga_stats(f->gate).health);
+	starts = f->nstarts;
+	for (i = 0; i < 8; i++)
+		grant_numbered(f, s, "job", (unsigned)i);
+	assert_int_equal(starts + 8, f->nstarts);
+}
+
+/* Guards against an endpoint that stays ejected because its probe was never
+ * started or was rejected. */
+static void
+test_probe_that_tells_nothing(void **state)
+{
+	struct fix *f = *state;
+	ga_session s = eject(f);
+	struct pd_key key;
+	size_t starts;
+
+	ck_advance_ms(f->clock, 1651);
+	/* No permit is valid, so the probe waits and is cancelled. */
+	fix_grant(f, s, "cancelled", 0);
+	assert_int_equal(1, ga_stats(f->gate).queued);
+	key = fix_key("cancelled", 0);
+	ga_cancel(f->gate, &key);
+	starts = f->nstarts;
+	grant_numbered(f, s, "late", 1);
+	assert_int_equal(starts + 1, f->nstarts);
+	fix_end(f, 0, GA_LATE, 0);
+	grant_numbered(f, s, "poison", 1);
+	assert_int_equal(starts + 2, f->nstarts);
+	fix_end(f, 0, GA_REJECTED, 0);
+	assert_int_equal(PD_EJECTED, ga_stats(f->gate).health);
+	ck_advance_ms(f->clock, 1000);
+	grant_numbered(f, s, "good", 1);
+	assert_int_equal(starts + 3, f->nstarts);
+	fix_end(f, 0, GA_OK, 1);
+	assert_int_equal(PD_HEALTHY, ga_stats(f->gate).health);
+}
+
+#define TEST(name) cmocka_unit_test_setup_teardown(name, setup, teardown)
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    TEST(test_failing_endpoint_gets_few_tasks),
+	    TEST(test_ejection_returns_queue),
+	    TEST(test_one_submission_does_not_eject),
+	    TEST(test_refused_connections_eject),
+	    TEST(test_poison_tasks_eject_nobody),
+	    TEST(test_probe_backoff),
+	    TEST(test_probe_that_tells_nothing),
+	};
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
