--- a/plan/dispatch.c
+++ b/plan/dispatch.c
@@ -6,8 +6,6 @@
 
 /* Shortest time between two looks at whether a deadline can be met. */
 #define CHECK_MIN_US 5000
-/* Declared sizes are wrong by up to this factor. */
-#define SIZE_ERROR 10.0
 
 struct dp *
 dp_new(struct ck *clock, struct ct *counters, struct hi *history,
@@ -83,7 +81,7 @@
 	pump_all(d);
 }
 
-/* The deadline cannot be met even if declared sizes are far too large. */
+/* The work that waits ahead takes longer than the time that is left. */
 static bool
 is_unreachable(struct dp *d, struct sb *s, uint64_t now_us)
 {
@@ -94,7 +92,7 @@
 		return (false);
 	left = (double)(s->deadline_us - now_us) / 1000;
 	wait = ln_wait_ms(d, s->lane, s->left_ms);
-	return (wait > 0 && wait + s->left_ms / SIZE_ERROR / 64 > left);
+	return (wait > left);
 }
 
 static void
@@ -155,9 +153,12 @@
 	uint64_t now;
 	char *detail;
 
-	if (s->cancelled || !oc_records_decide(d, s)) {
-		oc_conclude(d, s, "cancelled",
-		    g_strdup("The submission was cancelled."));
+	if (s->withdrawn) {
+		oc_settle(d, s);
+		return;
+	}
+	if (!oc_records_decide(d, s)) {
+		oc_conclude(d, s, "record_lost", NULL);
 		return;
 	}
 	detail = NULL;
@@ -443,7 +444,8 @@
 	}
 	sb_wait(&d->table, s, waiter);
 	if (cancel)
-		oc_cancel(d, s);
+		oc_withdraw(d, s, "cancelled",
+		    g_strdup("The submission was cancelled."));
 }
 
 void
@@ -462,14 +464,20 @@
 		oc_lost(d, t);
 }
 
+/*
+ * Outputs for a new session wait for the next tick, since the caller learns
+ * the handle only when dp_agent_up() returns.
+ */
 static void
-doubt_grants(struct dp *d, struct ep *e)
+begin_session(struct dp *d, struct ep *e)
 {
 	struct sb_task *t;
+	uint64_t now;
 
+	now = dp_now(d);
 	for (t = e->grants; t != NULL; t = t->next)
-		oc_doubt(d, t);
-	oc_resolve(d);
+		hp_set(&d->dues, &t->due, now);
+	hp_set(&d->wakes, &e->wake, now);
 }
 
 static void
@@ -487,6 +495,29 @@
 	e->hold_us = 0;
 }
 
+static struct ep *
+ep_get(struct dp *d, const char *name)
+{
+	struct ep *e;
+
+	e = g_hash_table_lookup(d->eps, name);
+	if (e == NULL) {
+		e = ep_new(name);
+		g_hash_table_insert(d->eps, e->name, e);
+	}
+	return (e);
+}
+
+/* Another process answers for the endpoint. */
+static void
+replace_agent(struct dp *d, struct ep *e, uint64_t incarnation)
+{
+	lose_grants(d, e);
+	e->incarnation = incarnation;
+	e->health = PD_HEALTHY;
+	e->running = e->queued = e->others = 0;
+}
+
 dp_agent
 dp_agent_up(struct dp *d, const struct pd_hello *h)
 {
@@ -494,26 +525,17 @@
 	struct ep *e;
 	void *item;
 
-	e = g_hash_table_lookup(d->eps, h->name);
-	if (e == NULL) {
-		e = ep_new(h->name);
-		g_hash_table_insert(d->eps, e->name, e);
-	}
+	e = ep_get(d, h->name);
 	pl_release(d->sessions, e->session);
+	e->session = PL_NONE;
+	if (e->incarnation != h->incarnation)
+		replace_agent(d, e, h->incarnation);
 	e->session = pl_alloc(d->sessions, &item);
 	session = item;
 	session->ep = e;
-	session->incarnation = h->incarnation;
 	ep_hello(e, h);
-	if (e->incarnation != h->incarnation) {
-		e->health = PD_HEALTHY;
-		e->running = e->queued = e->others = 0;
-		lose_grants(d, e);
-		e->incarnation = h->incarnation;
-	}
 	ln_endpoint(d, e);
-	doubt_grants(d, e);
-	pm_pump(d, e->service);
+	begin_session(d, e);
 	return (e->session);
 }
 
--- a/plan/dispatch.h
+++ b/plan/dispatch.h
@@ -136,7 +136,11 @@
 /** dp_detach() - the waiter is gone; its submission goes on */
 void dp_detach(struct dp *d, uint64_t waiter);
 
-/** dp_agent_up() - a session with an agent was opened */
+/**
+ * dp_agent_up() - a session with an agent was opened
+ *
+ * Nothing is sent to the agent before the function returns.
+ */
 dp_agent dp_agent_up(struct dp *d, const struct pd_hello *h);
 
 /**
--- a/plan/dispatch_impl.h
+++ b/plan/dispatch_impl.h
@@ -41,7 +41,6 @@
 /** struct session - session with an agent */
 struct session {
 	struct ep *ep;
-	uint64_t incarnation;
 };
 
 /** struct partition - what this entry may do with a partition */
@@ -179,8 +178,12 @@
 void oc_adopt(
     struct dp *d, struct sb *s, struct ep *e, const struct pd_record *r);
 
-/** oc_cancel() - withdraw what has not started */
-void oc_cancel(struct dp *d, struct sb *s);
+/**
+ * oc_withdraw() - withdraw what has not started; the answer follows when the
+ * outcome of every granted task is known
+ * @detail: consumed
+ */
+void oc_withdraw(struct dp *d, struct sb *s, const char *reason, char *detail);
 
 /** oc_forget() - forget a submission and its outstanding grants; consumed */
 void oc_forget(struct dp *d, struct sb *s);
--- a/plan/lane.c
+++ b/plan/lane.c
@@ -178,7 +178,7 @@
 	struct qu_job *j;
 
 	while (l->impossible != NULL && (j = qu_first(l->queue)) != NULL)
-		oc_conclude(d, hp_item(j, struct sb, job), l->impossible,
+		oc_withdraw(d, hp_item(j, struct sb, job), l->impossible,
 		    g_strdup(l->detail));
 }
 
--- a/plan/outcome.c
+++ b/plan/outcome.c
@@ -10,6 +10,8 @@
 /* How long an endpoint that returned a grant gets no work. */
 #define HOLD_FULL_US 20000
 #define HOLD_REFUSED_US 250000
+/* First question about a task that was adopted while it ran. */
+#define ADOPTED_DUE_US 1000000
 
 static const char *
 reason_name(pd_reason r)
@@ -162,10 +164,11 @@
 	s->phase = SB_ANSWERED;
 	s->status = (uint8_t)status;
 	s->reason = reason;
+	g_free(s->detail);
 	s->detail = detail != NULL ? detail : g_strdup("");
 	s->not_run = not_run;
 	count_answer(d, s);
-	if (!s->cancelled)
+	if (!s->withdrawn)
 		cancel_grants(d, s);
 	if (s->ngranted == 0)
 		sb_trim(s);
@@ -194,7 +197,7 @@
 		    g_strdup("The start records of a former owner of this id "
 			     "are not complete."),
 		    false);
-	} else if (s->ngranted > 0 || s->lost)
+	} else if (s->ngranted > 0 || s->lost || s->unsure)
 		oc_finish(d, s, PD_UNKNOWN, reason, detail, false);
 	else if (s->nstarted > 0)
 		oc_finish(d, s, PD_JOB_FAILED, reason, detail, false);
@@ -218,10 +221,9 @@
 	else if (s->failed)
 		oc_finish(d, s, PD_JOB_FAILED, "task_failed",
 		    g_strdup("A task ran and failed."), false);
-	else if (s->cancelled && s->ngranted == 0 &&
+	else if (s->withdrawn && s->ngranted == 0 &&
 	    d->partitions[s->partition].state == DP_ACTIVE)
-		oc_conclude(d, s, "cancelled",
-		    g_strdup("The submission was cancelled."));
+		oc_conclude(d, s, s->reason, g_strdup(s->detail));
 }
 
 /* Ends an outstanding grant in all accounts; @used_ms of slot time. */
@@ -238,8 +240,9 @@
 		ep_release(e, t);
 		pm_refresh(d, e);
 	}
-	if (s->lane != NULL)
+	if (t->charged)
 		qu_ended(s->lane->queue, t->cost_ms, used_ms);
+	t->charged = false;
 	s->ngranted--;
 	d->granted--;
 	return (e);
@@ -268,6 +271,7 @@
 		return;
 	d->queued++;
 	index = (uint16_t)t->index;
+	t->again = true;
 	if (s->again == NULL)
 		s->again = g_array_new(FALSE, FALSE, sizeof(uint16_t));
 	g_array_append_val(s->again, index);
@@ -298,7 +302,7 @@
 
 	s = t->sub;
 	exclude(t, t->incarnation);
-	if (s->phase == SB_ANSWERED || s->cancelled)
+	if (s->phase == SB_ANSWERED || s->withdrawn)
 		t->state = SB_OVER;
 	else
 		requeue(d, t);
@@ -318,6 +322,7 @@
 		e->draining = true;
 		break;
 	case PD_R_QUEUE_FULL:
+	case PD_R_STALE_VIEW:
 		ep_hold(e, &d->wakes, now + HOLD_FULL_US);
 		break;
 	case PD_R_NO_PERMIT:
@@ -339,7 +344,7 @@
 	struct sb *s;
 
 	s = t->sub;
-	if (!s->idempotent || t->starts >= STARTS_MAX || s->cancelled ||
+	if (!s->idempotent || t->starts >= STARTS_MAX || s->withdrawn ||
 	    s->phase != SB_RUNNING || s->deadline_us <= dp_now(d))
 		return (false);
 	t->attempt++;
@@ -351,10 +356,11 @@
 ended_badly(struct dp *d, struct sb_task *t, bool lost)
 {
 	started(t);
+	t->sub->unsure |= lost;
 	if (retried(d, t))
 		return;
 	t->state = SB_OVER;
-	if (lost)
+	if (t->sub->unsure)
 		t->sub->lost = true;
 	else
 		t->sub->failed = true;
@@ -390,7 +396,9 @@
 record_ended(struct dp *d, struct sb_task *t, const struct pd_record *r)
 {
 	struct ep *e;
+	bool learn;
 
+	learn = t->charged && t->ep != NULL;
 	e = release(d, t, r->run_ms);
 	switch (r->state) {
 	case PD_NOT_STARTED:
@@ -399,7 +407,7 @@
 			hold(d, e, r->reason);
 		break;
 	case PD_DONE:
-		if (e != NULL)
+		if (learn)
 			po_learn(&e->view.speed, t->declared_ms, r->run_ms);
 		if (r->reason == PD_R_FORGOTTEN)
 			ended_badly(d, t, true);
@@ -455,6 +463,15 @@
 	oc_settle(d, s);
 }
 
+static void
+adopt_agent(struct dp *d, struct sb_task *t, struct ep *e)
+{
+	ep_grant(e, t, dp_now(d));
+	pm_refresh(d, e);
+	t->due_after_us = ADOPTED_DUE_US;
+	hp_set(&d->dues, &t->due, dp_now(d) + t->due_after_us);
+}
+
 /* A task that runs at an agent since before the takeover. */
 static void
 adopt_running(struct dp *d, struct sb_task *t, struct ep *e)
@@ -463,17 +480,36 @@
 
 	s = t->sub;
 	t->state = SB_GRANTED;
-	t->cost_ms = 0;
-	if (e != NULL)
-		ep_grant(e, t, dp_now(d));
-	else
-		t->ep = NULL;
+	t->ep = NULL;
 	s->nwaiting--;
 	s->ngranted++;
 	d->granted++;
-	t->due_after_us = 1000000;
 	if (e != NULL)
-		hp_set(&d->dues, &t->due, dp_now(d) + t->due_after_us);
+		adopt_agent(d, t, e);
+}
+
+/* The agent of an adopted task connected only now. */
+static void
+adopt_late(
+    struct dp *d, struct sb_task *t, struct ep *e, const struct pd_record *r)
+{
+	struct sb *s;
+
+	s = t->sub;
+	switch (r->state) {
+	case PD_NOT_STARTED:
+		/* Another agent returned the task before it started. */
+		break;
+	case PD_QUEUED:
+	case PD_RUNNING:
+		if (e != NULL)
+			adopt_agent(d, t, e);
+		break;
+	default:
+		record_ended(d, t, r);
+		oc_settle(d, s);
+		break;
+	}
 }
 
 void
@@ -481,16 +517,15 @@
 {
 	struct sb_task *t;
 
-	if (s->phase != SB_HELD || r->key.task >= s->ntasks)
+	if (s->tasks == NULL || r->key.task >= s->ntasks)
 		return;
 	t = &s->tasks[r->key.task];
 	if (t->state == SB_GRANTED && t->ep == NULL &&
-	    r->key.attempt == t->attempt && r->state != PD_RUNNING) {
-		record_ended(d, t, r);
-		oc_settle(d, s);
+	    r->key.attempt == t->attempt) {
+		adopt_late(d, t, e, r);
 		return;
 	}
-	if (t->state != SB_WAITING)
+	if (s->phase != SB_HELD || t->state != SB_WAITING)
 		return;
 	if (r->state == PD_NOT_STARTED) {
 		if (e != NULL && !is_doubtful(r))
@@ -506,13 +541,17 @@
 }
 
 void
-oc_cancel(struct dp *d, struct sb *s)
+oc_withdraw(struct dp *d, struct sb *s, const char *reason, char *detail)
 {
-	if (s->phase == SB_ANSWERED || s->cancelled)
+	if (s->phase == SB_ANSWERED || s->withdrawn) {
+		g_free(detail);
 		return;
-	s->cancelled = true;
-	hi_add(
-	    d->history, &s->id, "cancelled", "%u tasks granted", s->ngranted);
+	}
+	s->withdrawn = true;
+	s->reason = reason;
+	s->detail = detail;
+	hi_add(d->history, &s->id, "withdrawn", "%s, %u tasks granted", reason,
+	    s->ngranted);
 	if (s->phase == SB_RUNNING)
 		drop_waiting(d, s);
 	cancel_grants(d, s);
--- a/plan/placement.c
+++ b/plan/placement.c
@@ -9,6 +9,7 @@
  * its expected time: declared sizes are wrong by up to 10x.
  */
 #define DUE_MIN_US 1000000
+#define DUE_MAX_US 10000000
 #define DUE_FACTOR 10
 /* Time that a report needs, kept free before the deadline. */
 #define RETURN_MS 5
@@ -85,8 +86,7 @@
 
 	for (; s->cursor < s->ntasks; s->cursor++) {
 		t = &s->tasks[s->order[s->cursor]];
-		if (t->state == SB_WAITING && t->returned == NULL &&
-		    t->attempt == 0)
+		if (t->state == SB_WAITING && !t->again)
 			return (t);
 	}
 	return (NULL);
@@ -201,7 +201,7 @@
 	uint64_t after;
 
 	after = t->start_us - now_us + (uint64_t)(t->cost_ms * 1000);
-	return (MAX(DUE_MIN_US, after * DUE_FACTOR));
+	return (CLAMP(after * DUE_FACTOR, DUE_MIN_US, DUE_MAX_US));
 }
 
 static void
@@ -227,6 +227,7 @@
 	d->queued--;
 	d->granted++;
 	qu_granted(s->lane->queue, t->cost_ms);
+	t->charged = true;
 	if (s->nwaiting > 0)
 		pm_enqueue(d, s);
 	else
@@ -293,7 +294,7 @@
 		s = hp_item(n, struct sb, parked);
 		hp_remove(&d->parked, n);
 		if (s->lane->impossible != NULL) {
-			oc_conclude(d, s, s->lane->impossible,
+			oc_withdraw(d, s, s->lane->impossible,
 			    g_strdup(s->lane->detail));
 			continue;
 		}
--- a/plan/submission.h
+++ b/plan/submission.h
@@ -58,6 +58,8 @@
 	uint8_t state;
 	uint8_t starts; /* attempts that may have started */
 	uint8_t doubts; /* reports that did not settle the outcome */
+	bool charged;   /* granted by this entry: counts in its quota */
+	bool again;     /* listed in the submission's again */
 };
 
 /**
@@ -105,9 +107,10 @@
 	uint8_t phase;
 	bool payload;
 	bool idempotent;
-	bool cancelled;
-	bool lost;   /* the outcome of a task will never be known */
-	bool failed; /* a task failed */
+	bool withdrawn; /* nothing more is granted; outcomes are awaited */
+	bool unsure;    /* an attempt that was retried has no outcome */
+	bool lost;      /* the outcome of a task will never be known */
+	bool failed;    /* a task failed */
 	uint8_t status;
 	bool not_run;
 	const char *reason;
--- /dev/null
+++ b/tests/support_world.h
@@ -0,0 +1,129 @@
+#ifndef SUPPORT_WORLD_H
+#define SUPPORT_WORLD_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "clock.h"
+#include "counters.h"
+#include "dispatch.h"
+#include "heap.h"
+#include "rng.h"
+#include "support_state.h"
+
+/**
+ * DOC: sw - modelled agents and network around one or more dispatchers
+ *
+ * A discrete-event simulation on a manual clock. Agents follow the rules of
+ * the design page: a queue, slots, start records, voided keys. Every start is
+ * counted, so that a test can compare answers with what ran. Faults are drawn
+ * with given probabilities from a seeded generator.
+ */
+
+/** SW_WALL_MS - wall clock at the start */
+#define SW_WALL_MS 1767225600000ULL
+
+#define SW_FAILS 1 /* bit of salt: the endpoint reports a failure */
+#define SW_LOST 2  /* bit of salt: the endpoint gives no answer */
+
+/** struct sw_body - body of a modelled task; its result is the same bytes */
+struct sw_body {
+	uint32_t job;
+	uint32_t task;
+	uint32_t work_us; /* run time at speed 1 */
+	uint32_t salt;
+};
+
+/** struct sw_faults - probability per event, 0 to 1 */
+struct sw_faults {
+	double report_twice;  /* a second copy arrives later */
+	double report_late;   /* up to 300 ms later than others */
+	double report_stale;  /* an old report is sent again; per agent and
+				 100 ms */
+	double session_ends;  /* per agent and 100 ms */
+	double agent_dies;    /* per agent and 100 ms */
+	double queue_refuses; /* a grant is returned at random */
+};
+
+/** struct sw_settings - what is modelled */
+struct sw_settings {
+	unsigned entries;
+	unsigned endpoints;
+	unsigned slots;
+	unsigned queue_max;
+	uint64_t delay_us; /* one way */
+	const char *policy;
+	uint64_t seed;
+	double speed_min; /* speeds are spaced evenly on a logarithmic scale */
+	double speed_max;
+	struct sw_faults faults;
+};
+
+struct sw;
+
+/** struct sw_ops - events for the test or benchmark */
+struct sw_ops {
+	void (*answer)(void *arg, unsigned entry, uint64_t waiter,
+	    const struct pd_answer *a);
+	void (*wake)(void *arg, uint64_t what); /* from sw_wake() */
+};
+
+/** struct sw_counts - sizes of what happened */
+struct sw_counts {
+	uint64_t grants;
+	uint64_t reports;
+	uint64_t others; /* cancellations, questions and their answers */
+	uint64_t starts;
+	uint64_t starts_twice; /* of a key that had started before */
+	double dp_s;           /* processor time within dp_ functions */
+};
+
+/** sw_new() - world with all agents connected */
+struct sw *sw_new(
+    const struct sw_settings *settings, const struct sw_ops *ops, void *arg);
+
+/** sw_free() - free it; consumed */
+void sw_free(struct sw *w);
+
+/** sw_now() - monotonic time, microseconds */
+uint64_t sw_now(const struct sw *w);
+
+/** sw_dp() - dispatcher of an entry, borrowed */
+struct dp *sw_dp(const struct sw *w, unsigned entry);
+
+/** sw_state() - cell state, borrowed; call sw_configure() after changes */
+struct cs *sw_state(const struct sw *w);
+
+/** sw_configure() - give the state to all dispatchers */
+void sw_configure(struct sw *w);
+
+/** sw_submit() - submit to an entry, timed for dp_s */
+void sw_submit(
+    struct sw *w, unsigned entry, const struct pd_submit *s, uint64_t waiter);
+
+/** sw_wake() - call wake() at a time */
+void sw_wake(struct sw *w, uint64_t at_us, uint64_t what);
+
+/** sw_run() - run until a time */
+void sw_run(struct sw *w, uint64_t until_us);
+
+/** sw_speed() - change the speed of an endpoint */
+void sw_speed(struct sw *w, unsigned endpoint, double factor);
+
+/** sw_quiet() - no more faults from now on */
+void sw_quiet(struct sw *w);
+
+/** sw_capacity() - work per time that all slots do */
+double sw_capacity(const struct sw *w);
+
+/** sw_share() - starts of an endpoint since the last call */
+uint64_t sw_share(struct sw *w, unsigned endpoint);
+
+/** sw_started() - times that a task of a submission was started */
+unsigned sw_started(const struct sw *w, const char *id, unsigned task);
+
+/** sw_counts() - what happened */
+struct sw_counts sw_counts(const struct sw *w);
+
+#endif
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -119,6 +119,7 @@
 	back = *sd_grant(x, 0);
 	back.agent =
 	    back.agent == agents[0] ? sd_up(x, "e0", 100) : sd_up(x, "e1", 101);
+	sd_pass(x, 10);
 	assert_int_equal(x->resolves->len, 1);
 	sd_report(x, &back, PD_NOT_STARTED, PD_R_VOIDED, 0);
 	assert_int_equal(x->grants->len, 2);
