--- /dev/null
+++ b/entry/http.c
@@ -0,0 +1,151 @@
+#include <arpa/inet.h>
+#include <glib.h>
+#include <microhttpd.h>
+#include <stdatomic.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "codec.h"
+#include "http.h"
+#include "options.h"
+
+/* The handlers call the JSON parser and libmicrohttpd only; the default of
+ * 8 MB per connection would be address space alone, but also page tables. */
+#define STACK_BYTES (256U * 1024)
+/* Request line and headers; bodies are kept elsewhere. */
+#define CONNECTION_BYTES (16U * 1024)
+#define IDLE_TIMEOUT_S 120
+
+/* Time for responses that are being written when the server stops. */
+#define STOP_WAIT_MS 10000
+#define STOP_POLL_MS 5
+#define US_PER_MS 1000
+
+struct ht {
+	struct _u_instance instance;
+	atomic_int active; /* requests without a complete response */
+};
+
+static unsigned
+mhd_flags(void)
+{
+	return (MHD_USE_THREAD_PER_CONNECTION |
+	    MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_ITC | MHD_USE_POLL);
+}
+
+/* libmicrohttpd calls these two at the start and at the end of a request; the
+ * functions of ulfius do the work. */
+static void *
+request_started(void *arg, const char *uri)
+{
+	struct ht *h = arg;
+
+	atomic_fetch_add(&h->active, 1);
+	return (ulfius_uri_logger(NULL, uri));
+}
+
+static void
+request_completed(void *arg, struct MHD_Connection *connection, void **request,
+    enum MHD_RequestTerminationCode why)
+{
+	struct ht *h = arg;
+
+	mhd_request_completed(NULL, connection, request, why);
+	atomic_fetch_sub(&h->active, 1);
+}
+
+static bool
+start(struct ht *h, struct sockaddr_in *bind_to, unsigned connections_max)
+{
+	struct MHD_OptionItem options[] = {
+	    {MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)request_completed, h},
+	    {MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)request_started, h},
+	    {MHD_OPTION_SOCK_ADDR, 0, bind_to},
+	    {MHD_OPTION_THREAD_STACK_SIZE, STACK_BYTES, NULL},
+	    {MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_BYTES, NULL},
+	    {MHD_OPTION_CONNECTION_LIMIT, connections_max, NULL},
+	    {MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S, NULL},
+	    {MHD_OPTION_LISTENING_ADDRESS_REUSE, 1, NULL},
+	    {MHD_OPTION_END, 0, NULL},
+	};
+
+	return (ulfius_start_framework_with_mhd_options(
+		    &h->instance, mhd_flags(), options) == U_OK);
+}
+
+static int
+no_route(
+    const struct _u_request *request, struct _u_response *response, void *arg)
+{
+	(void)request;
+	(void)arg;
+	return (ht_error(response, HT_NOT_FOUND, "no_such_path",
+	    "The path or the method is not part of this interface."));
+}
+
+struct ht *
+ht_start(const char *address, unsigned connections_max, size_t body_max,
+    const struct ht_route *routes, void *arg)
+{
+	struct sockaddr_in bind_to = {.sin_family = AF_INET};
+	char *host = NULL;
+	struct ht *h;
+	int port;
+
+	port = op_port(address, &host);
+	if (port < 0)
+		return (NULL);
+	bind_to.sin_port = htons((uint16_t)port);
+	inet_pton(AF_INET, host, &bind_to.sin_addr);
+	g_free(host);
+	h = g_new0(struct ht, 1);
+	if (ulfius_init_instance(
+		&h->instance, (unsigned)port, &bind_to, NULL) != U_OK) {
+		g_free(h);
+		return (NULL);
+	}
+	h->instance.max_post_body_size = body_max + 1;
+	for (; routes->method != NULL; routes++)
+		ulfius_add_endpoint_by_val(&h->instance, routes->method,
+		    routes->path, NULL, 0, routes->fn, arg);
+	ulfius_set_default_endpoint(&h->instance, no_route, arg);
+	if (start(h, &bind_to, connections_max))
+		return (h);
+	ulfius_clean_instance(&h->instance);
+	g_free(h);
+	return (NULL);
+}
+
+void
+ht_stop(struct ht *h)
+{
+	unsigned waited;
+
+	if (h == NULL)
+		return;
+	/* Stopping the daemon shuts all sockets at once, also one on which a
+	 * response is being written. */
+	for (waited = 0; atomic_load(&h->active) > 0 && waited < STOP_WAIT_MS;
+	     waited += STOP_POLL_MS)
+		usleep(STOP_POLL_MS * US_PER_MS);
+	ulfius_stop_framework(&h->instance);
+	ulfius_clean_instance(&h->instance);
+	g_free(h);
+}
+
+int
+ht_text(struct _u_response *response, unsigned status, char *text)
+{
+	response->status = status;
+	response->binary_body = text;
+	response->binary_body_length = strlen(text);
+	u_map_put(response->map_header, "Content-Type", "application/json");
+	return (U_CALLBACK_COMPLETE);
+}
+
+int
+ht_error(struct _u_response *response, unsigned status, const char *code,
+    const char *detail)
+{
+	return (ht_text(response, status, co_error_text(code, detail)));
+}
--- /dev/null
+++ b/entry/http.h
@@ -0,0 +1,65 @@
+#ifndef HTTP_H
+#define HTTP_H
+
+#include <stdbool.h>
+#include <ulfius.h>
+
+/**
+ * DOC: ht - HTTP server of ulfius with the limits of the entry
+ */
+struct ht;
+
+/** HT_OK - HTTP status 200, and so on */
+enum ht_status {
+	HT_OK = 200,
+	HT_ACCEPTED = 202,
+	HT_BAD_REQUEST = 400,
+	HT_UNAUTHORIZED = 401,
+	HT_NOT_FOUND = 404,
+	HT_CONFLICT = 409,
+	HT_TOO_LARGE = 413,
+	HT_UNPROCESSABLE = 422,
+	HT_UNAVAILABLE = 503,
+};
+
+/** ht_fn - handler of a route; runs on a thread of its connection */
+typedef int (*ht_fn)(
+    const struct _u_request *request, struct _u_response *response, void *arg);
+
+/** struct ht_route - one method and path; a path segment ":id" is variable */
+struct ht_route {
+	const char *method;
+	const char *path;
+	ht_fn fn;
+};
+
+/**
+ * ht_start() - listen and serve
+ * @address: "IP:port"
+ * @connections_max: more connections are closed at once
+ * @body_max: bytes of a body; one byte more is passed to the handler, which
+ *     answers 413, and the rest is dropped
+ * @routes: ends with a NULL method, borrowed
+ * @arg: passed to the handlers
+ *
+ * Return: owned server, or NULL when the address cannot be bound.
+ */
+struct ht *ht_start(const char *address, unsigned connections_max,
+    size_t body_max, const struct ht_route *routes, void *arg);
+
+/**
+ * ht_stop() - close all connections and wait for their handlers
+ *
+ * Blocks; the event loop must go on meanwhile to answer the handlers.
+ * Consumed, NULL is allowed.
+ */
+void ht_stop(struct ht *h);
+
+/** ht_text() - set a JSON body; @text was made by malloc() and is consumed */
+int ht_text(struct _u_response *response, unsigned status, char *text);
+
+/** ht_error() - set the body `{"error", "detail"}` */
+int ht_error(struct _u_response *response, unsigned status, const char *code,
+    const char *detail);
+
+#endif
--- /dev/null
+++ b/entry/options.h
@@ -0,0 +1,61 @@
+#ifndef OPTIONS_H
+#define OPTIONS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "settings.h"
+
+/**
+ * DOC: op - settings of the entry
+ */
+
+/** struct op - checked settings; strings are owned */
+struct op {
+	char *name;
+	char *az;
+	char *callers;
+	char *operators;
+	char *rpc;
+	struct st_strings peers;
+	char *platform_url;
+	int64_t platform_timeout_ms;
+	char *token_file;
+	int64_t life_s;
+	int64_t remembered_max;
+	int64_t queue_tasks_max;
+	char *policy;
+	char *log_level;
+	char *token; /* first line of token_file */
+};
+
+/**
+ * op_load() - read and check a settings file and the token file
+ * @message: error text with file and key
+ * @message_size: bytes at @message
+ *
+ * Return: false with @message set; @out is released then.
+ */
+bool op_load(
+    const char *path, struct op *out, char *message, size_t message_size);
+
+/** op_release() - free the strings */
+void op_release(struct op *o);
+
+/**
+ * op_token() - read a bearer token from a file
+ *
+ * Return: owned token, or NULL with @message set.
+ */
+char *op_token(const char *path, char *message, size_t message_size);
+
+/**
+ * op_port() - split "IP:port"
+ * @host: set to the IP number when not NULL, released with g_free()
+ *
+ * Return: the port, or -1 when the text is not an IPv4 number and a port.
+ */
+int op_port(const char *address, char **host);
+
+#endif
--- a/wire/pd.h
+++ b/wire/pd.h
@@ -307,6 +307,7 @@
 struct pd_lookup {
 	pd_id sub;
 	bool_t cancel;
+	u_int wait_ms;
 };
 typedef struct pd_lookup pd_lookup;
 
--- a/wire/pd.x
+++ b/wire/pd.x
@@ -221,6 +221,7 @@
 struct pd_lookup {
 	pd_id sub;
 	bool cancel;
+	unsigned int wait_ms;		/* then PD_PENDING if there is no answer */
 };
 
 program PD_PROG {
--- a/wire/pd_xdr.c
+++ b/wire/pd_xdr.c
@@ -554,5 +554,7 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->cancel))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wait_ms))
+		 return FALSE;
 	return TRUE;
 }
