Add the process test harness, a cell builder and tests of the test programs

The harness starts the real programs, ends them by id, and judges a run only by the start logs of the endpoints and the log of the load client. The kernel ends the processes when a test is killed (PR_SET_PDEATHSIG), so that no run leaves any behind.

--- /dev/null
+++ b/tests/harness.c
@@ -0,0 +1,379 @@
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include "harness.h"
+
+#define READY_LIMIT_MS 10000
+#define END_LIMIT_MS 3000
+#define POLL_MS 20
+/* Below the range of outgoing ports (32768 and up). */
+#define PORT_FIRST 12000U
+#define PORT_SPAN 20000U
+/* Ports that one test process may use, so that tests do not meet. */
+#define PORT_STRIDE 200U
+#define SIGNAL_BASE 1000
+#define STILL_RUNNING (-1)
+
+struct hn {
+	char *folder;
+	GPtrArray *procs; /* struct hn_proc */
+	unsigned next_port;
+	unsigned runs;
+};
+
+struct hn_proc {
+	struct hn *world;
+	char *name;
+	pid_t pid;
+	bool running;
+	int status; /* as hn_wait(), valid when it is not running */
+};
+
+/* World of the test that runs now. */
+static struct hn *current;
+
+struct hn *
+hn_new(void)
+{
+	struct hn *h = g_new0(struct hn, 1);
+	GError *error = NULL;
+
+	/* A test that failed in its set-up function has no tear-down. */
+	if (current != NULL)
+		hn_free(current);
+	current = h;
+
+	h->folder = g_dir_make_tmp("pd-test-XXXXXX", &error);
+	if (h->folder == NULL)
+		fail_msg("no temporary folder: %s", error->message);
+	h->procs = g_ptr_array_new();
+	h->next_port =
+	    PORT_FIRST + ((unsigned)getpid() * PORT_STRIDE) % PORT_SPAN;
+	return (h);
+}
+
+static void
+proc_free(struct hn_proc *p)
+{
+	if (p->running)
+		hn_kill(p);
+	g_free(p->name);
+	g_free(p);
+}
+
+static void
+remove_folder(const char *folder)
+{
+	GDir *dir = g_dir_open(folder, 0, NULL);
+	const char *name;
+
+	while (dir != NULL && (name = g_dir_read_name(dir)) != NULL) {
+		char *path = g_build_filename(folder, name, NULL);
+
+		g_unlink(path);
+		g_free(path);
+	}
+	if (dir != NULL)
+		g_dir_close(dir);
+	g_rmdir(folder);
+}
+
+void
+hn_free(struct hn *h)
+{
+	for (unsigned i = h->procs->len; i > 0; i--)
+		proc_free(g_ptr_array_index(h->procs, i - 1));
+	g_ptr_array_free(h->procs, TRUE);
+	if (g_getenv("PD_KEEP") != NULL)
+		print_message("files are kept in %s\n", h->folder);
+	else
+		remove_folder(h->folder);
+	if (current == h)
+		current = NULL;
+	g_free(h->folder);
+	g_free(h);
+}
+
+char *
+hn_path(const struct hn *h, const char *name)
+{
+	return (g_build_filename(h->folder, name, NULL));
+}
+
+void
+hn_write(struct hn *h, const char *name, const char *text)
+{
+	char *path = hn_path(h, name);
+	GError *error = NULL;
+
+	if (!g_file_set_contents(path, text, -1, &error))
+		fail_msg("%s", error->message);
+	g_free(path);
+}
+
+static bool
+is_free(unsigned port)
+{
+	struct sockaddr_in sin = {.sin_family = AF_INET};
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	bool ok;
+
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	sin.sin_port = htons((uint16_t)port);
+	ok = bind(fd, (struct sockaddr *)&sin, sizeof(sin)) == 0;
+	close(fd);
+	return (ok);
+}
+
+unsigned
+hn_port(struct hn *h)
+{
+	for (unsigned i = 0; i < PORT_SPAN; i++) {
+		unsigned port = h->next_port++;
+
+		if (h->next_port >= PORT_FIRST + PORT_SPAN)
+			h->next_port = PORT_FIRST;
+		if (is_free(port))
+			return (port);
+	}
+	fail_msg("no free port");
+	return (0);
+}
+
+uint64_t
+hn_mono_ms(void)
+{
+	return ((uint64_t)(g_get_monotonic_time() / 1000));
+}
+
+uint64_t
+hn_wall_ms(void)
+{
+	return ((uint64_t)(g_get_real_time() / 1000));
+}
+
+void
+hn_sleep_ms(unsigned ms)
+{
+	g_usleep((gulong)ms * 1000);
+}
+
+static char *
+output_path(const struct hn_proc *p, const char *suffix)
+{
+	char *file = g_strconcat(p->name, suffix, NULL);
+	char *path = hn_path(p->world, file);
+
+	g_free(file);
+	return (path);
+}
+
+static void
+redirect(const char *path, int to)
+{
+	int fd = open(path, O_WRONLY | O_CREAT | O_APPEND, 0644);
+
+	if (fd < 0 || dup2(fd, to) < 0)
+		_exit(127);
+	close(fd);
+}
+
+static void
+run_child(const struct hn_proc *p, const char *const *argv, pid_t parent)
+{
+	const char *build = g_getenv("PD_BUILD");
+	char *out = output_path(p, ".out");
+	char *err = output_path(p, ".err");
+	char *program =
+	    g_build_filename(build != NULL ? build : ".", argv[0], NULL);
+
+	/* No process outlives the test, however the test ends. */
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+	if (getppid() != parent)
+		_exit(127);
+	redirect(out, STDOUT_FILENO);
+	redirect(err, STDERR_FILENO);
+	execv(program, (char *const *)argv);
+	_exit(127);
+}
+
+struct hn_proc *
+hn_start(struct hn *h, const char *name, const char *const *argv)
+{
+	struct hn_proc *p = g_new0(struct hn_proc, 1);
+	pid_t parent = getpid();
+
+	p->world = h;
+	p->name = g_strdup(name);
+	p->pid = fork();
+	if (p->pid < 0)
+		fail_msg("fork failed");
+	if (p->pid == 0)
+		run_child(p, argv, parent);
+	p->running = true;
+	g_ptr_array_add(h->procs, p);
+	return (p);
+}
+
+static void
+reap(struct hn_proc *p)
+{
+	int status;
+
+	if (!p->running || waitpid(p->pid, &status, WNOHANG) != p->pid)
+		return;
+	p->running = false;
+	p->status = WIFSIGNALED(status) ? SIGNAL_BASE + WTERMSIG(status)
+					: WEXITSTATUS(status);
+}
+
+static char *
+read_file(const struct hn_proc *p, const char *suffix)
+{
+	char *path = output_path(p, suffix);
+	char *text = NULL;
+
+	if (!g_file_get_contents(path, &text, NULL, NULL))
+		text = g_strdup("");
+	g_free(path);
+	return (text);
+}
+
+char *
+hn_output(const struct hn_proc *p)
+{
+	return (read_file(p, ".out"));
+}
+
+char *
+hn_errors(const struct hn_proc *p)
+{
+	return (read_file(p, ".err"));
+}
+
+/* A complete line "ready PORT...", split into words. */
+static char **
+ready_words(const struct hn_proc *p)
+{
+	char *text = hn_output(p);
+	char **words = NULL;
+
+	if (g_str_has_prefix(text, "ready ") && strchr(text, '\n') != NULL)
+		words = g_strsplit_set(text, " \n", 0);
+	g_free(text);
+	return (words);
+}
+
+void
+hn_ready(struct hn_proc *p, unsigned *ports, size_t n)
+{
+	uint64_t end = hn_mono_ms() + READY_LIMIT_MS;
+	char **words = NULL;
+	size_t found;
+
+	while (words == NULL && hn_mono_ms() < end) {
+		words = ready_words(p);
+		if (words == NULL)
+			hn_sleep_ms(POLL_MS);
+	}
+	found = words != NULL ? g_strv_length(words) : 0;
+	for (size_t i = 0; i < n && i + 1 < found; i++)
+		ports[i] = (unsigned)strtoul(words[i + 1], NULL, 10);
+	g_strfreev(words);
+	if (found < n + 1)
+		fail_msg("%s is not ready", p->name);
+}
+
+void
+hn_signal(struct hn_proc *p, int sig)
+{
+	reap(p);
+	if (p->running)
+		kill(p->pid, sig);
+}
+
+int
+hn_wait(struct hn_proc *p, unsigned timeout_ms)
+{
+	uint64_t end = hn_mono_ms() + timeout_ms;
+
+	for (;;) {
+		reap(p);
+		if (!p->running)
+			return (p->status);
+		if (hn_mono_ms() >= end)
+			return (STILL_RUNNING);
+		hn_sleep_ms(POLL_MS);
+	}
+}
+
+void
+hn_kill(struct hn_proc *p)
+{
+	hn_signal(p, SIGKILL);
+	hn_wait(p, END_LIMIT_MS);
+}
+
+int
+hn_run(
+    struct hn *h, const char *const *argv, char **output, unsigned timeout_ms)
+{
+	char *name = g_strdup_printf("run-%u", h->runs++);
+	struct hn_proc *p = hn_start(h, name, argv);
+	int status = hn_wait(p, timeout_ms);
+
+	g_free(name);
+	if (status == STILL_RUNNING)
+		hn_kill(p);
+	if (output != NULL)
+		*output = hn_output(p);
+	return (status);
+}
+
+const char *
+hn_text(const json_t *object, const char *key)
+{
+	const char *text = json_string_value(json_object_get(object, key));
+
+	return (text != NULL ? text : "");
+}
+
+bool
+hn_until(bool (*condition)(void *arg), void *arg, unsigned timeout_ms)
+{
+	uint64_t end = hn_mono_ms() + timeout_ms;
+
+	while (!condition(arg)) {
+		if (hn_mono_ms() >= end)
+			return (false);
+		hn_sleep_ms(POLL_MS);
+	}
+	return (true);
+}
+
+long
+hn_count(const char *text, const char *key)
+{
+	char *pattern = g_strconcat(" ", key, "=", NULL);
+	const char *at = strstr(text, pattern);
+	long value = -1;
+
+	if (at != NULL)
+		value = strtol(at + strlen(pattern), NULL, 10);
+	g_free(pattern);
+	return (value);
+}
--- /dev/null
+++ b/tests/harness_calls.c
@@ -0,0 +1,206 @@
+#include <glib.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "harness_cell.h"
+
+#define CLI_LIMIT_MS 30000U
+#define CLI_WORDS_MAX 16
+/* Longest load run with its deadline and grace. */
+#define LOAD_LIMIT_MS 150000U
+#define LOAD_WORDS_MAX 64
+
+int
+cell_cli(
+    struct cell *c, unsigned entry, char **output, const char *const *words)
+{
+	char *file = g_strconcat(c->entries[entry].name, ".toml", NULL);
+	char *settings = hn_path(c->hn, file);
+	const char *argv[CLI_WORDS_MAX + 4] = {"entry/pimentodock"};
+	size_t n = 1;
+	int status;
+
+	for (; *words != NULL && n < CLI_WORDS_MAX; words++)
+		argv[n++] = *words;
+	argv[n++] = "--settings";
+	argv[n++] = settings;
+	argv[n] = NULL;
+	status = hn_run(c->hn, argv, output, CLI_LIMIT_MS);
+	g_free(settings);
+	g_free(file);
+	return (status);
+}
+
+int
+cell_az(struct cell *c, unsigned entry, const char *az, bool in)
+{
+	const char *words[] = {"zone", in ? "in" : "out", az, NULL};
+
+	return (cell_cli(c, entry, NULL, words));
+}
+
+char *
+cell_body(const char *id, uint64_t created_ms, unsigned tasks, unsigned run_ms,
+    unsigned deadline_ms)
+{
+	json_t *list = json_array(), *root;
+	char *text;
+
+	for (unsigned i = 0; i < tasks; i++) {
+		char body[256];
+
+		snprintf(body, sizeof(body), "%s/%u;run_ms=%u", id, i, run_ms);
+		json_array_append_new(list,
+		    json_pack("{s:s, s:i}", "body", body, "size_ms",
+			run_ms > 0 ? (int)run_ms : 1));
+	}
+	root = json_pack("{s:s, s:I, s:s, s:s, s:i, s:o}", "id", id,
+	    "created_ms", (json_int_t)created_ms, "team", CELL_TEAM, "service",
+	    CELL_SERVICE, "deadline_ms", (int)deadline_ms, "tasks", list);
+	text = json_dumps(root, JSON_COMPACT);
+	json_decref(root);
+	return (text);
+}
+
+int
+cell_submit(struct cell *c, unsigned entry, const char *body, unsigned wait_ms,
+    json_t **answer)
+{
+	char path[96] = "/v1/submissions";
+
+	if (wait_ms > 0)
+		snprintf(
+		    path, sizeof(path), "/v1/submissions?wait_ms=%u", wait_ms);
+	return (hn_http(
+	    "POST", c->entries[entry].callers, path, body, NULL, answer));
+}
+
+static int
+by_id(struct cell *c, const char *verb, unsigned entry, const char *id,
+    uint64_t created_ms, unsigned wait_ms, json_t **answer)
+{
+	char *path =
+	    g_strdup_printf("/v1/submissions/%s?created_ms=%llu&wait_ms=%u", id,
+		(unsigned long long)created_ms, wait_ms);
+	int status =
+	    hn_http(verb, c->entries[entry].callers, path, NULL, NULL, answer);
+
+	g_free(path);
+	return (status);
+}
+
+int
+cell_fetch(struct cell *c, unsigned entry, const char *id, uint64_t created_ms,
+    unsigned wait_ms, json_t **answer)
+{
+	return (by_id(c, "GET", entry, id, created_ms, wait_ms, answer));
+}
+
+int
+cell_cancel(struct cell *c, unsigned entry, const char *id, uint64_t created_ms,
+    json_t **answer)
+{
+	return (by_id(c, "DELETE", entry, id, created_ms, 0, answer));
+}
+
+struct cell_load
+cell_load_start(struct cell *c, const char *options)
+{
+	char *name = g_strdup_printf("load-%u", ++c->loads);
+	char *log_name = g_strconcat(name, ".log", NULL);
+	struct cell_load load = {.log = hn_path(c->hn, log_name)};
+	GPtrArray *argv = g_ptr_array_new_with_free_func(g_free);
+	char **words = g_strsplit(options, " ", LOAD_WORDS_MAX);
+
+	g_ptr_array_add(argv, g_strdup("fakes/fake_load"));
+	for (unsigned i = 0; i < c->options.entries; i++) {
+		g_ptr_array_add(argv, g_strdup("--entry"));
+		g_ptr_array_add(argv,
+		    g_strdup_printf("127.0.0.1:%u", c->entries[i].callers));
+	}
+	g_ptr_array_add(argv, g_strdup_printf("--prefix=%s", name));
+	g_ptr_array_add(argv, g_strdup_printf("--log=%s", load.log));
+	for (char **word = words; *word != NULL; word++)
+		g_ptr_array_add(argv, g_strdup(*word));
+	g_ptr_array_add(argv, NULL);
+	load.proc = hn_start(c->hn, name, (const char *const *)argv->pdata);
+	g_ptr_array_free(argv, TRUE);
+	g_strfreev(words);
+	g_free(log_name);
+	g_free(name);
+	return (load);
+}
+
+struct cell_result
+cell_load_end(struct cell *c, struct cell_load *load)
+{
+	int status = hn_wait(load->proc, LOAD_LIMIT_MS);
+	char *text = hn_output(load->proc);
+	struct cell_result r = {
+	    .submissions = hn_count(text, "submissions"),
+	    .complete = hn_count(text, "complete"),
+	    .failed = hn_count(text, "failed"),
+	    .refused = hn_count(text, "refused"),
+	    .unknown = hn_count(text, "unknown"),
+	    .unanswered = hn_count(text, "unanswered"),
+	    .errors = hn_count(text, "errors"),
+	    .partial = hn_count(text, "partial"),
+	    .foreign = hn_count(text, "foreign"),
+	    .mismatch = hn_count(text, "mismatch"),
+	    .refused_run = hn_count(text, "refused_run"),
+	};
+
+	(void)c;
+	print_message("exit code %d, %s", status, text);
+	g_free(text);
+	return (r);
+}
+
+struct hl_starts *
+cell_starts(struct cell *c)
+{
+	return (hl_read(c->start_log));
+}
+
+void
+cell_check(struct cell *c, struct cell_load *load)
+{
+	struct cell_result r = cell_load_end(c, load);
+	struct hl_starts *starts = cell_starts(c);
+	struct hl_verdict v = hl_compare(starts, load->log);
+	size_t doubles = hl_doubles(starts);
+
+	hl_free(starts);
+	g_free(load->log);
+	load->log = NULL;
+	assert_true(r.submissions > 0);
+	assert_int_equal(v.submissions, r.submissions);
+	assert_int_equal(doubles, 0);
+	assert_int_equal(v.refused_started, 0);
+	assert_int_equal(v.incomplete_started, 0);
+	assert_int_equal(r.refused_run, 0);
+	assert_int_equal(r.unanswered, 0);
+	assert_int_equal(r.errors, 0);
+	assert_int_equal(r.partial, 0);
+	assert_int_equal(r.foreign, 0);
+	assert_int_equal(r.mismatch, 0);
+}
+
+size_t
+cell_az_starts(struct cell *c, const char *az, uint64_t from_ms, uint64_t to_ms)
+{
+	struct hl_starts *starts = cell_starts(c);
+	size_t n = 0;
+
+	for (unsigned i = 0; i < c->options.agents; i++)
+		if (strcmp(c->agents[i].az, az) == 0)
+			n += hl_between(
+			    starts, c->agents[i].name, from_ms, to_ms);
+	hl_free(starts);
+	return (n);
+}
--- /dev/null
+++ b/tests/harness_cell.h
@@ -0,0 +1,175 @@
+#ifndef HARNESS_CELL_H
+#define HARNESS_CELL_H
+
+#include "harness.h"
+#include "harness_log.h"
+
+/**
+ * DOC: cell - a cell of the real programs
+ *
+ * One fake platform, one process with all fake endpoints, entries and agents
+ * in the zones finistere, morbihan and armor in turn, and the inventory
+ * applied. Entry 0 is "entry-1" in finistere; agent 0 is "order-desk-1".
+ */
+
+#define CELL_ENTRIES_MAX 9
+#define CELL_AGENTS_MAX 32
+#define CELL_TOKEN "test-token-0123456789"
+#define CELL_SERVICE "order-desk"
+#define CELL_TEAM "lids"
+
+/** struct cell_options - what to build; zero values give the defaults */
+struct cell_options {
+	unsigned entries;   /* default 3 */
+	unsigned agents;    /* default 6 */
+	unsigned slots;     /* per endpoint, default 8 */
+	unsigned queue;     /* queue of an agent, default 8 */
+	unsigned life_s;    /* life of an id, default 600 */
+	const char *speeds; /* of the endpoints, default unequal */
+	bool relay;         /* agents reach the entries through relays */
+};
+
+/** struct cell_entry - an entry process and its ports */
+struct cell_entry {
+	char name[32];
+	const char *az;
+	unsigned callers;
+	unsigned operators;
+	unsigned rpc;
+	unsigned relay;         /* port of the relay for agents, 0 for none */
+	unsigned relay_control; /* its control port */
+	struct hn_proc *proc;
+	unsigned starts; /* number of times it was started */
+};
+
+/** struct cell_agent - an agent process and its endpoint */
+struct cell_agent {
+	char name[32];
+	const char *az;
+	unsigned endpoint; /* port of the endpoint, also for its control */
+	unsigned metrics;
+	struct hn_proc *proc;
+	unsigned starts;
+};
+
+struct cell {
+	struct hn *hn;
+	struct cell_options options;
+	unsigned platform; /* port, also for its control */
+	struct hn_proc *platform_proc;
+	struct hn_proc *endpoints_proc;
+	struct cell_entry entries[CELL_ENTRIES_MAX];
+	struct cell_agent agents[CELL_AGENTS_MAX];
+	char *start_log;
+	unsigned loads;
+};
+
+/** struct cell_load - a running load client */
+struct cell_load {
+	struct hn_proc *proc;
+	char *log;
+};
+
+/** struct cell_result - counts of a load client, -1 when it printed none */
+struct cell_result {
+	long submissions;
+	long complete;
+	long failed;
+	long refused;
+	long unknown;
+	long unanswered;
+	long errors;
+	long partial;
+	long foreign;
+	long mismatch;
+	long refused_run;
+};
+
+/**
+ * cell_new() - start a cell and wait until it completes a submission through
+ * each entry; fails the test when it does not within 30 s. Owned
+ */
+struct cell *cell_new(const struct cell_options *options);
+
+/** cell_free() - end all processes; consumed */
+void cell_free(struct cell *c);
+
+/** cell_entry_start() - start entry @i, also after it has ended */
+void cell_entry_start(struct cell *c, unsigned i);
+
+/** cell_agent_start() - start agent @i, also after it has ended */
+void cell_agent_start(struct cell *c, unsigned i);
+
+/** cell_entry_ready() - wait until entry @i completes a submission */
+void cell_entry_ready(struct cell *c, unsigned i);
+
+/**
+ * cell_cli() - run the operator's command-line tool against an entry
+ * @c: cell
+ * @entry: index of the entry
+ * @output: set to its output, released with g_free(); may be NULL
+ * @words: command and its arguments, NULL at the end
+ *
+ * Return: exit code.
+ */
+int cell_cli(
+    struct cell *c, unsigned entry, char **output, const char *const *words);
+
+/** cell_az() - `zone out NAME` or `zone in NAME` through an entry */
+int cell_az(struct cell *c, unsigned entry, const char *az, bool in);
+
+/**
+ * cell_body() - JSON of a submission, released with free()
+ * @id: submission id
+ * @created_ms: wall clock
+ * @tasks: number of tasks
+ * @run_ms: run time of each
+ * @deadline_ms: limit from arrival
+ */
+char *cell_body(const char *id, uint64_t created_ms, unsigned tasks,
+    unsigned run_ms, unsigned deadline_ms);
+
+/**
+ * cell_submit() - POST /v1/submissions
+ * @wait_ms: how long to wait for the answer, 0 for none
+ * @answer: set to the answer, owned; may be NULL
+ *
+ * Return: HTTP status.
+ */
+int cell_submit(struct cell *c, unsigned entry, const char *body,
+    unsigned wait_ms, json_t **answer);
+
+/** cell_fetch() - GET /v1/submissions/{id}; Return: HTTP status */
+int cell_fetch(struct cell *c, unsigned entry, const char *id,
+    uint64_t created_ms, unsigned wait_ms, json_t **answer);
+
+/** cell_cancel() - DELETE /v1/submissions/{id}; Return: HTTP status */
+int cell_cancel(struct cell *c, unsigned entry, const char *id,
+    uint64_t created_ms, json_t **answer);
+
+/**
+ * cell_load_start() - start a load client on all entries
+ * @options: more options of fake_load, separated by spaces
+ */
+struct cell_load cell_load_start(struct cell *c, const char *options);
+
+/** cell_load_end() - wait for the end of a load client and read its counts */
+struct cell_result cell_load_end(struct cell *c, struct cell_load *load);
+
+/**
+ * cell_check() - check a load against the start log
+ *
+ * Fails the test when a task of a submission started twice, a refused job
+ * started, a complete job did not start as a whole, or an answer was missing,
+ * partial, foreign or contradictory.
+ */
+void cell_check(struct cell *c, struct cell_load *load);
+
+/** cell_starts() - start log of the cell, owned */
+struct hl_starts *cell_starts(struct cell *c);
+
+/** cell_az_starts() - starts in a zone in a time, as hl_between() */
+size_t cell_az_starts(
+    struct cell *c, const char *az, uint64_t from_ms, uint64_t to_ms);
+
+#endif
--- /dev/null
+++ b/tests/proc_fakes.c
@@ -0,0 +1,205 @@
+#include <glib.h>
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "harness.h"
+#include "harness_log.h"
+
+/*
+ * Tests of the test programs themselves. A fault here would make the verdict
+ * of every other process test wrong.
+ */
+
+static int
+set_up(void **state)
+{
+	*state = hn_new();
+	return (0);
+}
+
+static int
+tear_down(void **state)
+{
+	hn_free(*state);
+	return (0);
+}
+
+static unsigned
+start_platform(struct hn *h)
+{
+	const char *argv[] = {"fakes/fake_platform", NULL};
+	unsigned port;
+
+	hn_ready(hn_start(h, "platform", argv), &port, 1);
+	return (port);
+}
+
+static unsigned
+start_endpoint(struct hn *h, const char *option, const char *value)
+{
+	char *log = hn_path(h, "starts.log");
+	const char *argv[] = {"fakes/fake_endpoint", "--name", "e", "--log",
+	    log, "--slots", "2", option, value, NULL};
+	unsigned port;
+
+	hn_ready(hn_start(h, "endpoint", argv), &port, 1);
+	g_free(log);
+	return (port);
+}
+
+/* A write that is answered and lost must differ: a lost one took effect. */
+static void
+test_lost_write_takes_effect(void **state)
+{
+	unsigned port = start_platform(*state);
+	json_t *row = NULL;
+
+	hn_control(port, "lose_writes=1");
+	assert_int_equal(
+	    hn_http("PUT", port, "/table/change/1", "one", NULL, NULL), 0);
+	assert_int_equal(
+	    hn_http("GET", port, "/table/change/1", NULL, NULL, &row), 200);
+	assert_string_equal(hn_text(row, "value"), "one");
+	json_decref(row);
+	assert_int_equal(
+	    hn_http("PUT", port, "/table/change/2", "two", NULL, NULL), 201);
+}
+
+/* While the platform is down, nothing must take effect. */
+static void
+test_down_write_has_no_effect(void **state)
+{
+	unsigned port = start_platform(*state);
+
+	hn_control(port, "mode=down");
+	assert_int_equal(
+	    hn_http("PUT", port, "/table/change/1", "one", NULL, NULL), 0);
+	hn_control(port, "mode=up");
+	assert_int_equal(
+	    hn_http("GET", port, "/table/change/1", NULL, NULL, NULL), 404);
+}
+
+/* The start log must name each start that an endpoint saw, also when the task
+ * fails or waits. */
+static void
+test_start_log(void **state)
+{
+	unsigned port = start_endpoint(*state, "--run-ms", "1");
+	char *log = hn_path(*state, "starts.log");
+	struct hl_starts *starts;
+
+	for (int i = 0; i < 3; i++)
+		assert_int_equal(hn_http("POST", port, "/task",
+				     i == 1 ? "status=500" : "x", NULL, NULL),
+		    i == 1 ? 500 : 200);
+	starts = hl_read(log);
+	assert_int_equal(hl_total(starts), 3);
+	assert_int_equal(hl_doubles(starts), 1);
+	assert_int_equal(
+	    hl_between(starts, "e", hn_wall_ms() - 60000, hn_wall_ms() + 1), 3);
+	hl_free(starts);
+	g_free(log);
+}
+
+/* A refused job with a start, and a complete job with a missing start, must
+ * be found. */
+static void
+test_compare_finds_contradictions(void **state)
+{
+	struct hn *h = *state;
+	char *starts_path = hn_path(h, "s.log"), *load = hn_path(h, "l.log");
+	struct hl_starts *starts;
+	struct hl_verdict v;
+
+	hn_write(h, "s.log",
+	    "1\te\ta\t0\t0\n1\te\tb\t0\t0\n1\te\tc\t0\t0\n1\te\tc\t1\t0\n");
+	hn_write(h, "l.log",
+	    "9\ta\t1\trefused\toverload\t1\t1\t5\t1\n"
+	    "9\tb\t1\tcomplete\t-\t0\t2\t5\t1\n"
+	    "9\tc\t1\tcomplete\t-\t0\t2\t5\t1\n");
+	starts = hl_read(starts_path);
+	v = hl_compare(starts, load);
+	assert_int_equal(v.submissions, 3);
+	assert_int_equal(v.refused_started, 1);
+	assert_int_equal(v.incomplete_started, 1);
+	assert_int_equal(hl_doubles(starts), 0);
+	hl_free(starts);
+	g_free(starts_path);
+	g_free(load);
+}
+
+/* Hang, failure and release are what the failure tests rely on. */
+static void
+test_endpoint_control(void **state)
+{
+	unsigned port = start_endpoint(*state, "--speeds", "1");
+	uint64_t start;
+
+	hn_control(port, "fail=1");
+	assert_int_equal(hn_http("POST", port, "/task", "x", NULL, NULL), 500);
+	hn_control(port, "fail=0&speed=0.5");
+	start = hn_mono_ms();
+	assert_int_equal(
+	    hn_http("POST", port, "/task", "run_ms=100", NULL, NULL), 200);
+	assert_true(hn_mono_ms() - start >= 195);
+}
+
+/* A relay that is cut refuses; a silent one gives no answer. */
+static void
+test_relay_modes(void **state)
+{
+	unsigned platform = start_platform(*state), ports[2];
+	char *target = g_strdup_printf("127.0.0.1:%u", platform);
+	const char *argv[] = {"fakes/fake_relay", "--target", target, NULL};
+
+	hn_ready(hn_start(*state, "relay", argv), ports, 2);
+	assert_int_equal(
+	    hn_http("GET", ports[0], "/object/x", NULL, NULL, NULL), 404);
+	hn_control(ports[1], "mode=cut");
+	assert_int_equal(
+	    hn_http("GET", ports[0], "/object/x", NULL, NULL, NULL), 0);
+	hn_control(ports[1], "mode=silent&existing=1");
+	assert_int_equal(
+	    hn_http("GET", ports[0], "/object/x", NULL, NULL, NULL), 404);
+	g_free(target);
+}
+
+/* Nothing may be left running when a test ends. */
+static void
+test_kill_and_wait(void **state)
+{
+	const char *argv[] = {"fakes/fake_platform", NULL};
+	struct hn_proc *p = hn_start(*state, "platform", argv);
+	unsigned port;
+
+	hn_ready(p, &port, 1);
+	assert_int_equal(hn_wait(p, 50), -1);
+	hn_signal(p, SIGTERM);
+	assert_int_equal(hn_wait(p, 3000), 0);
+	p = hn_start(*state, "second", argv);
+	hn_kill(p);
+	assert_int_equal(hn_wait(p, 0), 1000 + SIGKILL);
+}
+
+int
+main(void)
+{
+#define TEST(fn) cmocka_unit_test_setup_teardown(fn, set_up, tear_down)
+	const struct CMUnitTest tests[] = {
+	    TEST(test_lost_write_takes_effect),
+	    TEST(test_down_write_has_no_effect),
+	    TEST(test_start_log),
+	    TEST(test_compare_finds_contradictions),
+	    TEST(test_endpoint_control),
+	    TEST(test_relay_modes),
+	    TEST(test_kill_and_wait),
+	};
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
