--- a/tests/harness_calls.c
+++ b/tests/harness_calls.c
@@ -19,20 +19,23 @@
 cell_cli(
     struct cell *c, unsigned entry, char **output, const char *const *words)
 {
-	char *file = g_strconcat(c->entries[entry].name, ".toml", NULL);
-	char *settings = hn_path(c->hn, file);
-	const char *argv[CLI_WORDS_MAX + 4] = {"entry/pimentodock"};
+	char *token = hn_path(c->hn, "token");
+	char *url =
+	    g_strdup_printf("http://127.0.0.1:%u", c->entries[entry].operators);
+	const char *argv[CLI_WORDS_MAX + 6] = {"entry/pimentodock"};
 	size_t n = 1;
 	int status;
 
 	for (; *words != NULL && n < CLI_WORDS_MAX; words++)
 		argv[n++] = *words;
-	argv[n++] = "--settings";
-	argv[n++] = settings;
+	argv[n++] = "--operator";
+	argv[n++] = url;
+	argv[n++] = "--token-file";
+	argv[n++] = token;
 	argv[n] = NULL;
 	status = hn_run(c->hn, argv, output, CLI_LIMIT_MS);
-	g_free(settings);
-	g_free(file);
+	g_free(token);
+	g_free(url);
 	return (status);
 }
 
@@ -136,8 +139,8 @@
 	return (load);
 }
 
-struct cell_result
-cell_load_end(struct cell *c, struct cell_load *load)
+static struct cell_result
+load_end(const struct cell_load *load)
 {
 	int status = hn_wait(load->proc, LOAD_LIMIT_MS);
 	char *text = hn_output(load->proc);
@@ -155,7 +158,6 @@
 	    .refused_run = hn_count(text, "refused_run"),
 	};
 
-	(void)c;
 	print_message("exit code %d, %s", status, text);
 	g_free(text);
 	return (r);
@@ -167,10 +169,10 @@
 	return (hl_read(c->start_log));
 }
 
-void
+struct cell_result
 cell_check(struct cell *c, struct cell_load *load)
 {
-	struct cell_result r = cell_load_end(c, load);
+	struct cell_result r = load_end(load);
 	struct hl_starts *starts = cell_starts(c);
 	struct hl_verdict v = hl_compare(starts, load->log);
 	size_t doubles = hl_doubles(starts);
@@ -189,6 +191,7 @@
 	assert_int_equal(r.partial, 0);
 	assert_int_equal(r.foreign, 0);
 	assert_int_equal(r.mismatch, 0);
+	return (r);
 }
 
 size_t
--- a/tests/harness_cell.h
+++ b/tests/harness_cell.h
@@ -153,17 +153,16 @@
  */
 struct cell_load cell_load_start(struct cell *c, const char *options);
 
-/** cell_load_end() - wait for the end of a load client and read its counts */
-struct cell_result cell_load_end(struct cell *c, struct cell_load *load);
-
 /**
- * cell_check() - check a load against the start log
+ * cell_check() - wait for the end of a load and check it against the start log
  *
  * Fails the test when a task of a submission started twice, a refused job
  * started, a complete job did not start as a whole, or an answer was missing,
  * partial, foreign or contradictory.
+ *
+ * Return: counts of the load.
  */
-void cell_check(struct cell *c, struct cell_load *load);
+struct cell_result cell_check(struct cell *c, struct cell_load *load);
 
 /** cell_starts() - start log of the cell, owned */
 struct hl_starts *cell_starts(struct cell *c);
--- /dev/null
+++ b/tests/proc_path.c
@@ -0,0 +1,451 @@
+#include <glib.h>
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "harness_cell.h"
+
+/*
+ * The path of a submission through the real programs, without faults. All
+ * tests share one cell.
+ */
+
+#define WAIT_MS 20000
+#define DEADLINE_MS 20000
+#define CLOCK_ERROR_MS 2000
+
+static int
+set_up(void **state)
+{
+	const struct cell_options options = {.agents = 3, .speeds = "1,0.5,2"};
+
+	*state = cell_new(&options);
+	return (0);
+}
+
+static int
+tear_down(void **state)
+{
+	cell_free(*state);
+	return (0);
+}
+
+static size_t
+started_tasks(struct cell *c, const char *id)
+{
+	struct hl_starts *starts = cell_starts(c);
+	size_t n = hl_tasks(starts, id);
+
+	assert_int_equal(hl_doubles(starts), 0);
+	hl_free(starts);
+	return (n);
+}
+
+/* The answer is complete and every result belongs to its own task. */
+static void
+assert_complete(const json_t *answer, const char *id, unsigned tasks)
+{
+	json_t *results = json_object_get(answer, "results");
+
+	assert_string_equal(hn_text(answer, "status"), "complete");
+	assert_string_equal(hn_text(answer, "id"), id);
+	assert_int_equal(json_array_size(results), tasks);
+	for (unsigned i = 0; i < tasks; i++) {
+		char prefix[128];
+
+		snprintf(prefix, sizeof(prefix), "done:%s/%u;", id, i);
+		assert_memory_equal(
+		    json_string_value(json_array_get(results, i)), prefix,
+		    strlen(prefix));
+	}
+}
+
+static void
+assert_refused(const json_t *answer, const char *reason)
+{
+	assert_string_equal(hn_text(answer, "status"), "refused");
+	assert_string_equal(hn_text(answer, "reason"), reason);
+	assert_true(json_is_true(json_object_get(answer, "not_run")));
+}
+
+/* An answer that misses results, or comes from another submission. */
+static void
+test_through_each_entry(void **state)
+{
+	struct cell *c = *state;
+
+	for (unsigned i = 0; i < c->options.entries; i++) {
+		char *id = g_strdup_printf("each-%u", i);
+		char *body = cell_body(id, hn_wall_ms(), 20, 30, DEADLINE_MS);
+		json_t *answer = NULL;
+
+		assert_int_equal(
+		    cell_submit(c, i, body, WAIT_MS, &answer), 200);
+		assert_complete(answer, id, 20);
+		assert_int_equal(started_tasks(c, id), 20);
+		json_decref(answer);
+		free(body);
+		g_free(id);
+	}
+}
+
+/* An answer that is lost when the caller does not wait for it. */
+static void
+test_fetch_later(void **state)
+{
+	uint64_t now = hn_wall_ms();
+	char *body = cell_body("later", now, 4, 300, DEADLINE_MS);
+	json_t *answer = NULL;
+	struct cell *c = *state;
+
+	assert_int_equal(cell_submit(c, 0, body, 0, &answer), 202);
+	assert_string_equal(hn_text(answer, "status"), "pending");
+	json_decref(answer);
+	for (unsigned i = 0; i < c->options.entries; i++) {
+		assert_int_equal(
+		    cell_fetch(c, i, "later", now, WAIT_MS, &answer), 200);
+		assert_complete(answer, "later", 4);
+		json_decref(answer);
+	}
+	assert_int_equal(cell_fetch(c, 1, "never-sent", now, 0, NULL), 404);
+	free(body);
+}
+
+/* A second start when the caller sends the same id through other entries. */
+static void
+test_resubmission(void **state)
+{
+	uint64_t now = hn_wall_ms();
+	char *body = cell_body("again", now, 10, 400, DEADLINE_MS);
+	json_t *answer = NULL;
+	struct cell *c = *state;
+
+	assert_int_equal(cell_submit(c, 0, body, 0, NULL), 202);
+	for (unsigned i = 1; i < c->options.entries; i++)
+		assert_int_equal(cell_submit(c, i, body, 0, NULL), 202);
+	for (unsigned round = 0; round < 2; round++) {
+		for (unsigned i = 0; i < c->options.entries; i++) {
+			assert_int_equal(
+			    cell_submit(c, i, body, WAIT_MS, &answer), 200);
+			assert_complete(answer, "again", 10);
+			json_decref(answer);
+		}
+	}
+	assert_int_equal(started_tasks(c, "again"), 10);
+	free(body);
+}
+
+/* The answer of the first body for a second one under the same id. */
+static void
+test_id_with_other_body(void **state)
+{
+	uint64_t now = hn_wall_ms();
+	char *first = cell_body("reused", now, 2, 10, DEADLINE_MS);
+	char *second = cell_body("reused", now, 3, 10, DEADLINE_MS);
+	json_t *answer = NULL;
+	struct cell *c = *state;
+
+	assert_int_equal(cell_submit(c, 0, first, WAIT_MS, NULL), 200);
+	assert_int_equal(cell_submit(c, 1, second, WAIT_MS, &answer), 200);
+	assert_string_equal(hn_text(answer, "reason"), "id_reused");
+	assert_string_equal(hn_text(answer, "status"), "refused");
+	assert_int_equal(started_tasks(c, "reused"), 2);
+	json_decref(answer);
+	free(first);
+	free(second);
+}
+
+static void
+set_hang(struct cell *c, bool hang)
+{
+	for (unsigned i = 0; i < c->options.agents; i++)
+		hn_control(c->agents[i].endpoint, hang ? "hang=1" : "hang=0");
+}
+
+/* A task that starts after the caller was told that it never runs. */
+static void
+test_cancel_before_start(void **state)
+{
+	struct cell *c = *state;
+	unsigned fill =
+	    c->options.agents * (c->options.slots + c->options.queue) + 8;
+	uint64_t now = hn_wall_ms();
+	char *filler = cell_body("filler", now, fill, 1, DEADLINE_MS);
+	char *body = cell_body("cancelled", now, 3, 1, DEADLINE_MS);
+	json_t *answer = NULL;
+
+	set_hang(c, true);
+	assert_int_equal(cell_submit(c, 0, filler, 0, NULL), 202);
+	hn_sleep_ms(500);
+	assert_int_equal(cell_submit(c, 0, body, 0, NULL), 202);
+	assert_int_equal(cell_cancel(c, 1, "cancelled", now, &answer), 200);
+	assert_refused(answer, "cancelled");
+	json_decref(answer);
+	set_hang(c, false);
+	assert_int_equal(
+	    cell_fetch(c, 2, "filler", now, WAIT_MS, &answer), 200);
+	assert_complete(answer, "filler", fill);
+	json_decref(answer);
+	assert_int_equal(
+	    cell_fetch(c, 2, "cancelled", now, WAIT_MS, &answer), 200);
+	assert_refused(answer, "cancelled");
+	json_decref(answer);
+	assert_int_equal(started_tasks(c, "cancelled"), 0);
+	free(filler);
+	free(body);
+}
+
+/* Work that goes on after a cancellation, and results of a cancelled job. */
+static void
+test_cancel_while_running(void **state)
+{
+	uint64_t now = hn_wall_ms();
+	char *body = cell_body("stopped", now, 300, 400, DEADLINE_MS);
+	json_t *answer = NULL;
+	struct cell *c = *state;
+	size_t started;
+
+	assert_int_equal(cell_submit(c, 0, body, 0, NULL), 202);
+	hn_sleep_ms(300);
+	cell_cancel(c, 1, "stopped", now, NULL);
+	hn_sleep_ms(500);
+	started = started_tasks(c, "stopped");
+	assert_true(started > 0 && started < 300);
+	assert_int_equal(
+	    cell_fetch(c, 2, "stopped", now, WAIT_MS, &answer), 200);
+	assert_string_equal(hn_text(answer, "status"), "failed");
+	assert_null(json_object_get(answer, "results"));
+	assert_int_equal(started_tasks(c, "stopped"), started);
+	json_decref(answer);
+	free(body);
+}
+
+/* A failed task must fail the whole job, without some of the results. */
+static void
+test_failed_task(void **state)
+{
+	static const char tasks[] =
+	    "[{\"body\": \"a\"}, {\"body\": \"status=500\"}]";
+	struct cell *c = *state;
+	json_t *answer = NULL;
+	char *body = g_strdup_printf(
+	    "{\"id\": \"failing\", \"created_ms\": %llu, \"team\": \"%s\", "
+	    "\"service\": \"%s\", \"deadline_ms\": 20000, \"tasks\": %s}",
+	    (unsigned long long)hn_wall_ms(), CELL_TEAM, CELL_SERVICE, tasks);
+
+	assert_int_equal(cell_submit(c, 1, body, WAIT_MS, &answer), 200);
+	assert_string_equal(hn_text(answer, "status"), "failed");
+	assert_null(json_object_get(answer, "results"));
+	assert_int_equal(started_tasks(c, "failing"), 2);
+	json_decref(answer);
+	g_free(body);
+}
+
+static size_t
+run_failing_request(struct cell *c, const char *id, bool idempotent)
+{
+	json_t *answer = NULL;
+	struct hl_starts *starts;
+	size_t before, after;
+	char *body = g_strdup_printf(
+	    "{\"id\": \"%s\", \"created_ms\": %llu, \"team\": \"%s\", "
+	    "\"service\": \"%s\", \"deadline_ms\": 10000, \"idempotent\": %s, "
+	    "\"task\": {\"body\": \"status=500\"}}",
+	    id, (unsigned long long)hn_wall_ms(), CELL_TEAM, CELL_SERVICE,
+	    idempotent ? "true" : "false");
+
+	starts = cell_starts(c);
+	before = hl_total(starts);
+	hl_free(starts);
+	assert_int_equal(hn_http("POST", c->entries[0].callers,
+			     "/v1/requests?wait_ms=20000", body, NULL, &answer),
+	    200);
+	assert_string_equal(hn_text(answer, "status"), "failed");
+	starts = cell_starts(c);
+	after = hl_total(starts);
+	hl_free(starts);
+	json_decref(answer);
+	g_free(body);
+	return (after - before);
+}
+
+/* A second run of a request that is not marked idempotent; an idempotent one
+ * is tried at most 3 times. */
+static void
+test_failed_request(void **state)
+{
+	assert_int_equal(run_failing_request(*state, "once", false), 1);
+	assert_int_equal(run_failing_request(*state, "thrice", true), 3);
+}
+
+/* A job that can never run must not wait until its deadline. */
+static void
+test_unknown_service(void **state)
+{
+	static const char text[] =
+	    "{\"id\": \"nowhere\", \"created_ms\": %llu, \"team\": \"lids\", "
+	    "\"service\": \"no-such-service\", \"deadline_ms\": 60000, "
+	    "\"tasks\": [{\"body\": \"a\"}]}";
+	char body[sizeof(text) + 24];
+	uint64_t start = hn_mono_ms();
+	json_t *answer = NULL;
+	struct cell *c = *state;
+
+	snprintf(body, sizeof(body), text, (unsigned long long)hn_wall_ms());
+	assert_int_equal(cell_submit(c, 2, body, WAIT_MS, &answer), 200);
+	assert_string_equal(hn_text(answer, "status"), "refused");
+	assert_true(json_is_true(json_object_get(answer, "not_run")));
+	assert_true(hn_mono_ms() - start < 2000);
+	json_decref(answer);
+}
+
+/* Ids whose age cannot be judged must not run. */
+static void
+test_age_of_id(void **state)
+{
+	struct cell *c = *state;
+	uint64_t now = hn_wall_ms();
+	uint64_t late = now + 60000 + CLOCK_ERROR_MS;
+	uint64_t old = now - (c->options.life_s + 60) * 1000ULL;
+	char *future = cell_body("future", late, 1, 1, DEADLINE_MS);
+	char *expired = cell_body("expired", old, 1, 1, DEADLINE_MS);
+	json_t *answer = NULL;
+
+	assert_int_equal(cell_submit(c, 0, future, WAIT_MS, &answer), 200);
+	assert_string_equal(hn_text(answer, "status"), "refused");
+	json_decref(answer);
+	assert_int_equal(cell_submit(c, 0, expired, WAIT_MS, &answer), 200);
+	assert_string_equal(hn_text(answer, "status"), "unknown");
+	assert_string_equal(hn_text(answer, "reason"), "id_expired");
+	json_decref(answer);
+	assert_int_equal(started_tasks(c, "future"), 0);
+	assert_int_equal(started_tasks(c, "expired"), 0);
+	free(future);
+	free(expired);
+}
+
+/* Input that ends an entry, or is taken for a submission. */
+static void
+test_malformed(void **state)
+{
+	static const char *const bodies[] = {"", "{", "[]", "null", "\xff\xfe",
+	    "{\"id\": \"x\"}", "{\"id\": 7, \"created_ms\": \"now\"}",
+	    "{\"id\": \"a/b\", \"created_ms\": 1, \"team\": \"lids\", "
+	    "\"service\": \"order-desk\", \"deadline_ms\": 1000, \"tasks\": "
+	    "[{\"body\": \"a\"}]}",
+	    "{\"id\": \"none\", \"created_ms\": 1, \"team\": \"lids\", "
+	    "\"service\": \"order-desk\", \"deadline_ms\": 1000, \"tasks\": "
+	    "[]}",
+	    "{\"id\": \"neg\", \"created_ms\": -1, \"team\": \"lids\", "
+	    "\"service\": \"order-desk\", \"deadline_ms\": -5, \"tasks\": "
+	    "[{\"body\": \"a\"}]}"};
+	struct cell *c = *state;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bodies); i++) {
+		json_t *answer = NULL;
+		int status = cell_submit(
+		    c, (unsigned)i % 3, bodies[i], WAIT_MS, &answer);
+
+		if (status != 400)
+			print_message("%s\n", bodies[i]);
+		assert_int_equal(status, 400);
+		assert_true(hn_text(answer, "error")[0] != '\0');
+		assert_true(hn_text(answer, "detail")[0] != '\0');
+		json_decref(answer);
+	}
+	cell_entry_ready(c, 0);
+}
+
+/* Input that fills the memory of an entry. */
+static void
+test_oversized(void **state)
+{
+	struct cell *c = *state;
+	char *too_many = cell_body("too-many", hn_wall_ms(), 541, 1, 1000);
+	size_t size = 16 * 1024 * 1024;
+	char *large = g_malloc(size + 1);
+	int status;
+
+	memset(large, 'x', size);
+	large[size] = '\0';
+	status = cell_submit(c, 0, too_many, WAIT_MS, NULL);
+	assert_true(status == 400 || status == 413);
+	assert_int_equal(cell_submit(c, 1, large, WAIT_MS, NULL), 413);
+	assert_int_equal(started_tasks(c, "too-many"), 0);
+	cell_entry_ready(c, 1);
+	free(too_many);
+	g_free(large);
+}
+
+/* HTTP text on the RPC port is what a port scan or a wrong setting sends. */
+static void
+test_garbage_on_rpc_port(void **state)
+{
+	struct cell *c = *state;
+
+	for (unsigned i = 0; i < c->options.entries; i++)
+		assert_int_equal(hn_http("POST", c->entries[i].rpc, "/x",
+				     "0123456789", NULL, NULL),
+		    0);
+	for (unsigned i = 0; i < c->options.entries; i++)
+		cell_entry_ready(c, i);
+}
+
+/* Operators' interface without the token. */
+static void
+test_operators_need_token(void **state)
+{
+	struct cell *c = *state;
+	unsigned port = c->entries[0].operators;
+	json_t *answer = NULL;
+
+	assert_int_equal(
+	    hn_http("GET", port, "/v1/status", NULL, NULL, NULL), 401);
+	assert_int_equal(
+	    hn_http("GET", port, "/v1/status", NULL, "wrong", NULL), 401);
+	assert_int_equal(
+	    hn_http("GET", port, "/v1/status", NULL, CELL_TOKEN, &answer), 200);
+	json_decref(answer);
+}
+
+/* Load of both deployments at once, without faults: everything completes. */
+static void
+test_load_without_faults(void **state)
+{
+	struct cell *c = *state;
+	struct cell_load load = cell_load_start(c,
+	    "--rate 10 --duration 6 --tasks 1-20 --run-ms 20-200 --seed 3 "
+	    "--duplicates 0.2");
+	struct cell_result r = cell_check(c, &load);
+
+	assert_int_equal(r.complete, r.submissions);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_through_each_entry),
+	    cmocka_unit_test(test_fetch_later),
+	    cmocka_unit_test(test_resubmission),
+	    cmocka_unit_test(test_id_with_other_body),
+	    cmocka_unit_test(test_cancel_before_start),
+	    cmocka_unit_test(test_cancel_while_running),
+	    cmocka_unit_test(test_unknown_service),
+	    cmocka_unit_test(test_age_of_id),
+	    cmocka_unit_test(test_malformed),
+	    cmocka_unit_test(test_oversized),
+	    cmocka_unit_test(test_garbage_on_rpc_port),
+	    cmocka_unit_test(test_operators_need_token),
+	    cmocka_unit_test(test_load_without_faults),
+	    cmocka_unit_test(test_failed_task),
+	    cmocka_unit_test(test_failed_request),
+	};
+
+	return (cmocka_run_group_tests(tests, set_up, tear_down));
+}
--- /dev/null
+++ b/tests/proc_zones.c
@@ -0,0 +1,209 @@
+#include <glib.h>
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "harness_cell.h"
+
+/*
+ * No task starts in a zone, or at an endpoint, more than 3 s after it was
+ * taken out of service. The time runs from the moment at which the
+ * command-line tool has reported the change as accepted.
+ */
+
+#define LOAD                                                                   \
+	"--rate 30 --tasks 1-10 --run-ms 20-200 --deadline-ms 30000 "          \
+	"--duplicates 0.05 "
+#define OUT_LIMIT_MS 3000
+#define AZ "morbihan"
+/* Starts must be seen again this long after the zone is back. */
+#define BACK_LIMIT_MS 4000
+
+static int
+set_up(void **state)
+{
+	const struct cell_options options = {.agents = 6};
+
+	*state = cell_new(&options);
+	return (0);
+}
+
+static int
+tear_down(void **state)
+{
+	cell_free(*state);
+	return (0);
+}
+
+/* Take the zone out through an entry; returns when it was accepted. */
+static uint64_t
+az_out(struct cell *c, unsigned entry)
+{
+	uint64_t start = hn_wall_ms();
+
+	assert_int_equal(cell_az(c, entry, AZ, false), 0);
+	/* The test is void when no work ran in the zone before. */
+	assert_true(cell_az_starts(c, AZ, start - 1500, start) > 0);
+	return (hn_wall_ms());
+}
+
+static void
+assert_no_starts(struct cell *c, uint64_t accepted_ms)
+{
+	assert_int_equal(
+	    cell_az_starts(c, AZ, accepted_ms + OUT_LIMIT_MS + 1, hn_wall_ms()),
+	    0);
+}
+
+static void
+assert_back(struct cell *c)
+{
+	uint64_t in_ms;
+
+	assert_int_equal(cell_az(c, 0, AZ, true), 0);
+	in_ms = hn_wall_ms();
+	hn_sleep_ms(BACK_LIMIT_MS);
+	assert_true(cell_az_starts(c, AZ, in_ms, hn_wall_ms()) > 0);
+}
+
+static void
+test_az_out_and_in(void **state)
+{
+	struct cell *c = *state;
+	struct cell_load load = cell_load_start(c, LOAD "--duration 16");
+	struct cell_result r;
+	uint64_t accepted;
+
+	hn_sleep_ms(3000);
+	accepted = az_out(c, 0);
+	hn_sleep_ms(6000);
+	assert_no_starts(c, accepted);
+	assert_back(c);
+	r = cell_check(c, &load);
+	assert_int_equal(r.complete, r.submissions);
+}
+
+static void
+test_endpoint_retired(void **state)
+{
+	struct cell *c = *state;
+	struct cell_load load = cell_load_start(c, LOAD "--duration 14");
+	const char *name = c->agents[2].name;
+	const char *retire[] = {"endpoint", "retire", name, NULL};
+	const char *restore[] = {"endpoint", "restore", name, NULL};
+	struct hl_starts *starts;
+	struct cell_result r;
+	uint64_t accepted, restored;
+
+	hn_sleep_ms(3000);
+	assert_int_equal(cell_cli(c, 1, NULL, retire), 0);
+	accepted = hn_wall_ms();
+	hn_sleep_ms(5000);
+	restored = hn_wall_ms();
+	assert_int_equal(cell_cli(c, 2, NULL, restore), 0);
+	r = cell_check(c, &load);
+	starts = cell_starts(c);
+	assert_true(hl_between(starts, name, 0, accepted) > 0);
+	assert_int_equal(
+	    hl_between(starts, name, accepted + OUT_LIMIT_MS + 1, restored), 0);
+	assert_true(hl_between(starts, name, restored, UINT64_MAX) > 0);
+	hl_free(starts);
+	assert_int_equal(r.complete, r.submissions);
+}
+
+/* An entry that missed the change and cannot read the log any more. */
+static void
+test_az_out_then_platform_down(void **state)
+{
+	struct cell *c = *state;
+	struct cell_load load = cell_load_start(c, LOAD "--duration 16");
+	struct cell_result r;
+	uint64_t accepted;
+
+	hn_sleep_ms(3000);
+	accepted = az_out(c, 2);
+	hn_control(c->platform, "mode=down");
+	hn_sleep_ms(6000);
+	assert_no_starts(c, accepted);
+	hn_control(c->platform, "mode=up");
+	hn_sleep_ms(1000);
+	assert_back(c);
+	r = cell_check(c, &load);
+	assert_int_equal(r.complete, r.submissions);
+}
+
+/* An entry that is frozen while the zone leaves must not start tasks there
+ * when it goes on. */
+static void
+frozen_over_change(struct cell *c, unsigned thaw_ms)
+{
+	struct cell_load load = cell_load_start(c, LOAD "--duration 18");
+	struct cell_result r;
+	uint64_t accepted;
+
+	hn_sleep_ms(3000);
+	hn_signal(c->entries[1].proc, SIGSTOP);
+	hn_sleep_ms(200);
+	accepted = az_out(c, 0);
+	hn_sleep_ms(thaw_ms);
+	hn_signal(c->entries[1].proc, SIGCONT);
+	hn_sleep_ms(6000);
+	assert_no_starts(c, accepted);
+	assert_back(c);
+	r = cell_check(c, &load);
+	assert_true(r.complete * 100 >= r.submissions * 95);
+}
+
+static void
+test_az_out_with_frozen_entry(void **state)
+{
+	frozen_over_change(*state, 1500);
+}
+
+static void
+test_az_out_with_entry_frozen_longer(void **state)
+{
+	frozen_over_change(*state, 4000);
+}
+
+/* A frozen agent holds queued grants and an old permit. */
+static void
+test_az_out_with_frozen_agent(void **state)
+{
+	struct cell *c = *state;
+	struct cell_load load = cell_load_start(c, LOAD "--duration 16");
+	struct cell_result r;
+	uint64_t accepted;
+
+	hn_sleep_ms(3000);
+	hn_signal(c->agents[1].proc, SIGSTOP);
+	accepted = az_out(c, 0);
+	hn_sleep_ms(4000);
+	hn_signal(c->agents[1].proc, SIGCONT);
+	hn_sleep_ms(3000);
+	assert_no_starts(c, accepted);
+	assert_back(c);
+	r = cell_check(c, &load);
+	assert_true(r.complete * 100 >= r.submissions * 90);
+}
+
+int
+main(void)
+{
+#define TEST(fn) cmocka_unit_test_setup_teardown(fn, set_up, tear_down)
+	const struct CMUnitTest tests[] = {
+	    TEST(test_az_out_and_in),
+	    TEST(test_endpoint_retired),
+	    TEST(test_az_out_then_platform_down),
+	    TEST(test_az_out_with_frozen_entry),
+	    TEST(test_az_out_with_entry_frozen_longer),
+	    TEST(test_az_out_with_frozen_agent),
+	};
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
