--- a/tests/harness_calls.c
+++ b/tests/harness_calls.c
@@ -16,8 +16,7 @@
 #define LOAD_WORDS_MAX 64
 
 int
-cell_cli(
-    struct cell *c, unsigned entry, char **output, const char *const *words)
+pc_cli(struct pc *c, unsigned entry, char **output, const char *const *words)
 {
 	char *token = hn_path(c->hn, "token");
 	char *url =
@@ -40,15 +39,15 @@
 }
 
 int
-cell_az(struct cell *c, unsigned entry, const char *az, bool in)
+pc_az(struct pc *c, unsigned entry, const char *az, bool in)
 {
 	const char *words[] = {"zone", in ? "in" : "out", az, NULL};
 
-	return (cell_cli(c, entry, NULL, words));
+	return (pc_cli(c, entry, NULL, words));
 }
 
 char *
-cell_body(const char *id, uint64_t created_ms, unsigned tasks, unsigned run_ms,
+pc_body(const char *id, uint64_t created_ms, unsigned tasks, unsigned run_ms,
     unsigned deadline_ms)
 {
 	json_t *list = json_array(), *root;
@@ -63,15 +62,15 @@
 			run_ms > 0 ? (int)run_ms : 1));
 	}
 	root = json_pack("{s:s, s:I, s:s, s:s, s:i, s:o}", "id", id,
-	    "created_ms", (json_int_t)created_ms, "team", CELL_TEAM, "service",
-	    CELL_SERVICE, "deadline_ms", (int)deadline_ms, "tasks", list);
+	    "created_ms", (json_int_t)created_ms, "team", PC_TEAM, "service",
+	    PC_SERVICE, "deadline_ms", (int)deadline_ms, "tasks", list);
 	text = json_dumps(root, JSON_COMPACT);
 	json_decref(root);
 	return (text);
 }
 
 int
-cell_submit(struct cell *c, unsigned entry, const char *body, unsigned wait_ms,
+pc_submit(struct pc *c, unsigned entry, const char *body, unsigned wait_ms,
     json_t **answer)
 {
 	char path[96] = "/v1/submissions";
@@ -84,7 +83,7 @@
 }
 
 static int
-by_id(struct cell *c, const char *verb, unsigned entry, const char *id,
+by_id(struct pc *c, const char *verb, unsigned entry, const char *id,
     uint64_t created_ms, unsigned wait_ms, json_t **answer)
 {
 	char *path =
@@ -98,25 +97,25 @@
 }
 
 int
-cell_fetch(struct cell *c, unsigned entry, const char *id, uint64_t created_ms,
+pc_fetch(struct pc *c, unsigned entry, const char *id, uint64_t created_ms,
     unsigned wait_ms, json_t **answer)
 {
 	return (by_id(c, "GET", entry, id, created_ms, wait_ms, answer));
 }
 
 int
-cell_cancel(struct cell *c, unsigned entry, const char *id, uint64_t created_ms,
+pc_cancel(struct pc *c, unsigned entry, const char *id, uint64_t created_ms,
     json_t **answer)
 {
 	return (by_id(c, "DELETE", entry, id, created_ms, 0, answer));
 }
 
-struct cell_load
-cell_load_start(struct cell *c, const char *options)
+struct pc_load
+pc_load_start(struct pc *c, const char *options)
 {
 	char *name = g_strdup_printf("load-%u", ++c->loads);
 	char *log_name = g_strconcat(name, ".log", NULL);
-	struct cell_load load = {.log = hn_path(c->hn, log_name)};
+	struct pc_load load = {.log = hn_path(c->hn, log_name)};
 	GPtrArray *argv = g_ptr_array_new_with_free_func(g_free);
 	char **words = g_strsplit(options, " ", LOAD_WORDS_MAX);
 
@@ -139,12 +138,12 @@
 	return (load);
 }
 
-static struct cell_result
-load_end(const struct cell_load *load)
+static struct pc_result
+load_end(const struct pc_load *load)
 {
 	int status = hn_wait(load->proc, LOAD_LIMIT_MS);
 	char *text = hn_output(load->proc);
-	struct cell_result r = {
+	struct pc_result r = {
 	    .submissions = hn_count(text, "submissions"),
 	    .complete = hn_count(text, "complete"),
 	    .failed = hn_count(text, "failed"),
@@ -164,16 +163,16 @@
 }
 
 struct hl_starts *
-cell_starts(struct cell *c)
+pc_starts(struct pc *c)
 {
 	return (hl_read(c->start_log));
 }
 
-struct cell_result
-cell_check(struct cell *c, struct cell_load *load)
+struct pc_result
+pc_check(struct pc *c, struct pc_load *load)
 {
-	struct cell_result r = load_end(load);
-	struct hl_starts *starts = cell_starts(c);
+	struct pc_result r = load_end(load);
+	struct hl_starts *starts = pc_starts(c);
 	struct hl_verdict v = hl_compare(starts, load->log);
 	size_t doubles = hl_doubles(starts);
 
@@ -195,9 +194,9 @@
 }
 
 size_t
-cell_az_starts(struct cell *c, const char *az, uint64_t from_ms, uint64_t to_ms)
+pc_az_starts(struct pc *c, const char *az, uint64_t from_ms, uint64_t to_ms)
 {
-	struct hl_starts *starts = cell_starts(c);
+	struct hl_starts *starts = pc_starts(c);
 	size_t n = 0;
 
 	for (unsigned i = 0; i < c->options.agents; i++)
--- a/tests/harness_cell.c
+++ b/tests/harness_cell.c
@@ -28,7 +28,7 @@
 }
 
 static void
-set_options(struct cell *c, const struct cell_options *options)
+set_options(struct pc *c, const struct pc_options *options)
 {
 	c->options = *options;
 	c->options.entries = or_default(options->entries, 3);
@@ -41,7 +41,7 @@
 }
 
 static void
-start_platform(struct cell *c)
+start_platform(struct pc *c)
 {
 	const char *argv[] = {"fakes/fake_platform", NULL};
 
@@ -50,12 +50,12 @@
 }
 
 static void
-start_endpoints(struct cell *c)
+start_endpoints(struct pc *c)
 {
-	unsigned n = c->options.agents, ports[CELL_AGENTS_MAX];
+	unsigned n = c->options.agents, ports[PC_AGENTS_MAX];
 	char *count = g_strdup_printf("%u", n);
 	char *slots = g_strdup_printf("%u", c->options.slots);
-	const char *argv[] = {"fakes/fake_endpoint", "--name", CELL_SERVICE,
+	const char *argv[] = {"fakes/fake_endpoint", "--name", PC_SERVICE,
 	    "--count", count, "--slots", slots, "--log", c->start_log,
 	    "--speeds", c->options.speeds, NULL};
 
@@ -68,7 +68,7 @@
 }
 
 static void
-start_relay(struct cell *c, struct cell_entry *e)
+start_relay(struct pc *c, struct pc_entry *e)
 {
 	char *target = g_strdup_printf("127.0.0.1:%u", e->rpc);
 	char *name = g_strconcat("relay-", e->name, NULL);
@@ -84,12 +84,12 @@
 
 /* "127.0.0.1:1", "127.0.0.1:2": addresses of the entries but @skip. */
 static char *
-addresses(const struct cell *c, const struct cell_entry *skip, bool relay)
+addresses(const struct pc *c, const struct pc_entry *skip, bool relay)
 {
 	GString *s = g_string_new(NULL);
 
 	for (unsigned i = 0; i < c->options.entries; i++) {
-		const struct cell_entry *e = &c->entries[i];
+		const struct pc_entry *e = &c->entries[i];
 
 		if (e == skip)
 			continue;
@@ -101,7 +101,7 @@
 }
 
 static void
-write_entry(struct cell *c, const struct cell_entry *e)
+write_entry(struct pc *c, const struct pc_entry *e)
 {
 	char *peers = addresses(c, e, false);
 	char *file = g_strconcat(e->name, ".toml", NULL);
@@ -131,14 +131,14 @@
 }
 
 static void
-write_agent(struct cell *c, const struct cell_agent *a, unsigned index)
+write_agent(struct pc *c, const struct pc_agent *a, unsigned index)
 {
 	char *entries = addresses(c, NULL, true);
 	char *file = g_strconcat(a->name, ".toml", NULL);
 	char *text = g_strdup_printf(
 	    "name = \"%s\"\n"
 	    "availability_zone = \"%s\"\n"
-	    "service = \"" CELL_SERVICE
+	    "service = \"" PC_SERVICE
 	    "\"\n"
 	    "worker = \"worker-%u\"\n"
 	    "[endpoint]\n"
@@ -165,7 +165,7 @@
 }
 
 static void
-write_inventory(struct cell *c)
+write_inventory(struct pc *c)
 {
 	json_t *endpoints = json_array(), *zones = json_array(), *root;
 	char *text;
@@ -179,11 +179,11 @@
 		json_array_append_new(endpoints,
 		    json_pack("{s:s, s:s, s:s, s:s, s:s, s:i}", "name",
 			c->agents[i].name, "az", c->agents[i].az, "service",
-			CELL_SERVICE, "worker", worker, "owner", CELL_TEAM,
-			"slots", (int)c->options.slots));
+			PC_SERVICE, "worker", worker, "owner", PC_TEAM, "slots",
+			(int)c->options.slots));
 	}
 	root = json_pack("{s:o, s:o, s:[{s:s, s:i, s:i}], s:[]}", "azs", zones,
-	    "endpoints", endpoints, "teams", "name", CELL_TEAM, "weight", 1,
+	    "endpoints", endpoints, "teams", "name", PC_TEAM, "weight", 1,
 	    "max_running", 0, "rules");
 	text = json_dumps(root, JSON_INDENT(1));
 	hn_write(c->hn, "inventory.json", text);
@@ -192,9 +192,9 @@
 }
 
 static void
-set_up_entry(struct cell *c, unsigned i)
+set_up_entry(struct pc *c, unsigned i)
 {
-	struct cell_entry *e = &c->entries[i];
+	struct pc_entry *e = &c->entries[i];
 
 	snprintf(e->name, sizeof(e->name), "entry-%u", i + 1);
 	e->az = azs[i % NAZS];
@@ -206,18 +206,18 @@
 }
 
 static void
-set_up_agent(struct cell *c, unsigned i)
+set_up_agent(struct pc *c, unsigned i)
 {
-	struct cell_agent *a = &c->agents[i];
+	struct pc_agent *a = &c->agents[i];
 
-	snprintf(a->name, sizeof(a->name), CELL_SERVICE "-%u", i + 1);
+	snprintf(a->name, sizeof(a->name), PC_SERVICE "-%u", i + 1);
 	a->az = azs[i % NAZS];
 	a->metrics = hn_port(c->hn);
 }
 
 static struct hn_proc *
 start_program(
-    struct cell *c, const char *program, const char *command, const char *name)
+    struct pc *c, const char *program, const char *command, const char *name)
 {
 	char *file = g_strconcat(name, ".toml", NULL);
 	char *settings = hn_path(c->hn, file);
@@ -233,18 +233,18 @@
 }
 
 void
-cell_entry_start(struct cell *c, unsigned i)
+pc_entry_start(struct pc *c, unsigned i)
 {
-	struct cell_entry *e = &c->entries[i];
+	struct pc_entry *e = &c->entries[i];
 
 	e->starts++;
 	e->proc = start_program(c, "entry/pimentodock", "serve", e->name);
 }
 
 void
-cell_agent_start(struct cell *c, unsigned i)
+pc_agent_start(struct pc *c, unsigned i)
 {
-	struct cell_agent *a = &c->agents[i];
+	struct pc_agent *a = &c->agents[i];
 
 	a->starts++;
 	a->proc = start_program(c, "agent/pimentodock-agent", NULL, a->name);
@@ -262,7 +262,7 @@
 }
 
 static void
-print_cell(const struct cell *c)
+print_cell(const struct pc *c)
 {
 	for (unsigned i = 0; i < c->options.entries; i++)
 		print_errors(c->entries[i].name, c->entries[i].proc);
@@ -270,16 +270,16 @@
 }
 
 static bool
-probe(struct cell *c, unsigned entry, unsigned round)
+probe(struct pc *c, unsigned entry, unsigned round)
 {
 	uint64_t now = hn_wall_ms();
 	char *id = g_strdup_printf("probe-%u-%u-%u-%llu", entry, round,
 	    c->entries[entry].starts, (unsigned long long)now);
-	char *body = cell_body(id, now, 1, 1, PROBE_DEADLINE_MS);
+	char *body = pc_body(id, now, 1, 1, PROBE_DEADLINE_MS);
 	json_t *answer = NULL;
 	bool ok;
 
-	ok = cell_submit(c, entry, body, PROBE_DEADLINE_MS, &answer) == 200 &&
+	ok = pc_submit(c, entry, body, PROBE_DEADLINE_MS, &answer) == 200 &&
 	    strcmp(hn_text(answer, "status"), "complete") == 0;
 	json_decref(answer);
 	free(body);
@@ -288,7 +288,7 @@
 }
 
 void
-cell_entry_ready(struct cell *c, unsigned i)
+pc_entry_ready(struct pc *c, unsigned i)
 {
 	uint64_t end = hn_mono_ms() + START_LIMIT_MS;
 
@@ -302,7 +302,7 @@
 }
 
 static void
-apply_inventory(struct cell *c)
+apply_inventory(struct pc *c)
 {
 	char *file = hn_path(c->hn, "inventory.json"), *output = NULL;
 	const char *words[] = {"config", "apply", file, NULL};
@@ -311,7 +311,7 @@
 
 	do {
 		g_free(output);
-		status = cell_cli(c, 0, &output, words);
+		status = pc_cli(c, 0, &output, words);
 		if (status != 0)
 			hn_sleep_ms(PROBE_RETRY_MS);
 	} while (status != 0 && hn_mono_ms() < end);
@@ -323,17 +323,17 @@
 	g_free(file);
 }
 
-struct cell *
-cell_new(const struct cell_options *options)
+struct pc *
+pc_new(const struct pc_options *options)
 {
-	struct cell *c = g_new0(struct cell, 1);
+	struct pc *c = g_new0(struct pc, 1);
 
 	c->hn = hn_new();
 	set_options(c, options);
 	c->start_log = hn_path(c->hn, "starts.log");
 	start_platform(c);
 	start_endpoints(c);
-	hn_write(c->hn, "token", CELL_TOKEN "\n");
+	hn_write(c->hn, "token", PC_TOKEN "\n");
 	for (unsigned i = 0; i < c->options.entries; i++)
 		set_up_entry(c, i);
 	for (unsigned i = 0; i < c->options.agents; i++)
@@ -341,20 +341,20 @@
 	write_inventory(c);
 	for (unsigned i = 0; i < c->options.entries; i++) {
 		write_entry(c, &c->entries[i]);
-		cell_entry_start(c, i);
+		pc_entry_start(c, i);
 	}
 	for (unsigned i = 0; i < c->options.agents; i++) {
 		write_agent(c, &c->agents[i], i);
-		cell_agent_start(c, i);
+		pc_agent_start(c, i);
 	}
 	apply_inventory(c);
 	for (unsigned i = 0; i < c->options.entries; i++)
-		cell_entry_ready(c, i);
+		pc_entry_ready(c, i);
 	return (c);
 }
 
 void
-cell_free(struct cell *c)
+pc_free(struct pc *c)
 {
 	hn_free(c->hn);
 	g_free(c->start_log);
--- a/tests/harness_cell.h
+++ b/tests/harness_cell.h
@@ -5,21 +5,21 @@
 #include "harness_log.h"
 
 /**
- * DOC: cell - a cell of the real programs
+ * DOC: pc - a cell of the real programs
  *
  * One fake platform, one process with all fake endpoints, entries and agents
  * in the zones finistere, morbihan and armor in turn, and the inventory
  * applied. Entry 0 is "entry-1" in finistere; agent 0 is "order-desk-1".
  */
 
-#define CELL_ENTRIES_MAX 9
-#define CELL_AGENTS_MAX 32
-#define CELL_TOKEN "test-token-0123456789"
-#define CELL_SERVICE "order-desk"
-#define CELL_TEAM "lids"
+#define PC_ENTRIES_MAX 9
+#define PC_AGENTS_MAX 32
+#define PC_TOKEN "test-token-0123456789"
+#define PC_SERVICE "order-desk"
+#define PC_TEAM "lids"
 
-/** struct cell_options - what to build; zero values give the defaults */
-struct cell_options {
+/** struct pc_options - what to build; zero values give the defaults */
+struct pc_options {
 	unsigned entries;   /* default 3 */
 	unsigned agents;    /* default 6 */
 	unsigned slots;     /* per endpoint, default 8 */
@@ -29,8 +29,8 @@
 	bool relay;         /* agents reach the entries through relays */
 };
 
-/** struct cell_entry - an entry process and its ports */
-struct cell_entry {
+/** struct pc_entry - an entry process and its ports */
+struct pc_entry {
 	char name[32];
 	const char *az;
 	unsigned callers;
@@ -42,8 +42,8 @@
 	unsigned starts; /* number of times it was started */
 };
 
-/** struct cell_agent - an agent process and its endpoint */
-struct cell_agent {
+/** struct pc_agent - an agent process and its endpoint */
+struct pc_agent {
 	char name[32];
 	const char *az;
 	unsigned endpoint; /* port of the endpoint, also for its control */
@@ -52,26 +52,26 @@
 	unsigned starts;
 };
 
-struct cell {
+struct pc {
 	struct hn *hn;
-	struct cell_options options;
+	struct pc_options options;
 	unsigned platform; /* port, also for its control */
 	struct hn_proc *platform_proc;
 	struct hn_proc *endpoints_proc;
-	struct cell_entry entries[CELL_ENTRIES_MAX];
-	struct cell_agent agents[CELL_AGENTS_MAX];
+	struct pc_entry entries[PC_ENTRIES_MAX];
+	struct pc_agent agents[PC_AGENTS_MAX];
 	char *start_log;
 	unsigned loads;
 };
 
-/** struct cell_load - a running load client */
-struct cell_load {
+/** struct pc_load - a running load client */
+struct pc_load {
 	struct hn_proc *proc;
 	char *log;
 };
 
-/** struct cell_result - counts of a load client, -1 when it printed none */
-struct cell_result {
+/** struct pc_result - counts of a load client, -1 when it printed none */
+struct pc_result {
 	long submissions;
 	long complete;
 	long failed;
@@ -86,25 +86,25 @@
 };
 
 /**
- * cell_new() - start a cell and wait until it completes a submission through
+ * pc_new() - start a cell and wait until it completes a submission through
  * each entry; fails the test when it does not within 30 s. Owned
  */
-struct cell *cell_new(const struct cell_options *options);
+struct pc *pc_new(const struct pc_options *options);
 
-/** cell_free() - end all processes; consumed */
-void cell_free(struct cell *c);
+/** pc_free() - end all processes; consumed */
+void pc_free(struct pc *c);
 
-/** cell_entry_start() - start entry @i, also after it has ended */
-void cell_entry_start(struct cell *c, unsigned i);
+/** pc_entry_start() - start entry @i, also after it has ended */
+void pc_entry_start(struct pc *c, unsigned i);
 
-/** cell_agent_start() - start agent @i, also after it has ended */
-void cell_agent_start(struct cell *c, unsigned i);
+/** pc_agent_start() - start agent @i, also after it has ended */
+void pc_agent_start(struct pc *c, unsigned i);
 
-/** cell_entry_ready() - wait until entry @i completes a submission */
-void cell_entry_ready(struct cell *c, unsigned i);
+/** pc_entry_ready() - wait until entry @i completes a submission */
+void pc_entry_ready(struct pc *c, unsigned i);
 
 /**
- * cell_cli() - run the operator's command-line tool against an entry
+ * pc_cli() - run the operator's command-line tool against an entry
  * @c: cell
  * @entry: index of the entry
  * @output: set to its output, released with g_free(); may be NULL
@@ -112,49 +112,49 @@
  *
  * Return: exit code.
  */
-int cell_cli(
-    struct cell *c, unsigned entry, char **output, const char *const *words);
+int pc_cli(
+    struct pc *c, unsigned entry, char **output, const char *const *words);
 
-/** cell_az() - `zone out NAME` or `zone in NAME` through an entry */
-int cell_az(struct cell *c, unsigned entry, const char *az, bool in);
+/** pc_az() - `zone out NAME` or `zone in NAME` through an entry */
+int pc_az(struct pc *c, unsigned entry, const char *az, bool in);
 
 /**
- * cell_body() - JSON of a submission, released with free()
+ * pc_body() - JSON of a submission, released with free()
  * @id: submission id
  * @created_ms: wall clock
  * @tasks: number of tasks
  * @run_ms: run time of each
  * @deadline_ms: limit from arrival
  */
-char *cell_body(const char *id, uint64_t created_ms, unsigned tasks,
+char *pc_body(const char *id, uint64_t created_ms, unsigned tasks,
     unsigned run_ms, unsigned deadline_ms);
 
 /**
- * cell_submit() - POST /v1/submissions
+ * pc_submit() - POST /v1/submissions
  * @wait_ms: how long to wait for the answer, 0 for none
  * @answer: set to the answer, owned; may be NULL
  *
  * Return: HTTP status.
  */
-int cell_submit(struct cell *c, unsigned entry, const char *body,
-    unsigned wait_ms, json_t **answer);
+int pc_submit(struct pc *c, unsigned entry, const char *body, unsigned wait_ms,
+    json_t **answer);
 
-/** cell_fetch() - GET /v1/submissions/{id}; Return: HTTP status */
-int cell_fetch(struct cell *c, unsigned entry, const char *id,
-    uint64_t created_ms, unsigned wait_ms, json_t **answer);
+/** pc_fetch() - GET /v1/submissions/{id}; Return: HTTP status */
+int pc_fetch(struct pc *c, unsigned entry, const char *id, uint64_t created_ms,
+    unsigned wait_ms, json_t **answer);
 
-/** cell_cancel() - DELETE /v1/submissions/{id}; Return: HTTP status */
-int cell_cancel(struct cell *c, unsigned entry, const char *id,
-    uint64_t created_ms, json_t **answer);
+/** pc_cancel() - DELETE /v1/submissions/{id}; Return: HTTP status */
+int pc_cancel(struct pc *c, unsigned entry, const char *id, uint64_t created_ms,
+    json_t **answer);
 
 /**
- * cell_load_start() - start a load client on all entries
+ * pc_load_start() - start a load client on all entries
  * @options: more options of fake_load, separated by spaces
  */
-struct cell_load cell_load_start(struct cell *c, const char *options);
+struct pc_load pc_load_start(struct pc *c, const char *options);
 
 /**
- * cell_check() - wait for the end of a load and check it against the start log
+ * pc_check() - wait for the end of a load and check it against the start log
  *
  * Fails the test when a task of a submission started twice, a refused job
  * started, a complete job did not start as a whole, or an answer was missing,
@@ -162,13 +162,13 @@
  *
  * Return: counts of the load.
  */
-struct cell_result cell_check(struct cell *c, struct cell_load *load);
+struct pc_result pc_check(struct pc *c, struct pc_load *load);
 
-/** cell_starts() - start log of the cell, owned */
-struct hl_starts *cell_starts(struct cell *c);
+/** pc_starts() - start log of the cell, owned */
+struct hl_starts *pc_starts(struct pc *c);
 
-/** cell_az_starts() - starts in a zone in a time, as hl_between() */
-size_t cell_az_starts(
-    struct cell *c, const char *az, uint64_t from_ms, uint64_t to_ms);
+/** pc_az_starts() - starts in a zone in a time, as hl_between() */
+size_t pc_az_starts(
+    struct pc *c, const char *az, uint64_t from_ms, uint64_t to_ms);
 
 #endif
--- a/tests/proc_failures.c
+++ b/tests/proc_failures.c
@@ -12,7 +12,7 @@
 
 /*
  * Faults of processes, of the platform and of connections under load. Each
- * test has its own cell; cell_check() judges from the logs of the endpoints
+ * test has its own cell; pc_check() judges from the logs of the endpoints
  * and of the load client.
  */
 
@@ -24,38 +24,38 @@
 static int
 set_up(void **state)
 {
-	const struct cell_options options = {.agents = 6};
+	const struct pc_options options = {.agents = 6};
 
-	*state = cell_new(&options);
+	*state = pc_new(&options);
 	return (0);
 }
 
 static int
 set_up_relay(void **state)
 {
-	const struct cell_options options = {.agents = 6, .relay = true};
+	const struct pc_options options = {.agents = 6, .relay = true};
 
-	*state = cell_new(&options);
+	*state = pc_new(&options);
 	return (0);
 }
 
 static int
 tear_down(void **state)
 {
-	cell_free(*state);
+	pc_free(*state);
 	return (0);
 }
 
 /* At least this share of the submissions must be complete: a system that
  * answers "unknown" to everything breaks no invariant. */
 static void
-assert_share(const struct cell_result *r, unsigned percent)
+assert_share(const struct pc_result *r, unsigned percent)
 {
 	assert_true(r->complete * 100 >= r->submissions * (long)percent);
 }
 
 static void
-assert_all_complete(const struct cell_result *r)
+assert_all_complete(const struct pc_result *r)
 {
 	assert_int_equal(r->complete, r->submissions);
 }
@@ -65,13 +65,13 @@
 static void
 test_entry_killed(void **state)
 {
-	struct cell *c = *state;
-	struct cell_load load = cell_load_start(c, LOAD "--duration 14");
-	struct cell_result r;
+	struct pc *c = *state;
+	struct pc_load load = pc_load_start(c, LOAD "--duration 14");
+	struct pc_result r;
 
 	hn_sleep_ms(3000);
 	hn_kill(c->entries[1].proc);
-	r = cell_check(c, &load);
+	r = pc_check(c, &load);
 	assert_share(&r, 95);
 }
 
@@ -79,35 +79,35 @@
 static void
 test_entry_frozen(void **state)
 {
-	struct cell *c = *state;
-	struct cell_load load = cell_load_start(c, LOAD "--duration 16");
-	struct cell_result r;
+	struct pc *c = *state;
+	struct pc_load load = pc_load_start(c, LOAD "--duration 16");
+	struct pc_result r;
 
 	hn_sleep_ms(3000);
 	hn_signal(c->entries[0].proc, SIGSTOP);
 	hn_sleep_ms(6000);
 	hn_signal(c->entries[0].proc, SIGCONT);
-	r = cell_check(c, &load);
+	r = pc_check(c, &load);
 	assert_share(&r, 95);
-	cell_entry_ready(c, 0);
+	pc_entry_ready(c, 0);
 }
 
 /* Tasks of a dead agent that run again, since its records are lost. */
 static void
 test_agent_killed(void **state)
 {
-	struct cell *c = *state;
-	struct cell_load load = cell_load_start(c, LOAD "--duration 12");
-	struct cell_result r;
+	struct pc *c = *state;
+	struct pc_load load = pc_load_start(c, LOAD "--duration 12");
+	struct pc_result r;
 
 	hn_sleep_ms(3000);
 	hn_kill(c->agents[2].proc);
 	hn_sleep_ms(1000);
-	cell_agent_start(c, 2);
+	pc_agent_start(c, 2);
 	hn_sleep_ms(3000);
 	hn_kill(c->agents[0].proc);
-	cell_agent_start(c, 0);
-	r = cell_check(c, &load);
+	pc_agent_start(c, 0);
+	r = pc_check(c, &load);
 	assert_share(&r, 85);
 }
 
@@ -115,19 +115,19 @@
 static void
 test_platform_down(void **state)
 {
-	struct cell *c = *state;
-	struct cell_load load = cell_load_start(c, LOAD "--duration 14");
-	struct cell_result r;
+	struct pc *c = *state;
+	struct pc_load load = pc_load_start(c, LOAD "--duration 14");
+	struct pc_result r;
 	int status;
 
 	hn_sleep_ms(2000);
 	hn_control(c->platform, "mode=down");
 	hn_sleep_ms(4000);
-	status = cell_az(c, 0, "armor", false);
+	status = pc_az(c, 0, "armor", false);
 	hn_control(c->platform, "mode=silent");
 	hn_sleep_ms(4000);
 	hn_control(c->platform, "mode=up");
-	r = cell_check(c, &load);
+	r = pc_check(c, &load);
 	assert_all_complete(&r);
 	/* The change of the configuration must be refused, not half done. */
 	assert_int_equal(status, 1);
@@ -137,15 +137,15 @@
 static void
 test_platform_slow(void **state)
 {
-	struct cell *c = *state;
-	struct cell_load load = cell_load_start(c, LOAD "--duration 10");
-	struct cell_result r;
+	struct pc *c = *state;
+	struct pc_load load = pc_load_start(c, LOAD "--duration 10");
+	struct pc_result r;
 
 	hn_sleep_ms(2000);
 	hn_control(c->platform, "mode=slow&delay_ms=3000");
 	hn_sleep_ms(6000);
 	hn_control(c->platform, "mode=up");
-	r = cell_check(c, &load);
+	r = pc_check(c, &load);
 	assert_all_complete(&r);
 }
 
@@ -154,17 +154,17 @@
 static void
 test_platform_answer_lost(void **state)
 {
-	struct cell *c = *state;
-	struct cell_load load = cell_load_start(c, LOAD "--duration 8");
-	struct cell_result r;
+	struct pc *c = *state;
+	struct pc_load load = pc_load_start(c, LOAD "--duration 8");
+	struct pc_result r;
 
 	hn_sleep_ms(1000);
 	hn_control(c->platform, "lose_writes=1");
-	assert_int_equal(cell_az(c, 1, "armor", false), 0);
+	assert_int_equal(pc_az(c, 1, "armor", false), 0);
 	hn_sleep_ms(1000);
 	hn_control(c->platform, "lose_writes=1");
-	assert_int_equal(cell_az(c, 2, "armor", true), 0);
-	r = cell_check(c, &load);
+	assert_int_equal(pc_az(c, 2, "armor", true), 0);
+	r = pc_check(c, &load);
 	assert_all_complete(&r);
 }
 
@@ -172,14 +172,14 @@
 static void
 test_entry_stopped_gracefully(void **state)
 {
-	struct cell *c = *state;
-	struct cell_load load = cell_load_start(c, LOAD "--duration 10");
-	struct cell_result r;
+	struct pc *c = *state;
+	struct pc_load load = pc_load_start(c, LOAD "--duration 10");
+	struct pc_result r;
 
 	hn_sleep_ms(3000);
 	hn_signal(c->entries[2].proc, SIGTERM);
 	assert_int_equal(hn_wait(c->entries[2].proc, GRACEFUL_LIMIT_MS), 0);
-	r = cell_check(c, &load);
+	r = pc_check(c, &load);
 	assert_all_complete(&r);
 }
 
@@ -187,15 +187,15 @@
 static void
 test_agent_stopped_gracefully(void **state)
 {
-	struct cell *c = *state;
-	struct cell_load load = cell_load_start(c, LOAD "--duration 10");
-	struct cell_result r;
+	struct pc *c = *state;
+	struct pc_load load = pc_load_start(c, LOAD "--duration 10");
+	struct pc_result r;
 
 	hn_sleep_ms(3000);
 	hn_signal(c->agents[0].proc, SIGTERM);
 	assert_int_equal(hn_wait(c->agents[0].proc, GRACEFUL_LIMIT_MS), 0);
-	cell_agent_start(c, 0);
-	r = cell_check(c, &load);
+	pc_agent_start(c, 0);
+	r = pc_check(c, &load);
 	assert_all_complete(&r);
 }
 
@@ -203,19 +203,19 @@
 static void
 test_rolling_restart(void **state)
 {
-	struct cell *c = *state;
-	struct cell_load load = cell_load_start(c, LOAD "--duration 25");
-	struct cell_result r;
+	struct pc *c = *state;
+	struct pc_load load = pc_load_start(c, LOAD "--duration 25");
+	struct pc_result r;
 
 	for (unsigned i = 0; i < c->options.entries; i++) {
 		hn_sleep_ms(1500);
 		hn_signal(c->entries[i].proc, SIGTERM);
 		assert_int_equal(
 		    hn_wait(c->entries[i].proc, GRACEFUL_LIMIT_MS), 0);
-		cell_entry_start(c, i);
-		cell_entry_ready(c, i);
+		pc_entry_start(c, i);
+		pc_entry_ready(c, i);
 	}
-	r = cell_check(c, &load);
+	r = pc_check(c, &load);
 	assert_all_complete(&r);
 }
 
@@ -223,9 +223,9 @@
 static void
 test_silent_connection(void **state)
 {
-	struct cell *c = *state;
-	struct cell_load load = cell_load_start(c, LOAD "--duration 12");
-	struct cell_result r;
+	struct pc *c = *state;
+	struct pc_load load = pc_load_start(c, LOAD "--duration 12");
+	struct pc_result r;
 
 	hn_sleep_ms(3000);
 	hn_control(c->entries[0].relay_control, "mode=silent&existing=1");
@@ -233,7 +233,7 @@
 	hn_control(c->entries[1].relay_control, "mode=cut");
 	hn_sleep_ms(1000);
 	hn_control(c->entries[1].relay_control, "mode=pass");
-	r = cell_check(c, &load);
+	r = pc_check(c, &load);
 	assert_all_complete(&r);
 }
 
@@ -241,10 +241,10 @@
 static void
 test_entry_killed_platform_down(void **state)
 {
-	struct cell *c = *state;
-	struct cell_load load =
-	    cell_load_start(c, LOAD "--duration 16 --grace-ms 20000");
-	struct cell_result r;
+	struct pc *c = *state;
+	struct pc_load load =
+	    pc_load_start(c, LOAD "--duration 16 --grace-ms 20000");
+	struct pc_result r;
 
 	hn_sleep_ms(3000);
 	hn_control(c->platform, "mode=down");
@@ -252,7 +252,7 @@
 	hn_kill(c->entries[1].proc);
 	hn_sleep_ms(6000);
 	hn_control(c->platform, "mode=up");
-	r = cell_check(c, &load);
+	r = pc_check(c, &load);
 	assert_share(&r, 90);
 }
 
--- a/tests/proc_path.c
+++ b/tests/proc_path.c
@@ -22,23 +22,23 @@
 static int
 set_up(void **state)
 {
-	const struct cell_options options = {.agents = 3, .speeds = "1,0.5,2"};
+	const struct pc_options options = {.agents = 3, .speeds = "1,0.5,2"};
 
-	*state = cell_new(&options);
+	*state = pc_new(&options);
 	return (0);
 }
 
 static int
 tear_down(void **state)
 {
-	cell_free(*state);
+	pc_free(*state);
 	return (0);
 }
 
 static size_t
-started_tasks(struct cell *c, const char *id)
+started_tasks(struct pc *c, const char *id)
 {
-	struct hl_starts *starts = cell_starts(c);
+	struct hl_starts *starts = pc_starts(c);
 	size_t n = hl_tasks(starts, id);
 
 	assert_int_equal(hl_doubles(starts), 0);
@@ -77,15 +77,14 @@
 static void
 test_through_each_entry(void **state)
 {
-	struct cell *c = *state;
+	struct pc *c = *state;
 
 	for (unsigned i = 0; i < c->options.entries; i++) {
 		char *id = g_strdup_printf("each-%u", i);
-		char *body = cell_body(id, hn_wall_ms(), 20, 30, DEADLINE_MS);
+		char *body = pc_body(id, hn_wall_ms(), 20, 30, DEADLINE_MS);
 		json_t *answer = NULL;
 
-		assert_int_equal(
-		    cell_submit(c, i, body, WAIT_MS, &answer), 200);
+		assert_int_equal(pc_submit(c, i, body, WAIT_MS, &answer), 200);
 		assert_complete(answer, id, 20);
 		assert_int_equal(started_tasks(c, id), 20);
 		json_decref(answer);
@@ -99,20 +98,20 @@
 test_fetch_later(void **state)
 {
 	uint64_t now = hn_wall_ms();
-	char *body = cell_body("later", now, 4, 300, DEADLINE_MS);
+	char *body = pc_body("later", now, 4, 300, DEADLINE_MS);
 	json_t *answer = NULL;
-	struct cell *c = *state;
+	struct pc *c = *state;
 
-	assert_int_equal(cell_submit(c, 0, body, 0, &answer), 202);
+	assert_int_equal(pc_submit(c, 0, body, 0, &answer), 202);
 	assert_string_equal(hn_text(answer, "status"), "pending");
 	json_decref(answer);
 	for (unsigned i = 0; i < c->options.entries; i++) {
 		assert_int_equal(
-		    cell_fetch(c, i, "later", now, WAIT_MS, &answer), 200);
+		    pc_fetch(c, i, "later", now, WAIT_MS, &answer), 200);
 		assert_complete(answer, "later", 4);
 		json_decref(answer);
 	}
-	assert_int_equal(cell_fetch(c, 1, "never-sent", now, 0, NULL), 404);
+	assert_int_equal(pc_fetch(c, 1, "never-sent", now, 0, NULL), 404);
 	free(body);
 }
 
@@ -121,17 +120,17 @@
 test_resubmission(void **state)
 {
 	uint64_t now = hn_wall_ms();
-	char *body = cell_body("again", now, 10, 400, DEADLINE_MS);
+	char *body = pc_body("again", now, 10, 400, DEADLINE_MS);
 	json_t *answer = NULL;
-	struct cell *c = *state;
+	struct pc *c = *state;
 
-	assert_int_equal(cell_submit(c, 0, body, 0, NULL), 202);
+	assert_int_equal(pc_submit(c, 0, body, 0, NULL), 202);
 	for (unsigned i = 1; i < c->options.entries; i++)
-		assert_int_equal(cell_submit(c, i, body, 0, NULL), 202);
+		assert_int_equal(pc_submit(c, i, body, 0, NULL), 202);
 	for (unsigned round = 0; round < 2; round++) {
 		for (unsigned i = 0; i < c->options.entries; i++) {
 			assert_int_equal(
-			    cell_submit(c, i, body, WAIT_MS, &answer), 200);
+			    pc_submit(c, i, body, WAIT_MS, &answer), 200);
 			assert_complete(answer, "again", 10);
 			json_decref(answer);
 		}
@@ -145,13 +144,13 @@
 test_id_with_other_body(void **state)
 {
 	uint64_t now = hn_wall_ms();
-	char *first = cell_body("reused", now, 2, 10, DEADLINE_MS);
-	char *second = cell_body("reused", now, 3, 10, DEADLINE_MS);
+	char *first = pc_body("reused", now, 2, 10, DEADLINE_MS);
+	char *second = pc_body("reused", now, 3, 10, DEADLINE_MS);
 	json_t *answer = NULL;
-	struct cell *c = *state;
+	struct pc *c = *state;
 
-	assert_int_equal(cell_submit(c, 0, first, WAIT_MS, NULL), 200);
-	assert_int_equal(cell_submit(c, 1, second, WAIT_MS, &answer), 200);
+	assert_int_equal(pc_submit(c, 0, first, WAIT_MS, NULL), 200);
+	assert_int_equal(pc_submit(c, 1, second, WAIT_MS, &answer), 200);
 	assert_string_equal(hn_text(answer, "reason"), "id_reused");
 	assert_string_equal(hn_text(answer, "status"), "refused");
 	assert_int_equal(started_tasks(c, "reused"), 2);
@@ -161,7 +160,7 @@
 }
 
 static void
-set_hang(struct cell *c, bool hang)
+set_hang(struct pc *c, bool hang)
 {
 	for (unsigned i = 0; i < c->options.agents; i++)
 		hn_control(c->agents[i].endpoint, hang ? "hang=1" : "hang=0");
@@ -171,28 +170,27 @@
 static void
 test_cancel_before_start(void **state)
 {
-	struct cell *c = *state;
+	struct pc *c = *state;
 	unsigned fill =
 	    c->options.agents * (c->options.slots + c->options.queue) + 8;
 	uint64_t now = hn_wall_ms();
-	char *filler = cell_body("filler", now, fill, 1, DEADLINE_MS);
-	char *body = cell_body("cancelled", now, 3, 1, DEADLINE_MS);
+	char *filler = pc_body("filler", now, fill, 1, DEADLINE_MS);
+	char *body = pc_body("cancelled", now, 3, 1, DEADLINE_MS);
 	json_t *answer = NULL;
 
 	set_hang(c, true);
-	assert_int_equal(cell_submit(c, 0, filler, 0, NULL), 202);
+	assert_int_equal(pc_submit(c, 0, filler, 0, NULL), 202);
 	hn_sleep_ms(500);
-	assert_int_equal(cell_submit(c, 0, body, 0, NULL), 202);
-	assert_int_equal(cell_cancel(c, 1, "cancelled", now, &answer), 200);
+	assert_int_equal(pc_submit(c, 0, body, 0, NULL), 202);
+	assert_int_equal(pc_cancel(c, 1, "cancelled", now, &answer), 200);
 	assert_refused(answer, "cancelled");
 	json_decref(answer);
 	set_hang(c, false);
-	assert_int_equal(
-	    cell_fetch(c, 2, "filler", now, WAIT_MS, &answer), 200);
+	assert_int_equal(pc_fetch(c, 2, "filler", now, WAIT_MS, &answer), 200);
 	assert_complete(answer, "filler", fill);
 	json_decref(answer);
 	assert_int_equal(
-	    cell_fetch(c, 2, "cancelled", now, WAIT_MS, &answer), 200);
+	    pc_fetch(c, 2, "cancelled", now, WAIT_MS, &answer), 200);
 	assert_refused(answer, "cancelled");
 	json_decref(answer);
 	assert_int_equal(started_tasks(c, "cancelled"), 0);
@@ -205,19 +203,18 @@
 test_cancel_while_running(void **state)
 {
 	uint64_t now = hn_wall_ms();
-	char *body = cell_body("stopped", now, 300, 400, DEADLINE_MS);
+	char *body = pc_body("stopped", now, 300, 400, DEADLINE_MS);
 	json_t *answer = NULL;
-	struct cell *c = *state;
+	struct pc *c = *state;
 	size_t started;
 
-	assert_int_equal(cell_submit(c, 0, body, 0, NULL), 202);
+	assert_int_equal(pc_submit(c, 0, body, 0, NULL), 202);
 	hn_sleep_ms(300);
-	cell_cancel(c, 1, "stopped", now, NULL);
+	pc_cancel(c, 1, "stopped", now, NULL);
 	hn_sleep_ms(500);
 	started = started_tasks(c, "stopped");
 	assert_true(started > 0 && started < 300);
-	assert_int_equal(
-	    cell_fetch(c, 2, "stopped", now, WAIT_MS, &answer), 200);
+	assert_int_equal(pc_fetch(c, 2, "stopped", now, WAIT_MS, &answer), 200);
 	assert_string_equal(hn_text(answer, "status"), "failed");
 	assert_null(json_object_get(answer, "results"));
 	assert_int_equal(started_tasks(c, "stopped"), started);
@@ -231,14 +228,14 @@
 {
 	static const char tasks[] =
 	    "[{\"body\": \"a\"}, {\"body\": \"status=500\"}]";
-	struct cell *c = *state;
+	struct pc *c = *state;
 	json_t *answer = NULL;
 	char *body = g_strdup_printf(
 	    "{\"id\": \"failing\", \"created_ms\": %llu, \"team\": \"%s\", "
 	    "\"service\": \"%s\", \"deadline_ms\": 20000, \"tasks\": %s}",
-	    (unsigned long long)hn_wall_ms(), CELL_TEAM, CELL_SERVICE, tasks);
+	    (unsigned long long)hn_wall_ms(), PC_TEAM, PC_SERVICE, tasks);
 
-	assert_int_equal(cell_submit(c, 1, body, WAIT_MS, &answer), 200);
+	assert_int_equal(pc_submit(c, 1, body, WAIT_MS, &answer), 200);
 	assert_string_equal(hn_text(answer, "status"), "failed");
 	assert_null(json_object_get(answer, "results"));
 	assert_int_equal(started_tasks(c, "failing"), 2);
@@ -247,7 +244,7 @@
 }
 
 static size_t
-run_failing_request(struct cell *c, const char *id, bool idempotent)
+run_failing_request(struct pc *c, const char *id, bool idempotent)
 {
 	json_t *answer = NULL;
 	struct hl_starts *starts;
@@ -256,17 +253,17 @@
 	    "{\"id\": \"%s\", \"created_ms\": %llu, \"team\": \"%s\", "
 	    "\"service\": \"%s\", \"deadline_ms\": 10000, \"idempotent\": %s, "
 	    "\"task\": {\"body\": \"status=500\"}}",
-	    id, (unsigned long long)hn_wall_ms(), CELL_TEAM, CELL_SERVICE,
+	    id, (unsigned long long)hn_wall_ms(), PC_TEAM, PC_SERVICE,
 	    idempotent ? "true" : "false");
 
-	starts = cell_starts(c);
+	starts = pc_starts(c);
 	before = hl_total(starts);
 	hl_free(starts);
 	assert_int_equal(hn_http("POST", c->entries[0].callers,
 			     "/v1/requests?wait_ms=20000", body, NULL, &answer),
 	    200);
 	assert_string_equal(hn_text(answer, "status"), "failed");
-	starts = cell_starts(c);
+	starts = pc_starts(c);
 	after = hl_total(starts);
 	hl_free(starts);
 	json_decref(answer);
@@ -294,10 +291,10 @@
 	char body[sizeof(text) + 24];
 	uint64_t start = hn_mono_ms();
 	json_t *answer = NULL;
-	struct cell *c = *state;
+	struct pc *c = *state;
 
 	snprintf(body, sizeof(body), text, (unsigned long long)hn_wall_ms());
-	assert_int_equal(cell_submit(c, 2, body, WAIT_MS, &answer), 200);
+	assert_int_equal(pc_submit(c, 2, body, WAIT_MS, &answer), 200);
 	assert_string_equal(hn_text(answer, "status"), "refused");
 	assert_true(json_is_true(json_object_get(answer, "not_run")));
 	assert_true(hn_mono_ms() - start < 2000);
@@ -308,18 +305,18 @@
 static void
 test_age_of_id(void **state)
 {
-	struct cell *c = *state;
+	struct pc *c = *state;
 	uint64_t now = hn_wall_ms();
 	uint64_t late = now + 60000 + CLOCK_ERROR_MS;
 	uint64_t old = now - (c->options.life_s + 60) * 1000ULL;
-	char *future = cell_body("future", late, 1, 1, DEADLINE_MS);
-	char *expired = cell_body("expired", old, 1, 1, DEADLINE_MS);
+	char *future = pc_body("future", late, 1, 1, DEADLINE_MS);
+	char *expired = pc_body("expired", old, 1, 1, DEADLINE_MS);
 	json_t *answer = NULL;
 
-	assert_int_equal(cell_submit(c, 0, future, WAIT_MS, &answer), 200);
+	assert_int_equal(pc_submit(c, 0, future, WAIT_MS, &answer), 200);
 	assert_string_equal(hn_text(answer, "status"), "refused");
 	json_decref(answer);
-	assert_int_equal(cell_submit(c, 0, expired, WAIT_MS, &answer), 200);
+	assert_int_equal(pc_submit(c, 0, expired, WAIT_MS, &answer), 200);
 	assert_string_equal(hn_text(answer, "status"), "unknown");
 	assert_string_equal(hn_text(answer, "reason"), "id_expired");
 	json_decref(answer);
@@ -344,12 +341,12 @@
 	    "{\"id\": \"neg\", \"created_ms\": -1, \"team\": \"lids\", "
 	    "\"service\": \"order-desk\", \"deadline_ms\": -5, \"tasks\": "
 	    "[{\"body\": \"a\"}]}"};
-	struct cell *c = *state;
+	struct pc *c = *state;
 
 	for (size_t i = 0; i < G_N_ELEMENTS(bodies); i++) {
 		json_t *answer = NULL;
-		int status = cell_submit(
-		    c, (unsigned)i % 3, bodies[i], WAIT_MS, &answer);
+		int status =
+		    pc_submit(c, (unsigned)i % 3, bodies[i], WAIT_MS, &answer);
 
 		if (status != 400)
 			print_message("%s\n", bodies[i]);
@@ -358,26 +355,26 @@
 		assert_true(hn_text(answer, "detail")[0] != '\0');
 		json_decref(answer);
 	}
-	cell_entry_ready(c, 0);
+	pc_entry_ready(c, 0);
 }
 
 /* Input that fills the memory of an entry. */
 static void
 test_oversized(void **state)
 {
-	struct cell *c = *state;
-	char *too_many = cell_body("too-many", hn_wall_ms(), 541, 1, 1000);
+	struct pc *c = *state;
+	char *too_many = pc_body("too-many", hn_wall_ms(), 541, 1, 1000);
 	size_t size = 16 * 1024 * 1024;
 	char *large = g_malloc(size + 1);
 	int status;
 
 	memset(large, 'x', size);
 	large[size] = '\0';
-	status = cell_submit(c, 0, too_many, WAIT_MS, NULL);
+	status = pc_submit(c, 0, too_many, WAIT_MS, NULL);
 	assert_true(status == 400 || status == 413);
-	assert_int_equal(cell_submit(c, 1, large, WAIT_MS, NULL), 413);
+	assert_int_equal(pc_submit(c, 1, large, WAIT_MS, NULL), 413);
 	assert_int_equal(started_tasks(c, "too-many"), 0);
-	cell_entry_ready(c, 1);
+	pc_entry_ready(c, 1);
 	free(too_many);
 	g_free(large);
 }
@@ -386,21 +383,21 @@
 static void
 test_garbage_on_rpc_port(void **state)
 {
-	struct cell *c = *state;
+	struct pc *c = *state;
 
 	for (unsigned i = 0; i < c->options.entries; i++)
 		assert_int_equal(hn_http("POST", c->entries[i].rpc, "/x",
 				     "0123456789", NULL, NULL),
 		    0);
 	for (unsigned i = 0; i < c->options.entries; i++)
-		cell_entry_ready(c, i);
+		pc_entry_ready(c, i);
 }
 
 /* Operators' interface without the token. */
 static void
 test_operators_need_token(void **state)
 {
-	struct cell *c = *state;
+	struct pc *c = *state;
 	unsigned port = c->entries[0].operators;
 	json_t *answer = NULL;
 
@@ -409,7 +406,7 @@
 	assert_int_equal(
 	    hn_http("GET", port, "/v1/status", NULL, "wrong", NULL), 401);
 	assert_int_equal(
-	    hn_http("GET", port, "/v1/status", NULL, CELL_TOKEN, &answer), 200);
+	    hn_http("GET", port, "/v1/status", NULL, PC_TOKEN, &answer), 200);
 	json_decref(answer);
 }
 
@@ -417,11 +414,11 @@
 static void
 test_load_without_faults(void **state)
 {
-	struct cell *c = *state;
-	struct cell_load load = cell_load_start(c,
+	struct pc *c = *state;
+	struct pc_load load = pc_load_start(c,
 	    "--rate 10 --duration 6 --tasks 1-20 --run-ms 20-200 --seed 3 "
 	    "--duplicates 0.2");
-	struct cell_result r = cell_check(c, &load);
+	struct pc_result r = pc_check(c, &load);
 
 	assert_int_equal(r.complete, r.submissions);
 }
--- a/tests/proc_zones.c
+++ b/tests/proc_zones.c
@@ -27,56 +27,56 @@
 static int
 set_up(void **state)
 {
-	const struct cell_options options = {.agents = 6};
+	const struct pc_options options = {.agents = 6};
 
-	*state = cell_new(&options);
+	*state = pc_new(&options);
 	return (0);
 }
 
 static int
 tear_down(void **state)
 {
-	cell_free(*state);
+	pc_free(*state);
 	return (0);
 }
 
 /* Take the zone out through an entry; returns when it was accepted. */
 static uint64_t
-az_out(struct cell *c, unsigned entry)
+az_out(struct pc *c, unsigned entry)
 {
 	uint64_t start = hn_wall_ms();
 
-	assert_int_equal(cell_az(c, entry, AZ, false), 0);
+	assert_int_equal(pc_az(c, entry, AZ, false), 0);
 	/* The test is void when no work ran in the zone before. */
-	assert_true(cell_az_starts(c, AZ, start - 1500, start) > 0);
+	assert_true(pc_az_starts(c, AZ, start - 1500, start) > 0);
 	return (hn_wall_ms());
 }
 
 static void
-assert_no_starts(struct cell *c, uint64_t accepted_ms)
+assert_no_starts(struct pc *c, uint64_t accepted_ms)
 {
 	assert_int_equal(
-	    cell_az_starts(c, AZ, accepted_ms + OUT_LIMIT_MS + 1, hn_wall_ms()),
+	    pc_az_starts(c, AZ, accepted_ms + OUT_LIMIT_MS + 1, hn_wall_ms()),
 	    0);
 }
 
 static void
-assert_back(struct cell *c)
+assert_back(struct pc *c)
 {
 	uint64_t in_ms;
 
-	assert_int_equal(cell_az(c, 0, AZ, true), 0);
+	assert_int_equal(pc_az(c, 0, AZ, true), 0);
 	in_ms = hn_wall_ms();
 	hn_sleep_ms(BACK_LIMIT_MS);
-	assert_true(cell_az_starts(c, AZ, in_ms, hn_wall_ms()) > 0);
+	assert_true(pc_az_starts(c, AZ, in_ms, hn_wall_ms()) > 0);
 }
 
 static void
 test_az_out_and_in(void **state)
 {
-	struct cell *c = *state;
-	struct cell_load load = cell_load_start(c, LOAD "--duration 16");
-	struct cell_result r;
+	struct pc *c = *state;
+	struct pc_load load = pc_load_start(c, LOAD "--duration 16");
+	struct pc_result r;
 	uint64_t accepted;
 
 	hn_sleep_ms(3000);
@@ -84,30 +84,30 @@
 	hn_sleep_ms(6000);
 	assert_no_starts(c, accepted);
 	assert_back(c);
-	r = cell_check(c, &load);
+	r = pc_check(c, &load);
 	assert_int_equal(r.complete, r.submissions);
 }
 
 static void
 test_endpoint_retired(void **state)
 {
-	struct cell *c = *state;
-	struct cell_load load = cell_load_start(c, LOAD "--duration 14");
+	struct pc *c = *state;
+	struct pc_load load = pc_load_start(c, LOAD "--duration 14");
 	const char *name = c->agents[2].name;
 	const char *retire[] = {"endpoint", "retire", name, NULL};
 	const char *restore[] = {"endpoint", "restore", name, NULL};
 	struct hl_starts *starts;
-	struct cell_result r;
+	struct pc_result r;
 	uint64_t accepted, restored;
 
 	hn_sleep_ms(3000);
-	assert_int_equal(cell_cli(c, 1, NULL, retire), 0);
+	assert_int_equal(pc_cli(c, 1, NULL, retire), 0);
 	accepted = hn_wall_ms();
 	hn_sleep_ms(5000);
 	restored = hn_wall_ms();
-	assert_int_equal(cell_cli(c, 2, NULL, restore), 0);
-	r = cell_check(c, &load);
-	starts = cell_starts(c);
+	assert_int_equal(pc_cli(c, 2, NULL, restore), 0);
+	r = pc_check(c, &load);
+	starts = pc_starts(c);
 	assert_true(hl_between(starts, name, 0, accepted) > 0);
 	assert_int_equal(
 	    hl_between(starts, name, accepted + OUT_LIMIT_MS + 1, restored), 0);
@@ -120,9 +120,9 @@
 static void
 test_az_out_then_platform_down(void **state)
 {
-	struct cell *c = *state;
-	struct cell_load load = cell_load_start(c, LOAD "--duration 16");
-	struct cell_result r;
+	struct pc *c = *state;
+	struct pc_load load = pc_load_start(c, LOAD "--duration 16");
+	struct pc_result r;
 	uint64_t accepted;
 
 	hn_sleep_ms(3000);
@@ -133,17 +133,17 @@
 	hn_control(c->platform, "mode=up");
 	hn_sleep_ms(1000);
 	assert_back(c);
-	r = cell_check(c, &load);
+	r = pc_check(c, &load);
 	assert_int_equal(r.complete, r.submissions);
 }
 
 /* An entry that is frozen while the zone leaves must not start tasks there
  * when it goes on. */
 static void
-frozen_over_change(struct cell *c, unsigned thaw_ms)
+frozen_over_change(struct pc *c, unsigned thaw_ms)
 {
-	struct cell_load load = cell_load_start(c, LOAD "--duration 18");
-	struct cell_result r;
+	struct pc_load load = pc_load_start(c, LOAD "--duration 18");
+	struct pc_result r;
 	uint64_t accepted;
 
 	hn_sleep_ms(3000);
@@ -155,7 +155,7 @@
 	hn_sleep_ms(6000);
 	assert_no_starts(c, accepted);
 	assert_back(c);
-	r = cell_check(c, &load);
+	r = pc_check(c, &load);
 	assert_true(r.complete * 100 >= r.submissions * 95);
 }
 
@@ -175,9 +175,9 @@
 static void
 test_az_out_with_frozen_agent(void **state)
 {
-	struct cell *c = *state;
-	struct cell_load load = cell_load_start(c, LOAD "--duration 16");
-	struct cell_result r;
+	struct pc *c = *state;
+	struct pc_load load = pc_load_start(c, LOAD "--duration 16");
+	struct pc_result r;
 	uint64_t accepted;
 
 	hn_sleep_ms(3000);
@@ -188,7 +188,7 @@
 	hn_sleep_ms(3000);
 	assert_no_starts(c, accepted);
 	assert_back(c);
-	r = cell_check(c, &load);
+	r = pc_check(c, &load);
 	assert_true(r.complete * 100 >= r.submissions * 90);
 }
 
