--- a/tests/harness_stub.c
+++ b/tests/harness_stub.c
@@ -167,8 +167,9 @@
 		s->records[n].state = r->state;
 		s->records[n].reason = r->reason;
 		s->records[n].body_len = r->body.body_len;
-		memcpy(s->records[n].body, r->body.body_val,
-		    MIN(r->body.body_len, sizeof(s->records[n].body)));
+		if (r->body.body_len > 0)
+			memcpy(s->records[n].body, r->body.body_val,
+			    MIN(r->body.body_len, sizeof(s->records[n].body)));
 	}
 	xdr_free((xdrproc_t)xdr_pd_report, &report);
 }
--- a/tests/proc_agent.c
+++ b/tests/proc_agent.c
@@ -309,7 +309,10 @@
 	    "after 24 MB of results: %lu KB; idle: %lu ticks of "
 	    "10 ms in 4 s\n",
 	    kb, ticks);
+	/* The address sanitizer keeps freed memory. */
+#ifndef __SANITIZE_ADDRESS__
 	assert_true(kb < 32 * 1024);
+#endif
 	/* 1.1 % of a core are 4.4 ticks in 4 s. */
 	assert_true(ticks < 4);
 }
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -406,7 +406,8 @@
 	 * the key; the same fence again changes nothing. */
 	fix_fence(f, s, FIX_ALL, 2);
 	fix_resolve(f, fix_key("other", 0));
-	fix_fence(f, s, FIX_ALL, 2);
+	/* Voided keys are not gathered: only the running task is. */
+	assert_int_equal(1, fix_fence(f, s, FIX_ALL, 2).list.list_len);
 	fix_grant(f, s, "job", 0);
 	assert_int_equal(PD_R_STALE_VIEW, fix_last(f)->reason);
 	assert_int_equal(
--- a/tests/test_gate_health.c
+++ b/tests/test_gate_health.c
@@ -249,6 +249,29 @@
 	assert_int_equal(PD_HEALTHY, ga_stats(f->gate).health);
 }
 
+/* Guards against a probe that ends after the endpoint has recovered, and whose
+ * failure counts for nothing. */
+static void
+test_probe_after_recovery(void **state)
+{
+	struct fix *f = *state;
+	ga_session s = ga_session_up(f->gate, ENTRY);
+	size_t ended = 0;
+	unsigned i;
+
+	for (i = 0; i < 4; i++)
+		grant_numbered(f, s, "job", i);
+	for (i = 0; i < 3; i++)
+		end_next(f, &ended, GA_ERROR);
+	ck_advance_ms(f->clock, 1000);
+	grant_numbered(f, s, "probe", 0);
+	assert_int_equal(5, f->nstarts);
+	end_next(f, &ended, GA_OK);
+	assert_int_equal(PD_HEALTHY, ga_stats(f->gate).health);
+	end_next(f, &ended, GA_ERROR);
+	assert_int_equal(PD_SUSPECT, ga_stats(f->gate).health);
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown(name, setup, fix_teardown)
 
 int
@@ -262,6 +285,7 @@
 	    TEST(test_poison_tasks_eject_nobody),
 	    TEST(test_probe_backoff),
 	    TEST(test_probe_that_tells_nothing),
+	    TEST(test_probe_after_recovery),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
