--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -202,6 +202,17 @@
 	ga_grant(f->gate, session, &g);
 }
 
+/** fix_grants() - grant tasks 0 to @n - 1 with a fresh permit */
+static inline void
+fix_grants(struct fix *f, ga_session session, const char *id, unsigned n)
+{
+	unsigned i;
+
+	fix_permit(f, session);
+	for (i = 0; i < n; i++)
+		fix_grant(f, session, id, i);
+}
+
 /** fix_last() - last report */
 static inline const struct fix_report *
 fix_last(const struct fix *f)
--- a/tests/harness_stub.c
+++ b/tests/harness_stub.c
@@ -44,7 +44,7 @@
 
 /* Value of a header of a request, released with g_free(). */
 char *
-sb_header(const char *request, const char *name)
+su_header(const char *request, const char *name)
 {
 	char *start, *line, *value;
 
@@ -75,15 +75,15 @@
 }
 
 struct endpoint_call {
-	struct sb *stub;
+	struct su *stub;
 	int fd;
 };
 
 static void
-serve(struct sb *s, int fd, const char *request, const char *body)
+serve(struct su *s, int fd, const char *request, const char *body)
 {
 	static char large[PD_BODY_MAX + 1];
-	char *id = sb_header(request, "X-Pd-Submission");
+	char *id = su_header(request, "X-Pd-Submission");
 
 	g_atomic_int_inc(&s->calls);
 	g_mutex_lock(&s->lock);
@@ -120,7 +120,7 @@
 static gpointer
 endpoint_accept(gpointer arg)
 {
-	struct sb *s = arg;
+	struct su *s = arg;
 	struct endpoint_call *c;
 	int fd;
 
@@ -133,7 +133,7 @@
 }
 
 int
-sb_listen_any(unsigned *port)
+su_listen_any(unsigned *port)
 {
 	struct sockaddr_in sin = {.sin_family = AF_INET};
 	socklen_t len = sizeof(sin);
@@ -149,7 +149,7 @@
 }
 
 static void
-on_report(struct sb *s, struct cn *c, XDR *args)
+on_report(struct su *s, struct cn *c, XDR *args)
 {
 	struct pd_report report = {0};
 	const struct pd_record *r;
@@ -160,7 +160,7 @@
 	s->reports++;
 	for (i = 0; i < report.list.list_len; i++) {
 		r = &report.list.list_val[i];
-		n = s->nrecords++ % SB_RECORDS;
+		n = s->nrecords++ % SU_RECORDS;
 		g_strlcpy(
 		    s->records[n].id, r->key.sub.id, sizeof(s->records[n].id));
 		s->records[n].task = r->key.task;
@@ -175,7 +175,7 @@
 }
 
 static void
-on_hello(struct sb *s, struct cn *c, uint32_t xid, XDR *args)
+on_hello(struct su *s, struct cn *c, uint32_t xid, XDR *args)
 {
 	static char name[] = "entry-1";
 	struct pd_hello_reply reply = {name, 4711};
@@ -196,7 +196,7 @@
 }
 
 static void
-on_heartbeat(struct sb *s, struct cn *c, uint32_t xid, XDR *args)
+on_heartbeat(struct su *s, struct cn *c, uint32_t xid, XDR *args)
 {
 	struct pd_permit permit = {s->permits, 0, 1, 1, true};
 
@@ -210,7 +210,7 @@
 static void
 entry_call(void *arg, struct cn *c, uint32_t proc, uint32_t xid, XDR *args)
 {
-	struct sb *s = arg;
+	struct su *s = arg;
 
 	if (s->silent)
 		return;
@@ -227,7 +227,7 @@
 static void
 entry_closed(void *arg, struct cn *c, enum cn_error why)
 {
-	struct sb *s = arg;
+	struct su *s = arg;
 
 	(void)why;
 	if (s->agent == c)
@@ -239,7 +239,7 @@
 static void
 entry_accept(void *arg, struct cn *c)
 {
-	struct sb *s = arg;
+	struct su *s = arg;
 
 	s->agent = c;
 	cn_set(c, &entry_ops, s);
@@ -254,7 +254,7 @@
 }
 
 void
-sb_run_for(struct sb *s, unsigned ms)
+su_run_for(struct su *s, unsigned ms)
 {
 	uint64_t end = ck_mono_ms(s->clock) + ms;
 
@@ -263,7 +263,7 @@
 }
 
 pid_t
-sb_spawn(const char *path)
+su_spawn(const char *path)
 {
 	pid_t pid;
 	int fd;
@@ -279,7 +279,7 @@
 }
 
 int
-sb_exit_code(pid_t pid)
+su_exit_code(pid_t pid)
 {
 	int status = 0;
 
@@ -289,7 +289,7 @@
 }
 
 void
-sb_write_settings(struct sb *s, const char *metrics)
+su_write_settings(struct su *s, const char *metrics)
 {
 	char *text;
 
@@ -311,13 +311,13 @@
 }
 
 int
-sb_setup(void **state)
+su_setup(void **state)
 {
 	struct timeval tv = {0, 5000};
 	enum cn_error error;
-	struct sb *s;
+	struct su *s;
 
-	s = g_new0(struct sb, 1);
+	s = g_new0(struct su, 1);
 	s->clock = ck_new_system();
 	g_mutex_init(&s->lock);
 	s->permits = true;
@@ -326,22 +326,22 @@
 	event_add(s->wake, &tv);
 	s->listener =
 	    cn_listen(s->loop, "127.0.0.1:0", entry_accept, s, &error);
-	s->endpoint_fd = sb_listen_any(&s->endpoint_port);
+	s->endpoint_fd = su_listen_any(&s->endpoint_port);
 	g_thread_unref(g_thread_new("accept", endpoint_accept, s));
 	g_strlcpy(s->dir, "/tmp/proc_agent_XXXXXX", sizeof(s->dir));
 	assert_non_null(g_mkdtemp(s->dir));
 	g_snprintf(s->path, sizeof(s->path), "%s/agent.toml", s->dir);
-	sb_write_settings(s, "");
-	s->pid = sb_spawn(s->path);
-	SB_WAIT(s, s->heartbeats > 0);
+	su_write_settings(s, "");
+	s->pid = su_spawn(s->path);
+	SU_WAIT(s, s->heartbeats > 0);
 	*state = s;
 	return (0);
 }
 
 int
-sb_teardown(void **state)
+su_teardown(void **state)
 {
-	struct sb *s = *state;
+	struct su *s = *state;
 
 	if (s->pid > 0) {
 		kill(s->pid, SIGKILL);
@@ -362,7 +362,7 @@
 }
 
 void
-sb_grant(struct sb *s, const char *id, unsigned first, unsigned n,
+su_grant(struct su *s, const char *id, unsigned first, unsigned n,
     unsigned timeout_ms, const char *body)
 {
 	static char team[] = "lids";
@@ -373,7 +373,7 @@
 	grants.list.list_val = g_new0(struct pd_grant, n);
 	for (i = 0; i < n; i++)
 		grants.list.list_val[i] = (struct pd_grant){
-		    .key = {{(char *)(uintptr_t)id, SB_CREATED_MS}, first + i,
+		    .key = {{(char *)(uintptr_t)id, SU_CREATED_MS}, first + i,
 			0},
 		    .view = 1,
 		    .incarnation = s->incarnation,
--- a/tests/harness_stub.h
+++ b/tests/harness_stub.h
@@ -18,17 +18,17 @@
 #include "pd.h"
 
 /**
- * DOC: sb - surroundings of an agent process under test: a stub entry, which
+ * DOC: su - surroundings of an agent process under test: a stub entry, which
  * speaks the RPC messages, and a stub endpoint, which answers by the first
  * word of the submission id: "fail" 500, "reject" 404, "large" more than
  * PD_BODY_MAX bytes, "broken" closes, "slow-MS" waits, others echo the body
  */
 
-#define SB_RECORDS 4096
-#define SB_CREATED_MS 1767225600000ULL
+#define SU_RECORDS 4096
+#define SU_CREATED_MS 1767225600000ULL
 
-/** struct sb - an agent process and its surroundings */
-struct sb {
+/** struct su - an agent process and its surroundings */
+struct su {
 	struct ck *clock;
 	struct event_base *loop;
 	struct event *wake; /* keeps the loop turning */
@@ -53,7 +53,7 @@
 		enum pd_reason reason;
 		unsigned body_len;
 		char body[64];
-	} records[SB_RECORDS];
+	} records[SU_RECORDS];
 	/* Endpoint. */
 	int endpoint_fd;
 	unsigned endpoint_port;
@@ -62,8 +62,8 @@
 	char last_request[1024];
 };
 
-/** SB_WAIT() - run the entry until a condition holds, 10 s at most */
-#define SB_WAIT(s, condition)                                                  \
+/** SU_WAIT() - run the entry until a condition holds, 10 s at most */
+#define SU_WAIT(s, condition)                                                  \
 	do {                                                                   \
 		uint64_t limit = ck_mono_ms((s)->clock) + 10000;               \
 		while (!(condition)) {                                         \
@@ -73,32 +73,32 @@
 		}                                                              \
 	} while (0)
 
-/** sb_setup() - cmocka set-up: start all, wait for the first heartbeat */
-int sb_setup(void **state);
+/** su_setup() - cmocka set-up: start all, wait for the first heartbeat */
+int su_setup(void **state);
 
-/** sb_teardown() - cmocka tear-down */
-int sb_teardown(void **state);
+/** su_teardown() - cmocka tear-down */
+int su_teardown(void **state);
 
-/** sb_run_for() - run the entry for a time in milliseconds */
-void sb_run_for(struct sb *s, unsigned ms);
+/** su_run_for() - run the entry for a time in milliseconds */
+void su_run_for(struct su *s, unsigned ms);
 
-/** sb_spawn() - start an agent with a settings file */
-pid_t sb_spawn(const char *path);
+/** su_spawn() - start an agent with a settings file */
+pid_t su_spawn(const char *path);
 
-/** sb_exit_code() - wait for the end of an agent */
-int sb_exit_code(pid_t pid);
+/** su_exit_code() - wait for the end of an agent */
+int su_exit_code(pid_t pid);
 
-/** sb_write_settings() - write the settings file; @metrics may be "" */
-void sb_write_settings(struct sb *s, const char *metrics);
+/** su_write_settings() - write the settings file; @metrics may be "" */
+void su_write_settings(struct su *s, const char *metrics);
 
-/** sb_listen_any() - listener on a free port of 127.0.0.1 */
-int sb_listen_any(unsigned *port);
+/** su_listen_any() - listener on a free port of 127.0.0.1 */
+int su_listen_any(unsigned *port);
 
-/** sb_header() - value of a header of a request, released with g_free() */
-char *sb_header(const char *request, const char *name);
+/** su_header() - value of a header of a request, released with g_free() */
+char *su_header(const char *request, const char *name);
 
-/** sb_grant() - grant tasks @first to @first + @n - 1 of a submission */
-void sb_grant(struct sb *s, const char *id, unsigned first, unsigned n,
+/** su_grant() - grant tasks @first to @first + @n - 1 of a submission */
+void su_grant(struct su *s, const char *id, unsigned first, unsigned n,
     unsigned timeout_ms, const char *body);
 
 #endif
--- a/tests/proc_agent.c
+++ b/tests/proc_agent.c
@@ -8,7 +8,7 @@
 static void
 assert_header(const char *request, const char *name, const char *value)
 {
-	char *found = sb_header(request, name);
+	char *found = su_header(request, name);
 
 	assert_string_equal(value, found);
 	g_free(found);
@@ -18,19 +18,19 @@
 static void
 test_runs_tasks(void **state)
 {
-	struct sb *s = *state;
+	struct su *s = *state;
 	unsigned i;
 
-	sb_grant(s, "job 1", 7, 12, 5000, "text");
-	SB_WAIT(s, s->nrecords == 12);
+	su_grant(s, "job 1", 7, 12, 5000, "text");
+	SU_WAIT(s, s->nrecords == 12);
 	for (i = 0; i < 12; i++) {
 		assert_string_equal("job 1", s->records[i].id);
 		assert_int_equal(PD_DONE, s->records[i].state);
 		assert_int_equal(4, s->records[i].body_len);
 		assert_memory_equal("text", s->records[i].body, 4);
 	}
-	sb_grant(s, "job\n2", 3, 1, 5000, "");
-	SB_WAIT(s, s->nrecords == 13);
+	su_grant(s, "job\n2", 3, 1, 5000, "");
+	SU_WAIT(s, s->nrecords == 13);
 	assert_int_equal(PD_DONE, s->records[12].state);
 	assert_int_equal(0, s->records[12].body_len);
 	g_mutex_lock(&s->lock);
@@ -61,12 +61,12 @@
 	    {"ok-again", 5000, PD_DONE, PD_R_NONE},
 	    {"slow-1500", 900, PD_OUTCOME_UNKNOWN, PD_R_ENDPOINT_TIMEOUT},
 	};
-	struct sb *s = *state;
+	struct su *s = *state;
 	unsigned i;
 
 	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
-		sb_grant(s, cases[i].id, 0, 1, cases[i].timeout_ms, "x");
-		SB_WAIT(s, s->nrecords == i + 1);
+		su_grant(s, cases[i].id, 0, 1, cases[i].timeout_ms, "x");
+		SU_WAIT(s, s->nrecords == i + 1);
 		if (s->records[i].state != cases[i].state ||
 		    s->records[i].reason != cases[i].reason)
 			fail_msg("%s: state %u, reason %u", cases[i].id,
@@ -75,8 +75,8 @@
 	}
 	/* A port without listener refuses. */
 	shutdown(s->endpoint_fd, SHUT_RDWR);
-	sb_grant(s, "refused", 0, 1, 5000, "x");
-	SB_WAIT(s, s->nrecords == i + 1);
+	su_grant(s, "refused", 0, 1, 5000, "x");
+	SU_WAIT(s, s->nrecords == i + 1);
 	assert_int_equal(PD_NOT_STARTED, s->records[i].state);
 	assert_int_equal(PD_R_ENDPOINT_REFUSED, s->records[i].reason);
 	assert_int_equal(G_N_ELEMENTS(cases), g_atomic_int_get(&s->calls));
@@ -86,15 +86,15 @@
 static void
 test_no_permit_no_start(void **state)
 {
-	struct sb *s = *state;
+	struct su *s = *state;
 
 	s->permits = false;
-	sb_run_for(s, 2200);
-	sb_grant(s, "job", 0, 1, 5000, "x");
-	sb_run_for(s, 700);
+	su_run_for(s, 2200);
+	su_grant(s, "job", 0, 1, 5000, "x");
+	su_run_for(s, 700);
 	assert_int_equal(0, g_atomic_int_get(&s->calls));
 	s->permits = true;
-	SB_WAIT(s, s->nrecords == 1);
+	SU_WAIT(s, s->nrecords == 1);
 	assert_int_equal(PD_DONE, s->records[0].state);
 }
 
@@ -103,17 +103,17 @@
 static void
 test_paused_agent(void **state)
 {
-	struct sb *s = *state;
+	struct su *s = *state;
 
 	kill(s->pid, SIGSTOP);
-	sb_grant(s, "job", 0, 1, 20000, "x");
-	sb_run_for(s, 1700);
+	su_grant(s, "job", 0, 1, 20000, "x");
+	su_run_for(s, 1700);
 	s->permits = false;
 	kill(s->pid, SIGCONT);
-	sb_run_for(s, 700);
+	su_run_for(s, 700);
 	assert_int_equal(0, g_atomic_int_get(&s->calls));
 	s->permits = true;
-	SB_WAIT(s, s->nrecords == 1);
+	SU_WAIT(s, s->nrecords == 1);
 	assert_int_equal(PD_DONE, s->records[0].state);
 }
 
@@ -121,10 +121,10 @@
 static void
 test_reports_are_batched(void **state)
 {
-	struct sb *s = *state;
+	struct su *s = *state;
 
-	sb_grant(s, "job", 0, 400, 5000, "x");
-	SB_WAIT(s, s->nrecords == 400);
+	su_grant(s, "job", 0, 400, 5000, "x");
+	SU_WAIT(s, s->nrecords == 400);
 	/* 12 fit into slots and queue, the others come back at once. */
 	assert_true(s->reports <= 13);
 }
@@ -133,17 +133,17 @@
 static void
 test_graceful_shutdown(void **state)
 {
-	struct sb *s = *state;
+	struct su *s = *state;
 	unsigned done = 0, returned = 0, i;
 
-	sb_grant(s, "slow-700", 0, 7, 5000, "x");
-	SB_WAIT(s, g_atomic_int_get(&s->calls) == 4);
+	su_grant(s, "slow-700", 0, 7, 5000, "x");
+	SU_WAIT(s, g_atomic_int_get(&s->calls) == 4);
 	kill(s->pid, SIGTERM);
-	SB_WAIT(s, s->last.draining);
+	SU_WAIT(s, s->last.draining);
 	assert_int_equal(4, s->last.running);
-	sb_grant(s, "late", 0, 2, 5000, "x");
-	SB_WAIT(s, s->agent == NULL);
-	assert_int_equal(0, sb_exit_code(s->pid));
+	su_grant(s, "late", 0, 2, 5000, "x");
+	SU_WAIT(s, s->agent == NULL);
+	assert_int_equal(0, su_exit_code(s->pid));
 	s->pid = 0;
 	for (i = 0; i < s->nrecords; i++) {
 		done += s->records[i].state == PD_DONE;
@@ -175,9 +175,9 @@
 }
 
 static void
-resolve(struct sb *s, const char *id, struct resolved *r)
+resolve(struct su *s, const char *id, struct resolved *r)
 {
-	struct pd_key key = {{(char *)(uintptr_t)id, SB_CREATED_MS}, 0, 0};
+	struct pd_key key = {{(char *)(uintptr_t)id, SU_CREATED_MS}, 0, 0};
 	struct pd_resolve keys = {{1, &key}};
 
 	cn_call(s->agent, PD_RESOLVE, (xdrproc_t)xdr_pd_resolve, &keys,
@@ -191,62 +191,83 @@
 test_silent_entry(void **state)
 {
 	struct resolved r = {0};
-	struct sb *s = *state;
+	struct su *s = *state;
 	uint64_t began;
 
-	sb_grant(s, "slow-300", 0, 1, 5000, "text");
-	SB_WAIT(s, g_atomic_int_get(&s->calls) == 1);
+	su_grant(s, "slow-300", 0, 1, 5000, "text");
+	SU_WAIT(s, g_atomic_int_get(&s->calls) == 1);
 	s->silent = true;
 	began = ck_mono_ms(s->clock);
-	SB_WAIT(s, s->agent == NULL);
+	SU_WAIT(s, s->agent == NULL);
 	s->silent = false;
-	SB_WAIT(s, s->hellos == 2);
+	SU_WAIT(s, s->hellos == 2);
 	assert_in_range(ck_mono_ms(s->clock) - began, 1500, 4000);
 	assert_int_equal(0, s->nrecords);
 	resolve(s, "slow-300", &r);
-	SB_WAIT(s, r.answers == 1);
+	SU_WAIT(s, r.answers == 1);
 	assert_int_equal(PD_DONE, r.state);
 	assert_int_equal(4, r.body_len);
 	resolve(s, "never-seen", &r);
-	SB_WAIT(s, r.answers == 2);
+	SU_WAIT(s, r.answers == 2);
 	assert_int_equal(PD_NOT_STARTED, r.state);
-	sb_grant(s, "never-seen", 0, 1, 5000, "x");
-	SB_WAIT(s, s->nrecords == 1);
+	su_grant(s, "never-seen", 0, 1, 5000, "x");
+	SU_WAIT(s, s->nrecords == 1);
 	assert_int_equal(PD_R_VOIDED, s->records[0].reason);
 }
 
+struct gathered {
+	bool arrived;
+	uint64_t incarnation;
+	unsigned records;
+	uint64_t next;
+};
+
 static void
 fence_done(void *arg, enum cn_error error, void *result)
 {
 	const struct pd_fence_reply *reply = result;
-	struct pd_fence_reply *out = arg;
+	struct gathered *g = arg;
 
 	assert_int_equal(CN_OK, error);
-	out->incarnation = reply->incarnation;
-	out->list.list_len += reply->list.list_len;
-	out->next = reply->next;
-	out->refused = true; /* marks the arrival */
+	assert_false(reply->refused);
+	g->arrived = true;
+	g->incarnation = reply->incarnation;
+	g->records += reply->list.list_len;
+	g->next = reply->next;
+}
+
+/* Fences all partitions and gathers all pages. */
+static struct gathered
+gather(struct su *s)
+{
+	struct pd_fence fence = {2, ~0ULL, 0};
+	struct gathered g = {0};
+
+	do {
+		g.arrived = false;
+		cn_call(s->agent, PD_FENCE, (xdrproc_t)xdr_pd_fence, &fence,
+		    (xdrproc_t)xdr_pd_fence_reply,
+		    sizeof(struct pd_fence_reply), 1000, fence_done, &g);
+		SU_WAIT(s, g.arrived);
+		fence.cursor = g.next;
+	} while (g.next != 0);
+	return (g);
 }
 
 /* Guards against a gather that misses records. */
 static void
 test_fence(void **state)
 {
-	struct pd_fence_reply got = {0};
-	struct pd_fence fence = {2, ~0ULL, 0};
-	struct sb *s = *state;
-
-	sb_grant(s, "job", 0, 5, 5000, "x");
-	SB_WAIT(s, s->nrecords == 5);
-	cn_call(s->agent, PD_FENCE, (xdrproc_t)xdr_pd_fence, &fence,
-	    (xdrproc_t)xdr_pd_fence_reply, sizeof(struct pd_fence_reply), 1000,
-	    fence_done, &got);
-	SB_WAIT(s, got.refused);
+	struct su *s = *state;
+	struct gathered got;
+
+	su_grant(s, "job", 0, 5, 5000, "x");
+	SU_WAIT(s, s->nrecords == 5);
+	got = gather(s);
 	assert_int_equal(s->incarnation, got.incarnation);
-	assert_int_equal(5, got.list.list_len);
-	assert_int_equal(0, got.next);
-	sb_grant(s, "job", 9, 1, 5000, "x");
-	SB_WAIT(s, s->nrecords == 6);
+	assert_int_equal(5, got.records);
+	su_grant(s, "job", 9, 1, 5000, "x");
+	SU_WAIT(s, s->nrecords == 6);
 	assert_int_equal(PD_R_STALE_VIEW, s->records[5].reason);
 }
 
@@ -288,7 +309,7 @@
 static void
 test_memory_and_idle_cpu(void **state)
 {
-	struct sb *s = *state;
+	struct su *s = *state;
 	unsigned long ticks, kb;
 	char id[32], *body;
 	unsigned i;
@@ -296,17 +317,18 @@
 	body = g_strnfill(60000, 'x');
 	for (i = 0; i < 400; i++) {
 		g_snprintf(id, sizeof(id), "job-%u", i);
-		sb_grant(s, id, 0, 1, 5000, body);
-		SB_WAIT(s, s->nrecords == i + 1);
+		su_grant(s, id, 0, 1, 5000, body);
+		SU_WAIT(s, s->nrecords == i + 1);
 		assert_int_equal(PD_DONE, s->records[i].state);
 	}
 	g_free(body);
+	assert_int_equal(400, gather(s).records);
 	kb = status_kb(s->pid, "VmRSS:");
 	ticks = cpu_ticks(s->pid);
-	sb_run_for(s, 4000);
+	su_run_for(s, 4000);
 	ticks = cpu_ticks(s->pid) - ticks;
 	print_message(
-	    "after 24 MB of results: %lu KB; idle: %lu ticks of "
+	    "after 24 MB of results and a gather: %lu KB; idle: %lu ticks of "
 	    "10 ms in 4 s\n",
 	    kb, ticks);
 	/* The address sanitizer keeps freed memory. */
@@ -318,7 +340,7 @@
 }
 
 static int
-run_with(const struct sb *s, const char *find, const char *replace)
+run_with(const struct su *s, const char *find, const char *replace)
 {
 	char *text, **parts, *changed, *path;
 	int code;
@@ -329,7 +351,7 @@
 	changed = g_strjoinv(replace, parts);
 	path = g_strconcat(s->path, ".bad", NULL);
 	assert_true(g_file_set_contents(path, changed, -1, NULL));
-	code = sb_exit_code(sb_spawn(path));
+	code = su_exit_code(su_spawn(path));
 	unlink(path);
 	g_free(path);
 	g_free(changed);
@@ -358,15 +380,15 @@
 	    {"metrics = \"\"", "metrics = \"127.0.0.1\""},
 	    {"metrics = \"\"", "metrics = \"127.0.0.1:0\""},
 	};
-	struct sb *s = *state;
+	struct su *s = *state;
 	unsigned hellos = s->hellos;
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(cases); i++)
 		if (run_with(s, cases[i].find, cases[i].replace) != 2)
 			fail_msg("%s -> %s", cases[i].find, cases[i].replace);
-	assert_int_equal(2, sb_exit_code(sb_spawn("/nonexistent/agent.toml")));
-	sb_run_for(s, 100);
+	assert_int_equal(2, su_exit_code(su_spawn("/nonexistent/agent.toml")));
+	su_run_for(s, 100);
 	assert_int_equal(hellos, s->hellos);
 }
 
@@ -406,28 +428,28 @@
 static void
 test_metrics(void **state)
 {
-	struct sb *s = *state;
+	struct su *s = *state;
 	unsigned port, round;
 	char address[48], *text;
 
-	close(sb_listen_any(&port));
+	close(su_listen_any(&port));
 	g_snprintf(address, sizeof(address), "127.0.0.1:%u", port);
-	sb_write_settings(s, address);
+	su_write_settings(s, address);
 	for (round = 0; round < 2; round++) {
 		kill(s->pid, SIGTERM);
-		SB_WAIT(s, s->agent == NULL);
-		assert_int_equal(0, sb_exit_code(s->pid));
+		SU_WAIT(s, s->agent == NULL);
+		assert_int_equal(0, su_exit_code(s->pid));
 		s->hellos = 0;
-		s->pid = sb_spawn(s->path);
-		SB_WAIT(s, s->hellos == 1);
-		sb_run_for(s, 100);
+		s->pid = su_spawn(s->path);
+		SU_WAIT(s, s->hellos == 1);
+		su_run_for(s, 100);
 	}
 	assert_int_equal(1, run_with(s, "[listen]", "[listen]"));
 	s->nrecords = 0;
-	sb_grant(s, "job", 0, 3, 5000, "x");
-	sb_grant(s, "job", 0, 1, 0, "x");
-	SB_WAIT(s, s->nrecords == 4);
-	sb_run_for(s, 200);
+	su_grant(s, "job", 0, 3, 5000, "x");
+	su_grant(s, "job", 0, 1, 0, "x");
+	SU_WAIT(s, s->nrecords == 4);
+	su_run_for(s, 200);
 	text = get(port, "/healthz");
 	assert_string_equal(
 	    "{\"status\":\"ok\",\"sessions\":1,\"running\":0}", text);
@@ -443,7 +465,7 @@
 	g_free(text);
 }
 
-#define TEST(name) cmocka_unit_test_setup_teardown(name, sb_setup, sb_teardown)
+#define TEST(name) cmocka_unit_test_setup_teardown(name, su_setup, su_teardown)
 
 int
 main(void)
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -142,12 +142,9 @@
 	ga_session s1 = ga_session_up(f->gate, E1);
 	ga_session s2 = ga_session_up(f->gate, E2);
 	const struct pd_permit out = {true, ck_mono_ms(f->clock), 5, 1, false};
-	unsigned i;
 
 	f->revision = 4;
-	fix_permit(f, s1);
-	for (i = 0; i < 4; i++)
-		fix_grant(f, s1, "job", i);
+	fix_grants(f, s1, "job", 4);
 	assert_int_equal(2, f->nstarts);
 	ga_permit(f->gate, s2, &out);
 	assert_int_equal(
@@ -221,11 +218,8 @@
 {
 	struct fix *f = *state;
 	ga_session s = ga_session_up(f->gate, E1);
-	unsigned i;
 
-	fix_permit(f, s);
-	for (i = 0; i < 7; i++)
-		fix_grant(f, s, "job", i);
+	fix_grants(f, s, "job", 7);
 	assert_int_equal(2, f->nstarts);
 	assert_int_equal(4, ga_stats(f->gate).queued);
 	assert_int_equal(1, f->nreports);
@@ -249,9 +243,7 @@
 
 	for (i = 0; i < 4; i++)
 		fix_grant(f, s1, "stuck", i);
-	fix_permit(f, s2);
-	for (i = 0; i < 3; i++)
-		fix_grant(f, s2, "job", i);
+	fix_grants(f, s2, "job", 3);
 	assert_int_equal(2, f->nstarts);
 	assert_int_equal(1, f->nreports);
 	assert_int_equal(s1, fix_last(f)->session);
@@ -448,9 +440,7 @@
 	struct pd_key key;
 	unsigned i;
 
-	fix_permit(f, s);
-	for (i = 0; i < 4; i++)
-		fix_grant(f, s, "job", i);
+	fix_grants(f, s, "job", 4);
 	for (i = 0; i < 5; i++) {
 		key = fix_key("job", i);
 		ga_cancel(f->gate, &key);
@@ -474,11 +464,8 @@
 	ga_session s2 = ga_session_up(f->gate, E2);
 	struct pd_fence_reply reply;
 	struct pd_grant g;
-	unsigned i;
 
-	fix_permit(f, s1);
-	for (i = 0; i < 3; i++)
-		fix_grant(f, s1, "job", i);
+	fix_grants(f, s1, "job", 3);
 	reply = fix_fence(f, s2, FIX_ALL, 5);
 	assert_false(reply.refused);
 	assert_int_equal(FIX_INCARNATION, reply.incarnation);
@@ -622,11 +609,8 @@
 	struct fix *f = *state;
 	ga_session s = ga_session_up(f->gate, E1);
 	struct pd_heartbeat h;
-	unsigned i;
 
-	fix_permit(f, s);
-	for (i = 0; i < 4; i++)
-		fix_grant(f, s, "job", i);
+	fix_grants(f, s, "job", 4);
 	assert_false(ga_drained(f->gate));
 	ga_drain(f->gate);
 	assert_int_equal(2, fix_reported(f, PD_NOT_STARTED, PD_R_DRAINING));
--- a/tests/test_gate_health.c
+++ b/tests/test_gate_health.c
@@ -26,6 +26,16 @@
 	fix_grant(f, s, id, 0);
 }
 
+/* Grants tasks of submissions "<name>-0" to "<name>-<n - 1>". */
+static void
+grant_each(struct fix *f, ga_session s, const char *name, unsigned n)
+{
+	unsigned i;
+
+	for (i = 0; i < n; i++)
+		grant_numbered(f, s, name, i);
+}
+
 /* Ends the call of the oldest start that has not ended. */
 static void
 end_next(struct fix *f, size_t *ended, enum ga_end end)
@@ -102,10 +112,8 @@
 	struct fix *f = *state;
 	ga_session s = ga_session_up(f->gate, ENTRY);
 	size_t ended = 0;
-	unsigned i;
 
-	for (i = 0; i < 13; i++)
-		grant_numbered(f, s, "job", i);
+	grant_each(f, s, "job", 13);
 	end_next(f, &ended, GA_ERROR);
 	end_next(f, &ended, GA_ERROR);
 	assert_int_equal(PD_SUSPECT, ga_stats(f->gate).health);
@@ -213,8 +221,7 @@
 	fix_end(f, 0, GA_OK, 1);
 	assert_int_equal(PD_HEALTHY, ga_stats(f->gate).health);
 	starts = f->nstarts;
-	for (i = 0; i < 8; i++)
-		grant_numbered(f, s, "job", (unsigned)i);
+	grant_each(f, s, "job", 8);
 	assert_int_equal(starts + 8, f->nstarts);
 }
 
@@ -259,8 +266,7 @@
 	size_t ended = 0;
 	unsigned i;
 
-	for (i = 0; i < 4; i++)
-		grant_numbered(f, s, "job", i);
+	grant_each(f, s, "job", 4);
 	for (i = 0; i < 3; i++)
 		end_next(f, &ended, GA_ERROR);
 	ck_advance_ms(f->clock, 1000);
