--- a/agent/agent.c
+++ b/agent/agent.c
@@ -322,10 +322,10 @@
 	a.kernel = kn_new();
 	if (start_base(&a) && start_services(&a)) {
 		run_loop(&a);
-		lg_write(LOG_NOTICE, PART, "stopped");
 		code = 0;
 	}
 	kn_free(a.kernel);
 	ulfius_global_close();
+	lg_write(LOG_NOTICE, PART, "stopped");
 	return (code);
 }
--- a/tests/harness_stub.c
+++ b/tests/harness_stub.c
@@ -10,6 +10,9 @@
 
 #define AGENT "agent/pimentodock-agent"
 
+/* All stubs; none is freed, since threads of its endpoint may still run. */
+static struct su *kept;
+
 /* Bytes of a request whose headers are complete, 0 before that. */
 static size_t
 request_length(const char *buf)
@@ -241,8 +244,11 @@
 {
 	struct su *s = arg;
 
+	s->accepted++;
 	s->agent = c;
 	cn_set(c, &entry_ops, s);
+	if (s->closes)
+		cn_close(c);
 }
 
 static void
@@ -318,6 +324,8 @@
 	struct su *s;
 
 	s = g_new0(struct su, 1);
+	s->previous = kept;
+	kept = s;
 	s->clock = ck_new_system();
 	g_mutex_init(&s->lock);
 	s->permits = true;
@@ -357,7 +365,6 @@
 	unlink(s->path);
 	rmdir(s->dir);
 	ck_free(s->clock);
-	/* The threads of the endpoint may still use the stub. */
 	return (0);
 }
 
--- a/tests/harness_stub.h
+++ b/tests/harness_stub.h
@@ -29,6 +29,7 @@
 
 /** struct su - an agent process and its surroundings */
 struct su {
+	struct su *previous;
 	struct ck *clock;
 	struct event_base *loop;
 	struct event *wake; /* keeps the loop turning */
@@ -39,6 +40,8 @@
 	pid_t pid;
 	/* Entry. */
 	bool silent; /* answers nothing */
+	bool closes; /* closes each connection at once */
+	unsigned accepted;
 	bool permits;
 	unsigned hellos;
 	unsigned heartbeats;
--- a/tests/proc_agent.c
+++ b/tests/proc_agent.c
@@ -254,6 +254,22 @@
 	return (g);
 }
 
+/* Guards against agents that flood an entry that cannot serve them, and
+ * against agents that give up. */
+static void
+test_backoff(void **state)
+{
+	struct su *s = *state;
+
+	s->closes = true;
+	s->accepted = 0;
+	cn_close(s->agent);
+	su_run_for(s, 4000);
+	assert_in_range(s->accepted, 4, 20);
+	s->closes = false;
+	SU_WAIT(s, s->hellos == 2);
+}
+
 /* Guards against a gather that misses records. */
 static void
 test_fence(void **state)
@@ -478,6 +494,7 @@
 	    TEST(test_reports_are_batched),
 	    TEST(test_graceful_shutdown),
 	    TEST(test_silent_entry),
+	    TEST(test_backoff),
 	    TEST(test_fence),
 	    TEST(test_memory_and_idle_cpu),
 	    TEST(test_bad_settings),
