--- a/entry/http.c
+++ b/entry/http.c
@@ -65,7 +65,6 @@
 	    {MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_BYTES, NULL},
 	    {MHD_OPTION_CONNECTION_LIMIT, connections_max, NULL},
 	    {MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S, NULL},
-	    {MHD_OPTION_LISTENING_ADDRESS_REUSE, 1, NULL},
 	    {MHD_OPTION_END, 0, NULL},
 	};
 
@@ -106,8 +105,8 @@
 	}
 	h->instance.max_post_body_size = body_max + 1;
 	for (; routes->method != NULL; routes++)
-		ulfius_add_endpoint_by_val(&h->instance, routes->method,
-		    routes->path, NULL, 0, routes->fn, arg);
+		ulfius_add_endpoint_by_val(&h->instance, routes->method, NULL,
+		    routes->path, 0, routes->fn, arg);
 	ulfius_set_default_endpoint(&h->instance, no_route, arg);
 	if (start(h, &bind_to, connections_max))
 		return (h);
--- a/entry/operators.c
+++ b/entry/operators.c
@@ -41,14 +41,12 @@
 bool
 or_token_matches(const char *header, const char *token)
 {
-	const char *given = header != NULL ? header : "";
+	const char *given = "";
 	size_t i, len, want = strlen(token);
 	volatile unsigned char difference;
 
-	if (g_str_has_prefix(given, BEARER))
-		given += strlen(BEARER);
-	else
-		given = "";
+	if (header != NULL && g_str_has_prefix(header, BEARER))
+		given = header + strlen(BEARER);
 	len = strlen(given);
 	difference = len != want;
 	for (i = 0; i < want; i++)
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -220,31 +220,6 @@
 	g_free(call);
 }
 
-/* PUSH is answered with the revision held; the rest of the status comes from
- * the list of entries. */
-static void
-held_done(struct call *call, const struct pd_held *held)
-{
-	struct mb *m = member(call->peers);
-	const struct cs_member *members;
-	struct pd_status s;
-	size_t i, n;
-
-	members = cs_members(mb_state(m), &n);
-	for (i = 0; i < n; i++)
-		if (members[i].incarnation == held->incarnation)
-			break;
-	if (i == n)
-		return;
-	memset(&s, 0, sizeof(s));
-	s.name = members[i].name;
-	s.incarnation = held->incarnation;
-	s.address = members[i].address;
-	s.revision = held->revision;
-	s.view = MIN(held->revision, cs_view(mb_state(m)));
-	mb_status_done(m, call->address, &s);
-}
-
 static void
 call_done(void *arg, enum cn_error error, void *result)
 {
@@ -259,8 +234,8 @@
 		mb_status_done(m, call->address, result);
 	else if (call->proc == PD_CHANGES)
 		mb_fetch_done(m, call->address, result);
-	else if (result != NULL)
-		held_done(call, result);
+	else
+		mb_push_done(m, call->address, result);
 	call_free(call);
 }
 
@@ -336,7 +311,7 @@
 	struct pd_changes changes;
 
 	if (c == NULL)
-		return;
+		return; /* no answer is awaited */
 	memset(&changes, 0, sizeof(changes));
 	mb_changes_after(member(p), after, &changes);
 	cn_call(c, PD_PUSH, (xdrproc_t)xdr_pd_changes, &changes,
--- a/entry/peers.h
+++ b/entry/peers.h
@@ -40,7 +40,7 @@
 /** pe_fetch() - CHANGES call -> mb_fetch_done() */
 void pe_fetch(struct pe *p, const char *address, uint64_t after);
 
-/** pe_push() - PUSH call; the answer enters mb_status_done() */
+/** pe_push() - PUSH call -> mb_push_done(), if there is a connection */
 void pe_push(struct pe *p, const char *address, uint64_t after);
 
 /**
--- a/entry/store.c
+++ b/entry/store.c
@@ -29,7 +29,7 @@
 	uint64_t revision;
 	char *text;     /* change or snapshot */
 	char *winner;   /* row that was there */
-	char *snapshot; /* state read before the first scan */
+	char *snapshot; /* object read before the first scan */
 	uint64_t snapshot_revision;
 	enum pf_error error;
 	GArray *changes; /* struct pd_change */
@@ -65,65 +65,42 @@
 	g_free(j);
 }
 
-/* Moves the rows to j->changes; returns the key of the last, or NULL. */
-static char *
-take_rows(struct job *j, struct pf_rows *rows)
-{
-	struct pd_change c;
-	char *last = NULL;
-	size_t i;
-
-	for (i = 0; i < rows->count; i++) {
-		c.revision = g_ascii_strtoull(rows->items[i].key, NULL, 10);
-		c.json.json_val = g_steal_pointer(&rows->items[i].value);
-		c.json.json_len = (u_int)strlen(c.json.json_val);
-		g_array_append_val(j->changes, c);
-	}
-	if (rows->count > 0)
-		last = g_steal_pointer(&rows->items[rows->count - 1].key);
-	pf_rows_release(rows);
-	return (last);
-}
-
 static void
 scan(struct sr *s, struct job *j)
 {
+	char key[KEY_BYTES];
 	struct pf_rows rows;
-	bool more = true;
-	size_t count;
-	char *key;
+	struct pd_change c;
+	size_t i;
 
 	j->changes = g_array_new(FALSE, FALSE, sizeof(struct pd_change));
 	g_array_set_clear_func(j->changes, change_release);
-	key = g_strdup_printf(
-	    "%020" PRIu64, MAX(j->revision, j->snapshot_revision));
-	while (more) {
-		j->error = s->platform.ops->scan(
-		    s->platform.arg, TABLE, key, SCAN_ROWS, &rows);
-		count = rows.count;
-		more = j->error == PF_OK && count == SCAN_ROWS;
-		if (j->error != PF_OK || count == 0)
-			break;
-		g_free(key);
-		key = take_rows(j, &rows);
+	g_snprintf(key, sizeof(key), "%020" PRIu64,
+	    MAX(j->revision, j->snapshot_revision));
+	j->error = s->platform.ops->scan(
+	    s->platform.arg, TABLE, key, SCAN_ROWS, &rows);
+	for (i = 0; i < rows.count; i++) {
+		c.revision = g_ascii_strtoull(rows.items[i].key, NULL, 10);
+		c.json.json_val = g_steal_pointer(&rows.items[i].value);
+		c.json.json_len = (u_int)strlen(c.json.json_val);
+		g_array_append_val(j->changes, c);
 	}
-	g_free(key);
+	pf_rows_release(&rows);
 }
 
-/* Sets j->snapshot to the "state" of the snapshot object. */
+/* Keeps the snapshot object if it has a revision. */
 static void
-parse_snapshot(struct job *j, const char *text)
+take_snapshot(struct job *j, char *text)
 {
-	json_t *root, *state;
+	json_t *root, *revision;
 
 	root = json_loads(text, 0, NULL);
-	state = json_object_get(root, "state");
-	if (json_is_integer(json_object_get(root, "revision")) &&
-	    json_is_object(state)) {
-		j->snapshot_revision = (uint64_t)json_integer_value(
-		    json_object_get(root, "revision"));
-		j->snapshot = json_dumps(state, JSON_COMPACT);
-	}
+	revision = json_object_get(root, "revision");
+	if (json_is_integer(revision)) {
+		j->snapshot_revision = (uint64_t)json_integer_value(revision);
+		j->snapshot = text;
+	} else
+		g_free(text);
 	json_decref(root);
 }
 
@@ -141,24 +118,11 @@
 			return;
 		s->snapshot_read = true;
 		if (text != NULL)
-			parse_snapshot(j, text);
-		g_free(text);
+			take_snapshot(j, text);
 	}
 	scan(s, j);
 }
 
-static void
-put_snapshot(struct sr *s, struct job *j)
-{
-	char *text;
-
-	/* The state is JSON text already. */
-	text = g_strdup_printf(
-	    "{\"revision\": %" PRIu64 ", \"state\": %s}", j->revision, j->text);
-	j->error = s->platform.ops->put_object(s->platform.arg, SNAPSHOT, text);
-	g_free(text);
-}
-
 static void
 insert(struct sr *s, struct job *j)
 {
@@ -245,7 +209,8 @@
 		else if (j->kind == JOB_INSERT)
 			insert(s, j);
 		else
-			put_snapshot(s, j);
+			j->error = s->platform.ops->put_object(
+			    s->platform.arg, SNAPSHOT, j->text);
 		mx_post(s->mailbox, finish, j);
 	}
 	job_free(j);
--- a/entry/store.h
+++ b/entry/store.h
@@ -32,7 +32,7 @@
 
 /**
  * sr_snapshot() - replace the snapshot object
- * @text: state at @revision; consumed, made by malloc()
+ * @text: cs_snapshot() at @revision; consumed
  */
 void sr_snapshot(struct sr *s, uint64_t revision, char *text);
 
--- /dev/null
+++ b/tests/proc_command.c
@@ -0,0 +1,229 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <sys/wait.h>
+
+#define PROGRAM "entry/pimentodock"
+#define ARGS_MAX 12
+
+#define SETTINGS                                                               \
+	"name = \"entry-1\"\navailability_zone = \"finistere\"\n[listen]\n"    \
+	"callers = \"127.0.0.1:39130\"\noperators = \"127.0.0.1:39131\"\n"     \
+	"rpc = \"127.0.0.1:39132\"\n[platform]\nurl = "                        \
+	"\"http://127.0.0.1:1\"\n"
+#define OPERATORS "[operators]\ntoken_file = \"token\"\n"
+
+static char *folder;
+static char *settings_path;
+static char *token_path;
+
+static int
+setup(void **state)
+{
+	(void)state;
+	folder = g_dir_make_tmp("pimentodock-XXXXXX", NULL);
+	settings_path = g_build_filename(folder, "settings.toml", NULL);
+	token_path = g_build_filename(folder, "token", NULL);
+	return (g_file_set_contents(token_path, "0123456789abcdef\n", -1, NULL)
+		? 0
+		: -1);
+}
+
+static int
+teardown(void **state)
+{
+	(void)state;
+	g_unlink(settings_path);
+	g_unlink(token_path);
+	g_rmdir(folder);
+	g_free(settings_path);
+	g_free(token_path);
+	g_free(folder);
+	return (0);
+}
+
+/* Runs the program; returns its exit code and its output. */
+static int
+run(const char *const *args, char **out, char **err)
+{
+	char *argv[ARGS_MAX + 2] = {(char *)(uintptr_t)PROGRAM};
+	int status = -1;
+	size_t i;
+
+	for (i = 0; args[i] != NULL && i < ARGS_MAX; i++)
+		argv[i + 1] = (char *)(uintptr_t)args[i];
+	assert_true(g_spawn_sync(NULL, argv, NULL, G_SPAWN_DEFAULT, NULL, NULL,
+	    out, err, &status, NULL));
+	assert_true(WIFEXITED(status));
+	return (WEXITSTATUS(status));
+}
+
+static void
+check_settings(const char *text, int code, const char *part)
+{
+	const char *const args[] = {"check", "--settings", settings_path, NULL};
+	char *out, *err;
+
+	assert_true(g_file_set_contents(settings_path, text, -1, NULL));
+	if (run(args, &out, &err) != code ||
+	    strstr(code == 0 ? out : err, part) == NULL)
+		fail_msg("\"%s\" prints \"%s%s\" instead of \"%s\"", text, out,
+		    err, part);
+	g_free(out);
+	g_free(err);
+}
+
+/* Guards against wrong settings that are accepted, and errors that do not name
+ * the key. */
+static void
+test_settings(void **state)
+{
+	(void)state;
+	check_settings(SETTINGS OPERATORS, 0, "is valid");
+	check_settings(SETTINGS, 2, "operators.token_file: missing");
+	check_settings(SETTINGS OPERATORS "[log]\nlevle = \"info\"\n", 2,
+	    "log.levle: unknown key");
+	check_settings(SETTINGS OPERATORS "[log]\nlevel = \"loud\"\n", 2,
+	    "log.level: \"loud\" is not allowed");
+	check_settings(SETTINGS OPERATORS "[submission]\nlife_s = 0\n", 2,
+	    "submission.life_s: value 0 is out of range");
+	check_settings(SETTINGS OPERATORS "[dispatch]\npolicy = \"best\"\n", 2,
+	    "dispatch.policy");
+	check_settings(SETTINGS OPERATORS "[peers]\naddresses = [\"host:1\"]\n",
+	    2, "peers.addresses: \"host:1\" is not an IPv4 number");
+	check_settings(
+	    SETTINGS "[operators]\ntoken_file = \"missing\"\n", 2, "missing");
+	check_settings("name = \"a b\"\n", 2, "missing");
+	check_settings("name = [\n", 2, "settings.toml:");
+}
+
+/* Guards against an entry that starts in part with wrong settings. */
+static void
+test_serve_rejects(void **state)
+{
+	const char *const args[] = {"serve", "--settings", settings_path, NULL};
+	char *out, *err;
+
+	(void)state;
+	assert_true(g_file_set_contents(settings_path, "x = 1\n", -1, NULL));
+	assert_int_equal(run(args, &out, &err), 2);
+	assert_non_null(strstr(err, "unknown key"));
+	assert_null(strstr(err, "serves"));
+	g_free(out);
+	g_free(err);
+}
+
+/* Guards against usage errors with another exit code than 2 or without a
+ * message. %T is replaced by the token file. */
+static void
+test_usage(void **state)
+{
+	static const struct {
+		const char *args[ARGS_MAX];
+		int code;
+		const char *part;
+	} cases[] = {
+	    {{NULL}, 2, "Usage: pimentodock COMMAND"},
+	    {{"zone"}, 2, "\"zone\" is not a command"},
+	    {{"zone", "sideways", "x"}, 2, "\"zone\" is not a command"},
+	    {{"serve"}, 2, "missing option"},
+	    {{"serve", "--settings"}, 2, "requires an argument"},
+	    {{"status", "--fast"}, 2, "invalid option"},
+	    {{"status", "--operator", "http://127.0.0.1:1"}, 2,
+		"missing option"},
+	    {{"status", "--operator", "127.0.0.1:1", "--token-file", "%T"}, 2,
+		"must begin with http://"},
+	    {{"status", "--operator", "http://127.0.0.1:1", "--token-file",
+		 "no-such-file"},
+		2, "no-such-file"},
+	    {{"zone", "out", "--operator", "http://127.0.0.1:1", "--token-file",
+		 "%T"},
+		2, "missing option"},
+	    {{"zone", "out", "a/b", "--operator", "http://127.0.0.1:1",
+		 "--token-file", "%T"},
+		2, "other characters"},
+	    {{"zone", "out", "x", "--expect", "0", "--operator",
+		 "http://127.0.0.1:1", "--token-file", "%T"},
+		2, "--expect must"},
+	    {{"config", "apply", "no-such-file", "--operator",
+		 "http://127.0.0.1:1", "--token-file", "%T"},
+		2, "no-such-file"},
+	    {{"status", "--operator", "http://127.0.0.1:1", "--token-file",
+		 "%T"},
+		1, "no answer from http://127.0.0.1:1"},
+	    {{"zone", "out", "x", "--operator", "http://127.0.0.1:1",
+		 "--token-file", "%T", "--change-id", "c-1"},
+		1, "repeat the command with --change-id c-1"},
+	};
+	const char *args[ARGS_MAX + 1];
+	char *out, *err;
+	size_t i, j;
+	int code;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		for (j = 0; j < ARGS_MAX && cases[i].args[j] != NULL; j++)
+			args[j] = strcmp(cases[i].args[j], "%T") == 0
+			    ? token_path
+			    : cases[i].args[j];
+		args[j] = NULL;
+		code = run(args, &out, &err);
+		if (code != cases[i].code || strstr(err, cases[i].part) == NULL)
+			fail_msg(
+			    "case %zu: exit code %d, \"%s\"", i, code, err);
+		g_free(out);
+		g_free(err);
+	}
+}
+
+/* Guards against commands without help. */
+static void
+test_help(void **state)
+{
+	static const char *const commands[][3] = {{"serve"}, {"check"},
+	    {"config", "show"}, {"config", "apply"}, {"zone", "out"},
+	    {"zone", "in"}, {"endpoint", "retire"}, {"endpoint", "restore"},
+	    {"entries", "list"}, {"entries", "forget"}, {"status"},
+	    {"explain"}};
+	const char *args[4];
+	char *out, *err;
+	size_t i, n;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(commands); i++) {
+		n = 0;
+		args[n++] = commands[i][0];
+		if (commands[i][1] != NULL)
+			args[n++] = commands[i][1];
+		args[n++] = "--help";
+		args[n] = NULL;
+		assert_int_equal(run(args, &out, &err), 0);
+		assert_true(g_str_has_prefix(out, "Usage: pimentodock "));
+		assert_non_null(strstr(out, commands[i][0]));
+		assert_non_null(strstr(out, "--help"));
+		assert_string_equal(err, "");
+		g_free(out);
+		g_free(err);
+	}
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_settings),
+	    cmocka_unit_test(test_serve_rejects),
+	    cmocka_unit_test(test_usage),
+	    cmocka_unit_test(test_help),
+	};
+
+	return (cmocka_run_group_tests(tests, setup, teardown));
+}
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,272 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <arpa/inet.h>
+#include <cmocka.h>
+#include <glib.h>
+#include <ulfius.h>
+#include <unistd.h>
+
+#include "platform.h"
+
+#define PORT 39117
+#define TIMEOUT_MS 1000
+
+/* What the stand-in answers next, and what it was asked. */
+struct fake {
+	struct _u_instance instance;
+	unsigned status;
+	const char *body;
+	unsigned delay_s;
+	char method[16];
+	char url[256];
+	char if_none_match[16];
+	char received[256];
+};
+
+static struct fake fake;
+
+static int
+answer(
+    const struct _u_request *request, struct _u_response *response, void *arg)
+{
+	const char *match =
+	    u_map_get_case(request->map_header, "If-None-Match");
+
+	(void)arg;
+	g_strlcpy(fake.method, request->http_verb, sizeof(fake.method));
+	g_strlcpy(fake.url, request->http_url, sizeof(fake.url));
+	g_strlcpy(fake.if_none_match, match != NULL ? match : "",
+	    sizeof(fake.if_none_match));
+	memset(fake.received, 0, sizeof(fake.received));
+	if (request->binary_body_length > 0)
+		memcpy(fake.received, request->binary_body,
+		    MIN(request->binary_body_length,
+			sizeof(fake.received) - 1));
+	sleep(fake.delay_s);
+	ulfius_set_string_body_response(response, fake.status, fake.body);
+	return (U_CALLBACK_COMPLETE);
+}
+
+static int
+start(void **state)
+{
+	struct sockaddr_in bind_to = {.sin_family = AF_INET};
+
+	(void)state;
+	bind_to.sin_port = htons(PORT);
+	inet_pton(AF_INET, "127.0.0.1", &bind_to.sin_addr);
+	if (ulfius_init_instance(&fake.instance, PORT, &bind_to, NULL) != U_OK)
+		return (-1);
+	ulfius_add_endpoint_by_val(
+	    &fake.instance, "*", NULL, "*", 0, answer, NULL);
+	return (ulfius_start_framework(&fake.instance) == U_OK ? 0 : -1);
+}
+
+static int
+stop(void **state)
+{
+	(void)state;
+	ulfius_stop_framework(&fake.instance);
+	ulfius_clean_instance(&fake.instance);
+	return (0);
+}
+
+static struct pf
+client(void)
+{
+	return (pf_http("http://127.0.0.1:39117", TIMEOUT_MS));
+}
+
+static void
+will_answer(unsigned status, const char *body)
+{
+	fake.status = status;
+	fake.body = body;
+	fake.delay_s = 0;
+}
+
+/* Guards against an insert that replaces a row, and against answers that are
+ * taken for success or for a conflict although the outcome is open. */
+static void
+test_insert(void **state)
+{
+	static const struct {
+		unsigned status;
+		const char *body;
+		enum pf_error error;
+		const char *existing;
+	} cases[] = {
+	    {201, "{}", PF_OK, NULL},
+	    {412, "{\"key\":\"7\",\"value\":\"{\\\"a\\\":1}\"}", PF_EXISTS,
+		"{\"a\":1}"},
+	    {412, "", PF_UNKNOWN, NULL},
+	    {412, "{\"key\":\"7\"}", PF_UNKNOWN, NULL},
+	    {200, "{}", PF_UNKNOWN, NULL},
+	    {404, "{}", PF_UNKNOWN, NULL},
+	    {503, "{}", PF_UNKNOWN, NULL},
+	};
+	struct pf p = client();
+	char *existing;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		will_answer(cases[i].status, cases[i].body);
+		assert_int_equal(
+		    p.ops->insert(p.arg, "change", "00000000000000000007",
+			"{\"b\":2}", &existing),
+		    cases[i].error);
+		if (cases[i].existing == NULL)
+			assert_null(existing);
+		else
+			assert_string_equal(existing, cases[i].existing);
+		g_free(existing);
+		assert_string_equal(fake.method, "PUT");
+		assert_string_equal(
+		    fake.url, "/table/change/00000000000000000007");
+		assert_string_equal(fake.if_none_match, "*");
+		assert_string_equal(fake.received, "{\"b\":2}");
+	}
+	p.ops->close(p.arg);
+}
+
+/* Guards against a missing row that is taken for a platform that is down, and
+ * the other way round. */
+static void
+test_get(void **state)
+{
+	static const struct {
+		unsigned status;
+		const char *body;
+		enum pf_error error;
+	} cases[] = {
+	    {200, "{\"key\":\"7\",\"value\":\"x\"}", PF_OK},
+	    {200, "{\"key\":\"7\",\"value\":5}", PF_UNKNOWN},
+	    {200, "x", PF_UNKNOWN},
+	    {404, "{}", PF_NOT_FOUND},
+	    {500, "{}", PF_UNKNOWN},
+	};
+	struct pf p = client();
+	char *value;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		will_answer(cases[i].status, cases[i].body);
+		assert_int_equal(
+		    p.ops->get(p.arg, "change", "7", &value), cases[i].error);
+		if (cases[i].error == PF_OK)
+			assert_string_equal(value, "x");
+		else
+			assert_null(value);
+		g_free(value);
+	}
+	assert_string_equal(fake.url, "/table/change/7");
+	p.ops->close(p.arg);
+}
+
+/* Guards against rows that are lost, and against a scan with a malformed row
+ * that looks like the end of the log. */
+static void
+test_scan(void **state)
+{
+	static const char *const wrong[] = {"", "{}", "{\"rows\":{}}",
+	    "{\"rows\":[{\"key\":\"1\",\"value\":\"a\"},{\"key\":\"2\"}]}"};
+	struct pf p = client();
+	struct pf_rows rows;
+	size_t i;
+
+	(void)state;
+	will_answer(200,
+	    "{\"rows\":[{\"key\":\"1\",\"value\":\"a\"},"
+	    "{\"key\":\"2\",\"value\":\"b\"}]}");
+	assert_int_equal(p.ops->scan(p.arg, "change", "0", 10, &rows), PF_OK);
+	assert_string_equal(fake.url, "/table/change?after=0&limit=10");
+	assert_int_equal(rows.count, 2);
+	assert_string_equal(rows.items[0].key, "1");
+	assert_string_equal(rows.items[1].value, "b");
+	pf_rows_release(&rows);
+	will_answer(200, "{\"rows\":[]}");
+	assert_int_equal(p.ops->scan(p.arg, "change", "2", 10, &rows), PF_OK);
+	assert_int_equal(rows.count, 0);
+	pf_rows_release(&rows);
+	for (i = 0; i < G_N_ELEMENTS(wrong); i++) {
+		will_answer(200, wrong[i]);
+		assert_int_equal(
+		    p.ops->scan(p.arg, "change", "0", 10, &rows), PF_UNKNOWN);
+		assert_int_equal(rows.count, 0);
+	}
+	p.ops->close(p.arg);
+}
+
+/* Guards against objects that are written with the condition of a row. */
+static void
+test_objects(void **state)
+{
+	struct pf p = client();
+	char *text;
+
+	(void)state;
+	will_answer(201, "{}");
+	assert_int_equal(
+	    p.ops->put_object(p.arg, "snapshot", "{\"r\":1}"), PF_OK);
+	assert_string_equal(fake.url, "/object/snapshot");
+	assert_string_equal(fake.received, "{\"r\":1}");
+	assert_string_equal(fake.if_none_match, "");
+	will_answer(503, "{}");
+	assert_int_equal(
+	    p.ops->put_object(p.arg, "snapshot", "{}"), PF_UNKNOWN);
+	will_answer(200, "{\"r\":1}");
+	assert_int_equal(p.ops->get_object(p.arg, "snapshot", &text), PF_OK);
+	assert_string_equal(text, "{\"r\":1}");
+	g_free(text);
+	will_answer(404, "{}");
+	assert_int_equal(
+	    p.ops->get_object(p.arg, "snapshot", &text), PF_NOT_FOUND);
+	assert_null(text);
+	p.ops->close(p.arg);
+}
+
+/* Guards against a call that hangs with a platform that does not answer, or
+ * reports success when nothing listens. */
+static void
+test_unreachable(void **state)
+{
+	struct pf nobody = pf_http("http://127.0.0.1:1", TIMEOUT_MS);
+	struct pf p = client();
+	char *value;
+	gint64 start_us;
+
+	(void)state;
+	assert_int_equal(
+	    nobody.ops->insert(nobody.arg, "change", "1", "{}", &value),
+	    PF_UNKNOWN);
+	nobody.ops->close(nobody.arg);
+	will_answer(201, "{}");
+	fake.delay_s = 3;
+	start_us = g_get_monotonic_time();
+	assert_int_equal(
+	    p.ops->insert(p.arg, "change", "1", "{}", &value), PF_UNKNOWN);
+	assert_true(g_get_monotonic_time() - start_us < 2 * G_USEC_PER_SEC);
+	p.ops->close(p.arg);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_insert),
+	    cmocka_unit_test(test_get),
+	    cmocka_unit_test(test_scan),
+	    cmocka_unit_test(test_objects),
+	    cmocka_unit_test(test_unreachable),
+	};
+
+	return (cmocka_run_group_tests(tests, start, stop));
+}
