--- a/entry/client.c
+++ b/entry/client.c
@@ -142,11 +142,14 @@
 
 	printf(
 	    "%-20s %-16s %-21s %s\n", "ENTRY", "INCARNATION", "ADDRESS", "AZ");
-	json_array_foreach(json_object_get(root, "entries"), i, entry) printf(
-	    "%-20s %-16s %-21s %s%s\n", text_of(entry, "name"),
-	    text_of(entry, "incarnation"), text_of(entry, "address"),
-	    text_of(entry, "az"),
-	    json_is_true(json_object_get(entry, "self")) ? "  (asked)" : "");
+	json_array_foreach(json_object_get(root, "entries"), i, entry)
+	{
+		printf("%-20s %-16s %-21s %s%s\n", text_of(entry, "name"),
+		    text_of(entry, "incarnation"), text_of(entry, "address"),
+		    text_of(entry, "az"),
+		    json_is_true(json_object_get(entry, "self")) ? "  (asked)"
+								 : "");
+	}
 }
 
 static void
@@ -159,13 +162,15 @@
 	    "AZ", "SERVICE", "CONNECTED", "IN SERVICE", "HEALTH", "RUNNING",
 	    "QUEUED", "SPEED");
 	json_array_foreach(list, i, e)
-	    printf("%-20s %-12s %-14s %-9s %-10s %-8s %7" PRId64 " %6" PRId64
-		   " %8.3f\n",
-		text_of(e, "name"), text_of(e, "az"), text_of(e, "service"),
-		yes_no(e, "connected"), yes_no(e, "in_service"),
-		text_of(e, "health"), (int64_t)number_of(e, "running"),
-		(int64_t)number_of(e, "queued"),
-		json_number_value(json_object_get(e, "speed")));
+	{
+		printf("%-20s %-12s %-14s %-9s %-10s %-8s %7" PRId64
+		       " %6" PRId64 " %8.3f\n",
+		    text_of(e, "name"), text_of(e, "az"), text_of(e, "service"),
+		    yes_no(e, "connected"), yes_no(e, "in_service"),
+		    text_of(e, "health"), (int64_t)number_of(e, "running"),
+		    (int64_t)number_of(e, "queued"),
+		    json_number_value(json_object_get(e, "speed")));
+	}
 }
 
 static void
@@ -222,8 +227,11 @@
 
 	printf("submission %s\n", text_of(root, "id"));
 	json_array_foreach(json_object_get(root, "events"), i, e)
-	    printf("%" PRId64 " %-12s %s\n", (int64_t)number_of(e, "wall_ms"),
-		text_of(e, "what"), text_of(e, "text"));
+	{
+		printf("%" PRId64 " %-12s %s\n",
+		    (int64_t)number_of(e, "wall_ms"), text_of(e, "what"),
+		    text_of(e, "text"));
+	}
 	if (number_of(root, "dropped") > 0)
 		printf("%" PRId64 " events in the middle were not kept\n",
 		    (int64_t)number_of(root, "dropped"));
@@ -317,8 +325,8 @@
 	result = print_outcome(c, &r);
 	if (result == EX_FAILED && is_worth_repeating(&r))
 		fprintf(stderr,
-		    "pimentodock: whether the change was made is not known; "
-		    "repeat the command with --change-id %s\n",
+		    "pimentodock: repeat the command with --change-id %s, so "
+		    "that the change is made at most once\n",
 		    id);
 	reply_release(&r);
 	json_decref(change);
--- a/entry/codec.c
+++ b/entry/codec.c
@@ -89,9 +89,12 @@
 	const char *key;
 	json_t *value;
 
-	json_object_foreach(
-	    object, key, value) if (!g_strv_contains(keys, key)) return (fail(p,
-	    CO_MALFORMED, "%s\"%.64s\" is not a known field", where, key));
+	json_object_foreach(object, key, value)
+	{
+		if (!g_strv_contains(keys, key))
+			return (fail(p, CO_MALFORMED,
+			    "%s\"%.64s\" is not a known field", where, key));
+	}
 	return (true);
 }
 
--- a/entry/command.c
+++ b/entry/command.c
@@ -29,12 +29,12 @@
 /* A subcommand of one or two words. */
 struct command {
 	const char *words;
-	enum shape shape;
 	const char *operand; /* name of the operand, NULL for none */
-	int operands_max;
 	int (*run)(const struct parsed *p);
 	const char *summary;
 	const char *text; /* further help */
+	enum shape shape;
+	int operands_max;
 };
 
 /* Arguments of a subcommand. */
@@ -159,36 +159,39 @@
 }
 
 static const struct command commands[] = {
-    {"serve", SHAPE_SETTINGS, NULL, 0, run_serve, "run an entry",
-	"Runs until SIGTERM, which starts a graceful shutdown."},
-    {"check", SHAPE_SETTINGS, NULL, 0, run_check,
-	"check a settings file and start nothing",
-	"Prints the file, line, key and what is allowed on an error."},
-    {"config show", SHAPE_VIEW, NULL, 0, run_config_show,
-	"print the configuration", "The output is JSON in any case."},
-    {"config apply", SHAPE_CHANGE, "FILE", 1, run_config_apply,
-	"replace the inventory",
+    {"serve", NULL, run_serve, "run an entry",
+	"Runs until SIGTERM, which starts a graceful shutdown.", SHAPE_SETTINGS,
+	0},
+    {"check", NULL, run_check, "check a settings file and start nothing",
+	"Prints the file, line, key and what is allowed on an error.",
+	SHAPE_SETTINGS, 0},
+    {"config show", NULL, run_config_show, "print the configuration",
+	"The output is JSON in any case.", SHAPE_VIEW, 0},
+    {"config apply", "FILE", run_config_apply, "replace the inventory",
 	"FILE is JSON: {\"azs\": [], \"teams\": [], \"endpoints\": [], "
-	"\"rules\": []}."},
-    {"zone out", SHAPE_CHANGE, "AZ", 1, run_zone_out,
-	"take an availability zone out of service",
-	"No task starts there more than 3 s after the change is accepted."},
-    {"zone in", SHAPE_CHANGE, "AZ", 1, run_zone_in,
-	"put an availability zone into service", ""},
-    {"endpoint retire", SHAPE_CHANGE, "NAME", 1, run_endpoint_retire,
-	"give an endpoint no new work", "Tasks that run there finish."},
-    {"endpoint restore", SHAPE_CHANGE, "NAME", 1, run_endpoint_restore,
-	"give a retired endpoint work again", ""},
-    {"entries list", SHAPE_VIEW, NULL, 0, run_entries_list,
-	"print the registered entries", ""},
-    {"entries forget", SHAPE_CHANGE, "NAME", NAMES_MAX, run_entries_forget,
+	"\"rules\": []}.",
+	SHAPE_CHANGE, 1},
+    {"zone out", "AZ", run_zone_out, "take an availability zone out of service",
+	"No task starts there more than 3 s after the change is accepted.",
+	SHAPE_CHANGE, 1},
+    {"zone in", "AZ", run_zone_in, "put an availability zone into service", "",
+	SHAPE_CHANGE, 1},
+    {"endpoint retire", "NAME", run_endpoint_retire,
+	"give an endpoint no new work", "Tasks that run there finish.",
+	SHAPE_CHANGE, 1},
+    {"endpoint restore", "NAME", run_endpoint_restore,
+	"give a retired endpoint work again", "", SHAPE_CHANGE, 1},
+    {"entries list", NULL, run_entries_list, "print the registered entries", "",
+	SHAPE_VIEW, 0},
+    {"entries forget", "NAME", run_entries_forget,
 	"remove entries that will not return",
 	"For the loss of a majority of the entries at once. The named entries "
-	"must have\nexited: a running one could still start tasks."},
-    {"status", SHAPE_VIEW, NULL, 0, run_status,
-	"print the state of an entry and of its endpoints", ""},
-    {"explain", SHAPE_VIEW, "ID", 1, run_explain,
-	"print what happened to a submission", ""},
+	"must have\nexited: a running one could still start tasks.",
+	SHAPE_CHANGE, NAMES_MAX},
+    {"status", NULL, run_status,
+	"print the state of an entry and of its endpoints", "", SHAPE_VIEW, 0},
+    {"explain", "ID", run_explain, "print what happened to a submission", "",
+	SHAPE_VIEW, 1},
 };
 
 static void
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -450,23 +450,31 @@
 	}
 }
 
+/* Whether the caller is to be told that the answer is pending. */
+static bool
+has_waited(const struct item *it, uint64_t now)
+{
+	if (now < it->until_ms)
+		return (false);
+	if (it->kind == KIND_SUBMIT)
+		return (it->done != NULL);
+	/* A look-up at another entry ends there. */
+	return (it->kind == KIND_SERVE_LOOKUP ||
+	    (it->kind == KIND_LOOKUP && it->local && it->retry_ms == 0));
+}
+
 static void
 item_tick(struct fw *f, struct item *it, uint64_t now)
 {
-	uint64_t margin =
-	    it->kind == KIND_SUBMIT && it->retry_ms == 0 ? ANSWER_MARGIN_MS : 0;
+	bool in_flight = it->kind == KIND_SUBMIT && it->retry_ms == 0;
+	uint64_t margin = in_flight ? ANSWER_MARGIN_MS : 0;
 
 	if (it->deadline_ms != 0 && now >= it->deadline_ms + margin)
 		give_up(f, it);
-	else if (now >= it->until_ms &&
-	    (it->kind == KIND_SERVE_LOOKUP ||
-		(it->kind == KIND_LOOKUP && it->local && it->retry_ms == 0)))
+	else if (has_waited(it, now))
 		tell_pending(f, it);
 	else if (it->retry_ms != 0 && now >= it->retry_ms)
 		item_send(f, it);
-	else if (it->kind == KIND_SUBMIT && it->done != NULL &&
-	    now >= it->until_ms)
-		tell_pending(f, it);
 }
 
 void
--- a/entry/operators.c
+++ b/entry/operators.c
@@ -203,12 +203,16 @@
     void *arg, enum mb_outcome outcome, uint64_t revision, const char *detail)
 {
 	struct request *r = arg;
+	const char *name = outcomes[outcome].name;
 	json_t *root;
 	char *text;
 
-	root = json_pack("{s:s, s:I, s:s}", "outcome", outcomes[outcome].name,
-	    "revision", (json_int_t)revision, "detail",
-	    detail != NULL ? detail : "");
+	/* The detail may begin with the code, which has a field of its own. */
+	if (detail != NULL && g_str_has_prefix(detail, name) &&
+	    g_str_has_prefix(detail + strlen(name), ": "))
+		detail += strlen(name) + 2;
+	root = json_pack("{s:s, s:I, s:s}", "outcome", name, "revision",
+	    (json_int_t)revision, "detail", detail != NULL ? detail : "");
 	if (outcome == MB_CONFLICT) {
 		json_object_set_new(
 		    root, "yours", json_loads(r->text, 0, NULL));
@@ -217,8 +221,7 @@
 			    root, "winner", json_loads(detail, 0, NULL));
 	}
 	if (outcome != MB_ACCEPTED && outcome != MB_PENDING)
-		json_object_set_new(
-		    root, "error", json_string(outcomes[outcome].name));
+		json_object_set_new(root, "error", json_string(name));
 	text = json_dumps(root, JSON_COMPACT);
 	json_decref(root);
 	ti_answer(r->ticket, outcomes[outcome].status, text);
--- a/tests/proc_command.c
+++ b/tests/proc_command.c
@@ -58,7 +58,7 @@
 	int status = -1;
 	size_t i;
 
-	for (i = 0; args[i] != NULL && i < ARGS_MAX; i++)
+	for (i = 0; i < ARGS_MAX && args[i] != NULL; i++)
 		argv[i + 1] = (char *)(uintptr_t)args[i];
 	assert_true(g_spawn_sync(NULL, argv, NULL, G_SPAWN_DEFAULT, NULL, NULL,
 	    out, err, &status, NULL));
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -97,19 +97,19 @@
 test_insert(void **state)
 {
 	static const struct {
-		unsigned status;
 		const char *body;
-		enum pf_error error;
 		const char *existing;
+		unsigned status;
+		enum pf_error error;
 	} cases[] = {
-	    {201, "{}", PF_OK, NULL},
-	    {412, "{\"key\":\"7\",\"value\":\"{\\\"a\\\":1}\"}", PF_EXISTS,
-		"{\"a\":1}"},
-	    {412, "", PF_UNKNOWN, NULL},
-	    {412, "{\"key\":\"7\"}", PF_UNKNOWN, NULL},
-	    {200, "{}", PF_UNKNOWN, NULL},
-	    {404, "{}", PF_UNKNOWN, NULL},
-	    {503, "{}", PF_UNKNOWN, NULL},
+	    {"{}", NULL, 201, PF_OK},
+	    {"{\"key\":\"7\",\"value\":\"{\\\"a\\\":1}\"}", "{\"a\":1}", 412,
+		PF_EXISTS},
+	    {"", NULL, 412, PF_UNKNOWN},
+	    {"{\"key\":\"7\"}", NULL, 412, PF_UNKNOWN},
+	    {"{}", NULL, 200, PF_UNKNOWN},
+	    {"{}", NULL, 404, PF_UNKNOWN},
+	    {"{}", NULL, 503, PF_UNKNOWN},
 	};
 	struct pf p = client();
 	char *existing;
@@ -142,15 +142,15 @@
 test_get(void **state)
 {
 	static const struct {
-		unsigned status;
 		const char *body;
+		unsigned status;
 		enum pf_error error;
 	} cases[] = {
-	    {200, "{\"key\":\"7\",\"value\":\"x\"}", PF_OK},
-	    {200, "{\"key\":\"7\",\"value\":5}", PF_UNKNOWN},
-	    {200, "x", PF_UNKNOWN},
-	    {404, "{}", PF_NOT_FOUND},
-	    {500, "{}", PF_UNKNOWN},
+	    {"{\"key\":\"7\",\"value\":\"x\"}", 200, PF_OK},
+	    {"{\"key\":\"7\",\"value\":5}", 200, PF_UNKNOWN},
+	    {"x", 200, PF_UNKNOWN},
+	    {"{}", 404, PF_NOT_FOUND},
+	    {"{}", 500, PF_UNKNOWN},
 	};
 	struct pf p = client();
 	char *value;
