--- /dev/null
+++ b/tests/proc_agent.c
@@ -0,0 +1,463 @@
+#include <signal.h>
+#include <sys/wait.h>
+#include <ulfius.h>
+#include <unistd.h>
+
+#include "harness_stub.h"
+
+static void
+assert_header(const char *request, const char *name, const char *value)
+{
+	char *found = sb_header(request, name);
+
+	assert_string_equal(value, found);
+	g_free(found);
+}
+
+/* Guards against tasks whose identity, body or result is lost on the way. */
+static void
+test_runs_tasks(void **state)
+{
+	struct sb *s = *state;
+	unsigned i;
+
+	sb_grant(s, "job 1", 7, 12, 5000, "text");
+	SB_WAIT(s, s->nrecords == 12);
+	for (i = 0; i < 12; i++) {
+		assert_string_equal("job 1", s->records[i].id);
+		assert_int_equal(PD_DONE, s->records[i].state);
+		assert_int_equal(4, s->records[i].body_len);
+		assert_memory_equal("text", s->records[i].body, 4);
+	}
+	sb_grant(s, "job\n2", 3, 1, 5000, "");
+	SB_WAIT(s, s->nrecords == 13);
+	assert_int_equal(PD_DONE, s->records[12].state);
+	assert_int_equal(0, s->records[12].body_len);
+	g_mutex_lock(&s->lock);
+	assert_true(g_str_has_prefix(s->last_request, "POST /task HTTP"));
+	assert_header(s->last_request, "X-Pd-Submission", "job%0A2");
+	assert_header(s->last_request, "X-Pd-Task", "3");
+	assert_header(s->last_request, "X-Pd-Attempt", "0");
+	assert_header(s->last_request, "Content-Length", "0");
+	g_mutex_unlock(&s->lock);
+	assert_int_equal(13, g_atomic_int_get(&s->calls));
+}
+
+/* Guards against a wrong account of whether a task ran. */
+static void
+test_ends_of_tasks(void **state)
+{
+	static const struct {
+		const char *id;
+		unsigned timeout_ms;
+		enum pd_task_state state;
+		enum pd_reason reason;
+	} cases[] = {
+	    {"ok", 5000, PD_DONE, PD_R_NONE},
+	    {"reject", 5000, PD_FAILED, PD_R_ENDPOINT_ERROR},
+	    {"large", 5000, PD_FAILED, PD_R_ENDPOINT_ERROR},
+	    {"fail", 5000, PD_FAILED, PD_R_ENDPOINT_ERROR},
+	    {"broken", 5000, PD_OUTCOME_UNKNOWN, PD_R_ENDPOINT_ERROR},
+	    {"ok-again", 5000, PD_DONE, PD_R_NONE},
+	    {"slow-1500", 900, PD_OUTCOME_UNKNOWN, PD_R_ENDPOINT_TIMEOUT},
+	};
+	struct sb *s = *state;
+	unsigned i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sb_grant(s, cases[i].id, 0, 1, cases[i].timeout_ms, "x");
+		SB_WAIT(s, s->nrecords == i + 1);
+		if (s->records[i].state != cases[i].state ||
+		    s->records[i].reason != cases[i].reason)
+			fail_msg("%s: state %u, reason %u", cases[i].id,
+			    (unsigned)s->records[i].state,
+			    (unsigned)s->records[i].reason);
+	}
+	/* A port without listener refuses. */
+	shutdown(s->endpoint_fd, SHUT_RDWR);
+	sb_grant(s, "refused", 0, 1, 5000, "x");
+	SB_WAIT(s, s->nrecords == i + 1);
+	assert_int_equal(PD_NOT_STARTED, s->records[i].state);
+	assert_int_equal(PD_R_ENDPOINT_REFUSED, s->records[i].reason);
+	assert_int_equal(G_N_ELEMENTS(cases), g_atomic_int_get(&s->calls));
+}
+
+/* Guards against starts without a permit. */
+static void
+test_no_permit_no_start(void **state)
+{
+	struct sb *s = *state;
+
+	s->permits = false;
+	sb_run_for(s, 2200);
+	sb_grant(s, "job", 0, 1, 5000, "x");
+	sb_run_for(s, 700);
+	assert_int_equal(0, g_atomic_int_get(&s->calls));
+	s->permits = true;
+	SB_WAIT(s, s->nrecords == 1);
+	assert_int_equal(PD_DONE, s->records[0].state);
+}
+
+/* Guards against a start after a pause of the whole process, on a grant that
+ * arrived meanwhile and a permit from before. */
+static void
+test_paused_agent(void **state)
+{
+	struct sb *s = *state;
+
+	kill(s->pid, SIGSTOP);
+	sb_grant(s, "job", 0, 1, 20000, "x");
+	sb_run_for(s, 1700);
+	s->permits = false;
+	kill(s->pid, SIGCONT);
+	sb_run_for(s, 700);
+	assert_int_equal(0, g_atomic_int_get(&s->calls));
+	s->permits = true;
+	SB_WAIT(s, s->nrecords == 1);
+	assert_int_equal(PD_DONE, s->records[0].state);
+}
+
+/* Guards against one report message per task. */
+static void
+test_reports_are_batched(void **state)
+{
+	struct sb *s = *state;
+
+	sb_grant(s, "job", 0, 400, 5000, "x");
+	SB_WAIT(s, s->nrecords == 400);
+	/* 12 fit into slots and queue, the others come back at once. */
+	assert_true(s->reports <= 13);
+}
+
+/* Guards against a shutdown that interrupts a task or loses its result. */
+static void
+test_graceful_shutdown(void **state)
+{
+	struct sb *s = *state;
+	unsigned done = 0, returned = 0, i;
+
+	sb_grant(s, "slow-700", 0, 7, 5000, "x");
+	SB_WAIT(s, g_atomic_int_get(&s->calls) == 4);
+	kill(s->pid, SIGTERM);
+	SB_WAIT(s, s->last.draining);
+	assert_int_equal(4, s->last.running);
+	sb_grant(s, "late", 0, 2, 5000, "x");
+	SB_WAIT(s, s->agent == NULL);
+	assert_int_equal(0, sb_exit_code(s->pid));
+	s->pid = 0;
+	for (i = 0; i < s->nrecords; i++) {
+		done += s->records[i].state == PD_DONE;
+		returned += s->records[i].state == PD_NOT_STARTED &&
+		    s->records[i].reason == PD_R_DRAINING;
+	}
+	assert_int_equal(4, done);
+	assert_int_equal(5, returned);
+	assert_int_equal(4, g_atomic_int_get(&s->calls));
+}
+
+struct resolved {
+	unsigned answers;
+	enum pd_task_state state;
+	unsigned body_len;
+};
+
+static void
+resolve_done(void *arg, enum cn_error error, void *result)
+{
+	const struct pd_resolve_reply *reply = result;
+	struct resolved *r = arg;
+
+	assert_int_equal(CN_OK, error);
+	assert_int_equal(1, reply->list.list_len);
+	r->answers++;
+	r->state = reply->list.list_val[0].state;
+	r->body_len = reply->list.list_val[0].body.body_len;
+}
+
+static void
+resolve(struct sb *s, const char *id, struct resolved *r)
+{
+	struct pd_key key = {{(char *)(uintptr_t)id, SB_CREATED_MS}, 0, 0};
+	struct pd_resolve keys = {{1, &key}};
+
+	cn_call(s->agent, PD_RESOLVE, (xdrproc_t)xdr_pd_resolve, &keys,
+	    (xdrproc_t)xdr_pd_resolve_reply, sizeof(struct pd_resolve_reply),
+	    1000, resolve_done, r);
+}
+
+/* Guards against a silent connection that is kept, and against results that
+ * are lost with it. */
+static void
+test_silent_entry(void **state)
+{
+	struct resolved r = {0};
+	struct sb *s = *state;
+	uint64_t began;
+
+	sb_grant(s, "slow-300", 0, 1, 5000, "text");
+	SB_WAIT(s, g_atomic_int_get(&s->calls) == 1);
+	s->silent = true;
+	began = ck_mono_ms(s->clock);
+	SB_WAIT(s, s->agent == NULL);
+	s->silent = false;
+	SB_WAIT(s, s->hellos == 2);
+	assert_in_range(ck_mono_ms(s->clock) - began, 1500, 4000);
+	assert_int_equal(0, s->nrecords);
+	resolve(s, "slow-300", &r);
+	SB_WAIT(s, r.answers == 1);
+	assert_int_equal(PD_DONE, r.state);
+	assert_int_equal(4, r.body_len);
+	resolve(s, "never-seen", &r);
+	SB_WAIT(s, r.answers == 2);
+	assert_int_equal(PD_NOT_STARTED, r.state);
+	sb_grant(s, "never-seen", 0, 1, 5000, "x");
+	SB_WAIT(s, s->nrecords == 1);
+	assert_int_equal(PD_R_VOIDED, s->records[0].reason);
+}
+
+static void
+fence_done(void *arg, enum cn_error error, void *result)
+{
+	const struct pd_fence_reply *reply = result;
+	struct pd_fence_reply *out = arg;
+
+	assert_int_equal(CN_OK, error);
+	out->incarnation = reply->incarnation;
+	out->list.list_len += reply->list.list_len;
+	out->next = reply->next;
+	out->refused = true; /* marks the arrival */
+}
+
+/* Guards against a gather that misses records. */
+static void
+test_fence(void **state)
+{
+	struct pd_fence_reply got = {0};
+	struct pd_fence fence = {2, ~0ULL, 0};
+	struct sb *s = *state;
+
+	sb_grant(s, "job", 0, 5, 5000, "x");
+	SB_WAIT(s, s->nrecords == 5);
+	cn_call(s->agent, PD_FENCE, (xdrproc_t)xdr_pd_fence, &fence,
+	    (xdrproc_t)xdr_pd_fence_reply, sizeof(struct pd_fence_reply), 1000,
+	    fence_done, &got);
+	SB_WAIT(s, got.refused);
+	assert_int_equal(s->incarnation, got.incarnation);
+	assert_int_equal(5, got.list.list_len);
+	assert_int_equal(0, got.next);
+	sb_grant(s, "job", 9, 1, 5000, "x");
+	SB_WAIT(s, s->nrecords == 6);
+	assert_int_equal(PD_R_STALE_VIEW, s->records[5].reason);
+}
+
+static unsigned long
+status_kb(pid_t pid, const char *field)
+{
+	char path[64], *text, *at;
+	unsigned long kb;
+
+	g_snprintf(path, sizeof(path), "/proc/%d/status", (int)pid);
+	assert_true(g_file_get_contents(path, &text, NULL, NULL));
+	at = strstr(text, field);
+	assert_non_null(at);
+	kb = strtoul(at + strlen(field), NULL, 10);
+	g_free(text);
+	return (kb);
+}
+
+/* Processor time of a process in clock ticks. */
+static unsigned long
+cpu_ticks(pid_t pid)
+{
+	unsigned long user, system;
+	char path[64], *text, *at;
+	int i;
+
+	g_snprintf(path, sizeof(path), "/proc/%d/stat", (int)pid);
+	assert_true(g_file_get_contents(path, &text, NULL, NULL));
+	at = strrchr(text, ')');
+	for (i = 0; i < 12; i++)
+		at = strchr(at + 1, ' ');
+	user = strtoul(at, &at, 10);
+	system = strtoul(at, NULL, 10);
+	g_free(text);
+	return (user + system);
+}
+
+/* Guards against an agent that costs its node more than it may. */
+static void
+test_memory_and_idle_cpu(void **state)
+{
+	struct sb *s = *state;
+	unsigned long ticks, kb;
+	char id[32], *body;
+	unsigned i;
+
+	body = g_strnfill(60000, 'x');
+	for (i = 0; i < 400; i++) {
+		g_snprintf(id, sizeof(id), "job-%u", i);
+		sb_grant(s, id, 0, 1, 5000, body);
+		SB_WAIT(s, s->nrecords == i + 1);
+		assert_int_equal(PD_DONE, s->records[i].state);
+	}
+	g_free(body);
+	kb = status_kb(s->pid, "VmRSS:");
+	ticks = cpu_ticks(s->pid);
+	sb_run_for(s, 4000);
+	ticks = cpu_ticks(s->pid) - ticks;
+	print_message(
+	    "after 24 MB of results: %lu KB; idle: %lu ticks of "
+	    "10 ms in 4 s\n",
+	    kb, ticks);
+	assert_true(kb < 32 * 1024);
+	/* 1.1 % of a core are 4.4 ticks in 4 s. */
+	assert_true(ticks < 4);
+}
+
+static int
+run_with(const struct sb *s, const char *find, const char *replace)
+{
+	char *text, **parts, *changed, *path;
+	int code;
+
+	assert_true(g_file_get_contents(s->path, &text, NULL, NULL));
+	assert_non_null(strstr(text, find));
+	parts = g_strsplit(text, find, 2);
+	changed = g_strjoinv(replace, parts);
+	path = g_strconcat(s->path, ".bad", NULL);
+	assert_true(g_file_set_contents(path, changed, -1, NULL));
+	code = sb_exit_code(sb_spawn(path));
+	unlink(path);
+	g_free(path);
+	g_free(changed);
+	g_strfreev(parts);
+	g_free(text);
+	return (code);
+}
+
+/* Guards against an agent that starts with settings that cannot work. */
+static void
+test_bad_settings(void **state)
+{
+	static const struct {
+		const char *find;
+		const char *replace;
+	} cases[] = {
+	    {"name = \"order-desk-1\"\n", ""},
+	    {"name = \"order-desk-1\"", "name = 1"},
+	    {"name = \"order-desk-1\"", "nam = \"order-desk-1\""},
+	    {"[endpoint]", "[endpoint"},
+	    {"slots = 4", "slots = 0"},
+	    {"slots = 4", "slots = 65"},
+	    {"url = \"http://127.0.0.1", "url = \"http://localhost"},
+	    {"url = \"http://127.0.0.1", "url = \"ftp://127.0.0.1"},
+	    {"addresses = [\"127.0.0.1:", "addresses = [\"entry:"},
+	    {"metrics = \"\"", "metrics = \"127.0.0.1\""},
+	    {"metrics = \"\"", "metrics = \"127.0.0.1:0\""},
+	};
+	struct sb *s = *state;
+	unsigned hellos = s->hellos;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++)
+		if (run_with(s, cases[i].find, cases[i].replace) != 2)
+			fail_msg("%s -> %s", cases[i].find, cases[i].replace);
+	assert_int_equal(2, sb_exit_code(sb_spawn("/nonexistent/agent.toml")));
+	sb_run_for(s, 100);
+	assert_int_equal(hellos, s->hellos);
+}
+
+static char *
+get(unsigned port, const char *path)
+{
+	struct _u_response response;
+	struct _u_request request;
+	char url[64], *body;
+
+	g_snprintf(url, sizeof(url), "http://127.0.0.1:%u%s", port, path);
+	ulfius_init_request(&request);
+	ulfius_init_response(&response);
+	ulfius_set_request_properties(&request, U_OPT_HTTP_VERB, "GET",
+	    U_OPT_HTTP_URL, url, U_OPT_TIMEOUT, 5UL, U_OPT_NONE);
+	assert_int_equal(U_OK, ulfius_send_http_request(&request, &response));
+	assert_int_equal(200, response.status);
+	body = g_strndup(response.binary_body, response.binary_body_length);
+	ulfius_clean_response(&response);
+	ulfius_clean_request(&request);
+	return (body);
+}
+
+static void
+assert_line(const char *text, const char *line)
+{
+	char *full = g_strdup_printf("\n%s\n", line);
+
+	if (strstr(text, full) == NULL)
+		fail_msg("no line \"%s\" in:\n%s", line, text);
+	g_free(full);
+}
+
+/* Guards against counters that are missing or count something else, against
+ * an agent that runs without the listener it was told to have, and against an
+ * address that stays taken after a stop. */
+static void
+test_metrics(void **state)
+{
+	struct sb *s = *state;
+	unsigned port, round;
+	char address[48], *text;
+
+	close(sb_listen_any(&port));
+	g_snprintf(address, sizeof(address), "127.0.0.1:%u", port);
+	sb_write_settings(s, address);
+	for (round = 0; round < 2; round++) {
+		kill(s->pid, SIGTERM);
+		SB_WAIT(s, s->agent == NULL);
+		assert_int_equal(0, sb_exit_code(s->pid));
+		s->hellos = 0;
+		s->pid = sb_spawn(s->path);
+		SB_WAIT(s, s->hellos == 1);
+		sb_run_for(s, 100);
+	}
+	assert_int_equal(1, run_with(s, "[listen]", "[listen]"));
+	s->nrecords = 0;
+	sb_grant(s, "job", 0, 3, 5000, "x");
+	sb_grant(s, "job", 0, 1, 0, "x");
+	SB_WAIT(s, s->nrecords == 4);
+	sb_run_for(s, 200);
+	text = get(port, "/healthz");
+	assert_string_equal(
+	    "{\"status\":\"ok\",\"sessions\":1,\"running\":0}", text);
+	g_free(text);
+	text = get(port, "/metrics");
+	assert_line(text, "pd_agent_starts_total 3");
+	assert_line(text, "pd_agent_results_total{state=\"done\"} 3");
+	assert_line(text, "pd_agent_refusals_total{reason=\"duplicate\"} 1");
+	assert_line(text,
+	    "pd_agent_messages_total{direction=\"received\",kind=\"grant\"} "
+	    "2");
+	assert_line(text, "pd_agent_records 3");
+	g_free(text);
+}
+
+#define TEST(name) cmocka_unit_test_setup_teardown(name, sb_setup, sb_teardown)
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    TEST(test_runs_tasks),
+	    TEST(test_ends_of_tasks),
+	    TEST(test_no_permit_no_start),
+	    TEST(test_paused_agent),
+	    TEST(test_reports_are_batched),
+	    TEST(test_graceful_shutdown),
+	    TEST(test_silent_entry),
+	    TEST(test_fence),
+	    TEST(test_memory_and_idle_cpu),
+	    TEST(test_bad_settings),
+	    TEST(test_metrics),
+	};
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
