--- a/tests/harness_stub.c
+++ b/tests/harness_stub.c
@@ -2,6 +2,7 @@
 #include <fcntl.h>
 #include <signal.h>
 #include <stdlib.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -276,6 +277,8 @@
 
 	pid = fork();
 	if (pid == 0) {
+		/* An agent must not outlive a test that crashes. */
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
 		fd = open("/dev/null", O_WRONLY | O_CLOEXEC);
 		dup2(fd, STDERR_FILENO);
 		execl(AGENT, AGENT, "--settings", path, (char *)NULL);
