--- a/entry/serve.c
+++ b/entry/serve.c
@@ -68,6 +68,8 @@
 static void
 stop_loop(void *b)
 {
+	/* A connection that was just closed is freed by its last callback. */
+	event_base_loop(b, EVLOOP_NONBLOCK);
 	event_base_free(b);
 }
 
