Let a test of cancellation wait for the owner's answer

With wait_ms=0 an answer of 202 is right while grants are withdrawn from agents, so test_cancel_before_start failed, and the endpoints it had left hanging failed the seven tests behind it. The check of the final answer stays.

--- a/tests/harness_calls.c
+++ b/tests/harness_calls.c
@@ -107,7 +107,7 @@
 pc_cancel(struct pc *c, unsigned entry, const char *id, uint64_t created_ms,
     json_t **answer)
 {
-	return (by_id(c, "DELETE", entry, id, created_ms, 0, answer));
+	return (by_id(c, "DELETE", entry, id, created_ms, 2000, answer));
 }
 
 struct pc_load
