--- a/tests/test_cell_random.c
+++ b/tests/test_cell_random.c
@@ -1188,26 +1188,39 @@
 	    r->violation);
 }
 
+static void
+seeds_given(uint64_t *first, uint64_t *count, uint64_t *steps)
+{
+	const char *text;
+	char **part;
+
+	text = getenv("SEED");
+	if (text == NULL)
+		return;
+	part = g_strsplit(text, ",", 3);
+	if (g_strv_length(part) != 3)
+		fail_msg("SEED is first,count,steps");
+	*first = g_ascii_strtoull(part[0], NULL, 10);
+	*count = g_ascii_strtoull(part[1], NULL, 10);
+	*steps = g_ascii_strtoull(part[2], NULL, 10);
+	g_strfreev(part);
+}
+
 /* Guards the rules of the cell under random faults; seeds are fixed, or given
  * as SEED=first,count,steps to look for more. */
 static void
 test_random(void **state)
 {
-	unsigned first, count, steps;
-	const char *text;
+	uint64_t first, count, steps, seed;
 	struct run r;
-	uint64_t seed;
 
 	(void)state;
 	first = 1;
 	count = 6;
 	steps = 3000;
-	text = getenv("SEED");
-	if (text != NULL &&
-	    sscanf(text, "%u,%u,%u", &first, &count, &steps) != 3)
-		fail_msg("SEED is first,count,steps");
+	seeds_given(&first, &count, &steps);
 	for (seed = first; seed < first + count; seed++) {
-		r = run(seed, steps, 0, 0);
+		r = run(seed, (unsigned)steps, 0, 0);
 		print_run(seed, &r);
 		assert_string_equal("", r.violation);
 		assert_int_equal(r.count, r.ready);
