Refuse characters in settings that toml++ cannot judge

toml++ 3.3 reaches __builtin_unreachable() in is_non_ascii_horizontal_whitespace() for most characters up to U+0499 and from U+FB26 to U+FEFE, wherever it looks for white space (fuzz_toml: U+037F in the place of a key). Such characters are now allowed in comment lines only, where toml++ does not ask.

--- a/base/settings.c
+++ b/base/settings.c
@@ -174,6 +174,32 @@
 	return (true);
 }
 
+/*
+ * Line of a character that is not ASCII and not in a comment line, 0 if there
+ * is none. toml++ 3.3 has undefined behaviour for such a character where it
+ * looks for white space.
+ */
+static unsigned
+find_non_ascii(const char *text)
+{
+	bool comment = false, start = true;
+	unsigned line = 1;
+
+	for (; *text != '\0'; text++) {
+		if (*text == '\n') {
+			line++;
+			start = true;
+			comment = false;
+		} else if (start && *text != ' ' && *text != '\t') {
+			start = false;
+			comment = *text == '#';
+		}
+		if (!comment && (unsigned char)*text > 0x7f)
+			return (line);
+	}
+	return (0);
+}
+
 enum st_error
 st_parse(const char *text, const char *path, const struct st_key *keys,
     size_t nkeys, void *out, char *message, size_t message_size)
@@ -185,7 +211,15 @@
 	size_t i;
 
 	l.seen = g_new0(bool, nkeys);
-	if (!toml_visit(text, visit_value, &l, error, sizeof(error), &line)) {
+	line = find_non_ascii(text);
+	if (line > 0) {
+		snprintf(message, message_size,
+		    "%s:%u: only lines that begin with # may have other "
+		    "characters than ASCII",
+		    path, line);
+		l.error = ST_SYNTAX;
+	} else if (!toml_visit(
+		       text, visit_value, &l, error, sizeof(error), &line)) {
 		snprintf(message, message_size, "%s:%u: %s", path, line, error);
 		l.error = ST_SYNTAX;
 	}
--- a/tests/fuzz_toml.c
+++ b/tests/fuzz_toml.c
@@ -43,6 +43,7 @@
     "# comment\nname = \"\"\"x\ny\"\"\"\npart.number = 1_000\n",
     "name = 1\n[part]\nnumber = \"seven\"\n",
     "name = \"a\"\nname = \"b\"\n",
+    "# Finist\xc3\xa8re\nname = \"a\"\n  # \xef\xbb\xbf\n",
     "name = \"a\"\n[unknown]\nkey = 1.5\n",
 };
 
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -99,6 +99,28 @@
 	st_release(example_keys, EXAMPLE_KEYS, &out);
 }
 
+/* Guards against undefined behaviour of toml++: found by fuzz_toml with
+ * U+037F in the place of a key. */
+static void
+test_settings_non_ascii(void **state)
+{
+	struct example out = {0};
+	char message[256];
+
+	(void)state;
+	assert_int_equal(ST_SYNTAX,
+	    st_parse("name = \"a\"\nnam\xcd\xbfg 5\n", "f", example_keys,
+		EXAMPLE_KEYS, &out, message, sizeof(message)));
+	assert_string_equal(
+	    "f:2: only lines that begin with # may have other "
+	    "characters than ASCII",
+	    message);
+	assert_int_equal(ST_OK,
+	    st_parse("# Finist\xc3\xa8re\nname = \"a\"\n\t# \xc3\xa8\n", "f",
+		example_keys, EXAMPLE_KEYS, &out, message, sizeof(message)));
+	st_release(example_keys, EXAMPLE_KEYS, &out);
+}
+
 /* Guards against a stale handle that reaches the next user of its slot. */
 static void
 test_pool_stale_handle(void **state)
@@ -210,6 +232,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_settings_rejected),
 	    cmocka_unit_test(test_settings_accepted),
+	    cmocka_unit_test(test_settings_non_ascii),
 	    cmocka_unit_test(test_pool_stale_handle),
 	    cmocka_unit_test(test_manual_clock_moves_on_demand),
 	    cmocka_unit_test(test_counters_render),
