--- a/tests/fuzz_main.c
+++ b/tests/fuzz_main.c
@@ -1,9 +1,11 @@
 #include <argtable2.h>
-#include <sanitizer/common_interface_defs.h>
+#include <fcntl.h>
+#include <signal.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "fuzz.h"
 #include "rng.h"
@@ -14,18 +16,32 @@
 static uint8_t input[FZ_INPUT_MAX + 1];
 static size_t input_size;
 
-/* Keeps the input that broke the target. */
+/* Both sanitizers end with a signal, so that the input is kept. */
+const char *__asan_default_options(void);
+const char *__ubsan_default_options(void);
+
+const char *
+__asan_default_options(void)
+{
+	return ("abort_on_error=1");
+}
+
+const char *
+__ubsan_default_options(void)
+{
+	return ("abort_on_error=1");
+}
+
+/* Keeps the input that broke the target; only system calls are allowed. */
 static void
-on_death(void)
+on_abort(int sig)
 {
-	FILE *f = fopen("fuzz-crash.bin", "wb");
+	int fd = open("fuzz-crash.bin", O_WRONLY | O_CREAT | O_TRUNC, 0644);
 
-	if (f == NULL)
-		return;
-	fwrite(input, 1, input_size, f);
-	fclose(f);
-	fprintf(
-	    stderr, "input of %zu bytes is in fuzz-crash.bin\n", input_size);
+	if (fd >= 0 && write(fd, input, input_size) >= 0)
+		close(fd);
+	signal(sig, SIG_DFL);
+	raise(sig);
 }
 
 static void
@@ -202,7 +218,7 @@
 		arg_print_errors(stderr, end, argv[0]);
 		return (2);
 	}
-	__sanitizer_set_death_callback(on_death);
+	signal(SIGABRT, on_abort);
 	if (file->count > 0)
 		return (run_file(file->filename[0]));
 	for (unsigned d = 0; d < fz_decoders; d++) {
