Reserve a block of ports per test cell

Cells of tests that ran at the same time could meet on one port, and since their parts have the same names, an agent of one cell could join the other. The suspicion comes from one run of test_silent_connection (proc_failures), at a time when three other cells ran, that saw 440 tasks started twice; seven repeats alone or side by side, and one with all entries and agents frozen for 16 s, saw none.

--- a/tests/demo.sh
+++ b/tests/demo.sh
@@ -61,8 +61,8 @@
 	fail "$1 is not ready"
 }
 
-# Ports outside of the range that the system uses for outgoing connections.
-next_port=$((12000 + $$ % 100 * 190))
+# Ports outside of the ranges of outgoing connections and of the test harness.
+next_port=$((2100 + $$ % 50 * 190))
 free_port() {
 	while
 		port=$next_port
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -32,6 +32,8 @@
 	char *folder;
 	GPtrArray *procs; /* struct hn_proc */
 	unsigned next_port;
+	unsigned end_port; /* first port behind the block of this world */
+	int block;         /* socket that keeps the block from other worlds */
 	unsigned runs;
 };
 
@@ -46,6 +48,44 @@
 /* World of the test that runs now. */
 static struct hn *current;
 
+/* Socket bound to a port, or -1 when the port is in use. */
+static int
+bind_port(unsigned port)
+{
+	struct sockaddr_in sin = {.sin_family = AF_INET};
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	sin.sin_port = htons((uint16_t)port);
+	if (bind(fd, (struct sockaddr *)&sin, sizeof(sin)) == 0)
+		return (fd);
+	close(fd);
+	return (-1);
+}
+
+/*
+ * Reserves a block of ports by holding its first one. Two cells that met on
+ * the same ports would connect to each other, since their parts have the same
+ * names.
+ */
+static void
+take_block(struct hn *h)
+{
+	unsigned blocks = PORT_SPAN / PORT_STRIDE, port, i;
+
+	for (i = 0; i < blocks; i++) {
+		port = PORT_FIRST +
+		    ((unsigned)getpid() + i) % blocks * PORT_STRIDE;
+		h->block = bind_port(port);
+		if (h->block >= 0) {
+			h->next_port = port + 1;
+			h->end_port = port + PORT_STRIDE;
+			return;
+		}
+	}
+	fail_msg("no free block of ports");
+}
+
 struct hn *
 hn_new(void)
 {
@@ -61,8 +101,7 @@
 	if (h->folder == NULL)
 		fail_msg("no temporary folder: %s", error->message);
 	h->procs = g_ptr_array_new();
-	h->next_port =
-	    PORT_FIRST + ((unsigned)getpid() * PORT_STRIDE) % PORT_SPAN;
+	take_block(h);
 	return (h);
 }
 
@@ -104,6 +143,7 @@
 		remove_folder(h->folder);
 	if (current == h)
 		current = NULL;
+	close(h->block);
 	g_free(h->folder);
 	g_free(h);
 }
@@ -125,30 +165,17 @@
 	g_free(path);
 }
 
-static bool
-is_free(unsigned port)
-{
-	struct sockaddr_in sin = {.sin_family = AF_INET};
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	bool ok;
-
-	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	sin.sin_port = htons((uint16_t)port);
-	ok = bind(fd, (struct sockaddr *)&sin, sizeof(sin)) == 0;
-	close(fd);
-	return (ok);
-}
-
 unsigned
 hn_port(struct hn *h)
 {
-	for (unsigned i = 0; i < PORT_SPAN; i++) {
+	while (h->next_port < h->end_port) {
 		unsigned port = h->next_port++;
+		int fd = bind_port(port);
 
-		if (h->next_port >= PORT_FIRST + PORT_SPAN)
-			h->next_port = PORT_FIRST;
-		if (is_free(port))
+		if (fd >= 0) {
+			close(fd);
 			return (port);
+		}
 	}
 	fail_msg("no free port");
 	return (0);
