--- a/plan/member_impl.h
+++ b/plan/member_impl.h
@@ -226,6 +226,21 @@
 /** mb_push_all() - push to each member that is behind */
 void mb_push_all(struct mb *m);
 
+/** mb_note_list() - ask the addresses of the list, the one before and seeds */
+void mb_note_list(struct mb *m);
+
+/** mb_ask_peers() - status calls that are due */
+void mb_ask_peers(struct mb *m);
+
+/** mb_add_seeds() - addresses to ask whether they are in the list or not */
+void mb_add_seeds(struct mb *m, const struct mb_identity *id);
+
+/** mb_new_incarnation() - random number that is not 0 */
+uint64_t mb_new_incarnation(struct mb *m);
+
+/** mb_log_clear() - drop the changes kept for peers */
+void mb_log_clear(struct mb *m);
+
 /** mb_ops_learned() - compare the log with the changes being written */
 void mb_ops_learned(struct mb *m);
 
--- /dev/null
+++ b/plan/member_peers.c
@@ -0,0 +1,332 @@
+#include <string.h>
+
+#include "member_impl.h"
+
+static struct mb_peer *
+find_peer(const struct mb *m, const char *address)
+{
+	struct mb_peer *peer;
+	guint i;
+
+	for (i = 0; i < m->peers->len; i++) {
+		peer = m->peers->pdata[i];
+		if (strcmp(peer->address, address) == 0)
+			return (peer);
+	}
+	return (NULL);
+}
+
+static struct mb_peer *
+want_peer(struct mb *m, const char *address)
+{
+	struct mb_peer *peer;
+
+	peer = find_peer(m, address);
+	if (peer == NULL) {
+		peer = g_new0(struct mb_peer, 1);
+		peer->address = g_strdup(address);
+		g_ptr_array_add(m->peers, peer);
+	}
+	peer->wanted = true;
+	return (peer);
+}
+
+static bool
+is_predecessor(const struct mb *m, const struct cs_member *member)
+{
+	return (member->incarnation != m->incarnation &&
+	    strcmp(member->name, m->name) == 0 &&
+	    strcmp(member->address, m->address) == 0);
+}
+
+static void
+note_members(struct mb *m, const struct cs_member *members, size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		(void)mb_know(m, members[i].incarnation);
+		if (strcmp(members[i].address, m->address) != 0)
+			(void)want_peer(m, members[i].address);
+		/* This process could bind the address, or was that entry. */
+		if (is_predecessor(m, &members[i]))
+			mb_gone(m, members[i].incarnation);
+	}
+}
+
+static gboolean
+is_stale(gpointer key, gpointer value, gpointer data)
+{
+	const struct mb *m = data;
+	const struct mb_known *k = value;
+
+	(void)key;
+	return (!mb_is_member(m, k->incarnation) &&
+	    mb_now(m) - k->heard_ms >= MB_FORGET_MS);
+}
+
+/* Addresses to ask: the list, the list before and the seeds. */
+void
+mb_note_list(struct mb *m)
+{
+	const struct cs_member *members;
+	struct mb_peer *peer;
+	size_t n, consents;
+	guint i;
+
+	for (i = 0; i < m->peers->len; i++) {
+		peer = m->peers->pdata[i];
+		peer->wanted = peer->seed;
+	}
+	g_hash_table_foreach_remove(m->known, is_stale, m);
+	members = cs_members(m->state, &n);
+	note_members(m, members, n);
+	members = cs_members_before(m->state, &n, &consents);
+	note_members(m, members, n);
+	for (i = m->peers->len; i-- > 0;) {
+		peer = m->peers->pdata[i];
+		if (!peer->wanted && !peer->outstanding)
+			g_ptr_array_remove_index(m->peers, i);
+	}
+}
+
+/* The entries that a successor at their address shows to have exited. */
+static void
+note_successor(struct mb *m, const struct pd_status *s,
+    const struct cs_member *members, size_t n)
+{
+	size_t i;
+	u_int j;
+
+	for (i = 0; i < n; i++) {
+		if (members[i].incarnation == s->incarnation ||
+		    g_strcmp0(members[i].name, s->name) != 0 ||
+		    g_strcmp0(members[i].address, s->address) != 0)
+			continue;
+		for (j = 0; j < s->missing.missing_len; j++) {
+			if (s->missing.missing_val[j] == members[i].incarnation)
+				mb_gone(m, members[i].incarnation);
+		}
+	}
+}
+
+static void
+note_status(struct mb *m, const struct pd_status *s)
+{
+	const struct cs_member *members;
+	struct mb_known *k;
+	size_t n, consents;
+
+	mb_heard(m, s->incarnation, s->revision);
+	k = mb_know(m, s->incarnation);
+	g_array_set_size(k->missing, 0);
+	g_array_append_vals(
+	    k->missing, s->missing.missing_val, s->missing.missing_len);
+	k->missing_ms = mb_now(m);
+	members = cs_members(m->state, &n);
+	note_successor(m, s, members, n);
+	members = cs_members_before(m->state, &n, &consents);
+	note_successor(m, s, members, n);
+}
+
+static void
+push_to(struct mb *m, struct mb_peer *peer, uint64_t held)
+{
+	uint64_t revision;
+
+	revision = cs_revision(m->state);
+	if (held >= revision || !peer->wanted ||
+	    (peer->pushed_revision == revision &&
+		mb_now(m) - peer->pushed_ms < MB_PUSH_MS))
+		return;
+	peer->pushed_revision = revision;
+	peer->pushed_ms = mb_now(m);
+	m->ops->push(m->arg, peer->address, held);
+}
+
+void
+mb_push_all(struct mb *m)
+{
+	const struct cs_member *members;
+	const struct mb_known *k;
+	struct mb_peer *peer;
+	size_t n, i;
+
+	members = cs_members(m->state, &n);
+	for (i = 0; i < n; i++) {
+		peer = find_peer(m, members[i].address);
+		k = mb_lookup(m, members[i].incarnation);
+		if (peer != NULL && k != NULL && k->alive)
+			push_to(m, peer, k->held);
+		members = cs_members(m->state, &n);
+	}
+}
+
+static uint64_t
+incarnation_named(const struct mb *m, const char *name)
+{
+	const struct cs_member *members;
+	size_t n, i;
+
+	members = cs_members(m->state, &n);
+	for (i = 0; i < n; i++) {
+		if (g_strcmp0(members[i].name, name) == 0)
+			return (members[i].incarnation);
+	}
+	return (0);
+}
+
+static void
+note_answer(struct mb *m, uint64_t sent_ms, const struct pd_status *s)
+{
+	struct mb_known *k;
+
+	k = mb_know(m, s->incarnation);
+	if ((m->variant & MB_V_VOTE_BY_NAME) != 0)
+		k = mb_know(m, incarnation_named(m, s->name));
+	if (k->asked && k->asked_ms > sent_ms)
+		return;
+	k->asked = true;
+	k->asked_ms =
+	    (m->variant & MB_V_AGE_OF_REPLY) != 0 ? mb_now(m) : sent_ms;
+	k->asked_revision = s->revision;
+}
+
+static void
+fetch_from(struct mb *m, const char *address)
+{
+	if (m->fetch_outstanding &&
+	    mb_now(m) - m->fetch_sent_ms < MB_MISSING_MS)
+		return;
+	m->fetch_outstanding = true;
+	m->fetch_sent_ms = mb_now(m);
+	m->ops->fetch(m->arg, address, cs_revision(m->state));
+}
+
+void
+mb_fetch_done(
+    struct mb *m, const char *address, const struct pd_changes *changes)
+{
+	(void)address;
+	m->fetch_outstanding = false;
+	if (changes == NULL)
+		return;
+	(void)mb_pushed(m, changes);
+}
+
+void
+mb_status_done(
+    struct mb *m, const char *address, const struct pd_status *status)
+{
+	struct mb_peer *peer;
+	bool outstanding;
+
+	peer = find_peer(m, address);
+	outstanding = peer != NULL && peer->outstanding;
+	if (peer != NULL)
+		peer->outstanding = false;
+	if (status == NULL || status->incarnation == m->incarnation)
+		return;
+	note_status(m, status);
+	if (outstanding)
+		note_answer(m, peer->sent_ms, status);
+	if (status->revision > cs_revision(m->state))
+		fetch_from(m, address);
+	else if (peer != NULL)
+		push_to(m, peer, status->revision);
+	mb_accept(m);
+	mb_ops_run(m);
+}
+
+void
+mb_push_done(struct mb *m, const char *address, const struct pd_held *held)
+{
+	(void)address;
+	if (held == NULL || held->incarnation == m->incarnation)
+		return;
+	mb_heard(m, held->incarnation, held->revision);
+	mb_accept(m);
+	mb_ops_run(m);
+}
+
+static void
+fill_missing(struct mb *m, const struct cs_member *members, size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < n && m->missing->len < PD_MEMBERS_MAX; i++) {
+		if (mb_missing(m, members[i].incarnation) ||
+		    is_predecessor(m, &members[i]))
+			g_array_append_val(m->missing, members[i].incarnation);
+	}
+}
+
+static void
+own_status(struct mb *m, struct pd_status *out)
+{
+	const struct cs_member *members;
+	size_t n, consents;
+
+	g_array_set_size(m->missing, 0);
+	members = cs_members(m->state, &n);
+	fill_missing(m, members, n);
+	members = cs_members_before(m->state, &n, &consents);
+	fill_missing(m, members, n);
+	out->name = m->name;
+	out->incarnation = m->incarnation;
+	out->address = m->address;
+	out->revision = cs_revision(m->state);
+	out->view = cs_view(m->state);
+	out->missing.missing_len = m->missing->len;
+	out->missing.missing_val = (u_quad_t *)(void *)m->missing->data;
+}
+
+void
+mb_status_called(
+    struct mb *m, const struct pd_status *from, struct pd_status *out)
+{
+	struct mb_peer *peer;
+
+	if (from != NULL && from->incarnation != m->incarnation) {
+		note_status(m, from);
+		peer = find_peer(m, from->address);
+		if (from->revision > cs_revision(m->state))
+			fetch_from(m, from->address);
+		else if (peer != NULL)
+			push_to(m, peer, from->revision);
+		mb_accept(m);
+		mb_ops_run(m);
+	}
+	own_status(m, out);
+}
+
+void
+mb_ask_peers(struct mb *m)
+{
+	struct mb_peer *peer;
+	guint i;
+
+	/* Only one call to each address, so that an answer cannot be taken
+	 * for that of a later call. */
+	for (i = 0; i < m->peers->len; i++) {
+		peer = m->peers->pdata[i];
+		if (peer->outstanding || !peer->wanted ||
+		    (peer->sent_ms != 0 &&
+			mb_now(m) - peer->sent_ms < MB_PERIOD_MS))
+			continue;
+		peer->outstanding = true;
+		peer->sent_ms = mb_now(m);
+		m->ops->status(m->arg, peer->address);
+	}
+}
+
+void
+mb_add_seeds(struct mb *m, const struct mb_identity *id)
+{
+	size_t i;
+
+	for (i = 0; i < id->nseeds; i++) {
+		if (strcmp(id->seeds[i], id->address) != 0)
+			want_peer(m, id->seeds[i])->seed = true;
+	}
+}
