--- a/plan/state_impl.h
+++ b/plan/state_impl.h
@@ -52,6 +52,54 @@
 	int owner[PD_PARTITIONS];
 };
 
+/** struct cs_why - where the text of a refusal goes */
+struct cs_why {
+	char *text;
+	size_t size;
+};
+
+/**
+ * struct cs_kind - a kind of change
+ *
+ * check() decides whether the change is allowed in a state;
+ * apply() carries out a change that check() let pass.
+ */
+struct cs_kind {
+	const char *name;
+	enum cs_error (*check)(
+	    const struct cs *, const json_t *, const struct cs_why *);
+	void (*apply)(struct cs *, const json_t *);
+	bool list; /* changes the list of entries */
+	/* Whether the change shows that a listed entry has exited. */
+	bool (*consents)(const json_t *, const char *name);
+};
+
+/** cs_refuse() - set the text of a refusal and return its error */
+enum cs_error cs_refuse(const struct cs_why *why, enum cs_error error,
+    const char *fmt, ...) __attribute__((format(printf, 3, 4)));
+
+/** cs_check_change() - kind of a change and whether it is allowed */
+enum cs_error cs_check_change(const struct cs *s, const json_t *c,
+    const struct cs_kind **kind, const struct cs_why *why);
+
+/** cs_name_of() - text of 1 to PD_NAME_MAX bytes, else NULL; borrowed */
+const char *cs_name_of(const json_t *c, const char *key);
+
+/** cs_find() - item of a table by name, borrowed; NULL if there is none */
+void *cs_find(const GPtrArray *table, const char *name);
+
+/** cs_put() - add an item, in place of one with its name; consumes @item */
+void cs_put(GPtrArray *table, void *item, GDestroyNotify release);
+
+/** cs_drop() - remove an item of a table */
+void cs_drop(GPtrArray *table, const char *name);
+
+/** cs_tables_new() - empty tables */
+void cs_tables_new(struct cs *s);
+
+/** cs_tables_free() - free the tables */
+void cs_tables_free(struct cs *s);
+
 /** cs_az_new() - zone from its name or object; NULL when malformed */
 struct cs_az *cs_az_new(const json_t *j);
 
--- a/plan/state_parts.c
+++ b/plan/state_parts.c
@@ -276,3 +276,65 @@
 		g_array_remove_index(s->recent, 0);
 	g_array_append_val(s->recent, r);
 }
+
+/* Index of a name in a table, or where it belongs. */
+static guint
+table_index(const GPtrArray *table, const char *name, bool *found)
+{
+	guint low, high, mid;
+	int order;
+
+	*found = false;
+	low = 0;
+	high = table->len;
+	while (low < high) {
+		mid = (low + high) / 2;
+		order = strcmp(*(char **)table->pdata[mid], name);
+		if (order == 0) {
+			*found = true;
+			return (mid);
+		}
+		if (order < 0)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	return (low);
+}
+
+void *
+cs_find(const GPtrArray *table, const char *name)
+{
+	guint i;
+	bool found;
+
+	i = table_index(table, name, &found);
+	return (found ? table->pdata[i] : NULL);
+}
+
+/* Adds an item, in place of one with the same name; consumes the item. */
+void
+cs_put(GPtrArray *table, void *item, GDestroyNotify release)
+{
+	guint i;
+	bool found;
+
+	i = table_index(table, *(char **)item, &found);
+	if (found) {
+		release(table->pdata[i]);
+		table->pdata[i] = item;
+		return;
+	}
+	g_ptr_array_insert(table, (gint)i, item);
+}
+
+void
+cs_drop(GPtrArray *table, const char *name)
+{
+	guint i;
+	bool found;
+
+	i = table_index(table, name, &found);
+	if (found)
+		g_ptr_array_remove_index(table, i);
+}
