Learn how much the declared sizes tell

Cause: declared sizes are wrong by up to 10x. The expected size is now a regression of run times on declared sizes, learned over all endpoints of a service.

--- a/plan/policy.c
+++ b/plan/policy.c
@@ -107,11 +107,26 @@
 	s->samples++;
 }
 
+static double
+trust(const struct po_sizes *s)
+{
+	double slope;
+
+	if (s->samples < SIZES_MIN || s->var_x < SIZES_SPREAD)
+		return (1);
+	slope = s->cov / s->var_x;
+	return (slope < 0 ? 0 : slope > 1 ? 1 : slope);
+}
+
 double
 po_size(const struct po_sizes *s, double declared_ms)
 {
-	(void)s;
-	return (declared_ms);
+	double t;
+
+	t = trust(s);
+	if (t == 1)
+		return (declared_ms);
+	return (exp(s->mean_x + t * (log(declared_ms) - s->mean_x)));
 }
 
 void
