Let tasks wait for a faster endpoint

Cause: a long task on the slowest endpoint takes six times as long as on the fastest one, and decides the p99. A task now stays at the entry when the queue ahead of it drains through faster endpoints before the free slow one would be done; the smallest task of the job is tried on the slow one instead.

Endpoints that returned a task must not count as faster ones to wait for, or the task waits for ever.

--- a/plan/placement.c
+++ b/plan/placement.c
@@ -99,6 +99,20 @@
 	return (NULL);
 }
 
+/* Smallest task that was never returned. */
+static struct sb_task *
+smallest_task(struct sb *s)
+{
+	struct sb_task *t;
+
+	for (; s->tail > s->cursor; s->tail--) {
+		t = &s->tasks[s->order[s->tail - 1]];
+		if (t->state == SB_WAITING && !t->again)
+			return (t);
+	}
+	return (NULL);
+}
+
 /* Last of the tasks that came back; entries that are over are dropped. */
 static struct sb_task *
 again_task(struct sb *s)
@@ -142,6 +156,12 @@
 			q->blocked = s;
 	}
 	t = fresh_task(s);
+	if (t == NULL)
+		return (false);
+	if (place(q, s, t))
+		return (true);
+	/* A small task loses less on a slow endpoint than the largest. */
+	t = smallest_task(s);
 	return (t != NULL && place(q, s, t));
 }
 
--- a/plan/policy.c
+++ b/plan/policy.c
@@ -199,6 +199,41 @@
 /* Endpoints looked at for one task; all of them in today's cells. */
 #define LOOK_MAX 48
 
+/* Whether a task could wait for a slot of the endpoint. */
+static bool
+awaited(const struct po_endpoint *e, const struct po_task *t)
+{
+	return (
+	    e->limit > 0 && (t->excluded == NULL || !t->excluded(t->arg, e)));
+}
+
+/*
+ * Expected finish when a task stays at the entry until an endpoint that is
+ * faster than @unit has a free slot; the tasks ahead of it go there first.
+ */
+static double
+later_ms(struct po_endpoint *const *list, size_t n, const struct po_task *t,
+    double unit)
+{
+	double other, rate, sum, units;
+	size_t i;
+
+	sum = units = 0;
+	for (i = 0; i < n && i < LOOK_MAX; i++) {
+		if (!awaited(list[i], t))
+			continue;
+		other = po_unit(&list[i]->speed, t->now_us);
+		if (other >= unit)
+			continue;
+		rate = list[i]->slots / mean_ms(&list[i]->speed, t->now_us);
+		sum += rate;
+		units += other * rate;
+	}
+	if (sum <= 0)
+		return (INFINITY);
+	return ((double)t->ahead / sum + t->size_ms * units / sum);
+}
+
 static size_t
 choose_learned(struct po_endpoint *const *list, size_t n,
     const struct po_task *t, struct rn *rng)
@@ -222,6 +257,11 @@
 			found = k;
 		}
 	}
+	if (found == PO_WAIT)
+		return (PO_WAIT);
+	if (later_ms(list, n, t, po_unit(&list[found]->speed, t->now_us)) <
+	    best)
+		return (PO_WAIT);
 	return (found);
 }
 
