Push deeper into the agents' queues when the entry's queue is long

Cause: a freed slot is reported first to the entry whose task ran there, which refills it, so each entry keeps its slots. An entry now lets agents hold one task more for each doubling of its queue, which gives it the next slots.

--- a/plan/policy.c
+++ b/plan/policy.c
@@ -194,8 +194,14 @@
 	    t->size_ms * po_unit(&e->speed, t->now_us));
 }
 
-/* Tasks that an agent may hold beyond its slots during a round trip. */
+/*
+ * Tasks that an agent may hold beyond its slots. QUEUE_MIN bridges the round
+ * trip of a report and a grant. One more is held when the tasks that wait at
+ * the entry are 1/QUEUE_STEPS of the slots, and one for each doubling.
+ */
 #define QUEUE_MIN 1
+#define QUEUE_MAX 8
+#define QUEUE_STEPS 4
 /* Endpoints looked at for one task; all of them in today's cells. */
 #define LOOK_MAX 48
 
@@ -265,12 +271,19 @@
 	return (found);
 }
 
+/*
+ * The entry with the longer queue pushes deeper into the agents' queues, so
+ * that it gets the next free slots and the waits of the entries even out. With
+ * the same depth for all, each keeps the slots that it has, since a freed slot
+ * is reported first to the entry whose task ran there.
+ */
 static unsigned
 queue_learned(size_t waiting, unsigned slots)
 {
-	(void)waiting;
-	(void)slots;
-	return (QUEUE_MIN);
+	double depth;
+
+	depth = log2(1 + QUEUE_STEPS * (double)waiting / (slots + 1));
+	return (QUEUE_MIN + (unsigned)fmin(QUEUE_MAX - QUEUE_MIN, depth));
 }
 
 static unsigned
