Try endpoints again that have had no work for a while

Cause: an endpoint learned as slow gets no work at low load, so it would stay slow in the books after it recovered. What was learned grows old: after 5 s without work its expected run time halves every 5 s, down to 1/16, and a run time after a pause weighs more.

--- a/plan/outcome.c
+++ b/plan/outcome.c
@@ -393,7 +393,7 @@
 }
 
 static void
-learn_run(struct ep *e, const struct sb_task *t, double run_ms)
+learn_run(struct dp *d, struct ep *e, const struct sb_task *t, double run_ms)
 {
 	struct po_speed *speed;
 
@@ -401,7 +401,7 @@
 	if (speed->samples > 0)
 		po_sizes_learn(
 		    &e->service->sizes, t->size_ms, run_ms / speed->unit);
-	po_learn(speed, t->work_ms, run_ms);
+	po_learn(speed, t->work_ms, run_ms, dp_now(d));
 }
 
 static void
@@ -420,7 +420,7 @@
 		break;
 	case PD_DONE:
 		if (learn)
-			learn_run(e, t, r->run_ms);
+			learn_run(d, e, t, r->run_ms);
 		if (r->reason == PD_R_FORGOTTEN)
 			ended_badly(d, t, true);
 		else
--- a/plan/policy.c
+++ b/plan/policy.c
@@ -20,6 +20,15 @@
 #define FIRST_MEAN_MS 100.0
 /* Declared sizes are averaged over about 300 tasks of all endpoints. */
 #define SIZES_FACTOR 0.003
+/*
+ * What was learned of an endpoint that gets no work grows old: after
+ * STALE_US it counts as faster by a factor of two for each further STALE_US,
+ * up to STALE_MAX, so that an endpoint that has recovered is tried again.
+ */
+#define STALE_US 5e6
+#define STALE_MAX 16.0
+/* Time in which an old average loses its weight against a new run time. */
+#define MEMORY_US 30e6
 /* Tasks, and variance of the logarithm, below which sizes are taken as said. */
 #define SIZES_MIN 30
 #define SIZES_SPREAD 0.01
@@ -43,6 +52,20 @@
 	return (units > 0 ? units : 0);
 }
 
+/* Factor by which an endpoint without work may be faster than learned. */
+static double
+hope(const struct po_speed *s, uint64_t now_us)
+{
+	double idle;
+
+	if (s->busy_rate > 0 || now_us <= s->learned_us)
+		return (1);
+	idle = (double)(now_us - s->learned_us) / STALE_US;
+	if (idle <= 1)
+		return (1);
+	return (idle > 1 + log2(STALE_MAX) ? STALE_MAX : exp2(idle - 1));
+}
+
 double
 po_unit(const struct po_speed *s, uint64_t now_us)
 {
@@ -50,7 +73,7 @@
 
 	if (s->samples == 0)
 		return (1.0);
-	slow = s->unit;
+	slow = s->unit / hope(s, now_us);
 	/* Running tasks are censored samples: they add time but no task. */
 	recent = s->recent + running_units(s, now_us) / FAST_TASKS;
 	if (recent > slow * JUMP)
@@ -96,14 +119,18 @@
 }
 
 void
-po_learn(struct po_speed *s, double size_ms, double run_ms)
+po_learn(struct po_speed *s, double size_ms, double run_ms, uint64_t now_us)
 {
-	double unit;
+	double unit, old;
 
 	unit = (run_ms > 0.1 ? run_ms : 0.1) / size_ms;
-	s->unit = average(s->unit, unit, SLOW_FACTOR, s->samples);
-	s->recent = average(s->recent, unit, FAST_FACTOR, s->samples);
-	s->mean_ms = average(s->mean_ms, run_ms, SLOW_FACTOR, s->samples);
+	old = 1 - exp(-(double)(now_us - s->learned_us) / MEMORY_US);
+	s->learned_us = now_us;
+	s->unit = average(s->unit, unit, fmax(SLOW_FACTOR, old), s->samples);
+	s->recent =
+	    average(s->recent, unit, fmax(FAST_FACTOR, old), s->samples);
+	s->mean_ms =
+	    average(s->mean_ms, run_ms, fmax(SLOW_FACTOR, old), s->samples);
 	s->samples++;
 }
 
--- a/plan/policy.h
+++ b/plan/policy.h
@@ -18,6 +18,7 @@
  * @unit: run time per unit of declared size, slow average
  * @recent: the same, over the last few tasks
  * @mean_ms: average run time, milliseconds
+ * @learned_us: monotonic time of the last of them
  * @samples: number of run times learned
  * @busy_rate: sum of 1/size over the tasks that run now
  * @busy_since: sum of start/size over the tasks that run now, microseconds
@@ -26,6 +27,7 @@
 	double unit;
 	double recent;
 	double mean_ms;
+	uint64_t learned_us;
 	uint64_t samples;
 	double busy_rate;
 	double busy_since;
@@ -127,6 +129,7 @@
 void po_ended(struct po_speed *s, double size_ms, uint64_t start_us);
 
 /** po_learn() - a task of @size_ms ran for @run_ms */
-void po_learn(struct po_speed *s, double size_ms, double run_ms);
+void po_learn(
+    struct po_speed *s, double size_ms, double run_ms, uint64_t now_us);
 
 #endif
