--- a/plan/policy.c
+++ b/plan/policy.c
@@ -28,7 +28,7 @@
 #define STALE_US 5e6
 #define STALE_MAX 16.0
 /* Time in which an old average loses its weight against a new run time. */
-#define MEMORY_US 30e6
+#define MEMORY_US 10e6
 /* Tasks, and variance of the logarithm, below which sizes are taken as said. */
 #define SIZES_MIN 30
 #define SIZES_SPREAD 0.01
@@ -69,16 +69,17 @@
 double
 po_unit(const struct po_speed *s, uint64_t now_us)
 {
-	double slow, recent;
+	double slow, last, recent;
 
 	if (s->samples == 0)
 		return (1.0);
 	slow = s->unit / hope(s, now_us);
+	last = s->recent / hope(s, now_us);
 	/* Running tasks are censored samples: they add time but no task. */
-	recent = s->recent + running_units(s, now_us) / FAST_TASKS;
+	recent = last + running_units(s, now_us) / FAST_TASKS;
 	if (recent > slow * JUMP)
 		return (recent);
-	if (s->recent * JUMP < slow && recent < slow)
+	if (last * JUMP < slow && recent < slow)
 		return (recent);
 	return (slow);
 }
