Test the dispatcher's answers, ids, limits and takeover

Each test names the failure it guards against: stale reports, jobs that can never run, reused and expired ids, overload refusals that a duplicate would undo, cancellation in waves, idempotent retries, unverified entries, unreachable deadlines, ejected endpoints and start records of a takeover.

--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -129,6 +129,475 @@
 	sd_free(x);
 }
 
+/* Guards against reports that are taken for another grant. */
+static void
+test_stale_reports(void **state)
+{
+	struct sd_grant copy;
+	dp_agent agents[2];
+	struct sd *x;
+
+	(void)state;
+	x = sd_new("learned");
+	sd_agents(x, 2, agents);
+	sd_submit(x, "a", 1, 5000, 1);
+	copy = *sd_grant(x, 0);
+	copy.agent = copy.agent == agents[0] ? agents[1] : agents[0];
+	sd_report(x, &copy, PD_DONE, PD_R_NONE, 1);
+	copy = *sd_grant(x, 0);
+	copy.grant.key.attempt = 1;
+	sd_report(x, &copy, PD_DONE, PD_R_NONE, 1);
+	copy.grant.key.attempt = 0;
+	copy.grant.key.task = 7;
+	sd_report(x, &copy, PD_DONE, PD_R_NONE, 1);
+	assert_int_equal(x->answers->len, 0);
+	sd_report(x, sd_grant(x, 0), PD_NOT_STARTED, PD_R_QUEUE_FULL, 0);
+	assert_int_equal(x->grants->len, 2);
+	assert_true(sd_grant(x, 1)->agent != sd_grant(x, 0)->agent);
+	/* A late duplicate is not taken for the second grant. */
+	sd_report(x, sd_grant(x, 0), PD_NOT_STARTED, PD_R_QUEUE_FULL, 0);
+	assert_int_equal(x->grants->len, 2);
+	sd_finish(x, 1, 10);
+	sd_finish(x, 0, 10);
+	assert_answer(x, 1, PD_COMPLETE, "", false);
+	sd_free(x);
+}
+
+static void
+no_team(struct pd_submit *s)
+{
+	s->team = "nobody";
+}
+
+static void
+no_service(struct pd_submit *s)
+{
+	s->service = "nothing";
+}
+
+static void
+no_az(struct pd_submit *s)
+{
+	s->az = "nowhere";
+}
+
+static void
+other_az(struct pd_submit *s)
+{
+	s->az = "armor";
+}
+
+static void
+forbidden(struct pd_submit *s)
+{
+	s->team = "ropes";
+}
+
+static void
+future(struct pd_submit *s)
+{
+	s->sub.created_ms += 2001;
+}
+
+static void
+expired(struct pd_submit *s)
+{
+	s->sub.created_ms -= 600001;
+}
+
+/* Guards against jobs that wait although they can never run. */
+static void
+test_never(void **state)
+{
+	static const struct {
+		void (*change)(struct pd_submit *s);
+		pd_status_code status;
+		const char *reason;
+		const char *detail;
+	} cases[] = {
+	    {no_team, PD_REFUSED, "unknown_team", "\"nobody\""},
+	    {no_service, PD_REFUSED, "unknown_service", "\"nothing\""},
+	    {no_az, PD_REFUSED, "unknown_az", "\"nowhere\""},
+	    {other_az, PD_REFUSED, "no_endpoint", "\"armor\""},
+	    {forbidden, PD_REFUSED, "rule_forbids", "\"no-ropes\""},
+	    {future, PD_REFUSED, "created_in_future", ""},
+	    {expired, PD_UNKNOWN, "id_expired", ""},
+	};
+	char id[16];
+	struct sd *x;
+	unsigned i;
+
+	(void)state;
+	x = sd_new("learned");
+	ss_team(x->state, "ropes", 1, 0);
+	ss_endpoint(x->state, "z", "armor", "other", 8);
+	ss_forbid(x->state, "no-ropes", "ropes", "order-desk", "");
+	sd_endpoint(x, "e0", "finistere");
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		g_snprintf(id, sizeof(id), "job-%u", i);
+		sd_submit_as(x, id, 1, 1000, i + 1, cases[i].change);
+		assert_answer(x, i + 1, cases[i].status, cases[i].reason,
+		    cases[i].status == PD_REFUSED);
+		assert_non_null(
+		    strstr(sd_answer_to(x, i + 1)->detail, cases[i].detail));
+	}
+	/* A rule that comes later ends what waits. */
+	sd_submit(x, "waits", 1, 60000, 50);
+	ss_forbid(x->state, "closed", "lids", "order-desk", "");
+	dp_configure(x->dp, x->state);
+	assert_answer(x, 50, PD_REFUSED, "rule_forbids", true);
+	sd_free(x);
+}
+
+static void
+other_body(struct pd_submit *s)
+{
+	s->tasks.tasks_val[0].size_ms = 7;
+}
+
+/* Guards against a second run of an id, with the same or another body. */
+static void
+test_ids(void **state)
+{
+	dp_agent agents[1];
+	struct sd *x;
+
+	(void)state;
+	x = sd_new("learned");
+	sd_agents(x, 1, agents);
+	sd_lookup(x, "a", false, 1);
+	assert_int_equal(sd_answer_to(x, 1)->status, PD_NOT_FOUND);
+	sd_submit(x, "a", 1, 1000, 2);
+	sd_submit(x, "a", 1, 1000, 3);
+	sd_lookup(x, "a", false, 4);
+	sd_submit(x, "a", 1, 1000, 5);
+	dp_detach(x->dp, 5);
+	sd_submit_as(x, "a", 1, 1000, 6, other_body);
+	assert_answer(x, 6, PD_REFUSED, "id_reused", true);
+	sd_finish(x, 0, 10);
+	assert_int_equal(x->grants->len, 1);
+	assert_answer(x, 2, PD_COMPLETE, "", false);
+	assert_answer(x, 3, PD_COMPLETE, "", false);
+	assert_answer(x, 4, PD_COMPLETE, "", false);
+	assert_int_equal(x->answers->len, 5);
+	/* The answer is kept for the lifetime of the id, and no longer. */
+	sd_pass(x, 599990);
+	assert_int_equal(dp_stats(x->dp).submissions, 1);
+	sd_pass(x, 20);
+	assert_int_equal(dp_stats(x->dp).submissions, 0);
+	sd_submit(x, "a", 1, 1000, 7);
+	assert_answer(x, 7, PD_UNKNOWN, "id_expired", false);
+	assert_int_equal(x->grants->len, 1);
+	sd_free(x);
+}
+
+/* Guards against refusals for overload that a duplicate undoes. */
+static void
+test_overload(void **state)
+{
+	static const struct dp_settings limits = {
+	    .life_ms = 600000,
+	    .clock_error_ms = 2000,
+	    .submissions_max = 3,
+	    .queue_tasks_max = 10,
+	    .seed = 1,
+	};
+	char id[16];
+	struct sd *x;
+	unsigned i;
+
+	(void)state;
+	x = sd_new_limited("learned", &limits);
+	sd_endpoint(x, "e0", "finistere");
+	sd_submit(x, "big", 11, 1000, 1);
+	assert_answer(x, 1, PD_REFUSED, "overload", true);
+	for (i = 0; i < 8; i++) {
+		g_snprintf(id, sizeof(id), "job-%u", i);
+		sd_submit(x, id, 1, 1000, 10 + i);
+	}
+	assert_int_equal(x->answers->len, 6);
+	assert_int_equal(dp_stats(x->dp).submissions, 3);
+	sd_pass(x, 1000);
+	assert_answer(x, 10, PD_REFUSED, "deadline", true);
+	(void)sd_up(x, "e0", 1);
+	sd_pass(x, 10);
+	/* Also those whose refusal was forgotten for lack of space. */
+	sd_submit(x, "big", 11, 1000, 30);
+	sd_submit(x, "job-3", 1, 1000, 31);
+	assert_answer(x, 30, PD_REFUSED, "overload", true);
+	assert_answer(x, 31, PD_REFUSED, "overload", true);
+	assert_int_equal(x->grants->len, 0);
+	sd_free(x);
+}
+
+/* Guards against cancelled tasks that start, and false "not run". */
+static void
+test_cancel(void **state)
+{
+	struct sd *x;
+
+	(void)state;
+	x = sd_new("learned");
+	sd_endpoint(x, "e0", "finistere");
+	sd_submit(x, "waits", 3, 9000, 1);
+	sd_lookup(x, "waits", true, 2);
+	assert_answer(x, 1, PD_REFUSED, "cancelled", true);
+	assert_answer(x, 2, PD_REFUSED, "cancelled", true);
+
+	(void)sd_up(x, "e0", 1);
+	sd_pass(x, 10);
+	sd_submit(x, "granted", 2, 9000, 3);
+	sd_lookup(x, "granted", true, 0);
+	assert_int_equal(x->cancels->len, 2);
+	sd_report(x, sd_grant(x, 0), PD_NOT_STARTED, PD_R_CANCELLED, 0);
+	assert_int_equal(x->answers->len, 2);
+	sd_report(x, sd_grant(x, 1), PD_NOT_STARTED, PD_R_CANCELLED, 0);
+	assert_answer(x, 3, PD_REFUSED, "cancelled", true);
+
+	sd_submit(x, "runs", 2, 9000, 4);
+	sd_lookup(x, "runs", true, 0);
+	sd_report(x, sd_grant(x, 2), PD_NOT_STARTED, PD_R_CANCELLED, 0);
+	sd_report(x, sd_grant(x, 3), PD_DONE, PD_R_NONE, 50);
+	assert_answer(x, 4, PD_JOB_FAILED, "cancelled", false);
+	assert_int_equal(x->grants->len, 4);
+	sd_free(x);
+}
+
+/* Guards against a wave of cancellations that takes quadratic time, or that
+ * leaves something behind. */
+static void
+test_cancel_wave(void **state)
+{
+	struct dp_stats stats;
+	char id[16];
+	struct sd *x;
+	gint64 start;
+	unsigned i;
+
+	(void)state;
+	x = sd_new("learned");
+	sd_endpoint(x, "e0", "finistere");
+	for (i = 0; i < 10000; i++) {
+		g_snprintf(id, sizeof(id), "job-%u", i);
+		sd_submit(x, id, 5, 60000, i + 1);
+	}
+	start = g_get_monotonic_time();
+	for (i = 0; i < 10000; i++) {
+		g_snprintf(id, sizeof(id), "job-%u", i);
+		sd_lookup(x, id, true, 0);
+	}
+	print_message("10,000 cancellations: %d ms\n",
+	    (int)((g_get_monotonic_time() - start) / 1000));
+	assert_int_equal(x->answers->len, 10000);
+	stats = dp_stats(x->dp);
+	assert_int_equal(stats.pending + stats.queued + stats.granted, 0);
+	sd_free(x);
+}
+
+/* Guards against a failed job that goes on, and results with its answer. */
+static void
+test_failure(void **state)
+{
+	dp_agent agents[1];
+	struct sd *x;
+
+	(void)state;
+	x = sd_new("learned");
+	sd_agents(x, 1, agents);
+	sd_submit(x, "fails", 20, 9000, 1);
+	sd_report(x, sd_grant(x, 0), PD_DONE, PD_R_NONE, 10);
+	sd_report(x, sd_grant(x, 1), PD_FAILED, PD_R_ENDPOINT_ERROR, 10);
+	assert_answer(x, 1, PD_JOB_FAILED, "task_failed", false);
+	assert_int_equal(dp_stats(x->dp).queued, 0);
+	assert_int_equal(x->cancels->len, x->grants->len - 2);
+	sd_finish(x, 2, 10);
+	assert_int_equal(dp_stats(x->dp).granted, 0);
+	sd_free(x);
+}
+
+/* Guards against more than 3 starts of an idempotent request, attempts that
+ * share a number, and a non-idempotent one that runs again. */
+static void
+test_idempotent(void **state)
+{
+	dp_agent agents[2];
+	struct sd *x;
+	unsigned i;
+
+	(void)state;
+	x = sd_new("learned");
+	sd_agents(x, 2, agents);
+	sd_request(x, "a", 9000, 1);
+	for (i = 0; i < 3; i++) {
+		assert_int_equal(x->grants->len, i + 1);
+		assert_int_equal(sd_grant(x, i)->grant.key.attempt, i);
+		assert_true(sd_grant(x, i)->grant.idempotent);
+		sd_report(
+		    x, sd_grant(x, i), PD_FAILED, PD_R_ENDPOINT_ERROR, 10);
+	}
+	assert_answer(x, 1, PD_JOB_FAILED, "task_failed", false);
+	assert_int_equal(x->grants->len, 3);
+
+	sd_request(x, "b", 9000, 2);
+	dp_agent_down(x->dp, sd_grant(x, 3)->agent);
+	assert_int_equal(x->grants->len, 5);
+	sd_finish(x, 4, 10);
+	assert_answer(x, 2, PD_COMPLETE, "", false);
+	sd_free(x);
+}
+
+/* Guards against grants by an entry that cannot give permits. */
+static void
+test_unverified(void **state)
+{
+	dp_agent agents[1];
+	struct sd *x;
+
+	(void)state;
+	x = sd_new("learned");
+	sd_agents(x, 1, agents);
+	dp_set_verified(x->dp, false);
+	sd_submit(x, "a", 1, 1000, 1);
+	sd_submit(x, "b", 1, 5000, 2);
+	sd_pass(x, 1000);
+	assert_answer(x, 1, PD_REFUSED, "unverified", true);
+	assert_int_equal(x->grants->len, 0);
+	dp_set_verified(x->dp, true);
+	assert_int_equal(x->grants->len, 1);
+	sd_free(x);
+}
+
+/* Guards against jobs that wait for a deadline that cannot be met. */
+static void
+test_unreachable(void **state)
+{
+	dp_agent agents[1];
+	struct sd *x;
+
+	(void)state;
+	x = sd_new("learned");
+	sd_agents(x, 1, agents);
+	/* 500 tasks of 100 ms on 8 slots take 6 s. */
+	sd_submit(x, "long", 500, 60000, 1);
+	sd_submit(x, "late", 510, 2000, 2);
+	assert_answer(x, 2, PD_REFUSED, "deadline_unreachable", true);
+	sd_submit(x, "fine", 510, 60000, 3);
+	assert_int_equal(x->answers->len, 1);
+	sd_free(x);
+}
+
+/* Guards against work for endpoints that are out of service or draining, and
+ * an ejected endpoint that is flooded or never probed. */
+static void
+test_endpoints(void **state)
+{
+	dp_agent agents[1];
+	unsigned before;
+	struct sd *x;
+
+	(void)state;
+	x = sd_new("learned");
+	sd_agents(x, 1, agents);
+	ss_az(x->state, "finistere", false);
+	dp_configure(x->dp, x->state);
+	sd_submit(x, "a", 1, 60000, 1);
+	assert_int_equal(x->grants->len, 0);
+	ss_az(x->state, "finistere", true);
+	dp_configure(x->dp, x->state);
+	assert_int_equal(x->grants->len, 1);
+	dp_agent_load(x->dp, agents[0], 0, 0, PD_HEALTHY, true);
+	sd_submit(x, "b", 1, 60000, 2);
+	assert_int_equal(x->grants->len, 1);
+	dp_agent_load(x->dp, agents[0], 0, 0, PD_EJECTED, false);
+	assert_int_equal(x->grants->len, 1);
+	sd_finish(x, 0, 10);
+	sd_submit(x, "c", 8, 60000, 3);
+	sd_pass(x, 1100);
+	assert_int_equal(x->grants->len, 2);
+	sd_report(x, sd_grant(x, 1), PD_NOT_STARTED, PD_R_EJECTED, 0);
+	before = x->grants->len;
+	sd_pass(x, 10000);
+	assert_in_range(x->grants->len - before, 1, 4);
+	sd_finish(x, 2, 10);
+	dp_agent_load(x->dp, agents[0], 0, 0, PD_HEALTHY, false);
+	assert_true(x->grants->len >= 9);
+	sd_free(x);
+}
+
+static void
+gather(struct sd *x, dp_agent agent, const char *id, unsigned task,
+    unsigned ntasks, pd_task_state state)
+{
+	struct pd_record r;
+
+	memset(&r, 0, sizeof(r));
+	r.key.sub.id = (char *)id;
+	r.key.sub.created_ms = SD_WALL_MS;
+	r.key.task = task;
+	r.state = state;
+	r.ntasks = ntasks;
+	if (state == PD_DONE) {
+		r.body.body_val = "kept";
+		r.body.body_len = 4;
+	}
+	dp_gathered(x->dp, agent, &r);
+}
+
+/* Guards against second starts and false refusals after a takeover. */
+static void
+test_takeover(void **state)
+{
+	const struct sd_answer *a;
+	dp_agent agents[2];
+	struct sd *x;
+
+	(void)state;
+	x = sd_new("learned");
+	sd_agents(x, 2, agents);
+	sd_submit(x, "moved", 1, 9000, 1);
+	sd_partitions(x, DP_FOREIGN, 8, false, 0);
+	assert_int_equal(sd_answer_to(x, 1)->status, PD_NOT_OWNER);
+	sd_submit(x, "moved", 1, 9000, 2);
+	assert_int_equal(sd_answer_to(x, 2)->status, PD_NOT_OWNER);
+	assert_int_equal(dp_stats(x->dp).granted, 0);
+
+	sd_partitions(x, DP_GATHERING, 9, false, 0);
+	gather(x, agents[0], "half", 0, 2, PD_DONE);
+	gather(x, agents[0], "runs", 0, 1, PD_RUNNING);
+	gather(x, agents[0], "all", 0, 2, PD_DONE);
+	gather(x, agents[1], "all", 1, 2, PD_DONE);
+	sd_submit(x, "half", 2, 9000, 10);
+	sd_submit(x, "runs", 1, 9000, 11);
+	sd_submit(x, "all", 2, 9000, 12);
+	sd_submit(x, "old", 1, 9000, 13);
+	sd_submit(x, "soon", 1, 50, 14);
+	assert_int_equal(x->grants->len, 1);
+	assert_string_equal(sd_answer_to(x, 12)->last, "kept");
+	sd_pass(x, 50);
+	assert_answer(x, 14, PD_UNKNOWN, "record_lost", false);
+	/* Incomplete records: an id from before may have started. */
+	sd_partitions(x, DP_ACTIVE, 9, false, SD_WALL_MS);
+	assert_answer(x, 13, PD_UNKNOWN, "record_lost", false);
+	assert_answer(x, 10, PD_UNKNOWN, "record_lost", false);
+	assert_int_equal(x->grants->len, 1);
+
+	/* Complete records: what has not started runs, the rest is kept. */
+	sd_partitions(x, DP_FOREIGN, 10, false, 0);
+	sd_partitions(x, DP_GATHERING, 11, false, 0);
+	gather(x, agents[0], "half", 0, 2, PD_DONE);
+	sd_submit(x, "half", 2, 9000, 20);
+	sd_partitions(x, DP_ACTIVE, 11, true, SD_WALL_MS);
+	assert_int_equal(x->grants->len, 2);
+	assert_int_equal(sd_grant(x, 1)->grant.key.task, 1);
+	assert_int_equal(sd_grant(x, 1)->grant.view, 11);
+	sd_finish(x, 1, 10);
+	a = sd_answer_to(x, 20);
+	assert_int_equal(a->status, PD_COMPLETE);
+	assert_string_equal(a->first, "kept");
+	assert_string_equal(a->last, "r:half/1");
+	sd_free(x);
+}
+
 int
 main(void)
 {
@@ -137,6 +606,18 @@
 	    cmocka_unit_test(test_deadline),
 	    cmocka_unit_test(test_agent_replaced),
 	    cmocka_unit_test(test_lost_grant),
+	    cmocka_unit_test(test_stale_reports),
+	    cmocka_unit_test(test_never),
+	    cmocka_unit_test(test_ids),
+	    cmocka_unit_test(test_overload),
+	    cmocka_unit_test(test_cancel),
+	    cmocka_unit_test(test_cancel_wave),
+	    cmocka_unit_test(test_failure),
+	    cmocka_unit_test(test_idempotent),
+	    cmocka_unit_test(test_unverified),
+	    cmocka_unit_test(test_unreachable),
+	    cmocka_unit_test(test_endpoints),
+	    cmocka_unit_test(test_takeover),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
