--- a/tests/support_world.c
+++ b/tests/support_world.c
@@ -771,6 +771,21 @@
 		dp_configure(w->entries[i].dp, w->state);
 }
 
+void
+sw_fill(struct pd_submit *s, const char *id, const struct pd_task *tasks,
+    unsigned ntasks, unsigned left_ms)
+{
+	memset(s, 0, sizeof(*s));
+	s->sub.id = (char *)id;
+	s->sub.created_ms = SW_WALL_MS;
+	s->team = "lids";
+	s->service = "order-desk";
+	s->az = "";
+	s->left_ms = left_ms;
+	s->tasks.tasks_len = ntasks;
+	s->tasks.tasks_val = (struct pd_task *)tasks;
+}
+
 void
 sw_submit(
     struct sw *w, unsigned entry, const struct pd_submit *s, uint64_t waiter)
--- a/tests/support_world.h
+++ b/tests/support_world.h
@@ -98,6 +98,14 @@
 /** sw_configure() - give the state to all dispatchers */
 void sw_configure(struct sw *w);
 
+/**
+ * sw_fill() - submission of team "lids" for the modelled endpoints
+ * @id: borrowed
+ * @tasks: borrowed
+ */
+void sw_fill(struct pd_submit *s, const char *id, const struct pd_task *tasks,
+    unsigned ntasks, unsigned left_ms);
+
 /** sw_submit() - submit to an entry, timed for dp_s */
 void sw_submit(
     struct sw *w, unsigned entry, const struct pd_submit *s, uint64_t waiter);
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -129,6 +129,32 @@
 	sd_free(x);
 }
 
+/* Guards against a grant without a result that nobody asks about, and one
+ * that is asked about again and again while its task runs. */
+static void
+test_overdue_grant(void **state)
+{
+	dp_agent agents[2];
+	struct sd *x;
+
+	(void)state;
+	x = sd_new("learned");
+	sd_agents(x, 2, agents);
+	sd_submit(x, "a", 1, 60000, 1);
+	sd_pass(x, 990);
+	assert_int_equal(x->resolves->len, 0);
+	sd_pass(x, 10);
+	assert_int_equal(x->resolves->len, 1);
+	sd_report(x, sd_grant(x, 0), PD_RUNNING, PD_R_NONE, 0);
+	sd_pass(x, 3000);
+	assert_in_range(x->resolves->len, 1, 2);
+	sd_report(x, sd_grant(x, 0), PD_NOT_STARTED, PD_R_VOIDED, 0);
+	assert_int_equal(x->grants->len, 2);
+	sd_finish(x, 1, 10);
+	assert_answer(x, 1, PD_COMPLETE, "", false);
+	sd_free(x);
+}
+
 /* Guards against reports that are taken for another grant. */
 static void
 test_stale_reports(void **state)
@@ -606,6 +632,7 @@
 	    cmocka_unit_test(test_deadline),
 	    cmocka_unit_test(test_agent_replaced),
 	    cmocka_unit_test(test_lost_grant),
+	    cmocka_unit_test(test_overdue_grant),
 	    cmocka_unit_test(test_stale_reports),
 	    cmocka_unit_test(test_never),
 	    cmocka_unit_test(test_ids),
