Let each HTTP thread use a heap of its own

bench_entry stands in for agents that answer at once, so that the entry is the limit: 11 agents, 32 callers, jobs of 20 tasks, 10 cores.

Cause: M_ARENA_MAX was 2, so the event loop shared its heap with half of the connection threads. perf showed the loop waiting in futexes (10% of all samples), more than in any function of the program.

--- a/entry/serve.c
+++ b/entry/serve.c
@@ -1,7 +1,6 @@
 #include <event2/event.h>
 #include <glib.h>
 #include <jansson.h>
-#include <malloc.h>
 #include <signal.h>
 #include <stdbool.h>
 #include <stdio.h>
@@ -25,9 +24,6 @@
 #include "sessions.h"
 #include "store.h"
 
-/* Each HTTP connection has a thread; without a limit the C library gives the
- * threads up to 8 heaps per core, of which each keeps its free memory. */
-#define HEAPS_MAX 2
 #define DRAIN_TICK_MS 20
 #define US_PER_MS 1000
 
@@ -337,7 +333,6 @@
 
 	if (!load(settings, &s.options))
 		return (EX_SETTINGS);
-	mallopt(M_ARENA_MAX, HEAPS_MAX);
 	json_object_seed(0);
 	lg_open("pimentodock", lg_level(s.options.log_level));
 	s.kernel = kn_new();
