--- a/tests/fuzz_toml.c
+++ b/tests/fuzz_toml.c
@@ -36,9 +36,12 @@
     "9223372036854775808", "1979-05-27T07:32:00Z", "inf", "nan", "{a={b=1}}",
     ".", "#", "\r\n", "\xff", NULL};
 
-static const char *const seeds[] = {
+static const char usual[] =
     "name = \"entry-1\"\n[part]\nnumber = 7\nflag = true\n"
-    "list = [\"127.0.0.1:1\", \"127.0.0.1:2\"]\n[log]\nlevel = \"debug\"\n",
+    "list = [\"127.0.0.1:1\", \"127.0.0.1:2\"]\n[log]\nlevel = \"debug\"\n";
+
+static const char *const seeds[] = {
+    usual,
     "name = 'a'\npart = {number = 0x10, list = []}\n",
     "# comment\nname = \"\"\"x\ny\"\"\"\npart.number = 1_000\n",
     "name = 1\n[part]\nnumber = \"seven\"\n",
