Say "not run" only while verified and with complete records

Cause: the dispatcher kept the last verdict of a 50 ms timer, so an entry that woke from a pause could refuse a submission as not run although another entry had become its owner and run a copy of it. An entry that never could verify refused at the deadline with the same claim, and an overload refusal did not look at the state of the partition at all.

The dispatcher now gets the end of the verification in advance and compares it with the clock at each decision; without verification, or without complete start records for an id of that age, the answer is unknown.

The bound on clock errors is shared between clients and entries, since an id that the former owner took early by its own clock must not count as newer than the takeover.

--- a/bench/bench_dispatch.c
+++ b/bench/bench_dispatch.c
@@ -535,7 +535,7 @@
 	    clock, counters, hi, po_find("learned"), &settings, &sink_ops, &k);
 	for (p = 0; p < PD_PARTITIONS; p++)
 		dp_set_partition(k.dp, p, DP_ACTIVE, 1, true, 0);
-	dp_set_verified(k.dp, true);
+	dp_set_verified(k.dp, UINT64_MAX);
 	sink_agents(&k, state);
 	us = sink_run(&k, clock, &w, depth);
 	printf(
--- a/entry/core.c
+++ b/entry/core.c
@@ -320,13 +320,15 @@
 member_tick(evutil_socket_t fd, short what, void *arg)
 {
 	struct cr *c = arg;
+	uint64_t until_ms;
 	bool verified;
 
 	(void)fd;
 	(void)what;
 	mb_tick(c->member);
-	verified = mb_verified(c->member);
-	dp_set_verified(c->dispatch, verified);
+	until_ms = mb_verified_until(c->member);
+	dp_set_verified(c->dispatch, until_ms);
+	verified = until_ms != 0;
 	if (verified != c->verified)
 		lg_write(LOG_NOTICE, "core", "the configuration is %s",
 		    verified ? "verified" : "not verified");
--- a/plan/dispatch.c
+++ b/plan/dispatch.c
@@ -73,12 +73,14 @@
 }
 
 void
-dp_set_verified(struct dp *d, bool verified)
+dp_set_verified(struct dp *d, uint64_t until_ms)
 {
-	if (verified == d->verified)
-		return;
-	d->verified = verified;
-	pump_all(d);
+	bool before;
+
+	before = dp_verified(d);
+	d->verified_until_ms = until_ms;
+	if (!before && dp_verified(d))
+		pump_all(d);
 }
 
 /* The work that waits ahead takes longer than the time that is left. */
@@ -88,7 +90,7 @@
 	double left, wait;
 
 	if (s->lane == NULL || s->ngranted > 0 || s->nstarted > 0 ||
-	    !d->verified || s->lane->service->nopen > 0)
+	    !dp_verified(d) || s->lane->service->nopen > 0)
 		return (false);
 	left = (double)(s->deadline_us - now_us) / 1000;
 	wait = ln_wait_ms(d, s->lane, s->left_ms);
@@ -106,7 +108,7 @@
 static void
 deadline(struct dp *d, struct sb *s)
 {
-	if (d->verified || s->ngranted > 0 || s->nstarted > 0)
+	if (dp_verified(d) || s->ngranted > 0 || s->nstarted > 0)
 		oc_conclude(d, s, "deadline",
 		    g_strdup("The deadline passed before every task had a "
 			     "result."));
@@ -302,13 +304,20 @@
 	oc_adopt(d, s, session != NULL ? session->ep : NULL, r);
 }
 
-/* Refuses without an entry in the table, which may be full. */
+/*
+ * Refuses without an entry in the table, which may be full. An id that a former
+ * owner may have started is answered "unknown".
+ */
 static void
 refuse(
     struct dp *d, const struct pd_id *id, uint64_t waiter, const char *detail)
 {
 	uint64_t wall, life;
 
+	if (!oc_not_run_provable(d, id)) {
+		oc_answer(d, id, waiter, PD_UNKNOWN, "overload", detail, false);
+		return;
+	}
 	wall = ck_wall_ms(d->clock);
 	life = d->settings.life_ms;
 	sb_refuse(&d->table, id, wall > life ? wall - life : 0,
@@ -381,11 +390,16 @@
 		run(d, s);
 }
 
+/*
+ * Half of the bound is for the client's clock, half for the difference between
+ * two entries, so that an id that an earlier owner took was created at most
+ * clock_error_ms after the takeover by this entry's clock.
+ */
 static bool
 in_future(const struct dp *d, const struct pd_id *id)
 {
-	return (
-	    id->created_ms > ck_wall_ms(d->clock) + d->settings.clock_error_ms);
+	return (id->created_ms >
+	    ck_wall_ms(d->clock) + d->settings.clock_error_ms / 2);
 }
 
 static void
--- a/plan/dispatch.h
+++ b/plan/dispatch.h
@@ -55,7 +55,8 @@
 /**
  * struct dp_settings - limits
  * @life_ms: how long an answer is kept after created_ms
- * @clock_error_ms: bound on wall clock differences
+ * @clock_error_ms: bound on wall clock differences: half for a client's clock,
+ *     half for the difference between two entries
  * @submissions_max: submissions remembered; more are refused "overload"
  * @queue_tasks_max: tasks queued at the entry; more are refused "overload"
  * @seed: seed of random choices
@@ -91,8 +92,16 @@
  */
 void dp_configure(struct dp *d, const struct cs *state);
 
-/** dp_set_verified() - whether this entry may give permits now */
-void dp_set_verified(struct dp *d, bool verified);
+/**
+ * dp_set_verified() - how long this entry counts as verified
+ * @until_ms: monotonic milliseconds, exclusive; 0 when it is not verified
+ *
+ * The end is given in advance, so that an entry that wakes from a pause does
+ * not decide on a verification that has lapsed meanwhile. While it is not
+ * verified the dispatcher grants nothing and says "not run" of nothing, since
+ * another entry may own its partitions by now.
+ */
+void dp_set_verified(struct dp *d, uint64_t until_ms);
 
 /**
  * dp_set_partition() - state of a partition changed
--- a/plan/dispatch_impl.h
+++ b/plan/dispatch_impl.h
@@ -61,7 +61,7 @@
 	void *arg;
 	struct rn *rng;
 	const struct cs *state;
-	bool verified;
+	uint64_t verified_until_ms;
 	struct partition partitions[PD_PARTITIONS];
 	struct sb_table table;
 	struct qu *queue;
@@ -91,6 +91,12 @@
 	return (ck_mono_us(d->clock));
 }
 
+static inline bool
+dp_verified(const struct dp *d)
+{
+	return (ck_mono_ms(d->clock) < d->verified_until_ms);
+}
+
 /* dispatch.c */
 
 /** dp_check_deadlines() - end the submissions whose deadline passed */
@@ -174,6 +180,12 @@
 /** oc_records_decide() - whether the start records show what ran of it */
 bool oc_records_decide(const struct dp *d, const struct sb *s);
 
+/**
+ * oc_not_run_provable() - whether this entry may say "not run" of an id that it
+ * does not know
+ */
+bool oc_not_run_provable(const struct dp *d, const struct pd_id *id);
+
 /** oc_record() - the state of an outstanding grant was reported */
 void oc_record(struct dp *d, struct sb_task *t, const struct pd_record *r);
 
--- a/plan/member.h
+++ b/plan/member.h
@@ -97,6 +97,13 @@
 /** mb_verified() - whether permits may be given now */
 bool mb_verified(const struct mb *m);
 
+/**
+ * mb_verified_until() - end of the present verification
+ *
+ * Return: monotonic milliseconds, exclusive; 0 when not verified.
+ */
+uint64_t mb_verified_until(const struct mb *m);
+
 /** mb_permit() - fill a permit for an agent */
 void mb_permit(const struct mb *m, const char *endpoint, uint64_t clock_ms,
     struct pd_permit *out);
--- a/plan/outcome.c
+++ b/plan/outcome.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "dispatch_impl.h"
+#include "partition.h"
 
 /* Reports that settle nothing, after which an outcome counts as lost. */
 #define DOUBTS_MAX 2
@@ -188,6 +189,17 @@
 		    p->takeover_ms + d->settings.clock_error_ms));
 }
 
+bool
+oc_not_run_provable(const struct dp *d, const struct pd_id *id)
+{
+	const struct partition *p;
+
+	p = &d->partitions[pt_of(id)];
+	return (dp_verified(d) && p->state == DP_ACTIVE &&
+	    (p->takeover_ms == 0 || p->complete ||
+		id->created_ms > p->takeover_ms + d->settings.clock_error_ms));
+}
+
 void
 oc_conclude(struct dp *d, struct sb *s, const char *reason, char *detail)
 {
@@ -201,7 +213,13 @@
 		oc_finish(d, s, PD_UNKNOWN, reason, detail, false);
 	else if (s->nstarted > 0)
 		oc_finish(d, s, PD_JOB_FAILED, reason, detail, false);
-	else
+	else if (!dp_verified(d)) {
+		g_free(detail);
+		oc_finish(d, s, PD_UNKNOWN, "unverified",
+		    g_strdup("This entry started nothing, but could not "
+			     "verify that it still owns the id."),
+		    false);
+	} else
 		oc_finish(d, s, PD_REFUSED, reason, detail, true);
 }
 
--- a/plan/placement.c
+++ b/plan/placement.c
@@ -305,7 +305,7 @@
 {
 	struct search q;
 
-	if (!d->verified)
+	if (!dp_verified(d))
 		return;
 	q.dp = d;
 	q.now_us = dp_now(d);
