--- a/plan/state_kinds.c
+++ b/plan/state_kinds.c
@@ -169,18 +169,45 @@
 	cs_drop(s->endpoints, cs_name_of(c, "name"));
 }
 
+static void *
+endpoint_make(const json_t *j)
+{
+	return (cs_endpoint_new(j));
+}
+
+static void *
+team_make(const json_t *j)
+{
+	return (cs_team_new(j));
+}
+
+static void *
+rule_make(const json_t *j)
+{
+	return (cs_rule_new(j));
+}
+
+/* Whether a change describes an item of a table. */
+static enum cs_error
+check_item(const json_t *c, void *(*make)(const json_t *),
+    GDestroyNotify release, const char *what, const struct cs_why *why)
+{
+	void *item;
+
+	item = make(c);
+	if (item == NULL)
+		return (malformed(why, what));
+	release(item);
+	return (CS_OK);
+}
+
 static enum cs_error
 check_endpoint_put(
     const struct cs *s, const json_t *c, const struct cs_why *why)
 {
-	struct cs_endpoint *e;
-
 	(void)s;
-	e = cs_endpoint_new(c);
-	if (e == NULL)
-		return (malformed(why, "endpoint"));
-	cs_endpoint_free(e);
-	return (CS_OK);
+	return (
+	    check_item(c, endpoint_make, cs_endpoint_free, "endpoint", why));
 }
 
 /* Whether an endpoint is retired outlasts a new description of it, unless the
@@ -209,14 +236,8 @@
 static enum cs_error
 check_team_put(const struct cs *s, const json_t *c, const struct cs_why *why)
 {
-	struct cs_team *t;
-
 	(void)s;
-	t = cs_team_new(c);
-	if (t == NULL)
-		return (malformed(why, "team"));
-	cs_team_free(t);
-	return (CS_OK);
+	return (check_item(c, team_make, cs_team_free, "team", why));
 }
 
 static void
@@ -228,14 +249,8 @@
 static enum cs_error
 check_rule_put(const struct cs *s, const json_t *c, const struct cs_why *why)
 {
-	struct cs_rule *r;
-
 	(void)s;
-	r = cs_rule_new(c);
-	if (r == NULL)
-		return (malformed(why, "rule"));
-	cs_rule_free(r);
-	return (CS_OK);
+	return (check_item(c, rule_make, cs_rule_free, "rule", why));
 }
 
 static void
@@ -269,24 +284,6 @@
 	return (cs_az_new(j));
 }
 
-static void *
-endpoint_make(const json_t *j)
-{
-	return (cs_endpoint_new(j));
-}
-
-static void *
-team_make(const json_t *j)
-{
-	return (cs_team_new(j));
-}
-
-static void *
-rule_make(const json_t *j)
-{
-	return (cs_rule_new(j));
-}
-
 /* The four tables of an inventory or a snapshot. */
 static const struct {
 	const char *key;
