Grant a returned task again under a new attempt number

A returned task now goes on under the next attempt number, which tells a late duplicate from a new report as well, so the list of excluded incarnations and the parking of blocked jobs are gone. Agents start a task at most once under all its attempts unless it is an idempotent request.

--- a/plan/dispatch.c
+++ b/plan/dispatch.c
@@ -50,7 +50,6 @@
 	rn_free(d->rng);
 	hp_release(&d->checks);
 	hp_release(&d->expiries);
-	hp_release(&d->parked);
 	hp_release(&d->dues);
 	hp_release(&d->wakes);
 	g_free(d);
--- a/plan/dispatch_impl.h
+++ b/plan/dispatch_impl.h
@@ -73,7 +73,6 @@
 	struct pl *sessions;
 	struct hp checks;    /* struct sb by next look at the deadline */
 	struct hp expiries;  /* struct sb by end of life */
-	struct hp parked;    /* struct sb by time of return to its lane */
 	struct hp dues;      /* struct sb_task by next RESOLVE */
 	struct hp wakes;     /* struct ep */
 	GPtrArray *doubtful; /* struct ep with tasks to resolve */
@@ -144,7 +143,7 @@
 /** pm_refresh() - the load of an endpoint changed */
 void pm_refresh(struct dp *d, struct ep *e);
 
-/** pm_tick() - end of holds, next probes, parked submissions */
+/** pm_tick() - end of holds, next probes */
 void pm_tick(struct dp *d);
 
 /* outcome.c */
--- a/plan/outcome.c
+++ b/plan/outcome.c
@@ -279,29 +279,18 @@
 }
 
 /*
- * A key is not granted twice to the same agent: a late duplicate of its first
- * "not started" would look like one for the second grant. An idempotent
- * request gets a new attempt number instead.
+ * A key is not granted twice: a late duplicate of its first "not started"
+ * would look like one for the second grant. The task goes on under the next
+ * attempt; agents start a task at most once under all its attempts unless it
+ * is an idempotent request.
  */
-static void
-exclude(struct sb_task *t, uint64_t incarnation)
-{
-	if (t->sub->idempotent) {
-		t->attempt++;
-		return;
-	}
-	if (t->returned == NULL)
-		t->returned = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	g_array_append_val(t->returned, incarnation);
-}
-
 static void
 returned(struct dp *d, struct sb_task *t)
 {
 	struct sb *s;
 
 	s = t->sub;
-	exclude(t, t->incarnation);
+	t->attempt++;
 	if (s->phase == SB_ANSWERED || s->withdrawn)
 		t->state = SB_OVER;
 	else
@@ -540,8 +529,7 @@
 	if (s->phase != SB_HELD || t->state != SB_WAITING)
 		return;
 	if (r->state == PD_NOT_STARTED) {
-		if (e != NULL && !is_doubtful(r))
-			exclude(t, e->incarnation);
+		t->attempt = MAX(t->attempt, r->key.attempt + 1);
 		return;
 	}
 	t->attempt = r->key.attempt;
--- a/plan/placement.c
+++ b/plan/placement.c
@@ -2,8 +2,6 @@
 
 #include "dispatch_impl.h"
 
-/* Submissions whose tasks fit nowhere are looked at again after this. */
-#define PARK_US 20000
 /*
  * A grant without a result is doubted after this, or after DUE_FACTOR times
  * its expected time: declared sizes are wrong by up to 10x.
@@ -26,22 +24,8 @@
 	uint64_t now_us;
 	struct sb_task *task;
 	struct ep *ep;
-	struct sb *blocked; /* first job whose task no endpoint may get */
 };
 
-static bool
-was_returned(void *arg, const struct po_endpoint *e)
-{
-	const struct sb_task *t = arg;
-	const struct ep *ep = (const struct ep *)e;
-	guint i;
-
-	for (i = 0; i < t->returned->len; i++)
-		if (g_array_index(t->returned, uint64_t, i) == ep->incarnation)
-			return (true);
-	return (false);
-}
-
 /* An ejected endpoint whose probe is due gets the next task. */
 static bool
 place_probe(struct search *q, struct sb *s, struct sb_task *t)
@@ -51,8 +35,7 @@
 
 	for (i = 0; i < s->lane->eps->len; i++) {
 		e = g_ptr_array_index(s->lane->eps, i);
-		if (e->probing &&
-		    (t->returned == NULL || !was_returned(t, &e->view))) {
+		if (e->probing) {
 			q->task = t;
 			q->ep = e;
 			return (true);
@@ -73,8 +56,6 @@
 	task.size_ms = t->work_ms;
 	task.ahead = s->lane->service->queued;
 	task.now_us = q->now_us;
-	task.excluded = t->returned != NULL ? was_returned : NULL;
-	task.arg = t;
 	eps = s->lane->eps;
 	i = q->dp->policy->choose((struct po_endpoint *const *)eps->pdata,
 	    eps->len, &task, q->dp->rng);
@@ -129,16 +110,6 @@
 	return (NULL);
 }
 
-static void
-again_rotate(struct sb *s)
-{
-	uint16_t last;
-
-	last = g_array_index(s->again, uint16_t, s->again->len - 1);
-	g_array_set_size(s->again, s->again->len - 1);
-	g_array_prepend_val(s->again, last);
-}
-
 static bool
 fits(void *arg, struct qu_job *j)
 {
@@ -148,13 +119,8 @@
 
 	s = hp_item(j, struct sb, job);
 	t = again_task(s);
-	if (t != NULL) {
-		if (place(q, s, t))
-			return (true);
-		again_rotate(s);
-		if (q->blocked == NULL)
-			q->blocked = s;
-	}
+	if (t != NULL && place(q, s, t))
+		return (true);
 	t = fresh_task(s);
 	if (t == NULL)
 		return (false);
@@ -188,7 +154,7 @@
 void
 pm_enqueue(struct dp *d, struct sb *s)
 {
-	if (s->nwaiting > 0 && !hp_has(&s->parked))
+	if (s->nwaiting > 0)
 		qu_put(s->lane->queue, &s->job, s->left_ms, rank(d, s),
 		    latest_start(s));
 }
@@ -197,14 +163,7 @@
 pm_dequeue(struct dp *d, struct sb *s)
 {
 	qu_remove(&s->job);
-	hp_remove(&d->parked, &s->parked);
-}
-
-static void
-park(struct dp *d, struct sb *s)
-{
-	qu_remove(&s->job);
-	hp_set(&d->parked, &s->parked, dp_now(d) + PARK_US);
+	(void)d;
 }
 
 static void
@@ -312,13 +271,9 @@
 	dp_check_deadlines(d, q.now_us);
 	set_queue(d, s);
 	while (s->nopen > 0) {
-		q.blocked = NULL;
-		if (qu_next(d->queue, s->number, q.now_us, fits, &q) != NULL)
-			grant(d, &q);
-		else if (q.blocked != NULL)
-			park(d, q.blocked);
-		else
+		if (qu_next(d->queue, s->number, q.now_us, fits, &q) == NULL)
 			return;
+		grant(d, &q);
 	}
 }
 
@@ -345,21 +300,9 @@
 pm_tick(struct dp *d)
 {
 	struct hp_node *n;
-	struct sb *s;
 	uint64_t now;
 
 	now = dp_now(d);
 	while ((n = hp_first(&d->wakes)) != NULL && n->key <= now)
 		wake(d, hp_item(n, struct ep, wake), now);
-	while ((n = hp_first(&d->parked)) != NULL && n->key <= now) {
-		s = hp_item(n, struct sb, parked);
-		hp_remove(&d->parked, n);
-		if (s->lane->impossible != NULL) {
-			oc_withdraw(d, s, s->lane->impossible,
-			    g_strdup(s->lane->detail));
-			continue;
-		}
-		pm_enqueue(d, s);
-		pm_pump(d, s->lane->service);
-	}
 }
--- a/plan/policy.c
+++ b/plan/policy.c
@@ -176,12 +176,6 @@
 	s->cov += factor * (dx * (y - s->mean_y) - s->cov);
 }
 
-static bool
-usable(const struct po_endpoint *e, const struct po_task *t)
-{
-	return (po_open(e) && (t->excluded == NULL || !t->excluded(t->arg, e)));
-}
-
 /* Random starting point, then the next usable endpoint. */
 static size_t
 draw(struct po_endpoint *const *list, size_t n, const struct po_task *t,
@@ -189,12 +183,13 @@
 {
 	size_t first, i, k;
 
+	(void)t;
 	if (n == 0)
 		return (PO_WAIT);
 	first = rn_below(rng, (uint32_t)n);
 	for (i = 0; i < n; i++) {
 		k = (first + i) % n;
-		if (usable(list[k], t))
+		if (po_open(list[k]))
 			return (k);
 	}
 	return (PO_WAIT);
@@ -228,19 +223,11 @@
  * the entry are 1/QUEUE_STEPS of the slots, and one for each doubling.
  */
 #define QUEUE_MIN 1
-#define QUEUE_MAX 8
+#define QUEUE_MAX 6
 #define QUEUE_STEPS 4
 /* Endpoints looked at for one task; all of them in today's cells. */
 #define LOOK_MAX 48
 
-/* Whether a task could wait for a slot of the endpoint. */
-static bool
-awaited(const struct po_endpoint *e, const struct po_task *t)
-{
-	return (
-	    e->limit > 0 && (t->excluded == NULL || !t->excluded(t->arg, e)));
-}
-
 /*
  * Expected finish when a task stays at the entry until an endpoint that is
  * faster than @unit has a free slot; the tasks ahead of it go there first.
@@ -254,7 +241,7 @@
 
 	sum = units = 0;
 	for (i = 0; i < n && i < LOOK_MAX; i++) {
-		if (!awaited(list[i], t))
+		if (list[i]->limit == 0)
 			continue;
 		other = po_unit(&list[i]->speed, t->now_us);
 		if (other >= unit)
@@ -282,7 +269,7 @@
 	first = rn_below(rng, (uint32_t)n);
 	for (i = 0, looked = 0; i < n && looked < LOOK_MAX; i++) {
 		k = (first + i) % n;
-		if (!usable(list[k], t))
+		if (!po_open(list[k]))
 			continue;
 		looked++;
 		finish = finish_ms(list[k], t);
--- a/plan/policy.h
+++ b/plan/policy.h
@@ -52,15 +52,11 @@
  * @size_ms: declared run time
  * @ahead: tasks that wait at the entry with it
  * @now_us: monotonic time
- * @excluded: whether an endpoint must not get the task; NULL for none
- * @arg: passed to @excluded
  */
 struct po_task {
 	double size_ms;
 	size_t ahead;
 	uint64_t now_us;
-	bool (*excluded)(void *arg, const struct po_endpoint *e);
-	void *arg;
 };
 
 /**
--- a/plan/submission.c
+++ b/plan/submission.c
@@ -41,21 +41,13 @@
 	return ((guint)(n ^ (n >> 32)));
 }
 
-static void
-task_release(struct sb_task *t)
-{
-	if (t->returned != NULL)
-		g_array_free(t->returned, TRUE);
-	g_free(t->result);
-}
-
 static void
 tasks_free(struct sb *s)
 {
 	uint32_t i;
 
 	for (i = 0; s->tasks != NULL && i < s->ntasks; i++)
-		task_release(&s->tasks[i]);
+		g_free(s->tasks[i].result);
 	g_free(s->tasks);
 	s->tasks = NULL;
 	g_free(s->order);
--- a/plan/submission.h
+++ b/plan/submission.h
@@ -41,7 +41,6 @@
 				 it is not connected since a takeover */
 	struct sb_task *next; /* outstanding grants of the endpoint */
 	struct sb_task *prev;
-	GArray *returned;     /* incarnations that returned the task */
 	uint64_t incarnation; /* of the agent with the grant */
 	uint64_t granted_us;
 	uint64_t start_us; /* expected start */
@@ -80,7 +79,6 @@
 	struct qu_job job;
 	struct hp_node check;  /* deadline, or an earlier check of it */
 	struct hp_node expiry; /* end of life */
-	struct hp_node parked; /* waits for an endpoint it may use */
 	struct sb *next;       /* submissions of the partition */
 	struct sb *prev;
 	struct pd_id id; /* id owned */
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -155,6 +155,31 @@
 	sd_free(x);
 }
 
+/* Guards against a task that waits for ever because every agent returned it
+ * once, and a key that is granted twice. */
+static void
+test_returned_by_all(void **state)
+{
+	dp_agent agents[2];
+	struct sd *x;
+	unsigned i;
+
+	(void)state;
+	x = sd_new("learned");
+	sd_agents(x, 2, agents);
+	sd_submit(x, "a", 1, 60000, 1);
+	for (i = 0; i < 6; i++) {
+		assert_int_equal(x->grants->len, i + 1);
+		assert_int_equal(sd_grant(x, i)->grant.key.attempt, i);
+		sd_report(
+		    x, sd_grant(x, i), PD_NOT_STARTED, PD_R_QUEUE_FULL, 0);
+		sd_pass(x, 30);
+	}
+	sd_finish(x, 6, 10);
+	assert_answer(x, 1, PD_COMPLETE, "", false);
+	sd_free(x);
+}
+
 /* Guards against reports that are taken for another grant. */
 static void
 test_stale_reports(void **state)
@@ -633,6 +658,7 @@
 	    cmocka_unit_test(test_agent_replaced),
 	    cmocka_unit_test(test_lost_grant),
 	    cmocka_unit_test(test_overdue_grant),
+	    cmocka_unit_test(test_returned_by_all),
 	    cmocka_unit_test(test_stale_reports),
 	    cmocka_unit_test(test_never),
 	    cmocka_unit_test(test_ids),
--- a/wire/pd.x
+++ b/wire/pd.x
@@ -19,7 +19,8 @@
 	unsigned hyper created_ms;
 };
 
-/* One task of one attempt; attempt is 0 except for idempotent requests. */
+/* One task of one attempt: a new one for each grant that was returned, and
+ * for each start of an idempotent request. */
 struct pd_key {
 	pd_id sub;
 	unsigned int task;
