--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -117,8 +117,8 @@
 	s = cs_new();
 	start = ck_mono_us(clock);
 	apply(s, json);
-	point("state_inventory_apply", n,
-	    (double)(ck_mono_us(clock) - start), "us");
+	point("state_inventory_apply", n, (double)(ck_mono_us(clock) - start),
+	    "us");
 	point("state_memory", n, (double)(heap_bytes() - before), "B");
 	point("state_change_apply", n, time_of_change(s, clock), "us");
 	point("state_inventory_change_size", n, (double)strlen(json), "B");
@@ -287,8 +287,7 @@
 	s->tasks.tasks_len = n;
 	s->tasks.tasks_val = tasks;
 	for (i = 0; i < n; i++)
-		tasks[i] =
-		    (struct pd_task){100, {BODY_BYTES, body}};
+		tasks[i] = (struct pd_task){100, {BODY_BYTES, body}};
 }
 
 /* The agent finishes all that is granted. */
@@ -333,8 +332,8 @@
 		dp_submit(d.dp, &s, 0);
 		report_all(&d, agent);
 	}
-	point("entry_remembered_memory", n, (double)(heap_bytes() - before),
-	    "B");
+	point(
+	    "entry_remembered_memory", n, (double)(heap_bytes() - before), "B");
 	if (dp_stats(d.dp).submissions != n || dp_stats(d.dp).pending != 0)
 		exit(EXIT_FAILURE);
 	dispatch_close(&d);
@@ -365,8 +364,8 @@
 		make_key(&r.key, id, i);
 		dp_gathered(d.dp, agent, &r);
 	}
-	point("gather_time_entry", n, (double)(ck_mono_us(clock) - start),
-	    "us");
+	point(
+	    "gather_time_entry", n, (double)(ck_mono_us(clock) - start), "us");
 	point("gather_memory_entry", n, (double)(heap_bytes() - before), "B");
 	dispatch_close(&d);
 }
--- a/bench/bench_sessions.c
+++ b/bench/bench_sessions.c
@@ -349,8 +349,7 @@
 	g.team = team;
 	g.body.body_val = s->body;
 	g.body.body_len = BODY_BYTES;
-	cn_send(
-	    s->links[0].conn, PD_GRANT, (xdrproc_t)xdr_pd_grants, &grants);
+	cn_send(s->links[0].conn, PD_GRANT, (xdrproc_t)xdr_pd_grants, &grants);
 }
 
 static void
@@ -365,8 +364,10 @@
 		s->due += s->rate * (double)(now - s->last_us) /
 		    (US_PER_MS * MS_PER_S);
 	s->last_us = now;
-	for (; s->due >= 1 && s->links[0].conn != NULL; s->due--)
+	while (s->due >= 1 && s->links[0].conn != NULL) {
 		send_grant(s);
+		s->due--;
+	}
 }
 
 static void
@@ -396,8 +397,8 @@
 
 	printf("ready");
 	for (i = 0; i < s->nlinks; i++) {
-		listener = cn_listen(s->base, "127.0.0.1:0", entry_accept,
-		    &s->links[i], &error);
+		listener = cn_listen(
+		    s->base, "127.0.0.1:0", entry_accept, &s->links[i], &error);
 		printf(" %u", cn_listener_port(listener));
 	}
 	printf("\n");
