--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -380,9 +380,10 @@
 }
 
 # One entry leaves or is killed; entry 0 gathers the records of its agents.
-# takeover NAME SIZE AGENTS RECORDS SIGNAL
+# takeover NAME SIZE AGENTS RECORDS SIGNAL; with SIZE "gathered" the size is the
+# number of records that the agents sent.
 takeover() {
-	local name="$1-$2" cpu started writes counts messages
+	local name="$1-$3-$4" size=$2 cpu started writes counts
 	start_entry 1 2
 	start_agents "$name" 0 "$3" "$4"
 	sleep 1.5
@@ -399,22 +400,22 @@
 	wait_for 5 has_line "$name" '^fences' 2
 	counts=$(tail -n 1 "$folder/$name.out")
 	echo "raw $name (agents $3, records $4 each): $counts ms"
-	messages=$(echo "$counts" | awk '{ print $2 }')
-	point "$1_fences" "$2" "$messages" calls
-	point "$1_time" "$2" "$(echo "$counts" | awk '{ print $4 }')" ms
-	point "$1_cpu" "$2" "$(calc "$cpu / 1000")" ms
+	[ "$size" != gathered ] || size=$(echo "$counts" | awk '{ print $3 }')
+	point "$1_fences" "$size" "$(echo "$counts" | awk '{ print $2 }')" calls
+	point "$1_time" "$size" "$(echo "$counts" | awk '{ print $4 }')" ms
+	point "$1_cpu" "$size" "$(calc "$cpu / 1000")" ms
 	echo "raw $name platform writes of the leave $(($(platform_value writes) - writes))"
 	stop "$last"
 	sleep 0.3
 }
 
 measure_takeovers() {
-	local n writes
+	local n
 	stop "${entry[2]}"
 	stop "${entry[1]}"
 	wait_for 20 members 1
 	for n in 40 160 640; do takeover takeover_agent "$n" "$n" 20 TERM; done
-	for n in 200 1000 4000; do takeover takeover_record $((n * 40)) 40 "$n" TERM; done
+	for n in 200 1000 4000; do takeover takeover_record gathered 40 "$n" TERM; done
 	takeover takeover_killed 640 640 20 KILL
 }
 
