--- /dev/null
+++ b/bench/bench_replay.c
@@ -0,0 +1,227 @@
+#include <glib.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/**
+ * DOC: bench_replay - responses of a recorded load against the ideal
+ *
+ * Usage: bench_replay RECORD SPEED,SPEED... SLOTS WARM_S
+ *
+ * RECORD is written by `fake_load --record`. The ideal is one global queue in
+ * order of arrival without delay; a task takes the fastest slot that is free.
+ * Jobs that arrive in the first WARM_S seconds are replayed and not counted,
+ * in both variants. Prints `NAME VALUE` lines; times are milliseconds.
+ */
+
+#define FIELDS 8
+#define SLOTS_MAX 1024
+#define US_PER_MS 1000.0
+#define US_PER_S 1000000.0
+
+struct job {
+	double at_us;
+	double response_us;
+	double ideal_us;
+	bool complete;
+	guint ntasks;
+	double *work_us;
+};
+
+struct slot {
+	double speed;
+	double free_us;
+};
+
+struct replay {
+	GArray *jobs; /* struct job, by arrival */
+	struct slot slots[SLOTS_MAX];
+	size_t nslots;
+};
+
+static void
+read_job(struct replay *r, char **fields)
+{
+	char **runs = g_strsplit(fields[FIELDS - 1], ",", 0);
+	struct job j = {0};
+
+	j.at_us = g_ascii_strtod(fields[0], NULL);
+	j.response_us = g_ascii_strtod(fields[1], NULL);
+	j.complete = strcmp(fields[4], "complete") == 0;
+	j.ntasks = g_strv_length(runs);
+	j.work_us = g_new(double, j.ntasks);
+	for (guint i = 0; i < j.ntasks; i++)
+		j.work_us[i] = g_ascii_strtod(runs[i], NULL) * US_PER_MS;
+	g_array_append_val(r->jobs, j);
+	g_strfreev(runs);
+}
+
+static gint
+by_arrival(gconstpointer a, gconstpointer b)
+{
+	double x = ((const struct job *)a)->at_us;
+	double y = ((const struct job *)b)->at_us;
+
+	return ((x > y) - (x < y));
+}
+
+static void
+read_record(struct replay *r, const char *path)
+{
+	char *text, **lines, **fields;
+
+	if (!g_file_get_contents(path, &text, NULL, NULL)) {
+		perror(path);
+		exit(1);
+	}
+	r->jobs = g_array_new(FALSE, FALSE, sizeof(struct job));
+	lines = g_strsplit(text, "\n", 0);
+	for (char **l = lines; *l != NULL; l++) {
+		fields = g_strsplit(*l, "\t", FIELDS);
+		if (g_strv_length(fields) == FIELDS)
+			read_job(r, fields);
+		g_strfreev(fields);
+	}
+	g_array_sort(r->jobs, by_arrival);
+	g_strfreev(lines);
+	g_free(text);
+}
+
+static void
+read_slots(struct replay *r, const char *speeds, unsigned slots)
+{
+	char **parts = g_strsplit(speeds, ",", 0);
+
+	for (char **p = parts; *p != NULL; p++)
+		for (unsigned i = 0; i < slots && r->nslots < SLOTS_MAX; i++)
+			r->slots[r->nslots++].speed = g_ascii_strtod(*p, NULL);
+	g_strfreev(parts);
+}
+
+/* End of a task; tasks start in the order of the calls. */
+static double
+ideal_task(struct replay *r, double at_us, double work_us)
+{
+	struct slot *best = &r->slots[0];
+	double start;
+
+	for (size_t i = 1; i < r->nslots; i++)
+		if (r->slots[i].free_us < best->free_us)
+			best = &r->slots[i];
+	start = MAX(best->free_us, at_us);
+	for (size_t i = 0; i < r->nslots; i++)
+		if (r->slots[i].free_us <= start &&
+		    r->slots[i].speed > best->speed)
+			best = &r->slots[i];
+	best->free_us = start + work_us / best->speed;
+	return (best->free_us);
+}
+
+static void
+ideal_run(struct replay *r)
+{
+	double end;
+
+	for (guint i = 0; i < r->jobs->len; i++) {
+		struct job *j = &g_array_index(r->jobs, struct job, i);
+
+		for (guint k = 0; k < j->ntasks; k++) {
+			end = ideal_task(r, j->at_us, j->work_us[k]);
+			j->ideal_us = MAX(j->ideal_us, end - j->at_us);
+		}
+	}
+}
+
+static gint
+by_value(gconstpointer a, gconstpointer b)
+{
+	double x = *(const double *)a, y = *(const double *)b;
+
+	return ((x > y) - (x < y));
+}
+
+static void
+print_times(const char *name, GArray *us)
+{
+	double sum = 0;
+
+	g_array_sort(us, by_value);
+	for (guint i = 0; i < us->len; i++)
+		sum += g_array_index(us, double, i);
+	printf("%smean %.3f\n", name, sum / us->len / US_PER_MS);
+	printf("%sp99 %.3f\n", name,
+	    g_array_index(us, double, (guint)(us->len * 0.99)) / US_PER_MS);
+}
+
+/* Share of the capacity that arrived in the counted time. */
+static double
+offered(const struct replay *r, double from_us, double to_us)
+{
+	double work = 0, speed = 0;
+
+	for (guint i = 0; i < r->jobs->len; i++) {
+		const struct job *j = &g_array_index(r->jobs, struct job, i);
+
+		for (guint k = 0; j->at_us >= from_us && k < j->ntasks; k++)
+			work += j->work_us[k];
+	}
+	for (size_t i = 0; i < r->nslots; i++)
+		speed += r->slots[i].speed;
+	return (work / (speed * (to_us - from_us)));
+}
+
+static void
+report(const struct replay *r, double warm_us)
+{
+	GArray *real = g_array_new(FALSE, FALSE, sizeof(double));
+	GArray *ideal = g_array_new(FALSE, FALSE, sizeof(double));
+	const struct job *first = &g_array_index(r->jobs, struct job, 0);
+	double from_us = first->at_us + warm_us, last_us = from_us;
+	guint incomplete = 0;
+
+	for (guint i = 0; i < r->jobs->len; i++) {
+		const struct job *j = &g_array_index(r->jobs, struct job, i);
+
+		last_us = j->at_us;
+		if (j->at_us < from_us)
+			continue;
+		incomplete += !j->complete;
+		g_array_append_val(real, j->response_us);
+		g_array_append_val(ideal, j->ideal_us);
+	}
+	if (real->len == 0) {
+		fprintf(stderr, "no job arrived after the warm-up\n");
+		exit(1);
+	}
+	printf("jobs %u\nincomplete %u\n", real->len, incomplete);
+	printf("offered %.3f\n", offered(r, from_us, last_us));
+	print_times("", real);
+	print_times("ideal_", ideal);
+	g_array_free(real, TRUE);
+	g_array_free(ideal, TRUE);
+}
+
+int
+main(int argc, char **argv)
+{
+	struct replay r = {0};
+
+	if (argc != 5) {
+		fprintf(
+		    stderr, "usage: bench_replay RECORD SPEEDS SLOTS WARM_S\n");
+		return (2);
+	}
+	read_record(&r, argv[1]);
+	read_slots(&r, argv[2], (unsigned)strtoul(argv[3], NULL, 10));
+	if (r.jobs->len == 0 || r.nslots == 0) {
+		fprintf(stderr, "no jobs or no slots\n");
+		return (1);
+	}
+	ideal_run(&r);
+	report(&r, g_ascii_strtod(argv[4], NULL) * US_PER_S);
+	for (guint i = 0; i < r.jobs->len; i++)
+		g_free(g_array_index(r.jobs, struct job, i).work_us);
+	g_array_free(r.jobs, TRUE);
+	return (0);
+}
--- a/fakes/caller.c
+++ b/fakes/caller.c
@@ -73,6 +73,31 @@
 	free(s);
 }
 
+/* One line for a replay: arrival (wall clock) and response in microseconds, id,
+ * team, status, reason, not_run and the run time of each task. */
+static void
+record(const struct sub *s, const char *name)
+{
+	uint64_t elapsed_us = wb_mono_us() - s->start_us;
+	FILE *f = s->caller->o.record;
+	const char *body, *run;
+	json_t *task;
+	size_t i;
+
+	fprintf(f, "%llu\t%llu\t%s\t%s\t%s\t%s\t%d\t",
+	    (unsigned long long)((uint64_t)g_get_real_time() - elapsed_us),
+	    (unsigned long long)elapsed_us, s->id, s->team, name,
+	    s->reason[0] != '\0' ? s->reason : "-", s->not_run);
+	json_array_foreach(s->tasks, i, task)
+	{
+		body = json_string_value(json_object_get(task, "body"));
+		run = strstr(body, "run_ms=");
+		fprintf(f, "%s%lu", i > 0 ? "," : "",
+		    run != NULL ? strtoul(run + 7, NULL, 10) : 0);
+	}
+	fputc('\n', f);
+}
+
 /* Count and log the final state; the submission is freed with its last call. */
 static void
 sub_close(struct sub *s, enum ta_count state, const char *name)
@@ -94,6 +119,8 @@
 		    (unsigned long long)s->created_ms, name,
 		    s->reason[0] != '\0' ? s->reason : "-", s->not_run,
 		    json_array_size(s->tasks), elapsed_ms(s), s->attempts);
+	if (c->o.record != NULL)
+		record(s, name);
 	s->ended(s->arg);
 }
 
--- a/fakes/caller.h
+++ b/fakes/caller.h
@@ -30,6 +30,8 @@
  * @requests: send stand-alone requests instead of submissions
  * @idempotent: mark them as idempotent
  * @log: one line per submission, NULL for none, borrowed
+ * @record: one line per submission with its arrival and the run times of its
+ *     tasks, for a replay; NULL for none, borrowed
  */
 struct ca_options {
 	const struct wl *workload;
@@ -43,6 +45,7 @@
 	bool requests;
 	bool idempotent;
 	FILE *log;
+	FILE *record;
 };
 
 /**
--- a/fakes/fake_load.c
+++ b/fakes/fake_load.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #include "caller.h"
 #include "web.h"
@@ -40,7 +41,7 @@
 
 struct arguments {
 	struct arg_str *entry, *workload, *team, *service, *tasks, *run_ms;
-	struct arg_str *prefix, *log;
+	struct arg_str *prefix, *log, *record;
 	struct arg_dbl *rate, *duration, *duplicates, *size_error;
 	struct arg_int *clients, *seed, *deadline, *grace, *count;
 	struct arg_lit *requests, *idempotent;
@@ -195,7 +196,7 @@
 }
 
 static struct ca_options
-caller_options(const struct arguments *a, const struct wl *w, FILE *log)
+caller_options(const struct arguments *a, const struct wl *w)
 {
 	struct ca_options o = {
 	    .workload = w,
@@ -208,26 +209,39 @@
 	    .duplicate_share = a->duplicates->dval[0],
 	    .requests = a->requests->count > 0,
 	    .idempotent = a->idempotent->count > 0,
-	    .log = log,
+	    .log = open_log(a->log),
+	    .record = open_log(a->record),
 	};
 
 	return (o);
 }
 
+/* Shows whether the load client itself was the limit. */
+static void
+print_cpu(FILE *out, uint64_t elapsed_us)
+{
+	struct rusage u;
+	double s;
+
+	getrusage(RUSAGE_SELF, &u);
+	s = (double)(u.ru_utime.tv_sec + u.ru_stime.tv_sec) +
+	    (double)(u.ru_utime.tv_usec + u.ru_stime.tv_usec) / US_PER_S;
+	fprintf(out, "# cpu_share %.3f\n", s / (double)elapsed_us * US_PER_S);
+}
+
 static int
 run_load(const struct arguments *a)
 {
 	uint64_t start = wb_mono_us();
 	struct load l = {.base = wb_base_new()};
 	struct ta *tally = ta_new();
-	FILE *log = open_log(a->log);
 	struct ca_options o;
 	struct wl w;
 	int status;
 
 	parse_workload(a, &w);
 	connect_entries(&l, a->entry);
-	o = caller_options(a, &w, log);
+	o = caller_options(a, &w);
 	l.caller = ca_new(l.base, l.entries, l.nentries, &o, tally);
 	l.rng = rn_new(o.seed + 1);
 	l.rate = a->rate->dval[0];
@@ -237,8 +251,12 @@
 	ta_add(tally, TA_UNANSWERED, ca_open(l.caller));
 	ta_print(tally, stdout, wb_mono_us() - start);
 	status = verdict(tally);
-	if (log != NULL)
-		fclose(log);
+	if (o.log != NULL)
+		fclose(o.log);
+	if (o.record != NULL) {
+		print_cpu(o.record, wb_mono_us() - start);
+		fclose(o.record);
+	}
 	rn_free(l.rng);
 	ta_free(tally);
 	/* Connections and duplicate calls may still be open; the process ends
@@ -260,6 +278,8 @@
 	a->run_ms = arg_str0(NULL, "run-ms", "A-B", "run time of a task");
 	a->prefix = arg_str0(NULL, "prefix", "TEXT", "start of every id");
 	a->log = arg_str0(NULL, "log", "FILE", "a line per submission");
+	a->record = arg_str0(NULL, "record", "FILE",
+	    "arrival, response and run times of each submission");
 	a->rate = arg_dbl0(NULL, "rate", "N", "submissions per second");
 	a->duration = arg_dbl0(NULL, "duration", "S", "seconds");
 	a->duplicates =
@@ -304,9 +324,9 @@
 
 	make_arguments(&a);
 	void *table[] = {a.entry, a.workload, a.team, a.service, a.tasks,
-	    a.run_ms, a.prefix, a.log, a.rate, a.duration, a.duplicates,
-	    a.size_error, a.clients, a.seed, a.deadline, a.grace, a.count,
-	    a.requests, a.idempotent, a.end};
+	    a.run_ms, a.prefix, a.log, a.record, a.rate, a.duration,
+	    a.duplicates, a.size_error, a.clients, a.seed, a.deadline, a.grace,
+	    a.count, a.requests, a.idempotent, a.end};
 	set_defaults(&a);
 	if (arg_parse(argc, argv, table) != 0) {
 		arg_print_errors(stderr, a.end, argv[0]);
