Refuse agents and entries of another cell

Cause: nothing told an agent or an entry that an address belongs to another cell. Each cell has a change log and owners of its own, so agents that two cells share can be told by both to run the same id. The run of test_silent_connection with 440 double starts fits this: test cells could meet on a port, and their parts have the same names; it could not be repeated with blocks of ports per cell, nor with a frozen cell or with entries cut off for 16 and 20 s.

HELLO and STATUS now carry the setting cell. test_foreign_agent checks that an agent with another cell name starts nothing.

--- a/agent/options.c
+++ b/agent/options.c
@@ -13,6 +13,8 @@
 #define AT(field) offsetof(struct op_settings, field)
 
 static const struct st_key keys[] = {
+    {"cell", ST_STRING, AT(cell), 1, PD_NAME_MAX, "default", NULL,
+	"name of the cell, the same at all its entries and agents"},
     {"name", ST_STRING, AT(name), 1, PD_NAME_MAX, NULL, NULL,
 	"name of the endpoint in the inventory"},
     {"availability_zone", ST_STRING, AT(az), 1, PD_NAME_MAX, NULL, NULL,
--- a/agent/options.h
+++ b/agent/options.h
@@ -12,6 +12,7 @@
 
 /** struct op_settings - the settings file; see the design page */
 struct op_settings {
+	char *cell;
 	char *name;
 	char *az;
 	char *service;
--- a/agent/sessions.c
+++ b/agent/sessions.c
@@ -380,6 +380,7 @@
 	struct link *l = arg;
 	const struct op_settings *settings = l->sessions->settings;
 	struct pd_hello hello = {
+	    .cell = settings->cell,
 	    .name = settings->name,
 	    .incarnation = l->sessions->identity->incarnation,
 	    .started_ms = ga_complete_since(l->sessions->gate),
--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -267,8 +267,14 @@
 {
 	static char name[] = "order-desk-1", az[] = "finistere";
 	static char service[] = "order-desk", worker[] = "worker-1";
-	struct pd_hello h = {
-	    name, 1, CREATED_MS, az, service, worker, TASKS_PER_JOB, 1000};
+	struct pd_hello h = {.name = name,
+	    .incarnation = 1,
+	    .started_ms = CREATED_MS,
+	    .az = az,
+	    .service = service,
+	    .worker = worker,
+	    .slots = TASKS_PER_JOB,
+	    .queue_max = 1000};
 
 	return (dp_agent_up(d->dp, &h));
 }
--- a/bench/bench_entry.c
+++ b/bench/bench_entry.c
@@ -58,9 +58,10 @@
 static void
 opened(void *arg, struct cn *c)
 {
-	static char none[] = "";
+	static char cell[] = "default", none[] = "";
 	struct agent *a = arg;
 	struct pd_hello hello = {
+	    .cell = cell,
 	    .name = a->name,
 	    .incarnation = a->incarnation,
 	    .started_ms = ck_wall_ms(a->clock),
--- a/bench/bench_sessions.c
+++ b/bench/bench_sessions.c
@@ -109,13 +109,15 @@
 static void
 agent_opened(void *arg, struct cn *c)
 {
-	static char az[] = "finistere", service[] = "order-desk";
+	static char cell[] = "default", az[] = "finistere";
+	static char service[] = "order-desk";
 	struct pd_hello h = {0};
 	struct link *l = arg;
 	char name[ID_BYTES], worker[ID_BYTES];
 
 	g_snprintf(name, sizeof(name), "order-desk-%u", l->index + 1);
 	g_snprintf(worker, sizeof(worker), "worker-%u", l->index + 1);
+	h.cell = cell;
 	h.name = name;
 	h.worker = worker;
 	h.az = az;
--- a/entry/options.c
+++ b/entry/options.c
@@ -12,6 +12,8 @@
 #define AT(field) offsetof(struct op, field)
 
 static const struct st_key keys[] = {
+    {"cell", ST_STRING, AT(cell), 1, PD_NAME_MAX, "default", NULL,
+	"name of the cell, the same at all its entries and agents"},
     {"name", ST_STRING, AT(name), 1, PD_NAME_MAX, NULL, NULL,
 	"name of this entry, unique in its cell"},
     {"availability_zone", ST_STRING, AT(az), 1, PD_NAME_MAX, NULL, NULL,
--- a/entry/options.h
+++ b/entry/options.h
@@ -13,6 +13,7 @@
 
 /** struct op - checked settings; strings are owned */
 struct op {
+	char *cell;
 	char *name;
 	char *az;
 	char *callers;
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -283,6 +283,7 @@
 	}
 	memset(&own, 0, sizeof(own));
 	mb_status_called(member(p), NULL, &own);
+	own.cell = p->options->cell;
 	cn_call(c, PD_STATUS, (xdrproc_t)xdr_pd_status, &own,
 	    (xdrproc_t)xdr_pd_status, sizeof(struct pd_status),
 	    STATUS_TIMEOUT_MS, call_done, call);
@@ -348,6 +349,19 @@
 	return (true);
 }
 
+/* The majority of another cell must not count for the log of this one. */
+static bool
+is_foreign(struct pe *p, const struct pd_status *s)
+{
+	if (strcmp(s->cell, p->options->cell) == 0)
+		return (false);
+	ct_count(kn_find(p->kernel, "counters"), "pd_foreign_total",
+	    "calls from another cell", "from", "entry");
+	lg_write(LOG_WARNING, "peers", "entry %s belongs to cell %s", s->name,
+	    s->cell);
+	return (true);
+}
+
 static void
 called_status(struct pe *p, struct cn *c, uint32_t xid, XDR *args)
 {
@@ -357,7 +371,13 @@
 	memset(&own, 0, sizeof(own));
 	if (!cn_decode(c, args, (xdrproc_t)xdr_pd_status, &from))
 		return;
+	if (is_foreign(p, &from)) {
+		cn_reject(c, xid);
+		xdr_free((xdrproc_t)xdr_pd_status, &from);
+		return;
+	}
 	mb_status_called(member(p), &from, &own);
+	own.cell = p->options->cell;
 	cn_reply(c, xid, (xdrproc_t)xdr_pd_status, &own);
 	xdr_free((xdrproc_t)xdr_pd_status, &from);
 }
--- a/entry/sessions.c
+++ b/entry/sessions.c
@@ -296,6 +296,25 @@
 		cn_close(old->conn);
 }
 
+/*
+ * An agent that two cells share would run the same id for both, since each has
+ * owners and a change log of its own.
+ */
+static bool
+is_foreign(struct ss *s, const struct pd_hello *h)
+{
+	const struct op *options = kn_find(s->kernel, "settings");
+
+	if (strcmp(h->cell, options->cell) == 0)
+		return (false);
+	ct_count(kn_find(s->kernel, "counters"), "pd_foreign_total",
+	    "calls from another cell", "from", "agent");
+	lg_write(LOG_WARNING, "sessions",
+	    "agent %s belongs to cell %s, its session is refused", h->name,
+	    h->cell);
+	return (true);
+}
+
 static void
 called_hello(struct session *n, uint32_t xid, XDR *args)
 {
@@ -307,6 +326,11 @@
 	memset(&h, 0, sizeof(h));
 	if (!cn_decode(n->conn, args, (xdrproc_t)xdr_pd_hello, &h))
 		return;
+	if (is_foreign(s, &h)) {
+		cn_reject(n->conn, xid);
+		xdr_free((xdrproc_t)xdr_pd_hello, &h);
+		return;
+	}
 	close_predecessor(n, h.name);
 	agent_gone(n);
 	g_free(n->name);
--- a/tests/fuzz_xdr.c
+++ b/tests/fuzz_xdr.c
@@ -55,7 +55,8 @@
     {.size_ms = 100, .body = LIST(body, text)}, {.size_ms = 1}};
 static pd_result results[] = {{.body = LIST(body, text)}, {{0, NULL}}};
 
-static const pd_hello hello = {.name = (char *)"order-desk-1",
+static const pd_hello hello = {.cell = (char *)"kerandour",
+    .name = (char *)"order-desk-1",
     .incarnation = 7,
     .az = (char *)"finistere",
     .service = (char *)"order-desk",
@@ -73,7 +74,8 @@
 static const pd_fence fence = {.view = 3, .partitions = 0xf0};
 static const pd_fence_reply fence_reply = {
     .incarnation = 1, .next = 2, .list = LIST(list, records)};
-static const pd_status status = {.name = (char *)"entry-1",
+static const pd_status status = {.cell = (char *)"kerandour",
+    .name = (char *)"entry-1",
     .address = (char *)"127.0.0.1:8082",
     .missing = LIST(missing, numbers)};
 static const pd_changes change_list = {LIST(list, changes)};
--- a/tests/harness_cell.c
+++ b/tests/harness_cell.c
@@ -108,6 +108,7 @@
 	char *peers = addresses(c, e, false);
 	char *file = g_strconcat(e->name, ".toml", NULL);
 	char *text = g_strdup_printf(
+	    "cell = \"cell-%u\"\n"
 	    "name = \"%s\"\n"
 	    "availability_zone = \"%s\"\n"
 	    "[listen]\n"
@@ -123,8 +124,8 @@
 	    "token_file = \"token\"\n"
 	    "[submission]\n"
 	    "life_s = %u\n",
-	    e->name, e->az, e->callers, e->operators, e->rpc, peers,
-	    c->platform, c->options.life_s);
+	    c->platform, e->name, e->az, e->callers, e->operators, e->rpc,
+	    peers, c->platform, c->options.life_s);
 
 	hn_write(c->hn, file, text);
 	g_free(text);
@@ -135,9 +136,12 @@
 static void
 write_agent(struct pc *c, const struct pc_agent *a, unsigned index)
 {
+	bool foreign =
+	    c->options.foreign_agent && index + 1 == c->options.agents;
 	char *entries = addresses(c, NULL, true);
 	char *file = g_strconcat(a->name, ".toml", NULL);
 	char *text = g_strdup_printf(
+	    "cell = \"%s-%u\"\n"
 	    "name = \"%s\"\n"
 	    "availability_zone = \"%s\"\n"
 	    "service = \"" PC_SERVICE
@@ -156,9 +160,10 @@
 	    "records_mb = %u\n"
 	    "[listen]\n"
 	    "metrics = \"127.0.0.1:%u\"\n",
-	    a->name, a->az, index / WORKERS_PER_RACK + 1, a->endpoint,
-	    c->options.slots, entries, c->options.queue, c->options.life_s,
-	    RECORDS_MB, a->metrics);
+	    foreign ? "other" : "cell", c->platform, a->name, a->az,
+	    index / WORKERS_PER_RACK + 1, a->endpoint, c->options.slots,
+	    entries, c->options.queue, c->options.life_s, RECORDS_MB,
+	    a->metrics);
 
 	hn_write(c->hn, file, text);
 	g_free(text);
--- a/tests/harness_cell.h
+++ b/tests/harness_cell.h
@@ -26,6 +26,7 @@
 	unsigned queue;     /* queue of an agent, default 8 */
 	unsigned life_s;    /* life of an id, default 600 */
 	const char *speeds; /* of the endpoints, default unequal */
+	bool foreign_agent; /* the last agent belongs to another cell */
 	bool relay;         /* agents reach the entries through relays */
 };
 
--- a/tests/proc_failures.c
+++ b/tests/proc_failures.c
@@ -39,6 +39,16 @@
 	return (0);
 }
 
+static int
+set_up_foreign(void **state)
+{
+	const struct pc_options options = {
+	    .agents = 2, .foreign_agent = true, .speeds = "1,5"};
+
+	*state = pc_new(&options);
+	return (0);
+}
+
 static int
 tear_down(void **state)
 {
@@ -237,6 +247,28 @@
 	assert_all_complete(&r);
 }
 
+/* An agent of another cell that gets grants of this one: each cell has its own
+ * owners, so that the same id could run twice. */
+static void
+test_foreign_agent(void **state)
+{
+	struct pc *c = *state;
+	struct hl_starts *starts;
+	struct pc_load load;
+	struct pc_result r;
+
+	/* Start records are incomplete without that agent, so ids from before
+	 * the last entry joined, plus the clock error, are unknown. */
+	hn_sleep_ms(4000);
+	load = pc_load_start(c, LOAD "--duration 5");
+	r = pc_check(c, &load);
+	starts = pc_starts(c);
+	assert_all_complete(&r);
+	assert_int_equal(
+	    hl_between(starts, c->agents[1].name, 0, UINT64_MAX), 0);
+	hl_free(starts);
+}
+
 /* Two faults at once: an entry dies while the platform is down. */
 static void
 test_entry_killed_platform_down(void **state)
@@ -272,6 +304,8 @@
 	    TEST(test_rolling_restart),
 	    cmocka_unit_test_setup_teardown(
 		test_silent_connection, set_up_relay, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_foreign_agent, set_up_foreign, tear_down),
 	    TEST(test_entry_killed_platform_down),
 	};
 
--- a/wire/pd.h
+++ b/wire/pd.h
@@ -37,6 +37,7 @@
 typedef struct pd_key pd_key;
 
 struct pd_hello {
+	char *cell;
 	char *name;
 	u_quad_t incarnation;
 	u_quad_t started_ms;
@@ -202,6 +203,7 @@
 typedef struct pd_fence_reply pd_fence_reply;
 
 struct pd_status {
+	char *cell;
 	char *name;
 	u_quad_t incarnation;
 	char *address;
--- a/wire/pd.x
+++ b/wire/pd.x
@@ -28,6 +28,7 @@
 };
 
 struct pd_hello {
+	string cell<PD_NAME_MAX>;
 	string name<PD_NAME_MAX>;
 	unsigned hyper incarnation;
 	unsigned hyper started_ms;	/* wall clock at process start */
@@ -150,6 +151,7 @@
 };
 
 struct pd_status {
+	string cell<PD_NAME_MAX>;
 	string name<PD_NAME_MAX>;
 	unsigned hyper incarnation;
 	string address<PD_NAME_MAX>;
--- a/wire/pd_xdr.c
+++ b/wire/pd_xdr.c
@@ -36,6 +36,8 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_string (xdrs, &objp->cell, PD_NAME_MAX))
+		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->name, PD_NAME_MAX))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
@@ -396,6 +398,8 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_string (xdrs, &objp->cell, PD_NAME_MAX))
+		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->name, PD_NAME_MAX))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
