--- a/plan/dispatch_impl.h
+++ b/plan/dispatch_impl.h
@@ -61,7 +61,7 @@
 	void *arg;
 	struct rn *rng;
 	const struct cs *state;
-	bool verified;
+	uint64_t verified_until_ms;
 	struct partition partitions[PD_PARTITIONS];
 	struct sb_table table;
 	struct qu *queue;
@@ -73,7 +73,6 @@
 	struct pl *sessions;
 	struct hp checks;    /* struct sb by next look at the deadline */
 	struct hp expiries;  /* struct sb by end of life */
-	struct hp parked;    /* struct sb by time of return to its lane */
 	struct hp dues;      /* struct sb_task by next RESOLVE */
 	struct hp wakes;     /* struct ep */
 	GPtrArray *doubtful; /* struct ep with tasks to resolve */
@@ -91,6 +90,12 @@
 	return (ck_mono_us(d->clock));
 }
 
+static inline bool
+dp_verified(const struct dp *d)
+{
+	return (ck_mono_ms(d->clock) < d->verified_until_ms);
+}
+
 /* dispatch.c */
 
 /** dp_check_deadlines() - end the submissions whose deadline passed */
@@ -118,6 +123,9 @@
 struct lane *ln_find(struct dp *d, const char *team, const char *service,
     const char *az, const char **reason, char **detail);
 
+/** ln_time_ms() - time that a lane's endpoints take for work of this entry */
+double ln_time_ms(struct dp *d, struct lane *l, double work_ms);
+
 /**
  * ln_wait_ms() - expected time until new work of a lane is done
  * @work_ms: declared work
@@ -132,13 +140,16 @@
 /** pm_dequeue() - take a submission out of its lane */
 void pm_dequeue(struct dp *d, struct sb *s);
 
+/** pm_count() - @n more tasks of a submission wait at the entry */
+void pm_count(struct dp *d, struct sb *s, int n);
+
 /** pm_pump() - grant what can be granted at a service */
 void pm_pump(struct dp *d, struct service *s);
 
 /** pm_refresh() - the load of an endpoint changed */
 void pm_refresh(struct dp *d, struct ep *e);
 
-/** pm_tick() - end of holds, next probes, parked submissions */
+/** pm_tick() - end of holds, next probes */
 void pm_tick(struct dp *d);
 
 /* outcome.c */
@@ -168,6 +179,12 @@
 /** oc_records_decide() - whether the start records show what ran of it */
 bool oc_records_decide(const struct dp *d, const struct sb *s);
 
+/**
+ * oc_not_run_provable() - whether this entry may say "not run" of an id that it
+ * does not know
+ */
+bool oc_not_run_provable(const struct dp *d, const struct pd_id *id);
+
 /** oc_record() - the state of an outstanding grant was reported */
 void oc_record(struct dp *d, struct sb_task *t, const struct pd_record *r);
 
--- a/plan/outcome.c
+++ b/plan/outcome.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "dispatch_impl.h"
+#include "partition.h"
 
 /* Reports that settle nothing, after which an outcome counts as lost. */
 #define DOUBTS_MAX 2
@@ -144,7 +145,7 @@
 
 	if (s->phase == SB_RUNNING) {
 		pm_dequeue(d, s);
-		d->queued -= s->nwaiting;
+		pm_count(d, s, -(int)s->nwaiting);
 	}
 	for (i = 0; s->nwaiting > 0 && i < s->ntasks; i++)
 		if (s->tasks[i].state == SB_WAITING) {
@@ -188,6 +189,17 @@
 		    p->takeover_ms + d->settings.clock_error_ms));
 }
 
+bool
+oc_not_run_provable(const struct dp *d, const struct pd_id *id)
+{
+	const struct partition *p;
+
+	p = &d->partitions[pt_of(id)];
+	return (dp_verified(d) && p->state == DP_ACTIVE &&
+	    (p->takeover_ms == 0 || p->complete ||
+		id->created_ms > p->takeover_ms + d->settings.clock_error_ms));
+}
+
 void
 oc_conclude(struct dp *d, struct sb *s, const char *reason, char *detail)
 {
@@ -201,7 +213,13 @@
 		oc_finish(d, s, PD_UNKNOWN, reason, detail, false);
 	else if (s->nstarted > 0)
 		oc_finish(d, s, PD_JOB_FAILED, reason, detail, false);
-	else
+	else if (!dp_verified(d)) {
+		g_free(detail);
+		oc_finish(d, s, PD_UNKNOWN, "unverified",
+		    g_strdup("This entry started nothing, but could not "
+			     "verify that it still owns the id."),
+		    false);
+	} else
 		oc_finish(d, s, PD_REFUSED, reason, detail, true);
 }
 
@@ -266,10 +284,10 @@
 	t->state = SB_WAITING;
 	t->doubts = 0;
 	s->nwaiting++;
-	s->left_ms += t->size_ms;
+	s->left_ms += t->work_ms;
 	if (s->phase != SB_RUNNING)
 		return;
-	d->queued++;
+	pm_count(d, s, 1);
 	index = (uint16_t)t->index;
 	t->again = true;
 	if (s->again == NULL)
@@ -279,29 +297,18 @@
 }
 
 /*
- * A key is not granted twice to the same agent: a late duplicate of its first
- * "not started" would look like one for the second grant. An idempotent
- * request gets a new attempt number instead.
+ * A key is not granted twice: a late duplicate of its first "not started"
+ * would look like one for the second grant. The task goes on under the next
+ * attempt; agents start a task at most once under all its attempts unless it
+ * is an idempotent request.
  */
-static void
-exclude(struct sb_task *t, uint64_t incarnation)
-{
-	if (t->sub->idempotent) {
-		t->attempt++;
-		return;
-	}
-	if (t->returned == NULL)
-		t->returned = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	g_array_append_val(t->returned, incarnation);
-}
-
 static void
 returned(struct dp *d, struct sb_task *t)
 {
 	struct sb *s;
 
 	s = t->sub;
-	exclude(t, t->incarnation);
+	t->attempt++;
 	if (s->phase == SB_ANSWERED || s->withdrawn)
 		t->state = SB_OVER;
 	else
@@ -392,6 +399,18 @@
 	return (r->state == PD_NOT_STARTED && r->reason == PD_R_DUPLICATE);
 }
 
+static void
+learn_run(struct dp *d, struct ep *e, const struct sb_task *t, double run_ms)
+{
+	struct po_speed *speed;
+
+	speed = &e->view.speed;
+	if (speed->samples > 0)
+		po_sizes_learn(
+		    &e->service->sizes, t->size_ms, run_ms / speed->unit);
+	po_learn(speed, t->work_ms, run_ms, dp_now(d));
+}
+
 static void
 record_ended(struct dp *d, struct sb_task *t, const struct pd_record *r)
 {
@@ -408,7 +427,7 @@
 		break;
 	case PD_DONE:
 		if (learn)
-			po_learn(&e->view.speed, t->declared_ms, r->run_ms);
+			learn_run(d, e, t, r->run_ms);
 		if (r->reason == PD_R_FORGOTTEN)
 			ended_badly(d, t, true);
 		else
@@ -528,8 +547,7 @@
 	if (s->phase != SB_HELD || t->state != SB_WAITING)
 		return;
 	if (r->state == PD_NOT_STARTED) {
-		if (e != NULL && !is_doubtful(r))
-			exclude(t, e->incarnation);
+		t->attempt = MAX(t->attempt, r->key.attempt + 1);
 		return;
 	}
 	t->attempt = r->key.attempt;
@@ -565,7 +583,7 @@
 
 	if (s->phase == SB_RUNNING) {
 		pm_dequeue(d, s);
-		d->queued -= s->nwaiting;
+		pm_count(d, s, -(int)s->nwaiting);
 	}
 	for (i = 0; s->ngranted > 0 && i < s->ntasks; i++)
 		if (s->tasks[i].state == SB_GRANTED) {
--- a/plan/placement.c
+++ b/plan/placement.c
@@ -2,8 +2,6 @@
 
 #include "dispatch_impl.h"
 
-/* Submissions whose tasks fit nowhere are looked at again after this. */
-#define PARK_US 20000
 /*
  * A grant without a result is doubted after this, or after DUE_FACTOR times
  * its expected time: declared sizes are wrong by up to 10x.
@@ -11,6 +9,12 @@
 #define DUE_MIN_US 1000000
 #define DUE_MAX_US 10000000
 #define DUE_FACTOR 10
+/*
+ * A job that takes 1 s of all endpoints goes before one that takes 2 s unless
+ * the latter arrived RANK_FACTOR s earlier. Without ageing the p99 of large
+ * jobs at load 0.95 is up to 1.4 times that of a first-in-first-out queue.
+ */
+#define RANK_FACTOR 3
 /* Time that a report needs, kept free before the deadline. */
 #define RETURN_MS 5
 
@@ -20,22 +24,8 @@
 	uint64_t now_us;
 	struct sb_task *task;
 	struct ep *ep;
-	struct sb *blocked; /* first job whose task no endpoint may get */
 };
 
-static bool
-was_returned(void *arg, const struct po_endpoint *e)
-{
-	const struct sb_task *t = arg;
-	const struct ep *ep = (const struct ep *)e;
-	guint i;
-
-	for (i = 0; i < t->returned->len; i++)
-		if (g_array_index(t->returned, uint64_t, i) == ep->incarnation)
-			return (true);
-	return (false);
-}
-
 /* An ejected endpoint whose probe is due gets the next task. */
 static bool
 place_probe(struct search *q, struct sb *s, struct sb_task *t)
@@ -45,8 +35,7 @@
 
 	for (i = 0; i < s->lane->eps->len; i++) {
 		e = g_ptr_array_index(s->lane->eps, i);
-		if (e->probing &&
-		    (t->returned == NULL || !was_returned(t, &e->view))) {
+		if (e->probing) {
 			q->task = t;
 			q->ep = e;
 			return (true);
@@ -64,10 +53,9 @@
 
 	if (s->lane->service->nprobing > 0 && place_probe(q, s, t))
 		return (true);
-	task.size_ms = t->size_ms;
+	task.size_ms = t->work_ms;
+	task.ahead = s->lane->service->queued;
 	task.now_us = q->now_us;
-	task.excluded = t->returned != NULL ? was_returned : NULL;
-	task.arg = t;
 	eps = s->lane->eps;
 	i = q->dp->policy->choose((struct po_endpoint *const *)eps->pdata,
 	    eps->len, &task, q->dp->rng);
@@ -92,6 +80,20 @@
 	return (NULL);
 }
 
+/* Smallest task that was never returned. */
+static struct sb_task *
+smallest_task(struct sb *s)
+{
+	struct sb_task *t;
+
+	for (; s->tail > s->cursor; s->tail--) {
+		t = &s->tasks[s->order[s->tail - 1]];
+		if (t->state == SB_WAITING && !t->again)
+			return (t);
+	}
+	return (NULL);
+}
+
 /* Last of the tasks that came back; entries that are over are dropped. */
 static struct sb_task *
 again_task(struct sb *s)
@@ -108,16 +110,6 @@
 	return (NULL);
 }
 
-static void
-again_rotate(struct sb *s)
-{
-	uint16_t last;
-
-	last = g_array_index(s->again, uint16_t, s->again->len - 1);
-	g_array_set_size(s->again, s->again->len - 1);
-	g_array_prepend_val(s->again, last);
-}
-
 static bool
 fits(void *arg, struct qu_job *j)
 {
@@ -127,14 +119,15 @@
 
 	s = hp_item(j, struct sb, job);
 	t = again_task(s);
-	if (t != NULL) {
-		if (place(q, s, t))
-			return (true);
-		again_rotate(s);
-		if (q->blocked == NULL)
-			q->blocked = s;
-	}
+	if (t != NULL && place(q, s, t))
+		return (true);
 	t = fresh_task(s);
+	if (t == NULL)
+		return (false);
+	if (place(q, s, t))
+		return (true);
+	/* A small task loses less on a slow endpoint than the largest. */
+	t = smallest_task(s);
 	return (t != NULL && place(q, s, t));
 }
 
@@ -144,30 +137,33 @@
 {
 	uint64_t need;
 
-	need = 2000 * (uint64_t)s->tasks[s->order[0]].size_ms;
+	need = (uint64_t)(2000 * s->tasks[s->order[0]].work_ms);
 	return (s->deadline_us > need ? s->deadline_us - need : 0);
 }
 
-void
-pm_enqueue(struct dp *d, struct sb *s)
+/* Least remaining work first; waiting makes up for more work, see RANK_FACTOR
+ */
+static uint64_t
+rank(struct dp *d, const struct sb *s)
 {
-	(void)d;
-	if (s->nwaiting > 0 && !hp_has(&s->parked))
-		qu_put(s->lane->queue, &s->job, s->left_ms, latest_start(s));
+	return (s->arrived_us +
+	    (uint64_t)(RANK_FACTOR * 1000 *
+		ln_time_ms(d, s->lane, s->left_ms)));
 }
 
 void
-pm_dequeue(struct dp *d, struct sb *s)
+pm_enqueue(struct dp *d, struct sb *s)
 {
-	qu_remove(&s->job);
-	hp_remove(&d->parked, &s->parked);
+	if (s->nwaiting > 0)
+		qu_put(s->lane->queue, &s->job, s->left_ms, rank(d, s),
+		    latest_start(s));
 }
 
-static void
-park(struct dp *d, struct sb *s)
+void
+pm_dequeue(struct dp *d, struct sb *s)
 {
 	qu_remove(&s->job);
-	hp_set(&d->parked, &s->parked, dp_now(d) + PARK_US);
+	(void)d;
 }
 
 static void
@@ -216,15 +212,15 @@
 	e = q->ep;
 	t->state = SB_GRANTED;
 	t->granted_us = q->now_us;
-	t->cost_ms = t->size_ms * po_unit(&e->view.speed, q->now_us);
+	t->cost_ms = t->work_ms * po_unit(&e->view.speed, q->now_us);
 	ep_grant(e, t, q->now_us);
 	if (e->health == PD_EJECTED)
 		ep_probed(e, &d->wakes, q->now_us);
 	pm_refresh(d, e);
 	s->nwaiting--;
 	s->ngranted++;
-	s->left_ms -= t->size_ms;
-	d->queued--;
+	s->left_ms -= t->work_ms;
+	pm_count(d, s, -1);
 	d->granted++;
 	qu_granted(s->lane->queue, t->cost_ms);
 	t->charged = true;
@@ -240,31 +236,51 @@
 	send_grant(d, e, t, q->now_us);
 }
 
+void
+pm_count(struct dp *d, struct sb *s, int n)
+{
+	d->queued = (size_t)((ssize_t)d->queued + n);
+	s->lane->service->queued =
+	    (size_t)((ssize_t)s->lane->service->queued + n);
+}
+
+/* The longer the queue at the entry, the more its agents may hold. */
+static void
+set_queue(struct dp *d, struct service *s)
+{
+	unsigned queue;
+	guint i;
+
+	queue = d->policy->queue(s->queued, s->slots);
+	if (queue == s->queue)
+		return;
+	s->queue = queue;
+	for (i = 0; i < s->eps->len; i++)
+		pm_refresh(d, g_ptr_array_index(s->eps, i));
+}
+
 void
 pm_pump(struct dp *d, struct service *s)
 {
 	struct search q;
 
-	if (!d->verified)
+	if (!dp_verified(d))
 		return;
 	q.dp = d;
 	q.now_us = dp_now(d);
 	dp_check_deadlines(d, q.now_us);
+	set_queue(d, s);
 	while (s->nopen > 0) {
-		q.blocked = NULL;
-		if (qu_next(d->queue, s->number, q.now_us, fits, &q) != NULL)
-			grant(d, &q);
-		else if (q.blocked != NULL)
-			park(d, q.blocked);
-		else
+		if (qu_next(d->queue, s->number, q.now_us, fits, &q) == NULL)
 			return;
+		grant(d, &q);
 	}
 }
 
 void
 pm_refresh(struct dp *d, struct ep *e)
 {
-	ep_refresh(e, d->policy->queue, dp_now(d));
+	ep_refresh(e, e->service != NULL ? e->service->queue : 0, dp_now(d));
 }
 
 static void
@@ -284,21 +300,9 @@
 pm_tick(struct dp *d)
 {
 	struct hp_node *n;
-	struct sb *s;
 	uint64_t now;
 
 	now = dp_now(d);
 	while ((n = hp_first(&d->wakes)) != NULL && n->key <= now)
 		wake(d, hp_item(n, struct ep, wake), now);
-	while ((n = hp_first(&d->parked)) != NULL && n->key <= now) {
-		s = hp_item(n, struct sb, parked);
-		hp_remove(&d->parked, n);
-		if (s->lane->impossible != NULL) {
-			oc_withdraw(d, s, s->lane->impossible,
-			    g_strdup(s->lane->detail));
-			continue;
-		}
-		pm_enqueue(d, s);
-		pm_pump(d, s->lane->service);
-	}
 }
--- a/plan/submission.c
+++ b/plan/submission.c
@@ -41,21 +41,13 @@
 	return ((guint)(n ^ (n >> 32)));
 }
 
-static void
-task_release(struct sb_task *t)
-{
-	if (t->returned != NULL)
-		g_array_free(t->returned, TRUE);
-	g_free(t->result);
-}
-
 static void
 tasks_free(struct sb *s)
 {
 	uint32_t i;
 
 	for (i = 0; s->tasks != NULL && i < s->ntasks; i++)
-		task_release(&s->tasks[i]);
+		g_free(s->tasks[i].result);
 	g_free(s->tasks);
 	s->tasks = NULL;
 	g_free(s->order);
@@ -190,10 +182,9 @@
 		t->body_len = from->body.body_len;
 		t->body = put(&at, from->body.body_val, t->body_len);
 		s->order[i] = (uint16_t)i;
-		if (t->state == SB_WAITING)
-			s->left_ms += t->size_ms;
 	}
 	qsort_r(s->order, s->ntasks, sizeof(*s->order), by_size, s->tasks);
+	s->tail = s->ntasks;
 	s->idempotent = p->kind == PD_REQUEST && p->idempotent;
 	s->payload = true;
 }
