Let an entry leave that no agent reaches

Cause: with the inbound connections of one entry cut for 20 s, its submissions waited up to 19.6 s (p90 16.4 s): it still hears its peers and reads the platform, so nobody misses it and it stays owner. Ruled out: reconnect backoff (agents were refused all the time), verification (it held throughout).

STATUS now carries the number of agent sessions. An entry without any for 5 s, while a listed peer reports some, leaves the list and registers again when an agent is there.

--- a/plan/member.h
+++ b/plan/member.h
@@ -118,6 +118,14 @@
 void mb_change(struct mb *m, const char *json, uint64_t expect,
     mb_change_fn done, void *arg);
 
+/**
+ * mb_set_agents() - number of agents that have a session with this entry
+ *
+ * An entry that no agent reaches, while other entries have agents, cannot run
+ * what it owns. It leaves the list after 5 s and comes back when an agent does.
+ */
+void mb_set_agents(struct mb *m, unsigned agents);
+
 /** mb_leave() - write this entry's leave; @done as for mb_change() */
 void mb_leave(struct mb *m, mb_change_fn done, void *arg);
 
--- a/plan/member_impl.h
+++ b/plan/member_impl.h
@@ -32,6 +32,9 @@
 /** MB_OWN_MS - time after which a change of this entry that was not sent is
  * decided again */
 #define MB_OWN_MS 500
+/** MB_ISOLATED_MS - time without an agent after which an entry leaves; longer
+ * than an agent needs to reconnect after a silent connection */
+#define MB_ISOLATED_MS 5000
 /** MB_FORGET_MS - time after which an entry outside the list is forgotten */
 #define MB_FORGET_MS 600000
 /** MB_PUSH_MS - wait before the same changes are pushed to a peer again */
@@ -84,6 +87,7 @@
 	bool asked;              /* asked_ms is valid */
 	GArray *missing;         /* uint64_t: whom it reported missing */
 	uint64_t missing_ms;
+	unsigned agents; /* sessions with agents, reported at missing_ms */
 };
 
 /** struct mb_peer - an address that is asked for its status */
@@ -176,6 +180,8 @@
 	bool started;
 	uint64_t tick_ms;
 	uint64_t woke_ms;
+	unsigned agents;       /* sessions with agents of this entry */
+	uint64_t agents_ms;    /* when an agent was last there */
 	uint64_t own_retry_ms; /* no registration or removal before */
 };
 
--- a/plan/member_list.c
+++ b/plan/member_list.c
@@ -148,14 +148,60 @@
 	}
 }
 
+static bool
+others_have_agents(const struct mb *m)
+{
+	const struct cs_member *members;
+	const struct mb_known *k;
+	size_t n, i;
+
+	members = cs_members(m->state, &n);
+	for (i = 0; i < n; i++) {
+		k = mb_lookup(m, members[i].incarnation);
+		if (members[i].incarnation != m->incarnation && k != NULL &&
+		    k->alive && mb_now(m) - k->missing_ms <= MB_FRESH_MS &&
+		    k->agents > 0)
+			return (true);
+	}
+	return (false);
+}
+
+/* Whether agents reach other entries, but not this one, for a time. */
+static bool
+is_isolated(const struct mb *m, uint64_t limit_ms)
+{
+	return (m->agents == 0 && others_have_agents(m) &&
+	    mb_now(m) - MAX(m->agents_ms, m->woke_ms) >= limit_ms);
+}
+
+static void
+leave_isolated(struct mb *m)
+{
+	lg_write(LOG_WARNING, "member",
+	    "Leaving the list, no agent reaches this entry.");
+	mb_own_change(
+	    m, list_change(m, "entry_leave", m->name, m->incarnation));
+}
+
+void
+mb_set_agents(struct mb *m, unsigned agents)
+{
+	if (agents > 0 || m->agents > 0)
+		m->agents_ms = mb_now(m);
+	m->agents = agents;
+}
+
 void
 mb_list_run(struct mb *m)
 {
 	if (m->left || !m->read_once || mb_now(m) < m->own_retry_ms ||
 	    m->scan_failed || mb_own_busy(m) || !mb_list_settled(m, NULL))
 		return;
-	if (!mb_registered(m))
-		register_self(m);
+	if (!mb_registered(m)) {
+		if (!is_isolated(m, 0))
+			register_self(m);
+	} else if (is_isolated(m, MB_ISOLATED_MS))
+		leave_isolated(m);
 	else
 		remove_missing(m);
 }
--- a/plan/member_peers.c
+++ b/plan/member_peers.c
@@ -123,6 +123,7 @@
 	g_array_append_vals(
 	    k->missing, s->missing.missing_val, s->missing.missing_len);
 	k->missing_ms = mb_now(m);
+	k->agents = s->agents;
 	members = cs_members(m->state, &n);
 	note_successor(m, s, members, n);
 	members = cs_members_before(m->state, &n, &consents);
@@ -277,6 +278,7 @@
 	out->address = m->address;
 	out->revision = cs_revision(m->state);
 	out->view = cs_view(m->state);
+	out->agents = m->agents;
 	out->missing.missing_len = m->missing->len;
 	out->missing.missing_val = (u_quad_t *)(void *)m->missing->data;
 }
--- a/tests/proc_failures.c
+++ b/tests/proc_failures.c
@@ -247,6 +247,25 @@
 	assert_all_complete(&r);
 }
 
+/* Submissions that wait for an owner that no agent reaches: it hears the other
+ * entries and the platform, so it is not missing. */
+static void
+test_entry_isolated(void **state)
+{
+	struct pc *c = *state;
+	struct pc_load load = pc_load_start(c,
+	    "--rate 15 --tasks 1-12 --run-ms 50-300 --deadline-ms 15000 "
+	    "--duration 10");
+	struct pc_result r;
+
+	hn_sleep_ms(1000);
+	hn_control(c->entries[1].relay_control, "mode=cut");
+	hn_sleep_ms(24000);
+	hn_control(c->entries[1].relay_control, "mode=pass");
+	r = pc_check(c, &load);
+	assert_all_complete(&r);
+}
+
 /* An agent of another cell that gets grants of this one: each cell has its own
  * owners, so that the same id could run twice. */
 static void
@@ -304,6 +323,8 @@
 	    TEST(test_rolling_restart),
 	    cmocka_unit_test_setup_teardown(
 		test_silent_connection, set_up_relay, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_entry_isolated, set_up_relay, tear_down),
 	    cmocka_unit_test_setup_teardown(
 		test_foreign_agent, set_up_foreign, tear_down),
 	    TEST(test_entry_killed_platform_down),
--- a/wire/pd.h
+++ b/wire/pd.h
@@ -213,6 +213,7 @@
 		u_int missing_len;
 		u_quad_t *missing_val;
 	} missing;
+	u_int agents;
 };
 typedef struct pd_status pd_status;
 
--- a/wire/pd.x
+++ b/wire/pd.x
@@ -160,6 +160,7 @@
 	/* Incarnations of members that this entry has not heard from for the
 	 * failure-detection time, and its own predecessors. */
 	unsigned hyper missing<PD_MEMBERS_MAX>;
+	unsigned int agents;	/* sessions with agents */
 };
 
 struct pd_change {
--- a/wire/pd_xdr.c
+++ b/wire/pd_xdr.c
@@ -413,6 +413,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->missing.missing_val, (u_int *) &objp->missing.missing_len, PD_MEMBERS_MAX,
 		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->agents))
+		 return FALSE;
 	return TRUE;
 }
 
