Keep dropped start records in mind, measure leases with CLOCK_BOOTTIME

A gathered record that found no place in the full table made the partition incomplete, but the next report of the takeover set it to complete again, so its task could start twice; test_dropped_record fails without the change.

CLOCK_MONOTONIC stops while a host is suspended, so permits and verifications measured with it would outlive the suspension. Not covered by a test, since a suspension cannot be caused here.

--- a/base/clock.c
+++ b/base/clock.c
@@ -15,13 +15,15 @@
 	uint64_t wall_us; /* manual clock only */
 };
 
+/* CLOCK_MONOTONIC stops while a host is suspended, so a lease that is measured
+ * with it would outlive the suspension. */
 static uint64_t
 system_mono_us(const struct ck *c)
 {
 	struct timespec ts;
 
 	(void)c;
-	clock_gettime(CLOCK_MONOTONIC, &ts);
+	clock_gettime(CLOCK_BOOTTIME, &ts);
 	return (
 	    (uint64_t)ts.tv_sec * US_PER_S + (uint64_t)ts.tv_nsec / NS_PER_US);
 }
--- a/plan/dispatch.c
+++ b/plan/dispatch.c
@@ -256,6 +256,7 @@
 {
 	struct partition *p;
 	enum dp_partition_state before;
+	bool moved;
 
 	if (partition >= PD_PARTITIONS)
 		return;
@@ -263,10 +264,13 @@
 	before = p->state;
 	p->state = state;
 	p->view = view;
-	p->complete = records_complete;
-	p->takeover_ms = takeover_wall_ms;
-	if (state == DP_FOREIGN ||
-	    (state == DP_GATHERING && before == DP_ACTIVE)) {
+	moved = state == DP_FOREIGN ||
+	    (state == DP_GATHERING && before == DP_ACTIVE);
+	if (moved)
+		p->dropped_ms = 0;
+	p->complete = records_complete && p->dropped_ms == 0;
+	p->takeover_ms = MAX(takeover_wall_ms, p->dropped_ms);
+	if (moved) {
 		forget_partition(d, partition);
 		pump_all(d);
 	} else if (state == DP_ACTIVE && before != DP_ACTIVE)
@@ -291,9 +295,9 @@
 		if (g_hash_table_size(d->table.subs) >=
 		    d->settings.submissions_max) {
 			/* A record without a place is a lost record. */
+			p->dropped_ms = ck_wall_ms(d->clock);
 			p->complete = false;
-			p->takeover_ms =
-			    MAX(p->takeover_ms, ck_wall_ms(d->clock));
+			p->takeover_ms = MAX(p->takeover_ms, p->dropped_ms);
 			return;
 		}
 		s = sb_new(&d->table, &r->key.sub, r->ntasks);
--- a/plan/dispatch_impl.h
+++ b/plan/dispatch_impl.h
@@ -49,6 +49,7 @@
 	uint64_t view;
 	bool complete;
 	uint64_t takeover_ms;
+	uint64_t dropped_ms; /* when a gathered record found no place */
 };
 
 struct dp {
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -622,6 +622,34 @@
 	dp_gathered(x->dp, agent, &r);
 }
 
+/*
+ * Guards against a start record that found no place in the table and is
+ * forgotten when the partition is reported as complete afterwards.
+ */
+static void
+test_dropped_record(void **state)
+{
+	static const struct dp_settings settings = {.life_ms = 600000,
+	    .clock_error_ms = 2000,
+	    .submissions_max = 1,
+	    .queue_tasks_max = 100,
+	    .seed = 1};
+	dp_agent agents[1];
+	struct sd *x;
+
+	(void)state;
+	x = sd_new_limited("learned", &settings);
+	sd_agents(x, 1, agents);
+	sd_partitions(x, DP_GATHERING, 9, false, 0);
+	gather(x, agents[0], "kept", 0, 1, PD_DONE);
+	gather(x, agents[0], "dropped", 0, 1, PD_DONE);
+	sd_partitions(x, DP_ACTIVE, 9, true, 0);
+	sd_submit(x, "dropped", 1, 9000, 1);
+	assert_int_equal(x->grants->len, 0);
+	assert_int_equal(sd_answer_to(x, 1)->status, PD_UNKNOWN);
+	sd_free(x);
+}
+
 /* Guards against second starts and false refusals after a takeover. */
 static void
 test_takeover(void **state)
@@ -696,6 +724,7 @@
 	    cmocka_unit_test(test_failure),
 	    cmocka_unit_test(test_idempotent),
 	    cmocka_unit_test(test_unverified),
+	    cmocka_unit_test(test_dropped_record),
 	    cmocka_unit_test(test_verification_lapses),
 	    cmocka_unit_test(test_unreachable),
 	    cmocka_unit_test(test_endpoints),
