--- a/bench/faults.sh
+++ b/bench/faults.sh
@@ -50,10 +50,10 @@
 	all_pids+=("$load_pid")
 	sleep 6
 	out=$(now_ms)
-	operate zone out "${azs[1]}" || fail "zone out failed"
+	operate zone out "${azs[1]}" >/dev/null || fail "zone out failed"
 	sleep 20
 	in=$(now_ms)
-	operate zone in "${azs[1]}" || fail "zone in failed"
+	operate zone in "${azs[1]}" >/dev/null || fail "zone in failed"
 	wait "$load_pid"
 	remaining=$(busy zone "$out" "$in" 1)
 	back=$(busy zone $((in + 2000)) $((in + 5000)) -1)
