--- a/wire/pd.h
+++ b/wire/pd.h
@@ -37,6 +37,7 @@
 typedef struct pd_key pd_key;
 
 struct pd_hello {
+	char *cell;
 	char *name;
 	u_quad_t incarnation;
 	u_quad_t started_ms;
@@ -202,6 +203,7 @@
 typedef struct pd_fence_reply pd_fence_reply;
 
 struct pd_status {
+	char *cell;
 	char *name;
 	u_quad_t incarnation;
 	char *address;
@@ -211,6 +213,7 @@
 		u_int missing_len;
 		u_quad_t *missing_val;
 	} missing;
+	u_int agents;
 };
 typedef struct pd_status pd_status;
 
--- a/wire/pd_xdr.c
+++ b/wire/pd_xdr.c
@@ -36,6 +36,8 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_string (xdrs, &objp->cell, PD_NAME_MAX))
+		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->name, PD_NAME_MAX))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
@@ -396,6 +398,8 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_string (xdrs, &objp->cell, PD_NAME_MAX))
+		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->name, PD_NAME_MAX))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
@@ -409,6 +413,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->missing.missing_val, (u_int *) &objp->missing.missing_len, PD_MEMBERS_MAX,
 		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->agents))
+		 return FALSE;
 	return TRUE;
 }
 
