Send heartbeats every 750 ms, take all slots before a cancellation is tested

make capacity measured 2,096 B/s of control for an agent with 8 entries at 500 ms, above 2 KB/s; 750 ms gives 1,397 B/s by computation.

test_cancel_before_start failed in about a third of the ctest runs: DELETE answered 202. The policy may keep a long job waiting for faster endpoints, so after the fixed 500 ms a slot could still be free, and the short job, which goes first, ran in it and hung. The test now waits until the filler has all slots; the checks are the same. Endpoints stop hanging when the test fails.

--- a/agent/sessions.c
+++ b/agent/sessions.c
@@ -16,7 +16,7 @@
 #define MS_PER_S 1000
 #define US_PER_MS 1000
 
-#define HEARTBEAT_MS 500
+#define HEARTBEAT_MS 750
 /* A connection without traffic for this time is taken for silent. */
 #define SILENT_MS 2000
 #define BACKOFF_MIN_MS 100
--- a/tests/proc_path.c
+++ b/tests/proc_path.c
@@ -169,6 +169,36 @@
 		hn_control(c->agents[i].endpoint, hang ? "hang=1" : "hang=0");
 }
 
+struct waited {
+	struct pc *cell;
+	const char *id;
+};
+
+static bool
+has_started(void *arg)
+{
+	const struct waited *w = arg;
+
+	return (started_tasks(w->cell, w->id) > 0);
+}
+
+static bool
+has_all_slots(void *arg)
+{
+	const struct waited *w = arg;
+	const struct pc_options *o = &w->cell->options;
+
+	return (started_tasks(w->cell, w->id) == o->agents * o->slots);
+}
+
+/* Endpoints left hanging would fail the tests that follow. */
+static int
+end_hang(void **state)
+{
+	set_hang(*state, false);
+	return (0);
+}
+
 /* A task that starts after the caller was told that it never runs. */
 static void
 test_cancel_before_start(void **state)
@@ -179,11 +209,13 @@
 	uint64_t now = hn_wall_ms();
 	char *filler = pc_body("filler", now, fill, 1, DEADLINE_MS);
 	char *body = pc_body("cancelled", now, 3, 1, DEADLINE_MS);
+	struct waited filling = {c, "filler"};
 	json_t *answer = NULL;
 
 	set_hang(c, true);
 	assert_int_equal(pc_submit(c, 0, filler, 0, NULL), 202);
-	hn_sleep_ms(500);
+	/* A slot that is still free would start the shorter job at once. */
+	assert_true(hn_until(has_all_slots, &filling, WAIT_MS));
 	assert_int_equal(pc_submit(c, 0, body, 0, NULL), 202);
 	assert_int_equal(pc_cancel(c, 1, "cancelled", now, &answer), 200);
 	assert_refused(answer, "cancelled");
@@ -201,19 +233,6 @@
 	free(body);
 }
 
-struct waited {
-	struct pc *cell;
-	const char *id;
-};
-
-static bool
-has_started(void *arg)
-{
-	const struct waited *w = arg;
-
-	return (started_tasks(w->cell, w->id) > 0);
-}
-
 /* Work that goes on after a cancellation, and results of a cancelled job. */
 static void
 test_cancel_while_running(void **state)
@@ -451,7 +470,7 @@
 	    cmocka_unit_test(test_fetch_later),
 	    cmocka_unit_test(test_resubmission),
 	    cmocka_unit_test(test_id_with_other_body),
-	    cmocka_unit_test(test_cancel_before_start),
+	    cmocka_unit_test_teardown(test_cancel_before_start, end_hang),
 	    cmocka_unit_test(test_cancel_while_running),
 	    cmocka_unit_test(test_unknown_service),
 	    cmocka_unit_test(test_age_of_id),
