--- a/plan/gate.c
+++ b/plan/gate.c
@@ -7,7 +7,6 @@
 #include "gate.h"
 #include "health.h"
 #include "partition.h"
-#include "share.h"
 #include "startlog.h"
 
 #define REASONS (PD_R_FORGOTTEN + 1)
@@ -39,7 +38,6 @@
 	GArray *entries;
 	ga_session last_session;
 	struct fence fences[PD_PARTITIONS];
-	struct sh *shares;
 	GQueue queue;             /* sl_record, oldest first */
 	struct sl_record **slots; /* NULL for a free slot */
 	unsigned running;
@@ -138,7 +136,6 @@
 	g->page = g_array_new(FALSE, FALSE, sizeof(struct pd_record));
 	g->slots = g_new0(struct sl_record *, settings->slots);
 	g->in_service = true;
-	g->shares = sh_new();
 	g_queue_init(&g->queue);
 	make_counters(g, counters);
 	return (g);
@@ -150,7 +147,6 @@
 	if (g == NULL)
 		return;
 	g_queue_clear(&g->queue);
-	sh_free(g->shares);
 	sl_free(g->log);
 	g_array_free(g->entries, TRUE);
 	g_array_free(g->page, TRUE);
@@ -246,7 +242,6 @@
 drop_queued(struct ga *g, struct sl_record *r, enum pd_reason reason)
 {
 	g_queue_remove(&g->queue, r);
-	sh_unqueue(g->shares, r->grant->team);
 	r->queue_ms = (uint32_t)(ck_mono_ms(g->clock) - r->grant->queued_ms);
 	give_back(g, r, reason);
 }
@@ -292,7 +287,6 @@
 	r->revision = g->revision;
 	r->queue_ms = (uint32_t)(now - grant->queued_ms);
 	grant->started_ms = now;
-	sh_start(grant->team);
 	task = (struct ga_task){
 	    .slot = slot,
 	    .key = {r->sub->id, r->task, r->attempt},
@@ -308,22 +302,18 @@
 	g->ops->start(g->arg, &task);
 }
 
-/* The oldest grant of the team that has the fewest slots for its weight. */
 static struct sl_record *
 next_startable(const struct ga *g)
 {
-	struct sl_record *r, *best = NULL;
+	struct sl_record *r;
 	GList *at;
 
 	for (at = g->queue.head; at != NULL; at = at->next) {
 		r = at->data;
-		if (has_permit(g, r->grant->entry) &&
-		    (best == NULL ||
-			sh_next_share(r->grant->team) <
-			    sh_next_share(best->grant->team)))
-			best = r;
+		if (has_permit(g, r->grant->entry))
+			return (r);
 	}
-	return (best);
+	return (NULL);
 }
 
 static void
@@ -498,30 +488,12 @@
 	kept->deadline_ms = now + grant->timeout_ms;
 	kept->idempotent = grant->idempotent;
 	kept->probe = g->health.state == PD_EJECTED;
-	kept->team = sh_queue(g->shares, grant->team, grant->weight);
 	kept->body = g_memdup2(grant->body.body_val, grant->body.body_len);
 	kept->body_len = grant->body.body_len;
 	g_queue_push_tail(
 	    &g->queue, sl_add(g->log, &grant->key, grant->ntasks, kept, now));
 }
 
-/* The newest grant of the team that has the most queued for its weight. */
-static struct sl_record *
-most_queued(const struct ga *g)
-{
-	struct sl_record *r, *most = NULL;
-	GList *at;
-
-	for (at = g->queue.tail; at != NULL; at = at->prev) {
-		r = at->data;
-		if (most == NULL ||
-		    sh_queued_share(r->grant->team) >
-			sh_queued_share(most->grant->team))
-			most = r;
-	}
-	return (most);
-}
-
 /* A full queue gives up a grant that cannot start before one that can, so
  * that an entry without permits does not hold up the others. */
 static void
@@ -533,18 +505,15 @@
 	if (g->queue.length <= g->settings.queue_max)
 		return;
 	last = g_queue_peek_tail(&g->queue);
-	if (!has_permit(g, last->grant->entry)) {
-		drop_queued(g, last, PD_R_QUEUE_FULL);
-		return;
-	}
-	for (at = g->queue.head; at != NULL; at = at->next) {
-		r = at->data;
-		if (!has_permit(g, r->grant->entry)) {
-			drop_queued(g, r, PD_R_NO_PERMIT);
-			return;
+	if (has_permit(g, last->grant->entry))
+		for (at = g->queue.head; at != NULL; at = at->next) {
+			r = at->data;
+			if (!has_permit(g, r->grant->entry)) {
+				drop_queued(g, r, PD_R_NO_PERMIT);
+				return;
+			}
 		}
-	}
-	drop_queued(g, most_queued(g), PD_R_QUEUE_FULL);
+	drop_queued(g, last, PD_R_QUEUE_FULL);
 }
 
 void
@@ -608,7 +577,6 @@
 	g->slots[slot] = NULL;
 	g->running--;
 	r->run_ms = (uint32_t)(now - r->grant->started_ms);
-	sh_end(g->shares, r->grant->team);
 	ct_add(g->results[ends[end].state], 1);
 	note_health(g, r, end);
 	session = route(g, r);
--- a/plan/placement.c
+++ b/plan/placement.c
@@ -1,7 +1,6 @@
 #include <glib.h>
 
 #include "dispatch_impl.h"
-#include "state.h"
 
 /*
  * A grant without a result is doubted after this, or after DUE_FACTOR times
@@ -171,7 +170,6 @@
 send_grant(
     struct dp *d, const struct ep *e, const struct sb_task *t, uint64_t now_us)
 {
-	const struct cs_team *team;
 	const struct sb *s;
 	struct pd_grant g;
 	uint64_t left;
@@ -188,8 +186,6 @@
 	g.timeout_ms = (u_int)(left > 10 * RETURN_MS ? left - RETURN_MS : left);
 	g.idempotent = s->idempotent;
 	g.team = (char *)s->team;
-	team = cs_team(d->state, s->team);
-	g.weight = team != NULL ? team->weight : 1;
 	g.body.body_len = t->body_len;
 	g.body.body_val = (char *)t->body;
 	d->ops->grant(d->arg, e->session, &g);
--- a/plan/startlog.h
+++ b/plan/startlog.h
@@ -35,7 +35,6 @@
  * @deadline_ms: monotonic ms
  * @idempotent: more than one attempt may start
  * @probe: admitted as a probe of an ejected endpoint
- * @team: share of its team, borrowed from the gate
  * @body: request, owned; handed over at the start
  */
 struct sl_grant {
@@ -46,7 +45,6 @@
 	uint64_t deadline_ms;
 	bool idempotent;
 	bool probe;
-	struct sh_team *team;
 	char *body;
 	size_t body_len;
 };
--- a/wire/pd.h
+++ b/wire/pd.h
@@ -89,7 +89,6 @@
 	u_int timeout_ms;
 	bool_t idempotent;
 	char *team;
-	u_int weight;
 	struct {
 		u_int body_len;
 		char *body_val;
--- a/wire/pd.x
+++ b/wire/pd.x
@@ -71,7 +71,6 @@
 	unsigned int timeout_ms;	/* time left until the deadline */
 	bool idempotent;
 	string team<PD_NAME_MAX>;
-	unsigned int weight;		/* of the team, under contention */
 	opaque body<PD_BODY_MAX>;
 };
 
--- a/wire/pd_xdr.c
+++ b/wire/pd_xdr.c
@@ -147,8 +147,6 @@
 		}
 		 if (!xdr_string (xdrs, &objp->team, PD_NAME_MAX))
 			 return FALSE;
-		 if (!xdr_u_int (xdrs, &objp->weight))
-			 return FALSE;
 		 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, PD_BODY_MAX))
 			 return FALSE;
 		return TRUE;
@@ -178,8 +176,6 @@
 		}
 		 if (!xdr_string (xdrs, &objp->team, PD_NAME_MAX))
 			 return FALSE;
-		 if (!xdr_u_int (xdrs, &objp->weight))
-			 return FALSE;
 		 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, PD_BODY_MAX))
 			 return FALSE;
 	 return TRUE;
@@ -201,8 +197,6 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->team, PD_NAME_MAX))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->weight))
-		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, PD_BODY_MAX))
 		 return FALSE;
 	return TRUE;
