--- a/tests/proc_failures.c
+++ b/tests/proc_failures.c
@@ -266,6 +266,41 @@
 	assert_all_complete(&r);
 }
 
+/* A partial answer of a job that loses half of its endpoints midway. */
+static void
+test_large_job_loses_agents(void **state)
+{
+	uint64_t now = hn_wall_ms();
+	char *large = pc_body("large", now, 540, 100, 20000);
+	char *next = pc_body("next", now, 20, 50, 20000);
+	json_t *answer = NULL, *results;
+	struct hl_starts *starts;
+	struct pc *c = *state;
+
+	assert_int_equal(pc_submit(c, 0, large, 0, NULL), 202);
+	hn_sleep_ms(600);
+	for (unsigned i = 0; i < c->options.agents; i += 2)
+		hn_kill(c->agents[i].proc);
+	assert_int_equal(pc_fetch(c, 1, "large", now, 25000, &answer), 200);
+	print_message("answer %s\n", hn_text(answer, "status"));
+	results = json_object_get(answer, "results");
+	if (strcmp(hn_text(answer, "status"), "complete") == 0)
+		assert_int_equal(json_array_size(results), 540);
+	else
+		assert_null(results);
+	json_decref(answer);
+	/* The endpoints that are left take new work. */
+	assert_int_equal(pc_submit(c, 2, next, 20000, &answer), 200);
+	assert_string_equal(hn_text(answer, "status"), "complete");
+	json_decref(answer);
+	starts = pc_starts(c);
+	assert_int_equal(hl_doubles(starts), 0);
+	assert_true(hl_tasks(starts, "large") > 0);
+	hl_free(starts);
+	free(large);
+	free(next);
+}
+
 /* An agent of another cell that gets grants of this one: each cell has its own
  * owners, so that the same id could run twice. */
 static void
@@ -320,6 +355,7 @@
 	    TEST(test_platform_answer_lost),
 	    TEST(test_entry_stopped_gracefully),
 	    TEST(test_agent_stopped_gracefully),
+	    TEST(test_large_job_loses_agents),
 	    TEST(test_rolling_restart),
 	    cmocka_unit_test_setup_teardown(
 		test_silent_connection, set_up_relay, tear_down),
