--- /dev/null
+++ b/tests/member_fixture.h
@@ -0,0 +1,100 @@
+#ifndef MEMBER_FIXTURE_H
+#define MEMBER_FIXTURE_H
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <glib.h>
+
+#include "cell.h"
+#include "log.h"
+#include "member_impl.h"
+
+/**
+ * DOC: cells and questions that the tests of mb share
+ */
+
+#define ZONE_OUT "{\"change_id\":\"c1\",\"kind\":\"az_out\",\"az\":\"armor\"}"
+
+static inline struct cell *
+started(unsigned count, unsigned variant)
+{
+	struct cell *c;
+	unsigned i;
+
+	c = cell_new(count, 1);
+	c->variant = variant;
+	for (i = 0; i < count; i++)
+		cell_start(c, i);
+	cell_run(c, 3000);
+	return (c);
+}
+
+static inline unsigned
+rows_of_kind(const struct cell *c, const char *kind)
+{
+	unsigned n;
+	guint i;
+
+	n = 0;
+	for (i = 0; i < c->rows->len; i++) {
+		if (strstr(c->rows->pdata[i], kind) != NULL)
+			n++;
+	}
+	return (n);
+}
+
+static inline size_t
+listed(const struct cell *c, unsigned node)
+{
+	size_t n;
+
+	(void)cs_members(mb_state(c->nodes[node].mb), &n);
+	return (n);
+}
+
+static inline uint64_t
+revision_of(const struct cell *c, unsigned node)
+{
+	return (cs_revision(mb_state(c->nodes[node].mb)));
+}
+
+static inline bool
+verified(const struct cell *c, unsigned node)
+{
+	return (mb_verified(c->nodes[node].mb));
+}
+
+/* Lets time pass; false when another number of entries was ever ready. */
+static inline bool
+stays_ready(struct cell *c, unsigned ready, uint64_t ms)
+{
+	for (; ms > 0; ms -= 10) {
+		cell_run(c, 10);
+		if (cell_ready(c) != ready)
+			return (false);
+	}
+	return (true);
+}
+
+/* Cuts or joins the network between two groups of nodes, given as bits. */
+static inline void
+split(struct cell *c, unsigned left, unsigned right, bool cut)
+{
+	unsigned a, b;
+
+	for (a = 0; a < c->count; a++) {
+		for (b = 0; b < c->count; b++) {
+			if ((left >> a & 1) != 0 && (right >> b & 1) != 0)
+				cell_cut(c, a, b, cut);
+		}
+	}
+}
+
+#endif
