--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Front door: every target works alone on a fresh machine.
 BUILD ?= build
 JOBS ?= $(shell nproc)
-DEPS = build-essential cmake pkg-config clang-format clang-tidy cppcheck \
+DEPS = build-essential cmake pkg-config curl clang-format clang-tidy cppcheck \
 	libulfius-dev libtirpc-dev libevent-dev libjansson-dev libglib2.0-dev \
 	libxxhash-dev libargtable2-dev libtomlplusplus-dev libcmocka-dev
 SOURCES = $(shell git ls-files --cached --others --exclude-standard '*.c' '*.h' \
