--- /dev/null
+++ b/agent/executor.c
@@ -0,0 +1,448 @@
+#include <event2/event.h>
+#include <glib.h>
+#include <jansson.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "clock.h"
+#include "counters.h"
+#include "executor.h"
+#include "links.h"
+#include "log.h"
+#include "minion.h"
+#include "rng.h"
+#include "runner.h"
+#include "scrape.h"
+#include "settings.h"
+
+#define PART "agent"
+#define TICK_MS 20
+#define US_PER_MS 1000
+/* The platform kills the process 6 s after SIGTERM. */
+#define DRAIN_MAX_MS 5500
+/* Reports of the last tasks leave within this time. */
+#define DRAIN_MIN_MS 100
+#define EXIT_SETTINGS 2
+#define AT(field) offsetof(struct settings, field)
+
+struct settings {
+	char *cell;
+	char *name;
+	char *az;
+	char *heartbeats;
+	char *orders;
+	char *metrics;
+	struct st_strings seeds;
+	int64_t entry_port;
+	char *log_level;
+};
+
+static const struct st_key keys[] = {
+    {"cell", ST_STRING, AT(cell), 1, PD_NAME_MAX, "default", NULL,
+	"name of the cell, the same at all its entries and agents"},
+    {"name", ST_STRING, AT(name), 1, PD_NAME_MAX, NULL, NULL,
+	"name of this host"},
+    {"availability_zone", ST_STRING, AT(az), 1, PD_NAME_MAX, NULL, NULL,
+	"availability zone of this host"},
+    {"endpoint.heartbeats", ST_STRING, AT(heartbeats), 9, 21, NULL, NULL,
+	"IP:port on which the endpoint reports"},
+    {"endpoint.orders", ST_STRING, AT(orders), 9, 21, NULL, NULL,
+	"IP:port of the endpoint"},
+    {"entries.seeds", ST_STRINGS, AT(seeds), 0, PD_ENTRIES_MAX, "", NULL,
+	"addresses of entries; their RPC port is entries.port"},
+    {"entries.port", ST_INTEGER, AT(entry_port), 1, 65535, NULL, NULL,
+	"RPC port of the entries"},
+    {"listen.metrics", ST_STRING, AT(metrics), 0, 21, "", NULL,
+	"IP:port of the metrics; empty for none"},
+    {"log.level", ST_STRING, AT(log_level), 1, 16, "info",
+	"err|warning|notice|info|debug", "least severe level to log"},
+};
+
+struct ex {
+	struct settings settings;
+	struct event_base *base;
+	struct ck *clock;
+	struct ct *counters;
+	struct ru *runner;
+	struct mi *endpoint;
+	struct lk *links;
+	struct sc *metrics;
+	struct event *tick;
+	struct event *signals[3];
+	uint64_t incarnation;
+	char *service; /* of the endpoint, owned */
+	GPtrArray *labels;
+	uint64_t stopping_ms;
+};
+
+/* --- outputs of the runner --- */
+
+static void
+order_start(void *arg, const struct ru_run *run)
+{
+	struct ex *e = arg;
+
+	mi_start(e->endpoint, run);
+}
+
+static void
+order_stop(void *arg, const struct ru_run *run)
+{
+	struct ex *e = arg;
+
+	mi_stop(e->endpoint, run);
+}
+
+static void
+report_end(void *arg, uint64_t entry, const struct pd_end *end)
+{
+	struct ex *e = arg;
+
+	if (e->links != NULL)
+		lk_ended(e->links, entry, end);
+}
+
+static const struct ru_ops runner_ops = {
+    .start = order_start,
+    .stop = order_stop,
+    .ended = report_end,
+};
+
+/* --- the endpoint --- */
+
+static void
+on_about(void *arg, const struct mi_about *a)
+{
+	struct ru_load before, after;
+	struct ex *e = arg;
+	unsigned i;
+
+	before = ru_load(e->runner);
+	g_free(e->service);
+	e->service = g_strdup(a->service);
+	g_ptr_array_set_size(e->labels, 0);
+	for (i = 0; i < a->nlabels; i++)
+		g_ptr_array_add(e->labels, g_strdup(a->labels[i]));
+	ru_endpoint(e->runner, a->life, a->cpu, a->mem_mb, a->accepting);
+	after = ru_load(e->runner);
+	/* Entries must know at once that an endpoint leaves or is there. */
+	if (before.accepting != after.accepting || before.cpu != after.cpu)
+		lk_now(e->links);
+}
+
+static void
+on_gone(void *arg)
+{
+	struct ex *e = arg;
+
+	ru_endpoint_gone(e->runner);
+	lk_now(e->links);
+}
+
+static void
+on_looked(void *arg, const struct ru_look *look)
+{
+	struct ex *e = arg;
+
+	ru_looked(e->runner, look);
+}
+
+static unsigned
+on_renewing(void *arg)
+{
+	struct ex *e = arg;
+
+	return (ru_renewing(e->runner));
+}
+
+static void
+on_unreachable(void *arg)
+{
+	struct ex *e = arg;
+
+	ru_unreachable(e->runner);
+}
+
+static void
+on_started(void *arg, const struct ru_run *run, enum ru_started answer)
+{
+	struct ex *e = arg;
+
+	ru_start_answer(e->runner, run, answer);
+}
+
+static void
+on_stopped(void *arg, const struct ru_run *run, bool done)
+{
+	struct ex *e = arg;
+
+	ru_stop_answer(e->runner, run, done);
+}
+
+static const struct mi_ops endpoint_ops = {
+    .about = on_about,
+    .gone = on_gone,
+    .looked = on_looked,
+    .renewing = on_renewing,
+    .unreachable = on_unreachable,
+    .started = on_started,
+    .stopped = on_stopped,
+};
+
+/* --- the entries --- */
+
+static bool
+describe(void *arg, struct pd_attach *a)
+{
+	struct ex *e = arg;
+	struct ru_load l = ru_load(e->runner);
+
+	a->name = e->settings.name;
+	a->az = e->settings.az;
+	a->incarnation = e->incarnation;
+	a->service = e->service;
+	a->labels.labels_val = (pd_name *)e->labels->pdata;
+	a->labels.labels_len = e->labels->len;
+	a->cpu = l.cpu;
+	a->mem_mb = l.mem_mb;
+	a->cpu_used = l.cpu_used;
+	a->cpu_queued = l.cpu_queued;
+	a->accepting = l.accepting;
+	return (l.clean && e->service != NULL);
+}
+
+static void
+on_contact(void *arg, uint64_t entry, uint64_t clock_ms)
+{
+	struct ex *e = arg;
+
+	ru_contact(e->runner, entry, clock_ms);
+}
+
+static void
+on_entry_gone(void *arg, uint64_t entry)
+{
+	struct ex *e = arg;
+
+	ru_entry_gone(e->runner, entry);
+}
+
+static void
+on_grant(void *arg, uint64_t entry, const struct pd_start *s)
+{
+	struct ex *e = arg;
+
+	ru_grant(e->runner, entry, s);
+}
+
+static void
+on_withdraw(void *arg, uint64_t entry, const struct pd_key *k)
+{
+	struct ex *e = arg;
+
+	ru_withdraw(e->runner, entry, k);
+}
+
+static enum pd_end_state
+on_state(void *arg, uint64_t entry, const struct pd_key *k)
+{
+	struct ex *e = arg;
+
+	return (ru_state(e->runner, entry, k));
+}
+
+static const struct lk_ops link_ops = {
+    .describe = describe,
+    .contact = on_contact,
+    .gone = on_entry_gone,
+    .start = on_grant,
+    .withdraw = on_withdraw,
+    .state = on_state,
+};
+
+/* --- the process --- */
+
+static void
+refresh_gauges(void *arg)
+{
+	struct ex *e = arg;
+	struct ru_load l = ru_load(e->runner);
+
+	ct_set(ct_get(e->counters, CT_GAUGE, "pd_agent_runs",
+		   "Runs at the endpoint", ""),
+	    l.active);
+	ct_set(ct_get(e->counters, CT_GAUGE, "pd_agent_waiting",
+		   "Grants that wait for room", ""),
+	    l.queued);
+	ct_set(ct_get(e->counters, CT_GAUGE, "pd_agent_links",
+		   "Entries that are connected", ""),
+	    lk_open(e->links));
+}
+
+static void
+on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	struct ex *e = arg;
+	uint64_t took;
+
+	(void)fd;
+	(void)what;
+	ru_tick(e->runner);
+	if (e->stopping_ms == 0)
+		return;
+	took = ck_mono_ms(e->clock) - e->stopping_ms;
+	if ((ru_load(e->runner).active == 0 && took > DRAIN_MIN_MS) ||
+	    took > DRAIN_MAX_MS)
+		event_base_loopbreak(e->base);
+}
+
+static void
+on_signal(evutil_socket_t signal, short what, void *arg)
+{
+	struct ex *e = arg;
+
+	(void)what;
+	if (signal == SIGHUP) {
+		lg_write(LOG_NOTICE, PART,
+		    "SIGHUP: the settings are read at the next start");
+		return;
+	}
+	if (e->stopping_ms != 0)
+		return;
+	lg_write(LOG_NOTICE, PART, "signal %d: stopping, %u runs",
+	    (int)signal, ru_load(e->runner).active);
+	e->stopping_ms = ck_mono_ms(e->clock);
+	ru_drain(e->runner);
+	lk_now(e->links);
+}
+
+static void
+start_links(struct ex *e)
+{
+	GPtrArray *seeds = g_ptr_array_new_with_free_func(g_free);
+	size_t i;
+
+	for (i = 0; i < e->settings.seeds.count; i++) {
+		const char *seed = e->settings.seeds.items[i];
+
+		g_ptr_array_add(seeds,
+		    g_strdup_printf("%.*s:%d", (int)strcspn(seed, ":"), seed,
+			(int)e->settings.entry_port));
+	}
+	e->links = lk_new(e->base, e->clock, e->settings.cell,
+	    (const char *const *)seeds->pdata, seeds->len, &link_ops, e);
+	g_ptr_array_free(seeds, TRUE);
+}
+
+static bool
+start(struct ex *e)
+{
+	struct rn *rng = rn_new_random();
+
+	/* 0 stands for "unknown" in messages. */
+	do
+		e->incarnation = rn_u64(rng);
+	while (e->incarnation == 0);
+	rn_free(rng);
+	e->labels = g_ptr_array_new_with_free_func(g_free);
+	e->clock = ck_new_system();
+	e->counters = ct_new();
+	e->runner = ru_new(e->clock, e->counters, &runner_ops, e);
+	start_links(e);
+	e->endpoint = mi_new(e->base, e->clock, e->settings.heartbeats,
+	    e->settings.orders, &endpoint_ops, e);
+	if (e->endpoint == NULL)
+		return (false);
+	if (e->settings.metrics[0] == '\0')
+		return (true);
+	e->metrics = sc_new(
+	    e->base, e->settings.metrics, e->counters, refresh_gauges, e);
+	return (e->metrics != NULL);
+}
+
+static void
+start_events(struct ex *e)
+{
+	static const int numbers[] = {SIGTERM, SIGINT, SIGHUP};
+	struct timeval tv = {0, TICK_MS * US_PER_MS};
+	size_t i;
+
+	signal(SIGPIPE, SIG_IGN);
+	for (i = 0; i < G_N_ELEMENTS(numbers); i++) {
+		e->signals[i] =
+		    evsignal_new(e->base, numbers[i], on_signal, e);
+		event_add(e->signals[i], NULL);
+	}
+	e->tick = event_new(e->base, -1, EV_PERSIST, on_tick, e);
+	event_add(e->tick, &tv);
+}
+
+static void
+stop(struct ex *e)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(e->signals); i++)
+		if (e->signals[i] != NULL)
+			event_free(e->signals[i]);
+	if (e->tick != NULL)
+		event_free(e->tick);
+	sc_free(e->metrics);
+	mi_free(e->endpoint);
+	lk_free(e->links);
+	ru_free(e->runner);
+	ct_free(e->counters);
+	ck_free(e->clock);
+	g_ptr_array_free(e->labels, TRUE);
+	g_free(e->service);
+	/* A connection that was just closed is freed by its last callback. */
+	event_base_loop(e->base, EVLOOP_NONBLOCK);
+	event_base_free(e->base);
+}
+
+static bool
+load(const char *path, struct settings *s)
+{
+	char message[1024];
+
+	if (st_load(path, keys, G_N_ELEMENTS(keys), s, message,
+		sizeof(message)) == ST_OK)
+		return (true);
+	fprintf(stderr, "pimentodock-agent: %s\n", message);
+	return (false);
+}
+
+int
+ex_check(const char *path)
+{
+	struct settings s = {0};
+
+	if (!load(path, &s))
+		return (EXIT_SETTINGS);
+	st_release(keys, G_N_ELEMENTS(keys), &s);
+	return (0);
+}
+
+int
+ex_run(const char *path)
+{
+	struct ex e = {0};
+	int code = 1;
+
+	if (!load(path, &e.settings))
+		return (EXIT_SETTINGS);
+	json_object_seed(0);
+	lg_open("pimentodock-agent", lg_level(e.settings.log_level));
+	e.base = event_base_new();
+	if (start(&e)) {
+		start_events(&e);
+		lg_write(LOG_NOTICE, PART, "%s started", e.settings.name);
+		event_base_dispatch(e.base);
+		code = 0;
+	}
+	stop(&e);
+	st_release(keys, G_N_ELEMENTS(keys), &e.settings);
+	lg_write(LOG_NOTICE, PART, "stopped");
+	return (code);
+}
--- a/agent/main.c
+++ b/agent/main.c
@@ -1,4 +1,7 @@
+#include <glib.h>
+
 #include "agent.h"
+#include "executor.h"
 #include "log.h"
 #include "options.h"
 
@@ -8,10 +11,19 @@
 main(int argc, char **argv)
 {
 	struct op_settings settings;
+	char *path = NULL;
 	int code;
 
 	lg_open("pimentodock-agent", LOG_INFO);
-	switch (op_read(argc, argv, &settings)) {
+	switch (op_read(argc, argv, &settings, &path)) {
+	case OP_EXECUTE:
+		code = ex_run(path);
+		g_free(path);
+		return (code);
+	case OP_CHECK:
+		code = ex_check(path);
+		g_free(path);
+		return (code);
 	case OP_HELP:
 		return (0);
 	case OP_BAD:
--- a/agent/options.c
+++ b/agent/options.c
@@ -143,13 +143,17 @@
 }
 
 enum op_result
-op_read(int argc, char **argv, struct op_settings *out)
+op_read(int argc, char **argv, struct op_settings *out, char **path)
 {
 	struct arg_file *settings =
 	    arg_file1(NULL, "settings", "FILE", "settings file in TOML format");
+	struct arg_lit *execute = arg_lit0(
+	    NULL, "execute", "run transient jobs of the platform");
+	struct arg_lit *only_check = arg_lit0(NULL, "check",
+	    "with --execute: check the settings and start nothing");
 	struct arg_lit *help = arg_lit0("h", "help", "print this help");
 	struct arg_end *end = arg_end(4);
-	void *table[] = {settings, help, end};
+	void *table[] = {settings, execute, only_check, help, end};
 	enum op_result result = OP_BAD;
 	int errors;
 
@@ -164,6 +168,9 @@
 	} else if (errors > 0) {
 		arg_print_errors(stderr, end, PROGRAM);
 		fprintf(stderr, "usage: " PROGRAM " --settings FILE\n");
+	} else if (execute->count > 0) {
+		*path = g_strdup(settings->filename[0]);
+		result = only_check->count > 0 ? OP_CHECK : OP_EXECUTE;
 	} else
 		result = load(settings->filename[0], out);
 out:
--- a/agent/options.h
+++ b/agent/options.h
@@ -32,6 +32,8 @@
 /** enum op_result - what the program is to do */
 enum op_result {
 	OP_RUN,
+	OP_EXECUTE, /* run as an agent of transient jobs; @path is set */
+	OP_CHECK,   /* check the settings of --execute; @path is set */
 	OP_HELP, /* help was printed */
 	OP_BAD,  /* usage or settings error; it was printed */
 };
@@ -39,8 +41,10 @@
 /**
  * op_read() - read arguments and settings
  * @out: filled with OP_RUN; release with op_release()
+ * @path: set to the settings file with OP_EXECUTE and OP_CHECK, owned
  */
-enum op_result op_read(int argc, char **argv, struct op_settings *out);
+enum op_result op_read(
+    int argc, char **argv, struct op_settings *out, char **path);
 
 /** op_release() - free what op_read() filled */
 void op_release(struct op_settings *s);
--- a/entry/command.c
+++ b/entry/command.c
@@ -7,6 +7,7 @@
 #include "client.h"
 #include "codec.h"
 #include "command.h"
+#include "dispatcher.h"
 #include "exits.h"
 #include "options.h"
 #include "serve.h"
@@ -60,6 +61,23 @@
 	return (sv_run(p->settings->filename[0]));
 }
 
+static int
+run_dispatch(const struct parsed *p)
+{
+	return (di_run(p->settings->filename[0]));
+}
+
+static int
+run_dispatch_check(const struct parsed *p)
+{
+	int result;
+
+	result = di_check(p->settings->filename[0]);
+	if (result == EX_DONE)
+		printf("%s is valid\n", p->settings->filename[0]);
+	return (result);
+}
+
 static int
 run_check(const struct parsed *p)
 {
@@ -162,6 +180,14 @@
     {"serve", NULL, run_serve, "run an entry",
 	"Runs until SIGTERM, which starts a graceful shutdown.", SHAPE_SETTINGS,
 	0},
+    {"dispatch", NULL, run_dispatch,
+	"run an entry of transient jobs on the platform",
+	"Runs until SIGTERM, which starts a graceful shutdown.", SHAPE_SETTINGS,
+	0},
+    {"dispatch check", NULL, run_dispatch_check,
+	"check a settings file of dispatch and start nothing",
+	"Prints the file, line, key and what is allowed on an error.",
+	SHAPE_SETTINGS, 0},
     {"check", NULL, run_check, "check a settings file and start nothing",
 	"Prints the file, line, key and what is allowed on an error.",
 	SHAPE_SETTINGS, 0},
--- /dev/null
+++ b/entry/dispatcher.c
@@ -0,0 +1,533 @@
+#include <event2/event.h>
+#include <glib.h>
+#include <jansson.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "clock.h"
+#include "config.h"
+#include "counters.h"
+#include "dispatcher.h"
+#include "exits.h"
+#include "feed.h"
+#include "fleet.h"
+#include "front.h"
+#include "gossip.h"
+#include "jobs.h"
+#include "log.h"
+#include "rng.h"
+#include "scrape.h"
+#include "settings.h"
+#include "workers.h"
+
+#define TICK_MS 20
+#define US_PER_MS 1000
+/* The balancer takes this entry out after two missed probes, one a second;
+ * until then new connections arrive. */
+#define DRAIN_MIN_MS 2500
+/* The platform kills the process 6 s after SIGTERM. */
+#define DRAIN_MAX_MS 5500
+/* Without agents a fresh entry is ready after this time all the same, so that
+ * callers get an answer instead of a connection that hangs. */
+#define AT(field) offsetof(struct settings, field)
+
+struct settings {
+	char *cell;
+	char *name;
+	char *az;
+	char *clients;
+	char *probes;
+	char *rpc;
+	char *metrics;
+	struct st_strings seeds;
+	char *store;
+	char *log_level;
+};
+
+static const struct st_key keys[] = {
+    {"cell", ST_STRING, AT(cell), 1, PD_NAME_MAX, "default", NULL,
+	"name of the cell, the same at all its entries and agents"},
+    {"name", ST_STRING, AT(name), 1, PD_NAME_MAX, NULL, NULL,
+	"name of this entry"},
+    {"availability_zone", ST_STRING, AT(az), 1, PD_NAME_MAX, NULL, NULL,
+	"availability zone of this host"},
+    {"listen.clients", ST_STRING, AT(clients), 9, 21, NULL, NULL,
+	"IP:port for clients"},
+    {"listen.probes", ST_STRING, AT(probes), 9, 21, NULL, NULL,
+	"IP:port for the balancer's probes"},
+    {"listen.rpc", ST_STRING, AT(rpc), 9, 21, NULL, NULL,
+	"IP:port for agents and other entries"},
+    {"listen.metrics", ST_STRING, AT(metrics), 0, 21, "", NULL,
+	"IP:port of the metrics; empty for none"},
+    {"entries.seeds", ST_STRINGS, AT(seeds), 0, PD_ENTRIES_MAX, "", NULL,
+	"addresses of other entries; their RPC port is that of listen.rpc"},
+    {"platform.store", ST_STRING, AT(store), 9, 21, NULL, NULL,
+	"IP:port of the platform's store"},
+    {"log.level", ST_STRING, AT(log_level), 1, 16, "info",
+	"err|warning|notice|info|debug", "least severe level to log"},
+};
+
+struct di {
+	struct settings settings;
+	struct event_base *base;
+	struct ck *clock;
+	struct ct *counters;
+	struct cf *config;
+	struct fl *fleet;
+	struct jb *jobs;
+	struct wo *workers;
+	struct go *gossip;
+	struct fr *front;
+	struct fd *feed;
+	struct sc *metrics;
+	struct event *tick;
+	struct event *signals[3];
+	GPtrArray *seeds; /* RPC addresses, owned */
+	uint64_t stopping_ms; /* when the stop was asked for; 0: not */
+};
+
+/* --- outputs of the jobs --- */
+
+static void
+on_start(void *arg, struct fl_worker *w, const struct pd_start *s)
+{
+	struct di *d = arg;
+	struct pd_start copy = *s;
+
+	wo_start(d->workers, w, &copy);
+}
+
+static void
+on_withdraw(void *arg, struct fl_worker *w, const struct pd_key *k)
+{
+	struct di *d = arg;
+
+	wo_withdraw(d->workers, w, k);
+}
+
+static void
+on_reconcile(
+    void *arg, struct fl_worker *w, const struct pd_key *list, unsigned n)
+{
+	struct di *d = arg;
+
+	wo_reconcile(d->workers, w, list, n);
+}
+
+static void
+on_answer(void *arg, uint64_t waiter, const struct jb_answer *a)
+{
+	struct di *d = arg;
+
+	if (a->status != JB_COMPLETED)
+		lg_write(LOG_INFO, "jobs", "job %s: status %d, %s after %u ms",
+		    a->id, (int)a->status, jb_reason_name(a->reason),
+		    a->took_ms);
+	fr_answer(d->front, waiter, a);
+}
+
+static const struct jb_ops job_ops = {
+    .start = on_start,
+    .withdraw = on_withdraw,
+    .reconcile = on_reconcile,
+    .answer = on_answer,
+};
+
+/* --- clients --- */
+
+static bool
+front_configured(void *arg)
+{
+	struct di *d = arg;
+
+	return (cf_revision(d->config) != 0);
+}
+
+static const struct pd_queue *
+front_match(void *arg, const char *host, const char *path)
+{
+	struct di *d = arg;
+
+	return (cf_match(d->config, host, path));
+}
+
+static void
+refuse(struct di *d, uint64_t waiter, const struct fr_job *job,
+    const char *reason)
+{
+	lg_write(LOG_NOTICE, "jobs", "job %s is refused: %s",
+	    job->request.id, reason);
+	ct_count(d->counters, "pd_jobs_not_done_total",
+	    "Transient jobs refused or given up", "reason", reason);
+	fr_refuse(d->front, waiter, reason);
+}
+
+static void
+front_submit(void *arg, uint64_t waiter, const struct fr_job *job)
+{
+	struct di *d = arg;
+
+	if (job->kept)
+		refuse(d, waiter, job, "kept_jobs_unsupported");
+	else if (job->unsupported != NULL)
+		refuse(d, waiter, job, "ability_unsupported");
+	else
+		jb_submit(d->jobs, &job->request, waiter);
+}
+
+static void
+on_cancelled(void *arg, uint64_t waiter, bool known)
+{
+	struct di *d = arg;
+
+	fr_cancelled(d->front, waiter, known);
+}
+
+static void
+front_cancel(void *arg, uint64_t waiter, const char *id)
+{
+	struct di *d = arg;
+
+	if (jb_cancel(d->jobs, id))
+		fr_cancelled(d->front, waiter, true);
+	else
+		go_cancel(d->gossip, id, on_cancelled, d, waiter);
+}
+
+static void
+front_gone(void *arg, uint64_t waiter)
+{
+	struct di *d = arg;
+
+	jb_abandon(d->jobs, waiter);
+}
+
+static unsigned
+front_waiting(void *arg, const char *queue)
+{
+	struct di *d = arg;
+
+	return (jb_waiting(d->jobs, queue) + go_waiting(d->gossip, queue));
+}
+
+static bool
+front_ready(void *arg)
+{
+	struct di *d = arg;
+
+	return (d->stopping_ms == 0 && front_configured(d));
+}
+
+static const struct fr_ops front_ops = {
+    .configured = front_configured,
+    .match = front_match,
+    .submit = front_submit,
+    .cancel = front_cancel,
+    .gone = front_gone,
+    .waiting = front_waiting,
+    .ready = front_ready,
+};
+
+/* --- configuration --- */
+
+static void
+apply(struct di *d, const struct pd_config *c, const char *source)
+{
+	if (!cf_apply(d->config, c))
+		return;
+	lg_write(LOG_NOTICE, "config",
+	    "revision %llu from %s: %u queues, %u availability zones out",
+	    (unsigned long long)c->revision, source, c->queues.queues_len,
+	    c->evacuated.evacuated_len);
+	fr_limits(d->front, c->header_bytes, c->body_bytes);
+}
+
+static void
+on_feed(void *arg, const struct pd_config *c)
+{
+	apply(arg, c, "the store");
+}
+
+static void
+on_store_state(void *arg, bool answers)
+{
+	struct di *d = arg;
+
+	ct_set(ct_get(d->counters, CT_GAUGE, "pd_store_answers",
+		   "1 while the platform's store answers", ""),
+	    answers);
+}
+
+static const struct fd_ops feed_ops = {
+    .config = on_feed,
+    .state = on_store_state,
+};
+
+static void
+gossip_config(void *arg, const struct pd_config *c)
+{
+	apply(arg, c, "another entry");
+}
+
+static unsigned
+gossip_waiting(void *arg, const char *queue)
+{
+	struct di *d = arg;
+
+	return (jb_waiting(d->jobs, queue));
+}
+
+static bool
+gossip_cancel(void *arg, const char *id)
+{
+	struct di *d = arg;
+
+	return (jb_cancel(d->jobs, id));
+}
+
+static const struct go_ops gossip_ops = {
+    .config = gossip_config,
+    .waiting = gossip_waiting,
+    .cancel = gossip_cancel,
+};
+
+/* --- agents and entries --- */
+
+static const char *const *
+workers_entries(void *arg, unsigned *n, uint32_t *hash)
+{
+	struct di *d = arg;
+
+	return (go_entries(d->gossip, n, hash));
+}
+
+static void
+workers_call(
+    void *arg, struct cn *c, uint32_t proc, uint32_t xid, XDR *args)
+{
+	struct di *d = arg;
+
+	go_call(d->gossip, c, proc, xid, args);
+}
+
+static const struct wo_ops worker_ops = {
+    .entries = workers_entries,
+    .call = workers_call,
+};
+
+/* --- the process --- */
+
+static void
+refresh_gauges(void *arg)
+{
+	struct di *d = arg;
+
+	ct_set(ct_get(d->counters, CT_GAUGE, "pd_jobs_active",
+		   "Transient jobs without an answer", ""),
+	    jb_active(d->jobs));
+	ct_set(ct_get(d->counters, CT_GAUGE, "pd_workers_usable",
+		   "Workers that take work", ""),
+	    fl_count(d->fleet));
+	ct_set(ct_get(d->counters, CT_GAUGE, "pd_config_revision",
+		   "Configuration in force", ""),
+	    (int64_t)cf_revision(d->config));
+}
+
+static void
+check_stop(struct di *d)
+{
+	uint64_t took = ck_mono_ms(d->clock) - d->stopping_ms;
+
+	if ((took > DRAIN_MIN_MS && fr_pending(d->front) == 0) ||
+	    took > DRAIN_MAX_MS)
+		event_base_loopbreak(d->base);
+}
+
+static void
+on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	struct di *d = arg;
+
+	(void)fd;
+	(void)what;
+	jb_tick(d->jobs);
+	if (d->stopping_ms != 0)
+		check_stop(d);
+}
+
+static void
+on_signal(evutil_socket_t signal, short what, void *arg)
+{
+	struct di *d = arg;
+
+	(void)what;
+	if (signal == SIGHUP) {
+		lg_write(LOG_NOTICE, "dispatch",
+		    "SIGHUP: the settings are read at the next start");
+		return;
+	}
+	if (d->stopping_ms != 0)
+		return;
+	lg_write(LOG_NOTICE, "dispatch", "signal %d: stopping, %u jobs",
+	    (int)signal, jb_active(d->jobs));
+	d->stopping_ms = ck_mono_ms(d->clock);
+	fr_drain(d->front);
+}
+
+/* Seeds come with a port of another interface. */
+static void
+read_seeds(struct di *d)
+{
+	const char *port = strrchr(d->settings.rpc, ':');
+	size_t i;
+
+	d->seeds = g_ptr_array_new_with_free_func(g_free);
+	for (i = 0; i < d->settings.seeds.count; i++) {
+		const char *seed = d->settings.seeds.items[i];
+
+		g_ptr_array_add(d->seeds,
+		    g_strdup_printf("%.*s%s", (int)strcspn(seed, ":"), seed,
+			port == NULL ? "" : port));
+	}
+}
+
+static void
+start_gossip(struct di *d, uint64_t incarnation)
+{
+	struct go_self self = {
+	    .cell = d->settings.cell,
+	    .name = d->settings.name,
+	    .incarnation = incarnation,
+	    .address = d->settings.rpc,
+	    .seeds = (const char *const *)d->seeds->pdata,
+	    .nseeds = d->seeds->len,
+	};
+
+	d->gossip = go_new(
+	    d->base, d->clock, d->config, &self, &gossip_ops, d);
+}
+
+static bool
+start(struct di *d)
+{
+	struct rn *rng = rn_new_random();
+	struct wo_self self = {
+	    .cell = d->settings.cell,
+	    .name = d->settings.name,
+	    .incarnation = rn_u64(rng),
+	};
+
+	rn_free(rng);
+	d->clock = ck_new_system();
+	d->counters = ct_new();
+	d->config = cf_new();
+	d->fleet = fl_new(d->clock, d->counters, d->config);
+	d->jobs = jb_new(d->clock, d->counters, d->fleet, &job_ops, d);
+	read_seeds(d);
+	d->workers = wo_new(
+	    d->base, d->settings.rpc, &self, d->fleet, &worker_ops, d);
+	d->front = fr_new(d->base, d->settings.clients, d->settings.probes,
+	    &front_ops, d);
+	if (d->workers == NULL || d->front == NULL)
+		return (false);
+	wo_set_jobs(d->workers, d->jobs);
+	start_gossip(d, self.incarnation);
+	d->feed = fd_new(d->base, d->settings.store, &feed_ops, d);
+	if (d->settings.metrics[0] == '\0')
+		return (true);
+	d->metrics = sc_new(
+	    d->base, d->settings.metrics, d->counters, refresh_gauges, d);
+	return (d->metrics != NULL);
+}
+
+static void
+start_events(struct di *d)
+{
+	static const int numbers[] = {SIGTERM, SIGINT, SIGHUP};
+	struct timeval tv = {0, TICK_MS * US_PER_MS};
+	size_t i;
+
+	signal(SIGPIPE, SIG_IGN);
+	for (i = 0; i < G_N_ELEMENTS(numbers); i++) {
+		d->signals[i] =
+		    evsignal_new(d->base, numbers[i], on_signal, d);
+		event_add(d->signals[i], NULL);
+	}
+	d->tick = event_new(d->base, -1, EV_PERSIST, on_tick, d);
+	event_add(d->tick, &tv);
+}
+
+static void
+stop(struct di *d)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(d->signals); i++)
+		if (d->signals[i] != NULL)
+			event_free(d->signals[i]);
+	if (d->tick != NULL)
+		event_free(d->tick);
+	fd_free(d->feed);
+	go_free(d->gossip);
+	wo_free(d->workers);
+	fr_free(d->front);
+	sc_free(d->metrics);
+	jb_free(d->jobs);
+	fl_free(d->fleet);
+	cf_free(d->config);
+	ct_free(d->counters);
+	ck_free(d->clock);
+	if (d->seeds != NULL)
+		g_ptr_array_free(d->seeds, TRUE);
+	/* A connection that was just closed is freed by its last callback. */
+	event_base_loop(d->base, EVLOOP_NONBLOCK);
+	event_base_free(d->base);
+}
+
+static bool
+load(const char *path, struct settings *s)
+{
+	char message[1024];
+
+	if (st_load(path, keys, G_N_ELEMENTS(keys), s, message,
+		sizeof(message)) == ST_OK)
+		return (true);
+	fprintf(stderr, "pimentodock: %s\n", message);
+	return (false);
+}
+
+int
+di_check(const char *path)
+{
+	struct settings s = {0};
+
+	if (!load(path, &s))
+		return (EX_SETTINGS);
+	st_release(keys, G_N_ELEMENTS(keys), &s);
+	return (EX_DONE);
+}
+
+int
+di_run(const char *path)
+{
+	struct di d = {0};
+	int result = EX_FAILED;
+
+	if (!load(path, &d.settings))
+		return (EX_SETTINGS);
+	json_object_seed(0);
+	lg_open("pimentodock", lg_level(d.settings.log_level));
+	d.base = event_base_new();
+	if (start(&d)) {
+		start_events(&d);
+		lg_write(LOG_NOTICE, "dispatch", "entry %s serves clients on %s",
+		    d.settings.name, d.settings.clients);
+		event_base_dispatch(d.base);
+		result = EX_DONE;
+	}
+	stop(&d);
+	st_release(keys, G_N_ELEMENTS(keys), &d.settings);
+	lg_write(LOG_NOTICE, "dispatch", "stopped");
+	return (result);
+}
--- /dev/null
+++ b/entry/workers.c
@@ -0,0 +1,267 @@
+#include <glib.h>
+#include <string.h>
+
+#include "lease.h"
+#include "log.h"
+#include "workers.h"
+
+/* A connection that nothing came over for this time is silent. */
+#define IDLE_MS 2000
+#define RECONCILE_TIMEOUT_MS LE_CONTACT_MS
+
+/* Connection of an agent or of another entry. */
+struct link {
+	struct wo *workers;
+	struct cn *conn;
+	uint64_t number;
+	bool attached;
+};
+
+struct wo {
+	struct cn_listener *listener;
+	struct wo_self self;
+	struct fl *fleet;
+	struct jb *jobs;
+	const struct wo_ops *ops;
+	void *arg;
+	GHashTable *links; /* number -> struct link, owned */
+	uint64_t last_number;
+};
+
+static void
+load_reported(struct wo *w, struct fl_worker *from, const struct pd_ended *e)
+{
+	unsigned i;
+
+	for (i = 0; i < e->list.list_len; i++)
+		jb_ended(w->jobs, from, &e->list.list_val[i]);
+	fl_load(from, e->cpu_used, e->cpu_queued, e->accepting);
+}
+
+static void
+on_ended(struct link *l, XDR *args)
+{
+	struct fl_worker *from = fl_find(l->workers->fleet, l->number);
+	struct pd_ended e = {0};
+
+	if (!cn_decode(l->conn, args, (xdrproc_t)xdr_pd_ended, &e))
+		return;
+	if (from != NULL)
+		load_reported(l->workers, from, &e);
+	xdr_free((xdrproc_t)xdr_pd_ended, (char *)&e);
+}
+
+static void
+reply_attach(struct link *l, uint32_t xid, const struct pd_attach *a)
+{
+	struct wo *w = l->workers;
+	struct pd_attached reply = {
+	    .entry = (char *)(uintptr_t)w->self.name,
+	    .incarnation = w->self.incarnation,
+	    .clock_ms = a->clock_ms,
+	};
+	const char *const *entries;
+	unsigned n;
+	uint32_t hash;
+
+	entries = w->ops->entries(w->arg, &n, &hash);
+	if (hash != a->entries_hash) {
+		reply.entries.entries_val = (pd_name *)(uintptr_t)entries;
+		reply.entries.entries_len = n;
+	}
+	cn_reply(l->conn, xid, (xdrproc_t)xdr_pd_attached, &reply);
+}
+
+static void
+on_attach(struct link *l, uint32_t xid, XDR *args)
+{
+	struct wo *w = l->workers;
+	struct pd_attach a = {0};
+	struct fl_worker *f;
+	bool restarted;
+
+	if (!cn_decode(l->conn, args, (xdrproc_t)xdr_pd_attach, &a))
+		return;
+	if (strcmp(a.cell, w->self.cell) != 0) {
+		lg_write(LOG_WARNING, "workers", "agent %s is of cell %s",
+		    a.name, a.cell);
+		cn_reject(l->conn, xid);
+		xdr_free((xdrproc_t)xdr_pd_attach, (char *)&a);
+		return;
+	}
+	reply_attach(l, xid, &a);
+	f = fl_attach(w->fleet, &a, l->number, &restarted);
+	if (!l->attached) {
+		lg_write(LOG_NOTICE, "workers",
+		    "agent %s is connected, %u thousandths of a core",
+		    a.name, a.cpu);
+		l->attached = true;
+		jb_attached(w->jobs, f, restarted);
+	}
+	xdr_free((xdrproc_t)xdr_pd_attach, (char *)&a);
+}
+
+static void
+on_call(void *arg, struct cn *c, uint32_t proc, uint32_t xid, XDR *args)
+{
+	struct link *l = arg;
+
+	if (proc == PD_ATTACH)
+		on_attach(l, xid, args);
+	else if (proc == PD_ENDED)
+		on_ended(l, args);
+	else
+		l->workers->ops->call(
+		    l->workers->arg, c, proc, xid, args);
+}
+
+static void
+on_closed(void *arg, struct cn *c, enum cn_error why)
+{
+	struct link *l = arg;
+	struct wo *w = l->workers;
+	struct fl_worker *f = fl_detach(w->fleet, l->number);
+
+	(void)c;
+	if (f != NULL) {
+		lg_write(LOG_NOTICE, "workers",
+		    "no connection from agent %s: %s", f->name,
+		    cn_error_name(why));
+		if (w->jobs != NULL)
+			jb_detached(w->jobs, f);
+	}
+	g_hash_table_remove(w->links, &l->number);
+}
+
+static const struct cn_ops link_ops = {
+    .call = on_call,
+    .closed = on_closed,
+};
+
+static void
+on_accept(void *arg, struct cn *c)
+{
+	struct wo *w = arg;
+	struct link *l = g_new0(struct link, 1);
+
+	l->workers = w;
+	l->conn = c;
+	l->number = ++w->last_number;
+	cn_set(c, &link_ops, l);
+	cn_set_idle(c, IDLE_MS);
+	g_hash_table_insert(w->links, &l->number, l);
+}
+
+struct wo *
+wo_new(struct event_base *base, const char *address, const struct wo_self *self,
+    struct fl *fleet, const struct wo_ops *ops, void *arg)
+{
+	struct wo *w = g_new0(struct wo, 1);
+	enum cn_error error;
+
+	w->self = *self;
+	w->fleet = fleet;
+	w->ops = ops;
+	w->arg = arg;
+	w->links = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, NULL, g_free);
+	w->listener = cn_listen(base, address, on_accept, w, &error);
+	if (w->listener != NULL)
+		return (w);
+	lg_write(LOG_ERR, "workers", "cannot listen on %s: %s", address,
+	    cn_error_name(error));
+	wo_free(w);
+	return (NULL);
+}
+
+void
+wo_set_jobs(struct wo *w, struct jb *jobs)
+{
+	w->jobs = jobs;
+}
+
+void
+wo_free(struct wo *w)
+{
+	GList *links, *i;
+
+	if (w == NULL)
+		return;
+	w->jobs = NULL;
+	cn_listener_free(w->listener);
+	links = g_hash_table_get_values(w->links);
+	for (i = links; i != NULL; i = i->next)
+		cn_close(((struct link *)i->data)->conn);
+	g_list_free(links);
+	g_hash_table_destroy(w->links);
+	g_free(w);
+}
+
+static struct cn *
+conn_of(struct wo *w, const struct fl_worker *to)
+{
+	struct link *l = g_hash_table_lookup(w->links, &to->session);
+
+	return (l == NULL ? NULL : l->conn);
+}
+
+void
+wo_start(struct wo *w, const struct fl_worker *to, struct pd_start *s)
+{
+	struct cn *c = conn_of(w, to);
+
+	if (c != NULL)
+		cn_send(c, PD_START, (xdrproc_t)xdr_pd_start, s);
+}
+
+void
+wo_withdraw(struct wo *w, const struct fl_worker *to, const struct pd_key *k)
+{
+	struct cn *c = conn_of(w, to);
+	struct pd_cancel list = {
+	    .list = {.list_len = 1, .list_val = (pd_key *)(uintptr_t)k}};
+
+	if (c != NULL)
+		cn_send(c, PD_WITHDRAW, (xdrproc_t)xdr_pd_cancel, &list);
+}
+
+struct question {
+	struct wo *workers;
+	uint64_t session;
+};
+
+static void
+on_reconciled(void *arg, enum cn_error error, void *result)
+{
+	struct question *q = arg;
+	struct fl_worker *from = fl_find(q->workers->fleet, q->session);
+
+	/* Without an answer the tasks stay doubtful until their time is up. */
+	if (error != CN_OK)
+		lg_write(LOG_NOTICE, "workers",
+		    "an agent does not tell what it holds: %s",
+		    cn_error_name(error));
+	else if (from != NULL && q->workers->jobs != NULL)
+		load_reported(q->workers, from, result);
+	g_free(q);
+}
+
+void
+wo_reconcile(struct wo *w, const struct fl_worker *to,
+    const struct pd_key *keys, unsigned n)
+{
+	struct pd_cancel list = {
+	    .list = {.list_len = MIN(n, PD_BATCH_MAX),
+		.list_val = (pd_key *)(uintptr_t)keys}};
+	struct cn *c = conn_of(w, to);
+	struct question *q;
+
+	if (c == NULL)
+		return;
+	q = g_new0(struct question, 1);
+	q->workers = w;
+	q->session = to->session;
+	cn_call(c, PD_RECONCILE, (xdrproc_t)xdr_pd_cancel, &list,
+	    (xdrproc_t)xdr_pd_ended, sizeof(struct pd_ended),
+	    RECONCILE_TIMEOUT_MS, on_reconciled, q);
+}
--- /dev/null
+++ b/sched/fleet.c
@@ -0,0 +1,321 @@
+#include <glib.h>
+#include <math.h>
+#include <string.h>
+
+#include "clock.h"
+#include "config.h"
+#include "counters.h"
+#include "fleet.h"
+#include "log.h"
+
+/* Time between probes of an ejected worker: two tasks a second are risked. */
+#define FL_PROBE_MS 500
+/* A worker that no heartbeat came from for three periods gets no work. */
+#define FL_SILENT_MS 650
+/* Mean run time of a worker that has not finished a task yet. */
+#define FL_FIRST_MEAN_MS 150.0
+
+struct fl {
+	const struct ck *clock;
+	struct ct *counters;
+	const struct cf *config;
+	GPtrArray *workers; /* struct fl_worker, owned */
+};
+
+static void
+worker_free(void *p)
+{
+	struct fl_worker *w = p;
+
+	g_free(w->name);
+	g_free(w->az);
+	g_free(w->service);
+	g_free(w->labels);
+	g_free(w);
+}
+
+struct fl *
+fl_new(const struct ck *clock, struct ct *counters, const struct cf *config)
+{
+	struct fl *f = g_new0(struct fl, 1);
+
+	f->clock = clock;
+	f->counters = counters;
+	f->config = config;
+	f->workers = g_ptr_array_new_with_free_func(worker_free);
+	return (f);
+}
+
+void
+fl_free(struct fl *f)
+{
+	if (f == NULL)
+		return;
+	g_ptr_array_free(f->workers, TRUE);
+	g_free(f);
+}
+
+static struct fl_worker *
+find_name(struct fl *f, const char *name)
+{
+	struct fl_worker *w;
+	guint i;
+
+	for (i = 0; i < f->workers->len; i++) {
+		w = f->workers->pdata[i];
+		if (strcmp(w->name, name) == 0)
+			return (w);
+	}
+	w = g_new0(struct fl_worker, 1);
+	w->name = g_strdup(name);
+	g_ptr_array_add(f->workers, w);
+	return (w);
+}
+
+static void
+set_text(char **to, const char *from)
+{
+	if (*to != NULL && strcmp(*to, from) == 0)
+		return;
+	g_free(*to);
+	*to = g_strdup(from);
+}
+
+/* Labels as one text: each is enclosed in spaces. */
+static char *
+join_labels(const struct pd_attach *a)
+{
+	GString *s = g_string_new(" ");
+	unsigned i;
+
+	for (i = 0; i < a->labels.labels_len; i++)
+		g_string_append_printf(s, "%s ", a->labels.labels_val[i]);
+	return (g_string_free(s, FALSE));
+}
+
+/* What was learned belongs to the worker, not to the agent beside it. */
+struct fl_worker *
+fl_attach(
+    struct fl *f, const struct pd_attach *a, uint64_t session, bool *restarted)
+{
+	struct fl_worker *w = find_name(f, a->name);
+	uint64_t now = ck_mono_ms(f->clock);
+
+	*restarted = w->incarnation != 0 && w->incarnation != a->incarnation;
+	w->incarnation = a->incarnation;
+	w->session = session;
+	set_text(&w->az, a->az);
+	set_text(&w->service, a->service);
+	g_free(w->labels);
+	w->labels = join_labels(a);
+	w->cpu = a->cpu;
+	w->mem_mb = a->mem_mb;
+	w->clock_offset_ms = (int64_t)a->clock_ms - (int64_t)now;
+	w->answered_ms = now;
+	w->seen_ms = now;
+	fl_load(w, a->cpu_used, a->cpu_queued, a->accepting);
+	return (w);
+}
+
+struct fl_worker *
+fl_find(const struct fl *f, uint64_t session)
+{
+	struct fl_worker *w;
+	guint i;
+
+	for (i = 0; i < f->workers->len; i++) {
+		w = f->workers->pdata[i];
+		if (w->session == session)
+			return (w);
+	}
+	return (NULL);
+}
+
+struct fl_worker *
+fl_detach(struct fl *f, uint64_t session)
+{
+	struct fl_worker *w = fl_find(f, session);
+
+	if (w != NULL)
+		w->session = 0;
+	return (w);
+}
+
+void
+fl_load(struct fl_worker *w, unsigned cpu_used, unsigned cpu_queued,
+    bool accepting)
+{
+	unsigned all = cpu_used + cpu_queued;
+
+	w->cpu_others = all > w->cpu_own ? all - w->cpu_own : 0;
+	w->accepting = accepting;
+}
+
+static bool
+has_label(const struct fl_worker *w, const char *label)
+{
+	const char *at = w->labels;
+	size_t len = strlen(label);
+
+	while ((at = strstr(at, label)) != NULL) {
+		if (at[-1] == ' ' && at[len] == ' ')
+			return (true);
+		at++;
+	}
+	return (len == 0);
+}
+
+static bool
+avoided(const struct fl_worker *w, const struct fl_need *need)
+{
+	unsigned i;
+
+	for (i = 0; i < need->navoid; i++)
+		if (need->avoid[i] == w)
+			return (true);
+	return (false);
+}
+
+static bool
+suits(const struct fl_worker *w, const struct fl_need *need)
+{
+	return (strcmp(w->service, need->service) == 0 &&
+	    w->cpu >= need->cpu && w->mem_mb >= need->mem_mb &&
+	    has_label(w, need->label));
+}
+
+static bool
+usable(const struct fl *f, const struct fl_worker *w, uint64_t now)
+{
+	if (w->session == 0 || !w->accepting || w->cpu == 0 ||
+	    now - w->seen_ms > FL_SILENT_MS)
+		return (false);
+	if (w->ejected && now < w->probe_ms)
+		return (false);
+	return (!cf_evacuated(f->config, w->az));
+}
+
+double
+fl_unit(const struct fl *f, const struct fl_worker *w)
+{
+	return (po_unit(&w->speed, ck_mono_us(f->clock)));
+}
+
+static double
+wait_ms(const struct fl_worker *w, unsigned cpu, double unit)
+{
+	double mean = FL_FIRST_MEAN_MS;
+	double over = (double)w->cpu_own + w->cpu_others + cpu - w->cpu;
+
+	if (over <= 0)
+		return (0);
+	if (w->speed.samples > 0)
+		mean = w->speed.mean_ms * unit / w->speed.unit;
+	return (over / w->cpu * mean);
+}
+
+struct fl_worker *
+fl_choose(struct fl *f, const struct fl_need *need, double *finish_ms)
+{
+	uint64_t now = ck_mono_ms(f->clock);
+	struct fl_worker *w, *best = NULL;
+	double finish, unit;
+	int pass;
+	guint i;
+
+	/* A worker that the task failed on is better than none. */
+	for (pass = 0; pass < 2 && best == NULL; pass++)
+		for (i = 0; i < f->workers->len; i++) {
+			w = f->workers->pdata[i];
+			if (!usable(f, w, now) || !suits(w, need) ||
+			    (pass == 0 && avoided(w, need)))
+				continue;
+			unit = fl_unit(f, w);
+			finish = wait_ms(w, need->cpu, unit) +
+			    need->size_ms * unit;
+			if (best == NULL || finish < *finish_ms) {
+				best = w;
+				*finish_ms = finish;
+			}
+		}
+	return (best);
+}
+
+bool
+fl_possible(const struct fl *f, const struct fl_need *need)
+{
+	guint i;
+
+	for (i = 0; i < f->workers->len; i++)
+		if (suits(f->workers->pdata[i], need))
+			return (true);
+	return (false);
+}
+
+void
+fl_take(struct fl *f, struct fl_worker *w, unsigned cpu)
+{
+	if (w->ejected)
+		w->probe_ms = ck_mono_ms(f->clock) + FL_PROBE_MS;
+	w->cpu_own += cpu;
+}
+
+void
+fl_release(struct fl_worker *w, unsigned cpu)
+{
+	w->cpu_own -= cpu < w->cpu_own ? cpu : w->cpu_own;
+}
+
+void
+fl_done(struct fl *f, struct fl_worker *w, double size_ms, double run_ms)
+{
+	po_learn(&w->speed, size_ms, run_ms, ck_mono_us(f->clock));
+	w->failures = 0;
+	if (w->ejected)
+		lg_write(LOG_NOTICE, "fleet", "worker %s works again", w->name);
+	w->ejected = false;
+}
+
+void
+fl_failed(struct fl *f, struct fl_worker *w, uint64_t job)
+{
+	uint64_t now = ck_mono_ms(f->clock);
+
+	if (w->ejected)
+		w->probe_ms = now + FL_PROBE_MS;
+	/* One job that can never be done says nothing about the worker. */
+	if (w->failures > 0 && w->failed_job == job)
+		return;
+	w->failures++;
+	w->failed_job = job;
+	if (w->failures < FL_FAILURES_MAX || w->ejected)
+		return;
+	w->ejected = true;
+	w->probe_ms = now + FL_PROBE_MS;
+	ct_count(f->counters, "pd_workers_ejected_total",
+	    "Workers that get probes only", "reason", "failures");
+	lg_write(LOG_WARNING, "fleet",
+	    "worker %s fails its tasks: probes only", w->name);
+}
+
+unsigned
+fl_count(const struct fl *f)
+{
+	uint64_t now = ck_mono_ms(f->clock);
+	unsigned n = 0;
+	guint i;
+
+	for (i = 0; i < f->workers->len; i++)
+		n += usable(f, f->workers->pdata[i], now);
+	return (n);
+}
+
+void
+fl_each(
+    struct fl *f, void (*visit)(void *arg, struct fl_worker *w), void *arg)
+{
+	guint i;
+
+	for (i = 0; i < f->workers->len; i++)
+		visit(arg, f->workers->pdata[i]);
+}
--- /dev/null
+++ b/sched/jobs.c
@@ -0,0 +1,343 @@
+#include <string.h>
+
+#include "jobs_impl.h"
+#include "lease.h"
+
+/* An answer needs this much time to reach the client. */
+#define ANSWER_MS 8
+/* A run is not normal when it takes this many times what is expected. */
+#define LIMIT_FACTOR 3.0
+/* Shorter limits would stop runs that only wait for the processor. */
+#define LIMIT_MIN_MS 120
+/* Jobs that an entry holds; its memory allows some 10,000. */
+#define JOBS_MAX 4096
+#define PERMILLE 1000
+
+struct jb *
+jb_new(const struct ck *clock, struct ct *counters, struct fl *fleet,
+    const struct jb_ops *ops, void *arg)
+{
+	struct jb *j = g_new0(struct jb, 1);
+
+	j->clock = clock;
+	j->counters = counters;
+	j->fleet = fleet;
+	j->ops = ops;
+	j->arg = arg;
+	j->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	j->by_number = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, NULL, jb_job_free);
+	return (j);
+}
+
+void
+jb_free(struct jb *j)
+{
+	if (j == NULL)
+		return;
+	g_hash_table_destroy(j->by_id);
+	g_hash_table_destroy(j->by_number);
+	g_free(j);
+}
+
+void
+jb_job_free(void *p)
+{
+	struct jb_job *job = p;
+
+	g_free(job->id);
+	g_free(job->queue);
+	g_free(job->service);
+	g_free(job->body);
+	g_strfreev(job->labels);
+	g_free(job->steps);
+	g_free(job->tasks);
+	g_free(job->left);
+	g_array_free(job->waiters, TRUE);
+	g_free(job);
+}
+
+struct fl_need
+jb_need(const struct jb_job *job, const struct jb_task *t)
+{
+	const struct jb_step *s = &job->steps[t->step];
+	struct fl_need n = {
+	    .service = job->service,
+	    .label = s->label,
+	    .cpu = s->cpu,
+	    .mem_mb = s->mem_mb,
+	    .size_ms = s->size_ms,
+	    .avoid = t->avoid,
+	    .navoid = t->navoid,
+	};
+
+	return (n);
+}
+
+/* Longest chain of declared run times. */
+static uint64_t
+chain_ms(const struct jb_request *r)
+{
+	uint64_t end[JB_STEPS_MAX], longest = 0;
+	unsigned i, k;
+
+	for (i = 0; i < r->nsteps; i++) {
+		end[i] = 0;
+		for (k = 0; k < r->steps[i].nafter; k++)
+			end[i] = MAX(end[i], end[r->steps[i].after[k]]);
+		end[i] += r->steps[i].size_ms;
+		longest = MAX(longest, end[i]);
+	}
+	return (longest);
+}
+
+static void
+copy_steps(struct jb_job *job, const struct jb_request *r)
+{
+	unsigned i, k, n = 0;
+
+	job->nsteps = r->nsteps;
+	job->steps = g_memdup2(r->steps, r->nsteps * sizeof(*r->steps));
+	job->labels = g_new0(char *, r->nsteps + 1);
+	job->left = g_new0(unsigned, r->nsteps);
+	for (i = 0; i < r->nsteps; i++) {
+		job->labels[i] = g_strdup(r->steps[i].label);
+		job->steps[i].label = job->labels[i];
+		job->left[i] = r->steps[i].count;
+		job->ntasks += r->steps[i].count;
+	}
+	job->tasks = g_new0(struct jb_task, job->ntasks);
+	for (i = 0; i < r->nsteps; i++)
+		for (k = 0; k < r->steps[i].count; k++, n++) {
+			job->tasks[n].step = (uint16_t)i;
+			job->tasks[n].index = (uint16_t)k;
+		}
+}
+
+static struct jb_job *
+job_new(struct jb *j, const struct jb_request *r, uint64_t waiter)
+{
+	struct jb_job *job = g_new0(struct jb_job, 1);
+	uint64_t now = ck_mono_ms(j->clock);
+	unsigned limit = MIN(r->deadline_ms, r->queue->timeout_ms);
+
+	job->id = g_strdup(r->id);
+	job->queue = g_strdup(r->queue->name);
+	job->service = g_strdup(r->queue->service);
+	job->body = g_memdup2(r->body, r->body_len);
+	job->body_len = r->body_len;
+	job->attempts_max = MAX(r->queue->attempts, 1);
+	job->priority = r->queue->priority;
+	job->number = ++j->last_number;
+	job->arrived_ms = now;
+	job->deadline_ms = now + (limit > ANSWER_MS ? limit - ANSWER_MS : 0);
+	job->due_ms = now + r->queue->target_ms +
+	    chain_ms(r) * r->queue->stretch_permille / PERMILLE;
+	job->waiters = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	g_array_append_val(job->waiters, waiter);
+	copy_steps(job, r);
+	g_hash_table_insert(j->by_id, job->id, job);
+	g_hash_table_insert(j->by_number, &job->number, job);
+	return (job);
+}
+
+static bool
+step_open(const struct jb_job *job, unsigned step)
+{
+	const struct jb_step *s = &job->steps[step];
+	unsigned i;
+
+	for (i = 0; i < s->nafter; i++)
+		if (job->left[s->after[i]] > 0)
+			return (false);
+	return (true);
+}
+
+void
+jb_unlock(struct jb_job *job)
+{
+	unsigned i;
+
+	for (i = 0; i < job->ntasks; i++)
+		if (job->tasks[i].state == JB_BLOCKED &&
+		    step_open(job, job->tasks[i].step))
+			job->tasks[i].state = JB_READY;
+}
+
+/* A limit is set only where a second run could still end in time. */
+static unsigned
+run_limit_ms(uint64_t now, const struct jb_job *job, double run_ms)
+{
+	double limit = MAX(run_ms * LIMIT_FACTOR, LIMIT_MIN_MS);
+
+	if ((double)now + limit + run_ms > (double)job->deadline_ms)
+		return (0);
+	return ((unsigned)limit);
+}
+
+static void
+grant(struct jb *j, struct jb_job *job, struct jb_task *t, struct fl_worker *w)
+{
+	const struct jb_step *s = &job->steps[t->step];
+	double run_ms = s->size_ms * fl_unit(j->fleet, w);
+	uint64_t now = ck_mono_ms(j->clock);
+	struct pd_start out = {
+	    .step = t->step,
+	    .index = t->index,
+	    .cpu = s->cpu,
+	    .mem_mb = s->mem_mb,
+	    .limit_ms = run_limit_ms(now, job, run_ms),
+	};
+
+	t->attempt++;
+	t->state = JB_GRANTED;
+	t->worker = w;
+	job->granted = true;
+	fl_take(j->fleet, w, s->cpu);
+	out.key.sub.id = job->id;
+	out.key.sub.created_ms = job->number;
+	out.key.task = (unsigned)(t - job->tasks);
+	out.key.attempt = t->attempt;
+	out.start_by_ms = (uint64_t)((int64_t)job->due_ms +
+	    w->clock_offset_ms - (int64_t)run_ms);
+	out.expires_ms =
+	    (uint64_t)((int64_t)job->deadline_ms + w->clock_offset_ms);
+	out.body.body_val = job->body;
+	out.body.body_len = (u_int)job->body_len;
+	j->ops->start(j->arg, w, &out);
+}
+
+bool
+jb_place(struct jb *j, struct jb_job *job)
+{
+	uint64_t now = ck_mono_ms(j->clock);
+	struct fl_worker *w;
+	struct fl_need need;
+	struct jb_task *t;
+	double finish;
+	unsigned i;
+
+	for (i = 0; i < job->ntasks; i++) {
+		t = &job->tasks[i];
+		if (t->state != JB_READY)
+			continue;
+		need = jb_need(job, t);
+		w = fl_choose(j->fleet, &need, &finish);
+		if (w == NULL)
+			return (true);
+		if ((double)now + finish > (double)job->deadline_ms)
+			return (false);
+		grant(j, job, t, w);
+	}
+	return (true);
+}
+
+/*
+ * Load pattern: more work arrives than the workers can do. A job whose last
+ * task is not expected to end by its deadline is refused on arrival, since it
+ * would only delay those that can still be served.
+ *
+ * Return: reason to refuse, JB_R_NONE to take the job.
+ */
+static enum jb_reason
+check_room(struct jb *j, struct jb_job *job)
+{
+	uint64_t now = ck_mono_ms(j->clock);
+	enum jb_reason reason = JB_R_NONE;
+	struct fl_worker *w;
+	struct fl_need need;
+	double finish = 0;
+	unsigned i;
+
+	for (i = 0; i < job->ntasks && reason == JB_R_NONE; i++) {
+		if (job->tasks[i].state != JB_READY)
+			continue;
+		need = jb_need(job, &job->tasks[i]);
+		w = fl_choose(j->fleet, &need, &finish);
+		if (w == NULL)
+			reason = fl_possible(j->fleet, &need) ? JB_R_NO_WORKER
+							      : JB_R_NO_ROOM;
+		else if ((double)now + finish > (double)job->deadline_ms)
+			reason = JB_R_OVERLOAD;
+		else {
+			w->cpu_own += need.cpu;
+			job->tasks[i].worker = w;
+		}
+	}
+	for (i = 0; i < job->ntasks; i++)
+		jb_release(job, &job->tasks[i]);
+	return (reason);
+}
+
+void
+jb_submit(struct jb *j, const struct jb_request *r, uint64_t waiter)
+{
+	struct jb_answer refusal = {.id = r->id, .status = JB_REFUSED};
+	struct jb_job *job = g_hash_table_lookup(j->by_id, r->id);
+
+	if (job != NULL) {
+		g_array_append_val(job->waiters, waiter);
+		return;
+	}
+	if (g_hash_table_size(j->by_number) >= JOBS_MAX) {
+		refusal.reason = JB_R_OVERLOAD;
+		j->ops->answer(j->arg, waiter, &refusal);
+		return;
+	}
+	job = job_new(j, r, waiter);
+	jb_unlock(job);
+	refusal.reason = check_room(j, job);
+	if (refusal.reason != JB_R_NONE)
+		jb_finish(j, job, JB_REFUSED, refusal.reason);
+	else if (!jb_place(j, job))
+		jb_give_up(j, job, JB_R_OVERLOAD);
+}
+
+void
+jb_abandon(struct jb *j, uint64_t waiter)
+{
+	GHashTableIter it;
+	struct jb_job *job;
+	guint i;
+
+	g_hash_table_iter_init(&it, j->by_number);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&job))
+		for (i = 0; i < job->waiters->len; i++) {
+			if (g_array_index(job->waiters, uint64_t, i) != waiter)
+				continue;
+			g_array_remove_index_fast(job->waiters, i);
+			if (job->waiters->len == 0)
+				jb_finish(j, job, JB_CANCELLED, JB_R_CLIENT);
+			return;
+		}
+}
+
+bool
+jb_cancel(struct jb *j, const char *id)
+{
+	struct jb_job *job = g_hash_table_lookup(j->by_id, id);
+
+	if (job == NULL)
+		return (false);
+	jb_finish(j, job, JB_CANCELLED, JB_R_CLIENT);
+	return (true);
+}
+
+unsigned
+jb_active(const struct jb *j)
+{
+	return (g_hash_table_size(j->by_number));
+}
+
+unsigned
+jb_waiting(const struct jb *j, const char *queue)
+{
+	GHashTableIter it;
+	struct jb_job *job;
+	unsigned n = 0;
+
+	g_hash_table_iter_init(&it, j->by_number);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&job))
+		n += !job->granted && strcmp(job->queue, queue) == 0;
+	return (n);
+}
--- /dev/null
+++ b/sched/jobs_impl.h
@@ -0,0 +1,110 @@
+#ifndef JOBS_IMPL_H
+#define JOBS_IMPL_H
+
+#include <glib.h>
+
+#include "clock.h"
+#include "counters.h"
+#include "jobs.h"
+
+/**
+ * DOC: jb - parts: jobs.c takes jobs and places tasks, jobs_outcome.c handles
+ * reports and ends jobs
+ */
+
+/* Workers that a task has failed on and that it avoids. */
+#define JB_AVOID_MAX 4
+
+/**
+ * enum jb_state - state of a task
+ * @JB_BLOCKED: a step before it is not done
+ * @JB_READY: waits for a worker
+ * @JB_GRANTED: at an agent
+ * @JB_DOUBTFUL: at an agent that is out of reach
+ * @JB_DONE: has ended well
+ */
+enum jb_state {
+	JB_BLOCKED = 0,
+	JB_READY,
+	JB_GRANTED,
+	JB_DOUBTFUL,
+	JB_DONE,
+};
+
+struct jb_task {
+	struct fl_worker *worker;
+	struct fl_worker *avoid[JB_AVOID_MAX];
+	uint64_t doubt_ms; /* when a doubtful grant runs no more */
+	uint16_t step;
+	uint16_t index;
+	uint16_t attempt;
+	uint16_t failures;
+	uint8_t navoid;
+	uint8_t state;
+};
+
+struct jb_job {
+	char *id;
+	char *queue;
+	char *service;
+	char *body;
+	size_t body_len;
+	char **labels;
+	struct jb_step *steps;
+	struct jb_task *tasks;
+	unsigned *left; /* tasks of each step that are not done */
+	unsigned nsteps;
+	unsigned ntasks;
+	unsigned ndone;
+	unsigned attempts_max;
+	unsigned priority;
+	uint64_t number;
+	uint64_t arrived_ms;
+	uint64_t due_ms; /* answer in time */
+	uint64_t deadline_ms;
+	GArray *waiters; /* uint64_t */
+	bool granted;    /* a task was granted */
+	bool started;    /* a task has started, or may have */
+	bool over;
+};
+
+struct jb {
+	const struct ck *clock;
+	struct ct *counters;
+	struct fl *fleet;
+	const struct jb_ops *ops;
+	void *arg;
+	GHashTable *by_id;     /* id -> struct jb_job, borrowed */
+	GHashTable *by_number; /* number -> struct jb_job, owned */
+	uint64_t last_number;
+};
+
+/** jb_need() - what a task needs; borrows from the job */
+struct fl_need jb_need(const struct jb_job *job, const struct jb_task *t);
+
+/** jb_place() - grant the tasks of a job that are ready. Return: whether every
+ * one is expected to end by the deadline */
+bool jb_place(struct jb *j, struct jb_job *job);
+
+/** jb_release() - a task holds no room at its worker any more */
+void jb_release(struct jb_job *job, struct jb_task *t);
+
+/** jb_unlock() - make the tasks ready whose steps before are done */
+void jb_unlock(struct jb_job *job);
+
+/** jb_finish() - answer a job, stop what it has at agents and free it; @job
+ * is consumed */
+void jb_finish(struct jb *j, struct jb_job *job, enum jb_status status,
+    enum jb_reason reason);
+
+/** jb_give_up() - end a job that cannot be done; @job is consumed */
+void jb_give_up(struct jb *j, struct jb_job *job, enum jb_reason reason);
+
+/** jb_returned() - a grant is over without an end that counts; place the task
+ * again or give the job up. @job may be consumed */
+void jb_returned(struct jb *j, struct jb_job *job, struct jb_task *t);
+
+/** jb_job_free() - free a job */
+void jb_job_free(void *job);
+
+#endif
--- /dev/null
+++ b/sched/runner.c
@@ -0,0 +1,410 @@
+#include <string.h>
+
+#include "log.h"
+#include "runner_impl.h"
+
+/* Grants that wait at an agent; more are returned. An entry expects no longer
+ * wait than the deadline of its jobs, some 100 tasks of 10 at a time. */
+#define QUEUE_MAX 256
+
+static void
+task_free(void *p)
+{
+	struct ru_task *t = p;
+
+	g_free(t->id);
+	g_free(t->body);
+	g_free(t);
+}
+
+struct ru *
+ru_new(const struct ck *clock, struct ct *counters, const struct ru_ops *ops,
+    void *arg)
+{
+	struct ru *r = g_new0(struct ru, 1);
+
+	r->clock = clock;
+	r->counters = counters;
+	r->ops = ops;
+	r->arg = arg;
+	r->tasks = g_ptr_array_new_with_free_func(task_free);
+	r->entries = g_array_new(FALSE, TRUE, sizeof(struct ru_entry));
+	/* Runs of an earlier agent end with its lease, if not before. */
+	ru_lease(r);
+	return (r);
+}
+
+void
+ru_free(struct ru *r)
+{
+	if (r == NULL)
+		return;
+	g_ptr_array_free(r->tasks, TRUE);
+	g_array_free(r->entries, TRUE);
+	g_free(r);
+}
+
+static struct ru_entry *
+find_entry(const struct ru *r, uint64_t entry)
+{
+	guint i;
+
+	for (i = 0; i < r->entries->len; i++)
+		if (g_array_index(r->entries, struct ru_entry, i).incarnation ==
+		    entry)
+			return (
+			    &g_array_index(r->entries, struct ru_entry, i));
+	return (NULL);
+}
+
+void
+ru_contact(struct ru *r, uint64_t entry, uint64_t clock_ms)
+{
+	struct ru_entry fresh = {.incarnation = entry};
+	struct ru_entry *e = find_entry(r, entry);
+
+	if (e == NULL) {
+		g_array_append_val(r->entries, fresh);
+		e = find_entry(r, entry);
+	}
+	e->echo_ms = MAX(e->echo_ms, clock_ms);
+}
+
+static bool
+in_contact(const struct ru *r, uint64_t entry)
+{
+	const struct ru_entry *e = find_entry(r, entry);
+
+	return (e != NULL &&
+	    ck_mono_ms(r->clock) <= e->echo_ms + LE_CONTACT_MS);
+}
+
+struct ru_load
+ru_load(const struct ru *r)
+{
+	struct ru_load l = {.cpu = r->known ? r->cpu : 0,
+	    .mem_mb = r->mem_mb,
+	    .accepting = r->known && r->accepting && !r->draining,
+	    .clean = r->clean};
+	const struct ru_task *t;
+	guint i;
+
+	for (i = 0; i < r->tasks->len; i++) {
+		t = r->tasks->pdata[i];
+		if (t->phase == RU_QUEUED) {
+			l.cpu_queued += t->cpu;
+			l.queued++;
+		} else {
+			l.cpu_used += t->cpu;
+			l.active++;
+		}
+	}
+	return (l);
+}
+
+static unsigned
+mem_used(const struct ru *r)
+{
+	const struct ru_task *t;
+	unsigned mem = 0;
+	guint i;
+
+	for (i = 0; i < r->tasks->len; i++) {
+		t = r->tasks->pdata[i];
+		if (t->phase != RU_QUEUED)
+			mem += t->mem_mb;
+	}
+	return (mem);
+}
+
+static const char *
+end_name(enum pd_end_state s)
+{
+	static const char *const names[] = {
+	    "done", "failed", "stopped", "lost", "returned", "active"};
+
+	return (names[s]);
+}
+
+void
+ru_end(struct ru *r, struct ru_task *t, enum pd_end_state state)
+{
+	uint64_t now = ck_mono_ms(r->clock);
+	struct pd_end e = {
+	    .key = {.sub = {.id = t->id, .created_ms = t->number},
+		.task = t->task,
+		.attempt = t->attempt},
+	    .state = state,
+	    .queue_ms = (unsigned)((t->started_ms != 0 ? t->started_ms : now) -
+		t->queued_ms),
+	    .run_ms = (unsigned)(t->started_ms != 0 ? now - t->started_ms : 0),
+	};
+
+	ct_count(r->counters, "pd_runs_ended_total", "Granted tasks that ended",
+	    "state", end_name(state));
+	r->ops->ended(r->arg, t->entry, &e);
+	g_ptr_array_remove(r->tasks, t);
+}
+
+struct ru_run
+ru_view(const struct ru_task *t)
+{
+	struct ru_run run = {
+	    .id = t->id,
+	    .step = t->step,
+	    .index = t->index,
+	    .run = t->run,
+	    .body = t->body,
+	    .body_len = t->body_len,
+	};
+
+	return (run);
+}
+
+/* The same task may be here for an entry that its client has left. */
+static bool
+same_task_active(const struct ru *r, const struct ru_task *t)
+{
+	const struct ru_task *o;
+	guint i;
+
+	for (i = 0; i < r->tasks->len; i++) {
+		o = r->tasks->pdata[i];
+		if (o != t && o->phase != RU_QUEUED && o->step == t->step &&
+		    o->index == t->index && strcmp(o->id, t->id) == 0)
+			return (true);
+	}
+	return (false);
+}
+
+/*
+ * Load pattern: a burst fills the queue with tasks of different urgency. Those
+ * that can still be in time go first, by their latest start; those that are
+ * late already follow, since a late answer is worth less to the caller than
+ * one in time.
+ */
+static bool
+before(const struct ru_task *a, const struct ru_task *b, uint64_t now)
+{
+	bool late_a = a->start_by_ms < now, late_b = b->start_by_ms < now;
+
+	if (late_a != late_b)
+		return (late_b);
+	return (a->start_by_ms < b->start_by_ms);
+}
+
+static struct ru_task *
+next_task(struct ru *r, unsigned cpu_free, unsigned mem_free, uint64_t now)
+{
+	struct ru_task *t, *best = NULL;
+	guint i;
+
+	for (i = 0; i < r->tasks->len; i++) {
+		t = r->tasks->pdata[i];
+		if (t->phase != RU_QUEUED || t->cpu > cpu_free ||
+		    t->mem_mb > mem_free || !in_contact(r, t->entry) ||
+		    now >= t->expires_ms || same_task_active(r, t))
+			continue;
+		if (best == NULL || before(t, best, now))
+			best = t;
+	}
+	return (best);
+}
+
+void
+ru_pump(struct ru *r)
+{
+	uint64_t now = ck_mono_ms(r->clock);
+	struct ru_task *t;
+	struct ru_load l;
+	struct ru_run run;
+	unsigned mem;
+
+	if (!r->known || !r->accepting || !r->clean || r->misses > 0 ||
+	    now < r->full_until_ms)
+		return;
+	for (;;) {
+		l = ru_load(r);
+		mem = mem_used(r);
+		t = next_task(r, l.cpu > l.cpu_used ? l.cpu - l.cpu_used : 0,
+		    r->mem_mb > mem ? r->mem_mb - mem : 0, now);
+		if (t == NULL)
+			return;
+		t->phase = RU_STARTING;
+		t->started_ms = now;
+		run = ru_view(t);
+		run.lease_ms = ru_lease(r);
+		r->ops->start(r->arg, &run);
+	}
+}
+
+static struct ru_task *
+find_key(const struct ru *r, uint64_t entry, const struct pd_key *k)
+{
+	struct ru_task *t;
+	guint i;
+
+	for (i = 0; i < r->tasks->len; i++) {
+		t = r->tasks->pdata[i];
+		if (t->entry == entry && t->number == k->sub.created_ms &&
+		    t->task == k->task && t->attempt == k->attempt)
+			return (t);
+	}
+	return (NULL);
+}
+
+static struct ru_task *
+task_new(struct ru *r, uint64_t entry, const struct pd_start *s)
+{
+	struct ru_task *t = g_new0(struct ru_task, 1);
+
+	t->entry = entry;
+	t->id = g_strdup(s->key.sub.id);
+	t->number = s->key.sub.created_ms;
+	t->task = s->key.task;
+	t->attempt = s->key.attempt;
+	t->run = s->key.attempt;
+	t->step = s->step;
+	t->index = s->index;
+	t->cpu = s->cpu;
+	t->mem_mb = s->mem_mb;
+	t->limit_ms = s->limit_ms;
+	t->start_by_ms = s->start_by_ms;
+	t->expires_ms = s->expires_ms;
+	t->queued_ms = ck_mono_ms(r->clock);
+	t->body = g_memdup2(s->body.body_val, s->body.body_len);
+	t->body_len = s->body.body_len;
+	return (t);
+}
+
+void
+ru_grant(struct ru *r, uint64_t entry, const struct pd_start *s)
+{
+	struct ru_load l = ru_load(r);
+	struct ru_task *t = task_new(r, entry, s);
+
+	g_ptr_array_add(r->tasks, t);
+	if (!l.accepting || l.queued >= QUEUE_MAX || s->cpu > l.cpu ||
+	    ck_mono_ms(r->clock) >= s->expires_ms)
+		ru_end(r, t, PD_END_RETURNED);
+	else
+		ru_pump(r);
+}
+
+void
+ru_stop_task(struct ru *r, struct ru_task *t, enum pd_end_state end)
+{
+	struct ru_run run = ru_view(t);
+
+	if (t->phase == RU_QUEUED) {
+		ru_end(r, t, PD_END_RETURNED);
+		return;
+	}
+	if (t->phase == RU_STOPPING)
+		return;
+	t->phase = RU_STOPPING;
+	t->end = end;
+	t->stop_sent_ms = ck_mono_ms(r->clock);
+	r->ops->stop(r->arg, &run);
+}
+
+void
+ru_withdraw(struct ru *r, uint64_t entry, const struct pd_key *k)
+{
+	struct ru_task *t = find_key(r, entry, k);
+
+	if (t != NULL)
+		ru_stop_task(r, t, PD_END_STOPPED);
+}
+
+enum pd_end_state
+ru_state(const struct ru *r, uint64_t entry, const struct pd_key *k)
+{
+	return (find_key(r, entry, k) != NULL ? PD_END_ACTIVE : PD_END_LOST);
+}
+
+static void
+stop_tasks_of(struct ru *r, uint64_t entry)
+{
+	struct ru_task *t;
+	guint i;
+
+	/* From the end, since a task that waits leaves the table. */
+	for (i = r->tasks->len; i-- > 0;) {
+		t = r->tasks->pdata[i];
+		if (t->entry == entry)
+			ru_stop_task(r, t, PD_END_LOST);
+	}
+}
+
+void
+ru_entry_gone(struct ru *r, uint64_t entry)
+{
+	guint i;
+
+	stop_tasks_of(r, entry);
+	for (i = 0; i < r->entries->len; i++)
+		if (g_array_index(r->entries, struct ru_entry, i).incarnation ==
+		    entry) {
+			g_array_remove_index_fast(r->entries, i);
+			return;
+		}
+}
+
+void
+ru_drain(struct ru *r)
+{
+	struct ru_task *t;
+	guint i;
+
+	r->draining = true;
+	for (i = r->tasks->len; i-- > 0;) {
+		t = r->tasks->pdata[i];
+		if (t->phase == RU_QUEUED)
+			ru_end(r, t, PD_END_RETURNED);
+	}
+}
+
+static void
+check_entries(struct ru *r)
+{
+	uint64_t entry;
+	guint i;
+
+	for (i = r->entries->len; i-- > 0;) {
+		entry = g_array_index(r->entries, struct ru_entry, i)
+			    .incarnation;
+		if (in_contact(r, entry))
+			continue;
+		lg_write(LOG_NOTICE, "runner",
+		    "no contact with entry %016llx for %d ms: its tasks are "
+		    "stopped",
+		    (unsigned long long)entry, LE_CONTACT_MS);
+		ru_entry_gone(r, entry);
+	}
+}
+
+static void
+check_tasks(struct ru *r, uint64_t now)
+{
+	struct ru_task *t;
+	guint i;
+
+	for (i = r->tasks->len; i-- > 0;) {
+		t = r->tasks->pdata[i];
+		if (now >= t->expires_ms)
+			ru_stop_task(r, t, PD_END_LOST);
+		else if (t->phase == RU_RUNNING && t->limit_ms > 0 &&
+		    now > t->started_ms + t->limit_ms)
+			ru_stop_task(r, t, PD_END_STOPPED);
+	}
+}
+
+void
+ru_tick(struct ru *r)
+{
+	check_entries(r);
+	check_tasks(r, ck_mono_ms(r->clock));
+	ru_follow(r);
+	ru_pump(r);
+}
--- /dev/null
+++ b/sched/runner_endpoint.c
@@ -0,0 +1,298 @@
+#include <string.h>
+
+#include "log.h"
+#include "runner_impl.h"
+
+/* A stop without a confirmation is repeated after this time. */
+#define STOP_AGAIN_MS 150
+/* A stop takes the endpoint up to 50 ms; a run that a look sent later than
+ * that does not list has ended, or was never there. */
+#define STOP_SETTLE_MS 60
+/* A start that was answered is in each list asked for this much later. */
+#define START_SETTLE_MS 100
+/* Pause after the endpoint said that it is full, though it should not be. */
+#define FULL_PAUSE_MS 20
+/* The reading of the endpoint's clock may be this much too high. */
+#define LEASE_SLACK_MS 30
+/* Run numbers that are tried when the endpoint has used one up before. */
+#define RUN_STEP 1
+#define PERMILLE 1000
+
+unsigned
+ru_lease(struct ru *r)
+{
+	uint64_t end = ck_mono_ms(r->clock) + LE_RUN_MS +
+	    LE_RUN_MS * LE_DRIFT_PERMILLE / PERMILLE + LEASE_SLACK_MS;
+
+	r->lease_until_ms = MAX(r->lease_until_ms, end);
+	return (LE_RUN_MS);
+}
+
+unsigned
+ru_renewing(struct ru *r)
+{
+	/* Runs of an earlier agent are not kept alive, and neither are those at
+	 * an endpoint that does not answer: their end would not be known. */
+	if (!r->clean || r->misses > 1 || ru_load(r).active == 0)
+		return (0);
+	return (ru_lease(r));
+}
+
+/* Everything at the endpoint is gone. */
+static void
+lose_runs(struct ru *r)
+{
+	struct ru_task *t;
+	guint i;
+
+	for (i = r->tasks->len; i-- > 0;) {
+		t = r->tasks->pdata[i];
+		if (t->phase != RU_QUEUED)
+			ru_end(r, t, PD_END_LOST);
+	}
+}
+
+static void
+set_life(struct ru *r, uint64_t life)
+{
+	if (r->life == life)
+		return;
+	if (r->life != 0) {
+		lg_write(LOG_NOTICE, "runner", "the endpoint has restarted");
+		lose_runs(r);
+		r->clean = true;
+		r->lease_until_ms = 0;
+	}
+	r->life = life;
+}
+
+void
+ru_endpoint(struct ru *r, uint64_t life, unsigned cpu, unsigned mem_mb,
+    bool accepting)
+{
+	set_life(r, life);
+	if (r->accepting && !accepting)
+		lg_write(LOG_NOTICE, "runner", "the endpoint takes no work");
+	r->known = true;
+	r->cpu = cpu;
+	r->mem_mb = mem_mb;
+	r->accepting = accepting;
+	if (!accepting) {
+		struct ru_task *t;
+		guint i;
+
+		for (i = r->tasks->len; i-- > 0;) {
+			t = r->tasks->pdata[i];
+			if (t->phase == RU_QUEUED)
+				ru_end(r, t, PD_END_RETURNED);
+		}
+	}
+	ru_pump(r);
+}
+
+void
+ru_endpoint_gone(struct ru *r)
+{
+	struct ru_task *t;
+	guint i;
+
+	if (r->known)
+		lg_write(LOG_NOTICE, "runner", "the endpoint is gone");
+	r->known = false;
+	for (i = r->tasks->len; i-- > 0;) {
+		t = r->tasks->pdata[i];
+		ru_end(r, t,
+		    t->phase == RU_QUEUED ? PD_END_RETURNED : PD_END_LOST);
+	}
+}
+
+static struct ru_task *
+find_run(const struct ru *r, const char *id, unsigned step, unsigned index,
+    unsigned run)
+{
+	struct ru_task *t;
+	guint i;
+
+	for (i = 0; i < r->tasks->len; i++) {
+		t = r->tasks->pdata[i];
+		if (t->phase != RU_QUEUED && t->step == step &&
+		    t->index == index && t->run == run &&
+		    strcmp(t->id, id) == 0)
+			return (t);
+	}
+	return (NULL);
+}
+
+static bool
+is_listed(const struct ru_look *look, const struct ru_task *t)
+{
+	const struct ru_listed *l;
+	unsigned i;
+
+	for (i = 0; i < look->nrunning; i++) {
+		l = &look->running[i];
+		if (l->run == t->run && l->step == t->step &&
+		    l->index == t->index && strcmp(l->id, t->id) == 0)
+			return (true);
+	}
+	return (false);
+}
+
+static enum pd_end_state
+end_state(const struct ru_task *t, enum ru_how how)
+{
+	switch (how) {
+	case RU_DONE:
+		return (PD_END_DONE);
+	case RU_FAILED:
+		return (PD_END_FAILED);
+	case RU_STOPPED:
+		return (t->phase == RU_STOPPING ? t->end : PD_END_LOST);
+	default:
+		return (PD_END_LOST);
+	}
+}
+
+/* A run that this agent does not know was started by its predecessor, or late
+ * after it was taken for lost. */
+static void
+stop_unknown(struct ru *r, const struct ru_look *look)
+{
+	const struct ru_listed *l;
+	struct ru_run run = {0};
+	unsigned i;
+
+	for (i = 0; i < look->nrunning; i++) {
+		l = &look->running[i];
+		if (find_run(r, l->id, l->step, l->index, l->run) != NULL)
+			continue;
+		run.id = l->id;
+		run.step = l->step;
+		run.index = l->index;
+		run.run = l->run;
+		ct_count(r->counters, "pd_runs_unknown_total",
+		    "Runs found at the endpoint that no grant explains",
+		    "action", "stopped");
+		r->ops->stop(r->arg, &run);
+	}
+}
+
+/* Whether the look shows that the run of @t does not exist. */
+static bool
+is_missing(const struct ru_look *look, const struct ru_task *t)
+{
+	if (t->phase == RU_RUNNING)
+		return (look->sent_ms > t->started_ms + START_SETTLE_MS &&
+		    !is_listed(look, t));
+	if (t->phase == RU_STOPPING)
+		return (t->stopped_ms != 0 &&
+		    look->sent_ms > t->stopped_ms + STOP_SETTLE_MS &&
+		    !is_listed(look, t));
+	return (false);
+}
+
+void
+ru_looked(struct ru *r, const struct ru_look *look)
+{
+	struct ru_task *t;
+	unsigned i;
+	guint k;
+
+	set_life(r, look->life);
+	r->misses = 0;
+	for (i = 0; i < look->nended; i++) {
+		t = find_run(r, look->ended[i].id, look->ended[i].step,
+		    look->ended[i].index, look->ended[i].run);
+		if (t != NULL)
+			ru_end(r, t, end_state(t, look->ended[i].how));
+	}
+	for (k = r->tasks->len; k-- > 0;) {
+		t = r->tasks->pdata[k];
+		if (is_missing(look, t))
+			ru_end(r, t,
+			    t->phase == RU_STOPPING ? t->end : PD_END_LOST);
+	}
+	stop_unknown(r, look);
+	if (!r->clean && look->nrunning == 0)
+		r->clean = true;
+	ru_pump(r);
+}
+
+void
+ru_unreachable(struct ru *r)
+{
+	r->misses++;
+}
+
+void
+ru_start_answer(
+    struct ru *r, const struct ru_run *run, enum ru_started answer)
+{
+	struct ru_task *t = find_run(r, run->id, run->step, run->index,
+	    run->run);
+
+	if (t == NULL || (t->phase != RU_STARTING && t->phase != RU_STOPPING))
+		return;
+	if (answer == RU_STARTED) {
+		t->started = true;
+		if (t->phase == RU_STARTING)
+			t->phase = RU_RUNNING;
+		return;
+	}
+	ct_count(r->counters, "pd_starts_refused_total",
+	    "Starts that the endpoint did not confirm", "reason",
+	    answer == RU_NO_ROOM	? "room"
+		: answer == RU_OLD_RUN	? "old_run"
+		: answer == RU_TOO_LATE ? "late"
+		: answer == RU_REJECTED ? "rejected"
+					: "no_answer");
+	if (answer == RU_NO_ANSWER) {
+		ru_stop_task(r, t, PD_END_LOST);
+	} else if (t->phase == RU_STOPPING || answer == RU_REJECTED) {
+		ru_end(r, t, PD_END_RETURNED);
+	} else {
+		if (answer == RU_OLD_RUN)
+			t->run += RUN_STEP;
+		if (answer == RU_NO_ROOM)
+			r->full_until_ms = ck_mono_ms(r->clock) + FULL_PAUSE_MS;
+		t->phase = RU_QUEUED;
+		t->started_ms = 0;
+		ru_pump(r);
+	}
+}
+
+void
+ru_stop_answer(struct ru *r, const struct ru_run *run, bool done)
+{
+	struct ru_task *t = find_run(r, run->id, run->step, run->index,
+	    run->run);
+
+	if (t != NULL && t->phase == RU_STOPPING && done &&
+	    t->stopped_ms == 0)
+		t->stopped_ms = ck_mono_ms(r->clock);
+}
+
+void
+ru_follow(struct ru *r)
+{
+	uint64_t now = ck_mono_ms(r->clock);
+	struct ru_task *t;
+	struct ru_run run;
+	guint i;
+
+	/* Every order is bounded by the lease, so nothing can run any more. */
+	if (r->lease_until_ms != 0 && now > r->lease_until_ms) {
+		lose_runs(r);
+		r->clean = true;
+		r->lease_until_ms = 0;
+	}
+	for (i = 0; i < r->tasks->len; i++) {
+		t = r->tasks->pdata[i];
+		if (t->phase != RU_STOPPING || t->stopped_ms != 0 ||
+		    now < t->stop_sent_ms + STOP_AGAIN_MS)
+			continue;
+		t->stop_sent_ms = now;
+		run = ru_view(t);
+		r->ops->stop(r->arg, &run);
+	}
+}
--- a/wire/pd.h
+++ b/wire/pd.h
@@ -313,6 +313,140 @@
 	u_int wait_ms;
 };
 typedef struct pd_lookup pd_lookup;
+#define PD_ENTRIES_MAX 64
+#define PD_LABELS_MAX 16
+#define PD_QUEUES_MAX 1024
+#define PD_AZS_MAX 64
+
+typedef char *pd_name;
+
+struct pd_attach {
+	char *cell;
+	char *name;
+	u_quad_t incarnation;
+	char *az;
+	char *service;
+	struct {
+		u_int labels_len;
+		pd_name *labels_val;
+	} labels;
+	u_int cpu;
+	u_int mem_mb;
+	u_int cpu_used;
+	u_int cpu_queued;
+	bool_t accepting;
+	u_quad_t clock_ms;
+	u_int entries_hash;
+};
+typedef struct pd_attach pd_attach;
+
+struct pd_attached {
+	char *entry;
+	u_quad_t incarnation;
+	u_quad_t clock_ms;
+	struct {
+		u_int entries_len;
+		pd_name *entries_val;
+	} entries;
+};
+typedef struct pd_attached pd_attached;
+
+struct pd_start {
+	pd_key key;
+	u_int step;
+	u_int index;
+	u_int cpu;
+	u_int mem_mb;
+	u_int limit_ms;
+	u_quad_t start_by_ms;
+	u_quad_t expires_ms;
+	struct {
+		u_int body_len;
+		char *body_val;
+	} body;
+};
+typedef struct pd_start pd_start;
+
+enum pd_end_state {
+	PD_END_DONE = 0,
+	PD_END_FAILED = 1,
+	PD_END_STOPPED = 2,
+	PD_END_LOST = 3,
+	PD_END_RETURNED = 4,
+	PD_END_ACTIVE = 5,
+};
+typedef enum pd_end_state pd_end_state;
+
+struct pd_end {
+	pd_key key;
+	pd_end_state state;
+	u_int queue_ms;
+	u_int run_ms;
+};
+typedef struct pd_end pd_end;
+
+struct pd_ended {
+	u_int cpu_used;
+	u_int cpu_queued;
+	bool_t accepting;
+	struct {
+		u_int list_len;
+		pd_end *list_val;
+	} list;
+};
+typedef struct pd_ended pd_ended;
+
+struct pd_queue {
+	char *name;
+	char *host;
+	char *prefix;
+	char *service;
+	u_int timeout_ms;
+	u_int target_ms;
+	u_int priority;
+	u_int attempts;
+	u_int stretch_permille;
+};
+typedef struct pd_queue pd_queue;
+
+struct pd_config {
+	u_quad_t revision;
+	u_int header_bytes;
+	u_int body_bytes;
+	struct {
+		u_int queues_len;
+		pd_queue *queues_val;
+	} queues;
+	struct {
+		u_int evacuated_len;
+		pd_name *evacuated_val;
+	} evacuated;
+};
+typedef struct pd_config pd_config;
+
+struct pd_waiting {
+	char *queue;
+	u_int jobs;
+};
+typedef struct pd_waiting pd_waiting;
+
+struct pd_gossip {
+	char *cell;
+	char *name;
+	u_quad_t incarnation;
+	char *address;
+	u_quad_t revision;
+	pd_config *config;
+	struct {
+		u_int entries_len;
+		pd_name *entries_val;
+	} entries;
+	struct {
+		u_int waiting_len;
+		pd_waiting *waiting_val;
+	} waiting;
+};
+typedef struct pd_gossip pd_gossip;
 
 #define PD_PROG 0x20504431
 #define PD_V1 1
@@ -354,6 +488,27 @@
 #define PD_LOOKUP 12
 extern  pd_answer * pd_lookup_1(pd_lookup *, CLIENT *);
 extern  pd_answer * pd_lookup_1_svc(pd_lookup *, struct svc_req *);
+#define PD_ATTACH 13
+extern  pd_attached * pd_attach_1(pd_attach *, CLIENT *);
+extern  pd_attached * pd_attach_1_svc(pd_attach *, struct svc_req *);
+#define PD_START 14
+extern  void * pd_start_1(pd_start *, CLIENT *);
+extern  void * pd_start_1_svc(pd_start *, struct svc_req *);
+#define PD_ENDED 15
+extern  void * pd_ended_1(pd_ended *, CLIENT *);
+extern  void * pd_ended_1_svc(pd_ended *, struct svc_req *);
+#define PD_WITHDRAW 16
+extern  void * pd_withdraw_1(pd_cancel *, CLIENT *);
+extern  void * pd_withdraw_1_svc(pd_cancel *, struct svc_req *);
+#define PD_RECONCILE 17
+extern  pd_ended * pd_reconcile_1(pd_cancel *, CLIENT *);
+extern  pd_ended * pd_reconcile_1_svc(pd_cancel *, struct svc_req *);
+#define PD_GOSSIP 18
+extern  pd_gossip * pd_gossip_1(pd_gossip *, CLIENT *);
+extern  pd_gossip * pd_gossip_1_svc(pd_gossip *, struct svc_req *);
+#define PD_ABANDON 19
+extern  bool_t * pd_abandon_1(pd_id *, CLIENT *);
+extern  bool_t * pd_abandon_1_svc(pd_id *, struct svc_req *);
 extern int pd_prog_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -393,6 +548,27 @@
 #define PD_LOOKUP 12
 extern  pd_answer * pd_lookup_1();
 extern  pd_answer * pd_lookup_1_svc();
+#define PD_ATTACH 13
+extern  pd_attached * pd_attach_1();
+extern  pd_attached * pd_attach_1_svc();
+#define PD_START 14
+extern  void * pd_start_1();
+extern  void * pd_start_1_svc();
+#define PD_ENDED 15
+extern  void * pd_ended_1();
+extern  void * pd_ended_1_svc();
+#define PD_WITHDRAW 16
+extern  void * pd_withdraw_1();
+extern  void * pd_withdraw_1_svc();
+#define PD_RECONCILE 17
+extern  pd_ended * pd_reconcile_1();
+extern  pd_ended * pd_reconcile_1_svc();
+#define PD_GOSSIP 18
+extern  pd_gossip * pd_gossip_1();
+extern  pd_gossip * pd_gossip_1_svc();
+#define PD_ABANDON 19
+extern  bool_t * pd_abandon_1();
+extern  bool_t * pd_abandon_1_svc();
 extern int pd_prog_1_freeresult ();
 #endif /* K&R C */
 
@@ -429,6 +605,17 @@
 extern  bool_t xdr_pd_result (XDR *, pd_result*);
 extern  bool_t xdr_pd_answer (XDR *, pd_answer*);
 extern  bool_t xdr_pd_lookup (XDR *, pd_lookup*);
+extern  bool_t xdr_pd_name (XDR *, pd_name*);
+extern  bool_t xdr_pd_attach (XDR *, pd_attach*);
+extern  bool_t xdr_pd_attached (XDR *, pd_attached*);
+extern  bool_t xdr_pd_start (XDR *, pd_start*);
+extern  bool_t xdr_pd_end_state (XDR *, pd_end_state*);
+extern  bool_t xdr_pd_end (XDR *, pd_end*);
+extern  bool_t xdr_pd_ended (XDR *, pd_ended*);
+extern  bool_t xdr_pd_queue (XDR *, pd_queue*);
+extern  bool_t xdr_pd_config (XDR *, pd_config*);
+extern  bool_t xdr_pd_waiting (XDR *, pd_waiting*);
+extern  bool_t xdr_pd_gossip (XDR *, pd_gossip*);
 
 #else /* K&R C */
 extern bool_t xdr_pd_id ();
@@ -461,6 +648,17 @@
 extern bool_t xdr_pd_result ();
 extern bool_t xdr_pd_answer ();
 extern bool_t xdr_pd_lookup ();
+extern bool_t xdr_pd_name ();
+extern bool_t xdr_pd_attach ();
+extern bool_t xdr_pd_attached ();
+extern bool_t xdr_pd_start ();
+extern bool_t xdr_pd_end_state ();
+extern bool_t xdr_pd_end ();
+extern bool_t xdr_pd_ended ();
+extern bool_t xdr_pd_queue ();
+extern bool_t xdr_pd_config ();
+extern bool_t xdr_pd_waiting ();
+extern bool_t xdr_pd_gossip ();
 
 #endif /* K&R C */
 
--- a/wire/pd.x
+++ b/wire/pd.x
@@ -228,6 +228,114 @@
 	unsigned int wait_ms;		/* then PD_PENDING if there is no answer */
 };
 
+/*
+ * Transient jobs: work that is kept in memory only and is decided by the entry
+ * that took it. created_ms of their keys is the number that the entry gave to
+ * the job. Times named _at_ms are readings of the agent's clock.
+ */
+const PD_ENTRIES_MAX = 64;
+const PD_LABELS_MAX = 16;
+const PD_QUEUES_MAX = 1024;
+const PD_AZS_MAX = 64;
+
+typedef string pd_name<PD_NAME_MAX>;
+
+/* Sent when a connection opens and repeated as a heartbeat. */
+struct pd_attach {
+	string cell<PD_NAME_MAX>;
+	string name<PD_NAME_MAX>;
+	unsigned hyper incarnation;
+	string az<PD_NAME_MAX>;
+	string service<PD_NAME_MAX>;
+	pd_name labels<PD_LABELS_MAX>;
+	unsigned int cpu;		/* thousandths of a core; 0: unknown */
+	unsigned int mem_mb;
+	unsigned int cpu_used;
+	unsigned int cpu_queued;
+	bool accepting;
+	unsigned hyper clock_ms;	/* agent's clock */
+	unsigned int entries_hash;	/* of the entries it knows */
+};
+
+struct pd_attached {
+	string entry<PD_NAME_MAX>;
+	unsigned hyper incarnation;
+	unsigned hyper clock_ms;	/* echo */
+	pd_name entries<PD_ENTRIES_MAX>; /* empty when the hash is the same */
+};
+
+struct pd_start {
+	pd_key key;
+	unsigned int step;
+	unsigned int index;		/* within the step */
+	unsigned int cpu;
+	unsigned int mem_mb;
+	unsigned int limit_ms;		/* run time that is not normal; 0: none */
+	unsigned hyper start_by_ms;	/* agent's clock: latest start in time */
+	unsigned hyper expires_ms;	/* agent's clock: of no use afterwards */
+	opaque body<PD_BODY_MAX>;
+};
+
+enum pd_end_state {
+	PD_END_DONE = 0,
+	PD_END_FAILED = 1,
+	PD_END_STOPPED = 2,	/* started, and stopped by the agent */
+	PD_END_LOST = 3,	/* does not run any more, without a result */
+	PD_END_RETURNED = 4,	/* never started, and never will be */
+	PD_END_ACTIVE = 5	/* only as an answer to PD_RECONCILE */
+};
+
+struct pd_end {
+	pd_key key;
+	pd_end_state state;
+	unsigned int queue_ms;
+	unsigned int run_ms;
+};
+
+struct pd_ended {
+	unsigned int cpu_used;
+	unsigned int cpu_queued;
+	bool accepting;
+	pd_end list<PD_BATCH_MAX>;
+};
+
+/* Configuration of the transient jobs. */
+struct pd_queue {
+	string name<PD_NAME_MAX>;
+	string host<PD_TEXT_MAX>;
+	string prefix<PD_TEXT_MAX>;
+	string service<PD_NAME_MAX>;
+	unsigned int timeout_ms;
+	unsigned int target_ms;
+	unsigned int priority;
+	unsigned int attempts;
+	unsigned int stretch_permille;
+};
+
+struct pd_config {
+	unsigned hyper revision;	/* of the store; 0: none known */
+	unsigned int header_bytes;
+	unsigned int body_bytes;
+	pd_queue queues<PD_QUEUES_MAX>;
+	pd_name evacuated<PD_AZS_MAX>;
+};
+
+struct pd_waiting {
+	string queue<PD_NAME_MAX>;
+	unsigned int jobs;
+};
+
+struct pd_gossip {
+	string cell<PD_NAME_MAX>;
+	string name<PD_NAME_MAX>;
+	unsigned hyper incarnation;
+	string address<PD_NAME_MAX>;
+	unsigned hyper revision;
+	pd_config *config;	/* when newer than what the other end said */
+	pd_name entries<PD_ENTRIES_MAX>;
+	pd_waiting waiting<PD_QUEUES_MAX>;
+};
+
 program PD_PROG {
 	version PD_V1 {
 		pd_hello_reply PD_HELLO(pd_hello) = 1;
@@ -242,5 +350,12 @@
 		pd_held PD_PUSH(pd_changes) = 10;
 		pd_answer PD_FORWARD(pd_submit) = 11;
 		pd_answer PD_LOOKUP(pd_lookup) = 12;
+		pd_attached PD_ATTACH(pd_attach) = 13;
+		void PD_START(pd_start) = 14;
+		void PD_ENDED(pd_ended) = 15;
+		void PD_WITHDRAW(pd_cancel) = 16;
+		pd_ended PD_RECONCILE(pd_cancel) = 17;
+		pd_gossip PD_GOSSIP(pd_gossip) = 18;
+		bool PD_ABANDON(pd_id) = 19;
 	} = 1;
 } = 0x20504431;
--- a/wire/pd_xdr.c
+++ b/wire/pd_xdr.c
@@ -564,3 +564,464 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_pd_name (XDR *xdrs, pd_name *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, objp, PD_NAME_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_pd_attach (XDR *xdrs, pd_attach *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_string (xdrs, &objp->cell, PD_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->name, PD_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->az, PD_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->service, PD_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->labels.labels_val, (u_int *) &objp->labels.labels_len, PD_LABELS_MAX,
+			sizeof (pd_name), (xdrproc_t) xdr_pd_name))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->cpu))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->mem_mb))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cpu_used))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cpu_queued))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->accepting))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->cpu);
+		IXDR_PUT_U_LONG(buf, objp->mem_mb);
+		IXDR_PUT_U_LONG(buf, objp->cpu_used);
+		IXDR_PUT_U_LONG(buf, objp->cpu_queued);
+		IXDR_PUT_BOOL(buf, objp->accepting);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->clock_ms))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->entries_hash))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_string (xdrs, &objp->cell, PD_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->name, PD_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->az, PD_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->service, PD_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->labels.labels_val, (u_int *) &objp->labels.labels_len, PD_LABELS_MAX,
+			sizeof (pd_name), (xdrproc_t) xdr_pd_name))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->cpu))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->mem_mb))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cpu_used))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cpu_queued))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->accepting))
+				 return FALSE;
+
+		} else {
+		objp->cpu = IXDR_GET_U_LONG(buf);
+		objp->mem_mb = IXDR_GET_U_LONG(buf);
+		objp->cpu_used = IXDR_GET_U_LONG(buf);
+		objp->cpu_queued = IXDR_GET_U_LONG(buf);
+		objp->accepting = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->clock_ms))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->entries_hash))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_string (xdrs, &objp->cell, PD_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->name, PD_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->az, PD_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->service, PD_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->labels.labels_val, (u_int *) &objp->labels.labels_len, PD_LABELS_MAX,
+		sizeof (pd_name), (xdrproc_t) xdr_pd_name))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->cpu))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->mem_mb))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->cpu_used))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->cpu_queued))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->accepting))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->clock_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->entries_hash))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_pd_attached (XDR *xdrs, pd_attached *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->entry, PD_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->clock_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, PD_ENTRIES_MAX,
+		sizeof (pd_name), (xdrproc_t) xdr_pd_name))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_pd_start (XDR *xdrs, pd_start *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_pd_key (xdrs, &objp->key))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->step))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->index))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cpu))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->mem_mb))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->limit_ms))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->step);
+		IXDR_PUT_U_LONG(buf, objp->index);
+		IXDR_PUT_U_LONG(buf, objp->cpu);
+		IXDR_PUT_U_LONG(buf, objp->mem_mb);
+		IXDR_PUT_U_LONG(buf, objp->limit_ms);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->start_by_ms))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->expires_ms))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, PD_BODY_MAX))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_pd_key (xdrs, &objp->key))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->step))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->index))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cpu))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->mem_mb))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->limit_ms))
+				 return FALSE;
+
+		} else {
+		objp->step = IXDR_GET_U_LONG(buf);
+		objp->index = IXDR_GET_U_LONG(buf);
+		objp->cpu = IXDR_GET_U_LONG(buf);
+		objp->mem_mb = IXDR_GET_U_LONG(buf);
+		objp->limit_ms = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->start_by_ms))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->expires_ms))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, PD_BODY_MAX))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_pd_key (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->step))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->cpu))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->mem_mb))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->limit_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->start_by_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->expires_ms))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, PD_BODY_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_pd_end_state (XDR *xdrs, pd_end_state *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_pd_end (XDR *xdrs, pd_end *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_pd_key (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_pd_end_state (xdrs, &objp->state))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->queue_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->run_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_pd_ended (XDR *xdrs, pd_ended *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->cpu_used))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cpu_queued))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->accepting))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->cpu_used);
+		IXDR_PUT_U_LONG(buf, objp->cpu_queued);
+		IXDR_PUT_BOOL(buf, objp->accepting);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, PD_BATCH_MAX,
+			sizeof (pd_end), (xdrproc_t) xdr_pd_end))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->cpu_used))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cpu_queued))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->accepting))
+				 return FALSE;
+
+		} else {
+		objp->cpu_used = IXDR_GET_U_LONG(buf);
+		objp->cpu_queued = IXDR_GET_U_LONG(buf);
+		objp->accepting = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, PD_BATCH_MAX,
+			sizeof (pd_end), (xdrproc_t) xdr_pd_end))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->cpu_used))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->cpu_queued))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->accepting))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, PD_BATCH_MAX,
+		sizeof (pd_end), (xdrproc_t) xdr_pd_end))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_pd_queue (XDR *xdrs, pd_queue *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_string (xdrs, &objp->name, PD_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->host, PD_TEXT_MAX))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->prefix, PD_TEXT_MAX))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->service, PD_NAME_MAX))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->timeout_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->target_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->priority))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->attempts))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->stretch_permille))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->timeout_ms);
+			IXDR_PUT_U_LONG(buf, objp->target_ms);
+			IXDR_PUT_U_LONG(buf, objp->priority);
+			IXDR_PUT_U_LONG(buf, objp->attempts);
+			IXDR_PUT_U_LONG(buf, objp->stretch_permille);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_string (xdrs, &objp->name, PD_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->host, PD_TEXT_MAX))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->prefix, PD_TEXT_MAX))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->service, PD_NAME_MAX))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->timeout_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->target_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->priority))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->attempts))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->stretch_permille))
+				 return FALSE;
+		} else {
+			objp->timeout_ms = IXDR_GET_U_LONG(buf);
+			objp->target_ms = IXDR_GET_U_LONG(buf);
+			objp->priority = IXDR_GET_U_LONG(buf);
+			objp->attempts = IXDR_GET_U_LONG(buf);
+			objp->stretch_permille = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_string (xdrs, &objp->name, PD_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->host, PD_TEXT_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->prefix, PD_TEXT_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->service, PD_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->timeout_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->target_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->priority))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->attempts))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->stretch_permille))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_pd_config (XDR *xdrs, pd_config *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->header_bytes))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->body_bytes))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->queues.queues_val, (u_int *) &objp->queues.queues_len, PD_QUEUES_MAX,
+		sizeof (pd_queue), (xdrproc_t) xdr_pd_queue))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->evacuated.evacuated_val, (u_int *) &objp->evacuated.evacuated_len, PD_AZS_MAX,
+		sizeof (pd_name), (xdrproc_t) xdr_pd_name))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_pd_waiting (XDR *xdrs, pd_waiting *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->queue, PD_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->jobs))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_pd_gossip (XDR *xdrs, pd_gossip *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->cell, PD_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->name, PD_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->address, PD_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_pointer (xdrs, (char **)&objp->config, sizeof (pd_config), (xdrproc_t) xdr_pd_config))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, PD_ENTRIES_MAX,
+		sizeof (pd_name), (xdrproc_t) xdr_pd_name))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->waiting.waiting_val, (u_int *) &objp->waiting.waiting_len, PD_QUEUES_MAX,
+		sizeof (pd_waiting), (xdrproc_t) xdr_pd_waiting))
+		 return FALSE;
+	return TRUE;
+}
--- /dev/null
+++ b/wire/scrape.h
@@ -0,0 +1,37 @@
+#ifndef SCRAPE_H
+#define SCRAPE_H
+
+#include <event2/event.h>
+
+/**
+ * DOC: sc - metrics over HTTP, on the event loop
+ */
+struct evhttp;
+struct evhttp_request;
+struct sc;
+struct ct;
+
+/**
+ * sc_new() - serve the counters
+ * @address: "IP:port"
+ * @counters: borrowed
+ * @refresh: called before each answer to set gauges, or NULL
+ *
+ * Return: owned handle, NULL when @address cannot be used.
+ */
+struct sc *sc_new(struct event_base *base, const char *address,
+    struct ct *counters, void (*refresh)(void *arg), void *arg);
+
+/** sc_free() - consumed, NULL is allowed */
+void sc_free(struct sc *s);
+
+/**
+ * sc_listen() - HTTP server on an address
+ * @handle: called for each request
+ *
+ * Return: owned server, NULL when @address cannot be used.
+ */
+struct evhttp *sc_listen(struct event_base *base, const char *address,
+    void (*handle)(struct evhttp_request *req, void *arg), void *arg);
+
+#endif
