--- a/agent/executor.c
+++ b/agent/executor.c
@@ -310,8 +310,8 @@
 	}
 	if (e->stopping_ms != 0)
 		return;
-	lg_write(LOG_NOTICE, PART, "signal %d: stopping, %u runs",
-	    (int)signal, ru_load(e->runner).active);
+	lg_write(LOG_NOTICE, PART, "signal %d: stopping, %u runs", (int)signal,
+	    ru_load(e->runner).active);
 	e->stopping_ms = ck_mono_ms(e->clock);
 	ru_drain(e->runner);
 	lk_now(e->links);
@@ -370,8 +370,7 @@
 
 	signal(SIGPIPE, SIG_IGN);
 	for (i = 0; i < G_N_ELEMENTS(numbers); i++) {
-		e->signals[i] =
-		    evsignal_new(e->base, numbers[i], on_signal, e);
+		e->signals[i] = evsignal_new(e->base, numbers[i], on_signal, e);
 		event_add(e->signals[i], NULL);
 	}
 	e->tick = event_new(e->base, -1, EV_PERSIST, on_tick, e);
--- a/agent/links.c
+++ b/agent/links.c
@@ -24,7 +24,7 @@
 	bool open;
 	bool asking;
 	bool seed;
-	uint64_t entry; /* incarnation, 0 while unknown */
+	uint64_t entry;    /* incarnation, 0 while unknown */
 	uint64_t asked_ms; /* clock in the heartbeat under way */
 	uint64_t heard_ms;
 	GArray *ended; /* struct pd_end with owned ids, to be sent */
@@ -101,8 +101,7 @@
 	if (!cn_decode(l->conn, args, (xdrproc_t)xdr_pd_cancel, &list))
 		return;
 	for (i = 0; i < list.list.list_len; i++)
-		k->ops->withdraw(
-		    k->arg, l->entry, &list.list.list_val[i]);
+		k->ops->withdraw(k->arg, l->entry, &list.list.list_val[i]);
 	xdr_free((xdrproc_t)xdr_pd_cancel, (char *)&list);
 }
 
@@ -131,8 +130,8 @@
 	reply.list.list_len = list.list.list_len;
 	for (i = 0; i < list.list.list_len; i++) {
 		reply.list.list_val[i].key = list.list.list_val[i];
-		reply.list.list_val[i].state = k->ops->state(
-		    k->arg, l->entry, &list.list.list_val[i]);
+		reply.list.list_val[i].state =
+		    k->ops->state(k->arg, l->entry, &list.list.list_val[i]);
 	}
 	fill_load(k, &reply);
 	cn_reply(l->conn, xid, (xdrproc_t)xdr_pd_ended, &reply);
@@ -307,8 +306,7 @@
 		e.list.list_val = (struct pd_end *)l->ended->data;
 		e.list.list_len = MIN(l->ended->len, PD_BATCH_MAX);
 		if (l->open)
-			cn_send(
-			    l->conn, PD_ENDED, (xdrproc_t)xdr_pd_ended, &e);
+			cn_send(l->conn, PD_ENDED, (xdrproc_t)xdr_pd_ended, &e);
 		clear_ended(l);
 	}
 }
--- a/agent/options.c
+++ b/agent/options.c
@@ -147,8 +147,8 @@
 {
 	struct arg_file *settings =
 	    arg_file1(NULL, "settings", "FILE", "settings file in TOML format");
-	struct arg_lit *execute = arg_lit0(
-	    NULL, "execute", "run transient jobs of the platform");
+	struct arg_lit *execute =
+	    arg_lit0(NULL, "execute", "run transient jobs of the platform");
 	struct arg_lit *only_check = arg_lit0(NULL, "check",
 	    "with --execute: check the settings and start nothing");
 	struct arg_lit *help = arg_lit0("h", "help", "print this help");
--- a/agent/options.h
+++ b/agent/options.h
@@ -34,8 +34,8 @@
 	OP_RUN,
 	OP_EXECUTE, /* run as an agent of transient jobs; @path is set */
 	OP_CHECK,   /* check the settings of --execute; @path is set */
-	OP_HELP, /* help was printed */
-	OP_BAD,  /* usage or settings error; it was printed */
+	OP_HELP,    /* help was printed */
+	OP_BAD,     /* usage or settings error; it was printed */
 };
 
 /**
--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -83,7 +83,7 @@
 	struct sc *metrics;
 	struct event *tick;
 	struct event *signals[3];
-	GPtrArray *seeds; /* RPC addresses, owned */
+	GPtrArray *seeds;     /* RPC addresses, owned */
 	uint64_t stopping_ms; /* when the stop was asked for; 0: not */
 };
 
@@ -153,11 +153,11 @@
 }
 
 static void
-refuse(struct di *d, uint64_t waiter, const struct fr_job *job,
-    const char *reason)
+refuse(
+    struct di *d, uint64_t waiter, const struct fr_job *job, const char *reason)
 {
-	lg_write(LOG_NOTICE, "jobs", "job %s is refused: %s",
-	    job->request.id, reason);
+	lg_write(LOG_NOTICE, "jobs", "job %s is refused: %s", job->request.id,
+	    reason);
 	ct_count(d->counters, "pd_jobs_not_done_total",
 	    "Transient jobs refused or given up", "reason", reason);
 	fr_refuse(d->front, waiter, reason);
@@ -303,8 +303,7 @@
 }
 
 static void
-workers_call(
-    void *arg, struct cn *c, uint32_t proc, uint32_t xid, XDR *args)
+workers_call(void *arg, struct cn *c, uint32_t proc, uint32_t xid, XDR *args)
 {
 	struct di *d = arg;
 
@@ -404,8 +403,7 @@
 	    .nseeds = d->seeds->len,
 	};
 
-	d->gossip = go_new(
-	    d->base, d->clock, d->config, &self, &gossip_ops, d);
+	d->gossip = go_new(d->base, d->clock, d->config, &self, &gossip_ops, d);
 }
 
 static bool
@@ -425,10 +423,10 @@
 	d->fleet = fl_new(d->clock, d->counters, d->config);
 	d->jobs = jb_new(d->clock, d->counters, d->fleet, &job_ops, d);
 	read_seeds(d);
-	d->workers = wo_new(
-	    d->base, d->settings.rpc, &self, d->fleet, &worker_ops, d);
-	d->front = fr_new(d->base, d->settings.clients, d->settings.probes,
-	    &front_ops, d);
+	d->workers =
+	    wo_new(d->base, d->settings.rpc, &self, d->fleet, &worker_ops, d);
+	d->front = fr_new(
+	    d->base, d->settings.clients, d->settings.probes, &front_ops, d);
 	if (d->workers == NULL || d->front == NULL)
 		return (false);
 	wo_set_jobs(d->workers, d->jobs);
@@ -450,8 +448,7 @@
 
 	signal(SIGPIPE, SIG_IGN);
 	for (i = 0; i < G_N_ELEMENTS(numbers); i++) {
-		d->signals[i] =
-		    evsignal_new(d->base, numbers[i], on_signal, d);
+		d->signals[i] = evsignal_new(d->base, numbers[i], on_signal, d);
 		event_add(d->signals[i], NULL);
 	}
 	d->tick = event_new(d->base, -1, EV_PERSIST, on_tick, d);
@@ -521,8 +518,9 @@
 	d.base = event_base_new();
 	if (start(&d)) {
 		start_events(&d);
-		lg_write(LOG_NOTICE, "dispatch", "entry %s serves clients on %s",
-		    d.settings.name, d.settings.clients);
+		lg_write(LOG_NOTICE, "dispatch",
+		    "entry %s serves clients on %s", d.settings.name,
+		    d.settings.clients);
 		event_base_dispatch(d.base);
 		result = EX_DONE;
 	}
--- a/entry/gossip.c
+++ b/entry/gossip.c
@@ -135,8 +135,7 @@
 		    GUINT_TO_POINTER(m->waiting.waiting_val[i].jobs));
 	for (i = 0; i < m->entries.entries_len; i++)
 		peer_add(g, m->entries.entries_val[i], false);
-	if (m->config != NULL &&
-	    m->config->revision > cf_revision(g->config))
+	if (m->config != NULL && m->config->revision > cf_revision(g->config))
 		g->ops->config(g->arg, m->config);
 }
 
@@ -232,8 +231,8 @@
 	q->address = g_strdup(p->address);
 	p->asking = true;
 	cn_call(p->conn, PD_GOSSIP, (xdrproc_t)xdr_pd_gossip, &m,
-	    (xdrproc_t)xdr_pd_gossip, sizeof(struct pd_gossip),
-	    CALL_TIMEOUT_MS, on_told, q);
+	    (xdrproc_t)xdr_pd_gossip, sizeof(struct pd_gossip), CALL_TIMEOUT_MS,
+	    on_told, q);
 	g_free(m.waiting.waiting_val);
 }
 
--- a/entry/workers.c
+++ b/entry/workers.c
@@ -93,8 +93,8 @@
 	f = fl_attach(w->fleet, &a, l->number, &restarted);
 	if (!l->attached) {
 		lg_write(LOG_NOTICE, "workers",
-		    "agent %s is connected, %u thousandths of a core",
-		    a.name, a.cpu);
+		    "agent %s is connected, %u thousandths of a core", a.name,
+		    a.cpu);
 		l->attached = true;
 		jb_attached(w->jobs, f, restarted);
 	}
@@ -111,8 +111,7 @@
 	else if (proc == PD_ENDED)
 		on_ended(l, args);
 	else
-		l->workers->ops->call(
-		    l->workers->arg, c, proc, xid, args);
+		l->workers->ops->call(l->workers->arg, c, proc, xid, args);
 }
 
 static void
@@ -163,8 +162,8 @@
 	w->fleet = fleet;
 	w->ops = ops;
 	w->arg = arg;
-	w->links = g_hash_table_new_full(
-	    g_int64_hash, g_int64_equal, NULL, g_free);
+	w->links =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	w->listener = cn_listen(base, address, on_accept, w, &error);
 	if (w->listener != NULL)
 		return (w);
@@ -250,9 +249,8 @@
 wo_reconcile(struct wo *w, const struct fl_worker *to,
     const struct pd_key *keys, unsigned n)
 {
-	struct pd_cancel list = {
-	    .list = {.list_len = MIN(n, PD_BATCH_MAX),
-		.list_val = (pd_key *)(uintptr_t)keys}};
+	struct pd_cancel list = {.list = {.list_len = MIN(n, PD_BATCH_MAX),
+				     .list_val = (pd_key *)(uintptr_t)keys}};
 	struct cn *c = conn_of(w, to);
 	struct question *q;
 
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -142,8 +142,8 @@
 }
 
 void
-fl_load(struct fl_worker *w, unsigned cpu_used, unsigned cpu_queued,
-    bool accepting)
+fl_load(
+    struct fl_worker *w, unsigned cpu_used, unsigned cpu_queued, bool accepting)
 {
 	unsigned all = cpu_used + cpu_queued;
 
@@ -157,12 +157,14 @@
 	const char *at = w->labels;
 	size_t len = strlen(label);
 
+	if (len == 0)
+		return (true);
 	while ((at = strstr(at, label)) != NULL) {
 		if (at[-1] == ' ' && at[len] == ' ')
 			return (true);
 		at++;
 	}
-	return (len == 0);
+	return (false);
 }
 
 static bool
@@ -179,9 +181,8 @@
 static bool
 suits(const struct fl_worker *w, const struct fl_need *need)
 {
-	return (strcmp(w->service, need->service) == 0 &&
-	    w->cpu >= need->cpu && w->mem_mb >= need->mem_mb &&
-	    has_label(w, need->label));
+	return (strcmp(w->service, need->service) == 0 && w->cpu >= need->cpu &&
+	    w->mem_mb >= need->mem_mb && has_label(w, need->label));
 }
 
 static bool
@@ -231,8 +232,8 @@
 			    (pass == 0 && avoided(w, need)))
 				continue;
 			unit = fl_unit(f, w);
-			finish = wait_ms(w, need->cpu, unit) +
-			    need->size_ms * unit;
+			finish =
+			    wait_ms(w, need->cpu, unit) + need->size_ms * unit;
 			if (best == NULL || finish < *finish_ms) {
 				best = w;
 				*finish_ms = finish;
@@ -294,8 +295,8 @@
 	w->probe_ms = now + FL_PROBE_MS;
 	ct_count(f->counters, "pd_workers_ejected_total",
 	    "Workers that get probes only", "reason", "failures");
-	lg_write(LOG_WARNING, "fleet",
-	    "worker %s fails its tasks: probes only", w->name);
+	lg_write(LOG_WARNING, "fleet", "worker %s fails its tasks: probes only",
+	    w->name);
 }
 
 unsigned
@@ -311,8 +312,7 @@
 }
 
 void
-fl_each(
-    struct fl *f, void (*visit)(void *arg, struct fl_worker *w), void *arg)
+fl_each(struct fl *f, void (*visit)(void *arg, struct fl_worker *w), void *arg)
 {
 	guint i;
 
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -146,7 +146,7 @@
 unsigned fl_count(const struct fl *f);
 
 /** fl_each() - visit all workers */
-void fl_each(struct fl *f, void (*visit)(void *arg, struct fl_worker *w),
-    void *arg);
+void fl_each(
+    struct fl *f, void (*visit)(void *arg, struct fl_worker *w), void *arg);
 
 #endif
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -9,6 +9,9 @@
 #define LIMIT_FACTOR 3.0
 /* Shorter limits would stop runs that only wait for the processor. */
 #define LIMIT_MIN_MS 120
+/* Declared run times are off by up to 40%: a job is given up only when a run
+ * time that much shorter does not fit. */
+#define SIZE_BEST 0.6
 /* Jobs that an entry holds; its memory allows some 10,000. */
 #define JOBS_MAX 4096
 #define PERMILLE 1000
@@ -198,8 +201,9 @@
 	out.key.sub.created_ms = job->number;
 	out.key.task = (unsigned)(t - job->tasks);
 	out.key.attempt = t->attempt;
-	out.start_by_ms = (uint64_t)((int64_t)job->due_ms +
-	    w->clock_offset_ms - (int64_t)run_ms);
+	out.start_by_ms =
+	    (uint64_t)((int64_t)MIN(job->due_ms, job->deadline_ms) +
+		w->clock_offset_ms - (int64_t)run_ms);
 	out.expires_ms =
 	    (uint64_t)((int64_t)job->deadline_ms + w->clock_offset_ms);
 	out.body.body_val = job->body;
@@ -207,10 +211,22 @@
 	j->ops->start(j->arg, w, &out);
 }
 
+/* Whether a task that is expected to end on @w in @finish_ms may still do so
+ * by the deadline. */
+static bool
+can_end(const struct jb *j, const struct jb_job *job, const struct fl_need *n,
+    const struct fl_worker *w, double finish_ms)
+{
+	double run_ms = n->size_ms * fl_unit(j->fleet, w);
+
+	return ((double)ck_mono_ms(j->clock) + finish_ms -
+		run_ms * (1 - SIZE_BEST) <=
+	    (double)job->deadline_ms);
+}
+
 bool
 jb_place(struct jb *j, struct jb_job *job)
 {
-	uint64_t now = ck_mono_ms(j->clock);
 	struct fl_worker *w;
 	struct fl_need need;
 	struct jb_task *t;
@@ -225,7 +241,7 @@
 		w = fl_choose(j->fleet, &need, &finish);
 		if (w == NULL)
 			return (true);
-		if ((double)now + finish > (double)job->deadline_ms)
+		if (!can_end(j, job, &need, w, finish))
 			return (false);
 		grant(j, job, t, w);
 	}
@@ -242,7 +258,6 @@
 static enum jb_reason
 check_room(struct jb *j, struct jb_job *job)
 {
-	uint64_t now = ck_mono_ms(j->clock);
 	enum jb_reason reason = JB_R_NONE;
 	struct fl_worker *w;
 	struct fl_need need;
@@ -257,7 +272,7 @@
 		if (w == NULL)
 			reason = fl_possible(j->fleet, &need) ? JB_R_NO_WORKER
 							      : JB_R_NO_ROOM;
-		else if ((double)now + finish > (double)job->deadline_ms)
+		else if (!can_end(j, job, &need, w, finish))
 			reason = JB_R_OVERLOAD;
 		else {
 			w->cpu_own += need.cpu;
--- a/sched/jobs_outcome.c
+++ b/sched/jobs_outcome.c
@@ -91,8 +91,8 @@
 	}
 	count(j, status, reason);
 	for (i = 0; i < job->waiters->len; i++)
-		j->ops->answer(j->arg,
-		    g_array_index(job->waiters, uint64_t, i), &a);
+		j->ops->answer(
+		    j->arg, g_array_index(job->waiters, uint64_t, i), &a);
 	g_hash_table_remove(j->by_id, job->id);
 	g_hash_table_remove(j->by_number, &job->number);
 }
@@ -147,6 +147,7 @@
 task_failed(
     struct jb *j, struct jb_job *job, struct jb_task *t, struct fl_worker *w)
 {
+	t->state = JB_READY;
 	fl_failed(j->fleet, w, job->number);
 	avoid(t, w);
 	t->failures++;
--- a/sched/runner.c
+++ b/sched/runner.c
@@ -52,8 +52,7 @@
 	for (i = 0; i < r->entries->len; i++)
 		if (g_array_index(r->entries, struct ru_entry, i).incarnation ==
 		    entry)
-			return (
-			    &g_array_index(r->entries, struct ru_entry, i));
+			return (&g_array_index(r->entries, struct ru_entry, i));
 	return (NULL);
 }
 
@@ -75,8 +74,8 @@
 {
 	const struct ru_entry *e = find_entry(r, entry);
 
-	return (e != NULL &&
-	    ck_mono_ms(r->clock) <= e->echo_ms + LE_CONTACT_MS);
+	return (
+	    e != NULL && ck_mono_ms(r->clock) <= e->echo_ms + LE_CONTACT_MS);
 }
 
 struct ru_load
@@ -372,8 +371,8 @@
 	guint i;
 
 	for (i = r->entries->len; i-- > 0;) {
-		entry = g_array_index(r->entries, struct ru_entry, i)
-			    .incarnation;
+		entry =
+		    g_array_index(r->entries, struct ru_entry, i).incarnation;
 		if (in_contact(r, entry))
 			continue;
 		lg_write(LOG_NOTICE, "runner",
--- a/sched/runner.h
+++ b/sched/runner.h
@@ -102,8 +102,8 @@
  * @life: number that differs for each start of it
  * @accepting: it takes new work
  */
-void ru_endpoint(struct ru *r, uint64_t life, unsigned cpu, unsigned mem_mb,
-    bool accepting);
+void ru_endpoint(
+    struct ru *r, uint64_t life, unsigned cpu, unsigned mem_mb, bool accepting);
 
 /** ru_endpoint_gone() - the endpoint has ended: nothing runs there */
 void ru_endpoint_gone(struct ru *r);
--- a/sched/runner_endpoint.c
+++ b/sched/runner_endpoint.c
@@ -67,8 +67,8 @@
 }
 
 void
-ru_endpoint(struct ru *r, uint64_t life, unsigned cpu, unsigned mem_mb,
-    bool accepting)
+ru_endpoint(
+    struct ru *r, uint64_t life, unsigned cpu, unsigned mem_mb, bool accepting)
 {
 	set_life(r, life);
 	if (r->accepting && !accepting)
@@ -225,11 +225,10 @@
 }
 
 void
-ru_start_answer(
-    struct ru *r, const struct ru_run *run, enum ru_started answer)
+ru_start_answer(struct ru *r, const struct ru_run *run, enum ru_started answer)
 {
-	struct ru_task *t = find_run(r, run->id, run->step, run->index,
-	    run->run);
+	struct ru_task *t =
+	    find_run(r, run->id, run->step, run->index, run->run);
 
 	if (t == NULL || (t->phase != RU_STARTING && t->phase != RU_STOPPING))
 		return;
@@ -241,8 +240,8 @@
 	}
 	ct_count(r->counters, "pd_starts_refused_total",
 	    "Starts that the endpoint did not confirm", "reason",
-	    answer == RU_NO_ROOM	? "room"
-		: answer == RU_OLD_RUN	? "old_run"
+	    answer == RU_NO_ROOM        ? "room"
+		: answer == RU_OLD_RUN  ? "old_run"
 		: answer == RU_TOO_LATE ? "late"
 		: answer == RU_REJECTED ? "rejected"
 					: "no_answer");
@@ -264,11 +263,10 @@
 void
 ru_stop_answer(struct ru *r, const struct ru_run *run, bool done)
 {
-	struct ru_task *t = find_run(r, run->id, run->step, run->index,
-	    run->run);
+	struct ru_task *t =
+	    find_run(r, run->id, run->step, run->index, run->run);
 
-	if (t != NULL && t->phase == RU_STOPPING && done &&
-	    t->stopped_ms == 0)
+	if (t != NULL && t->phase == RU_STOPPING && done && t->stopped_ms == 0)
 		t->stopped_ms = ck_mono_ms(r->clock);
 }
 
