--- a/agent/executor.c
+++ b/agent/executor.c
@@ -7,6 +7,7 @@
 
 #include "clock.h"
 #include "counters.h"
+#include "event.h"
 #include "executor.h"
 #include "links.h"
 #include "log.h"
@@ -433,6 +434,7 @@
 		return (EXIT_SETTINGS);
 	json_object_seed(0);
 	lg_open("pimentodock-agent", lg_level(e.settings.log_level));
+	ev_open("agent");
 	e.base = event_base_new();
 	if (start(&e)) {
 		start_events(&e);
--- /dev/null
+++ b/base/event.c
@@ -0,0 +1,135 @@
+#include <errno.h>
+#include <fcntl.h>
+#include <jansson.h>
+#include <stdarg.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "event.h"
+
+/* A write of up to PIPE_BUF bytes to a pipe is done whole or not at all. */
+#define LINE_BYTES 4096
+#define MS_PER_S 1000
+#define NS_PER_MS 1000000
+
+static const char *ident;
+static int fd = -1;
+static uint64_t dropped;
+static uint64_t told; /* dropped lines that a line has told of */
+static uint64_t refilled_ms;
+static uint64_t tokens; /* thousandths of a line */
+
+void
+ev_open(const char *name)
+{
+	int flags = fcntl(STDOUT_FILENO, F_GETFL);
+
+	if (flags >= 0)
+		(void)fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+	ident = name;
+	fd = STDOUT_FILENO;
+	tokens = (uint64_t)EV_LINES_PER_S * 2 * MS_PER_S;
+}
+
+int
+ev_enabled(void)
+{
+	return (fd >= 0);
+}
+
+uint64_t
+ev_dropped(void)
+{
+	return (dropped);
+}
+
+static uint64_t
+wall_ms(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_REALTIME, &now);
+	return ((uint64_t)now.tv_sec * MS_PER_S +
+	    (uint64_t)now.tv_nsec / NS_PER_MS);
+}
+
+/* The wall clock may step back; then the budget is not refilled until it has
+ * caught up. */
+static int
+take_token(uint64_t now)
+{
+	const uint64_t most = (uint64_t)EV_LINES_PER_S * 2 * MS_PER_S;
+
+	if (now > refilled_ms) {
+		if (refilled_ms != 0)
+			tokens += (now - refilled_ms) * EV_LINES_PER_S;
+		refilled_ms = now;
+	}
+	if (tokens > most)
+		tokens = most;
+	if (tokens < MS_PER_S)
+		return (0);
+	tokens -= MS_PER_S;
+	return (1);
+}
+
+static int
+write_object(json_t *o)
+{
+	char line[LINE_BYTES];
+	size_t n;
+
+	n = json_dumpb(o, line, sizeof(line) - 1, JSON_COMPACT);
+	if (n == 0 || n > sizeof(line) - 1)
+		return (0);
+	line[n++] = '\n';
+	return (write(fd, line, n) == (ssize_t)n);
+}
+
+static json_t *
+header(uint64_t now, const char *part, const char *event)
+{
+	return (json_pack("{s:I,s:s,s:s,s:s}", "t", (json_int_t)now, "proc",
+	    ident, "part", part, "event", event));
+}
+
+static void
+tell_dropped(uint64_t now)
+{
+	uint64_t lost = dropped - told;
+	json_t *o;
+
+	if (lost == 0)
+		return;
+	o = header(now, "log", "dropped");
+	json_object_set_new(o, "lines", json_integer((json_int_t)lost));
+	if (write_object(o))
+		told += lost;
+	json_decref(o);
+}
+
+void
+ev_write(const char *part, const char *event, const char *format, ...)
+{
+	uint64_t now = wall_ms();
+	json_t *members, *o;
+	va_list ap;
+
+	if (fd < 0)
+		return;
+	if (!take_token(now)) {
+		dropped++;
+		return;
+	}
+	tell_dropped(now);
+	va_start(ap, format);
+	members = json_vpack_ex(NULL, 0, format, ap);
+	va_end(ap);
+	o = header(now, part, event);
+	if (members == NULL || json_object_update(o, members) != 0 ||
+	    !write_object(o))
+		dropped++;
+	json_decref(members);
+	json_decref(o);
+}
--- a/base/log.c
+++ b/base/log.c
@@ -4,6 +4,7 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "event.h"
 #include "log.h"
 
 #define LINE_BYTES 1024
@@ -45,6 +46,15 @@
 
 	if (level > log_max)
 		return;
+	if (ev_enabled()) {
+		va_start(ap, fmt);
+		m = vsnprintf(line, sizeof(line), fmt, ap);
+		va_end(ap);
+		if (m >= 0)
+			ev_write(part, "note", "{s:i,s:s}", "level", level,
+			    "text", line);
+		return;
+	}
 	now = time(NULL);
 	localtime_r(&now, &tm);
 	strftime(stamp, sizeof(stamp), "%b %e %H:%M:%S", &tm);
--- a/base/log.h
+++ b/base/log.h
@@ -7,7 +7,8 @@
  * DOC: lg - log lines on standard error
  *
  * One line per event: `<pri>Mon DD HH:MM:SS ident[pid]: part: text`, with the
- * priority numbers of syslog. Safe to call from any thread.
+ * priority numbers of syslog. Safe to call from any thread. After ev_open()
+ * the lines go to the structured log instead.
  */
 
 /**
--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -9,6 +9,7 @@
 #include "config.h"
 #include "counters.h"
 #include "dispatcher.h"
+#include "event.h"
 #include "exits.h"
 #include "feed.h"
 #include "fleet.h"
@@ -25,11 +26,14 @@
 #define US_PER_MS 1000
 /* The balancer takes this entry out after two missed probes, one a second;
  * until then new connections arrive. */
-#define DRAIN_MIN_MS 2500
+#define DRAIN_MIN_MS 3600
+/* Connections without a request are closed after this time: a request that
+ * comes just before still ends within its 1.5 s. */
+#define CLOSE_IDLE_MS 3500
 /* The platform kills the process 6 s after SIGTERM. */
 #define DRAIN_MAX_MS 5500
-/* Without agents a fresh entry is ready after this time all the same, so that
- * callers get an answer instead of a connection that hangs. */
+/* One in so many jobs that end in time is logged with all its steps. */
+#define SAMPLE 32
 #define AT(field) offsetof(struct settings, field)
 
 struct settings {
@@ -83,7 +87,8 @@
 	struct sc *metrics;
 	struct event *tick;
 	struct event *signals[3];
-	GPtrArray *seeds;     /* RPC addresses, owned */
+	GPtrArray *seeds; /* RPC addresses, owned */
+	uint64_t jobs_logged;
 	uint64_t stopping_ms; /* when the stop was asked for; 0: not */
 };
 
@@ -120,18 +125,40 @@
 {
 	struct di *d = arg;
 
-	if (a->status != JB_COMPLETED)
-		lg_write(LOG_INFO, "jobs", "job %s: status %d, %s after %u ms",
-		    a->id, (int)a->status, jb_reason_name(a->reason),
-		    a->took_ms);
 	fr_answer(d->front, waiter, a);
 }
 
+/* All steps of jobs that did not end well and in time, and of a sample. */
+static void
+on_job_ended(void *arg, const struct jb_answer *a)
+{
+	struct di *d = arg;
+	const struct tr_step *s;
+	unsigned i;
+
+	if (a->status == JB_COMPLETED && a->late_ms == 0 &&
+	    ++d->jobs_logged % SAMPLE != 0)
+		return;
+	for (i = 0; i < a->nsteps; i++) {
+		s = &a->steps[i];
+		ev_write("jobs", tr_name(s->kind),
+		    "{s:s,s:i,s:i,s:i,s:s*,s:i,s:i}", "job", a->id, "at_ms",
+		    (int)s->at_ms, "task", (int)s->task, "attempt",
+		    (int)s->attempt, "worker", s->worker, "a", s->a, "b", s->b);
+	}
+	ev_write("jobs", "answered", "{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:I}", "job",
+	    a->id, "queue", a->queue, "status", jb_status_name(a->status),
+	    "reason", jb_reason_name(a->reason), "took_ms", (int)a->took_ms,
+	    "late_ms", (int)a->late_ms, "workers", (int)fl_count(d->fleet),
+	    "config", (json_int_t)cf_revision(d->config));
+}
+
 static const struct jb_ops job_ops = {
     .start = on_start,
     .withdraw = on_withdraw,
     .reconcile = on_reconcile,
     .answer = on_answer,
+    .ended = on_job_ended,
 };
 
 /* --- clients --- */
@@ -338,6 +365,8 @@
 {
 	uint64_t took = ck_mono_ms(d->clock) - d->stopping_ms;
 
+	if (took > CLOSE_IDLE_MS)
+		fr_close_idle(d->front);
 	if ((took > DRAIN_MIN_MS && fr_pending(d->front) == 0) ||
 	    took > DRAIN_MAX_MS)
 		event_base_loopbreak(d->base);
@@ -515,6 +544,7 @@
 		return (EX_SETTINGS);
 	json_object_seed(0);
 	lg_open("pimentodock", lg_level(d.settings.log_level));
+	ev_open("entry");
 	d.base = event_base_new();
 	if (start(&d)) {
 		start_events(&d);
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -53,17 +53,36 @@
 	g_free(job->service);
 	g_free(job->body);
 	g_strfreev(job->labels);
-	g_free(job->steps);
+	g_free(job->kinds);
 	g_free(job->tasks);
 	g_free(job->left);
 	g_array_free(job->waiters, TRUE);
+	g_array_free(job->steps, TRUE);
 	g_free(job);
 }
 
+void
+jb_note(struct jb *j, struct jb_job *job, const struct jb_task *t,
+    enum tr_kind kind, const struct fl_worker *w, double a, double b)
+{
+	struct tr_step step = {
+	    .at_ms = (uint32_t)(ck_mono_ms(j->clock) - job->arrived_ms),
+	    .kind = kind,
+	    .task = (uint16_t)(t == NULL ? 0 : t - job->tasks),
+	    .attempt = t == NULL ? 0 : t->attempt,
+	    .worker = w == NULL ? NULL : w->name,
+	    .a = (int32_t)a,
+	    .b = (int32_t)b,
+	};
+
+	if (job->steps->len < TR_STEPS_MAX)
+		g_array_append_val(job->steps, step);
+}
+
 struct fl_need
 jb_need(const struct jb_job *job, const struct jb_task *t)
 {
-	const struct jb_step *s = &job->steps[t->step];
+	const struct jb_step *s = &job->kinds[t->step];
 	struct fl_need n = {
 	    .service = job->service,
 	    .label = s->label,
@@ -100,12 +119,12 @@
 	unsigned i, k, n = 0;
 
 	job->nsteps = r->nsteps;
-	job->steps = g_memdup2(r->steps, r->nsteps * sizeof(*r->steps));
+	job->kinds = g_memdup2(r->steps, r->nsteps * sizeof(*r->steps));
 	job->labels = g_new0(char *, r->nsteps + 1);
 	job->left = g_new0(unsigned, r->nsteps);
 	for (i = 0; i < r->nsteps; i++) {
 		job->labels[i] = g_strdup(r->steps[i].label);
-		job->steps[i].label = job->labels[i];
+		job->kinds[i].label = job->labels[i];
 		job->left[i] = r->steps[i].count;
 		job->ntasks += r->steps[i].count;
 	}
@@ -138,6 +157,7 @@
 	    chain_ms(r) * r->queue->stretch_permille / PERMILLE;
 	job->waiters = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	g_array_append_val(job->waiters, waiter);
+	job->steps = g_array_new(FALSE, FALSE, sizeof(struct tr_step));
 	copy_steps(job, r);
 	g_hash_table_insert(j->by_id, job->id, job);
 	g_hash_table_insert(j->by_number, &job->number, job);
@@ -147,7 +167,7 @@
 static bool
 step_open(const struct jb_job *job, unsigned step)
 {
-	const struct jb_step *s = &job->steps[step];
+	const struct jb_step *s = &job->kinds[step];
 	unsigned i;
 
 	for (i = 0; i < s->nafter; i++)
@@ -179,9 +199,10 @@
 }
 
 static void
-grant(struct jb *j, struct jb_job *job, struct jb_task *t, struct fl_worker *w)
+grant(struct jb *j, struct jb_job *job, struct jb_task *t, struct fl_worker *w,
+    double finish_ms)
 {
-	const struct jb_step *s = &job->steps[t->step];
+	const struct jb_step *s = &job->kinds[t->step];
 	double run_ms = s->size_ms * fl_unit(j->fleet, w);
 	uint64_t now = ck_mono_ms(j->clock);
 	struct pd_start out = {
@@ -196,6 +217,8 @@
 	t->state = JB_GRANTED;
 	t->worker = w;
 	job->granted = true;
+	jb_note(j, job, t, TR_GRANTED, w, finish_ms,
+	    (double)w->cpu_own + w->cpu_others);
 	fl_take(j->fleet, w, s->cpu);
 	out.key.sub.id = job->id;
 	out.key.sub.created_ms = job->number;
@@ -211,6 +234,12 @@
 	j->ops->start(j->arg, w, &out);
 }
 
+static double
+left_ms(const struct jb *j, const struct jb_job *job)
+{
+	return ((double)job->deadline_ms - (double)ck_mono_ms(j->clock));
+}
+
 /* Whether a task that is expected to end on @w in @finish_ms may still do so
  * by the deadline. */
 static bool
@@ -239,11 +268,16 @@
 			continue;
 		need = jb_need(job, t);
 		w = fl_choose(j->fleet, &need, &finish);
-		if (w == NULL)
+		if (w == NULL) {
+			jb_note(j, job, t, TR_NO_WORKER, NULL, 0, 0);
 			return (true);
-		if (!can_end(j, job, &need, w, finish))
+		}
+		if (!can_end(j, job, &need, w, finish)) {
+			jb_note(
+			    j, job, t, TR_TOO_LATE, w, finish, left_ms(j, job));
 			return (false);
-		grant(j, job, t, w);
+		}
+		grant(j, job, t, w, finish);
 	}
 	return (true);
 }
@@ -269,12 +303,16 @@
 			continue;
 		need = jb_need(job, &job->tasks[i]);
 		w = fl_choose(j->fleet, &need, &finish);
-		if (w == NULL)
+		if (w == NULL) {
 			reason = fl_possible(j->fleet, &need) ? JB_R_NO_WORKER
 							      : JB_R_NO_ROOM;
-		else if (!can_end(j, job, &need, w, finish))
+			jb_note(
+			    j, job, &job->tasks[i], TR_NO_WORKER, NULL, 0, 0);
+		} else if (!can_end(j, job, &need, w, finish)) {
 			reason = JB_R_OVERLOAD;
-		else {
+			jb_note(j, job, &job->tasks[i], TR_TOO_LATE, w, finish,
+			    left_ms(j, job));
+		} else {
 			w->cpu_own += need.cpu;
 			job->tasks[i].worker = w;
 		}
@@ -300,6 +338,8 @@
 		return;
 	}
 	job = job_new(j, r, waiter);
+	jb_note(j, job, NULL, TR_TAKEN, NULL,
+	    (double)job->due_ms - (double)job->arrived_ms, left_ms(j, job));
 	jb_unlock(job);
 	refusal.reason = check_room(j, job);
 	if (refusal.reason != JB_R_NONE)
--- a/sched/jobs.h
+++ b/sched/jobs.h
@@ -7,6 +7,7 @@
 
 #include "fleet.h"
 #include "pd.h"
+#include "trace.h"
 
 /**
  * DOC: jb - transient jobs of an entry: what is taken, where each task runs,
@@ -93,6 +94,9 @@
 	JB_R_MAX,
 };
 
+/** jb_status_name() - text of a status, never NULL */
+const char *jb_status_name(enum jb_status s);
+
 /** jb_reason_name() - text of a reason, never NULL */
 const char *jb_reason_name(enum jb_reason r);
 
@@ -100,6 +104,10 @@
  * struct jb_answer - answer to a job
  * @retry_ms: when a refused job is worth another try; 0: unknown
  * @took_ms: time since it arrived
+ * @late_ms: time by which it is late; 0: in time
+ * @queue: name of its queue, borrowed
+ * @steps: decisions about it, borrowed; none when it was not taken
+ * @nsteps: number of them
  */
 struct jb_answer {
 	const char *id; /* borrowed */
@@ -107,6 +115,10 @@
 	enum jb_reason reason;
 	unsigned retry_ms;
 	unsigned took_ms;
+	unsigned late_ms;
+	const char *queue;
+	const struct tr_step *steps;
+	unsigned nsteps;
 };
 
 /**
@@ -115,6 +127,7 @@
  * @withdraw: stop a granted task, or take it back
  * @reconcile: ask an agent about grants; answered through jb_ended()
  * @answer: answer of a job, once for each waiter
+ * @ended: a job has ended, after its answers
  */
 struct jb_ops {
 	void (*start)(void *arg, struct fl_worker *w, const struct pd_start *s);
@@ -123,6 +136,7 @@
 	void (*reconcile)(void *arg, struct fl_worker *w,
 	    const struct pd_key *keys, unsigned n);
 	void (*answer)(void *arg, uint64_t waiter, const struct jb_answer *a);
+	void (*ended)(void *arg, const struct jb_answer *a);
 };
 
 /**
--- a/sched/jobs_impl.h
+++ b/sched/jobs_impl.h
@@ -50,7 +50,7 @@
 	char *body;
 	size_t body_len;
 	char **labels;
-	struct jb_step *steps;
+	struct jb_step *kinds; /* steps of the job */
 	struct jb_task *tasks;
 	unsigned *left; /* tasks of each step that are not done */
 	unsigned nsteps;
@@ -63,6 +63,7 @@
 	uint64_t due_ms; /* answer in time */
 	uint64_t deadline_ms;
 	GArray *waiters; /* uint64_t */
+	GArray *steps;   /* struct tr_step */
 	bool granted;    /* a task was granted */
 	bool started;    /* a task has started, or may have */
 	bool over;
@@ -86,6 +87,10 @@
  * one is expected to end by the deadline */
 bool jb_place(struct jb *j, struct jb_job *job);
 
+/** jb_note() - keep a decision about a job; @t is NULL for the whole job */
+void jb_note(struct jb *j, struct jb_job *job, const struct jb_task *t,
+    enum tr_kind kind, const struct fl_worker *w, double a, double b);
+
 /** jb_release() - a task holds no room at its worker any more */
 void jb_release(struct jb_job *job, struct jb_task *t);
 
--- a/sched/jobs_outcome.c
+++ b/sched/jobs_outcome.c
@@ -33,7 +33,7 @@
 jb_release(struct jb_job *job, struct jb_task *t)
 {
 	if (t->worker != NULL)
-		fl_release(t->worker, job->steps[t->step].cpu);
+		fl_release(t->worker, job->kinds[t->step].cpu);
 	t->worker = NULL;
 }
 
@@ -51,14 +51,20 @@
 	return ((unsigned)(finish - (double)left));
 }
 
-static void
-count(struct jb *j, enum jb_status status, enum jb_reason reason)
+const char *
+jb_status_name(enum jb_status s)
 {
 	static const char *const names[] = {
 	    "completed", "failed", "refused", "gave_up", "cancelled"};
 
+	return (names[s]);
+}
+
+static void
+count(struct jb *j, enum jb_status status, enum jb_reason reason)
+{
 	ct_count(j->counters, "pd_jobs_ended_total", "Transient jobs ended",
-	    "status", names[status]);
+	    "status", jb_status_name(status));
 	if (reason != JB_R_NONE)
 		ct_count(j->counters, "pd_jobs_not_done_total",
 		    "Transient jobs refused or given up", "reason",
@@ -69,11 +75,16 @@
 jb_finish(struct jb *j, struct jb_job *job, enum jb_status status,
     enum jb_reason reason)
 {
+	uint64_t now = ck_mono_ms(j->clock);
 	struct jb_answer a = {
 	    .id = job->id,
 	    .status = status,
 	    .reason = reason,
-	    .took_ms = (unsigned)(ck_mono_ms(j->clock) - job->arrived_ms),
+	    .took_ms = (unsigned)(now - job->arrived_ms),
+	    .late_ms = now > job->due_ms ? (unsigned)(now - job->due_ms) : 0,
+	    .queue = job->queue,
+	    .steps = (struct tr_step *)job->steps->data,
+	    .nsteps = job->steps->len,
 	};
 	struct jb_task *t;
 	struct pd_key k;
@@ -93,6 +104,7 @@
 	for (i = 0; i < job->waiters->len; i++)
 		j->ops->answer(
 		    j->arg, g_array_index(job->waiters, uint64_t, i), &a);
+	j->ops->ended(j->arg, &a);
 	g_hash_table_remove(j->by_id, job->id);
 	g_hash_table_remove(j->by_number, &job->number);
 }
@@ -174,6 +186,23 @@
 	return (t);
 }
 
+static enum tr_kind
+trace_kind(enum pd_end_state state)
+{
+	switch (state) {
+	case PD_END_DONE:
+		return (TR_DONE);
+	case PD_END_FAILED:
+		return (TR_FAILED);
+	case PD_END_STOPPED:
+		return (TR_STOPPED);
+	case PD_END_RETURNED:
+		return (TR_RETURNED);
+	default:
+		return (TR_LOST);
+	}
+}
+
 void
 jb_ended(struct jb *j, struct fl_worker *w, const struct pd_end *e)
 {
@@ -188,7 +217,8 @@
 		t->state = JB_GRANTED;
 		return;
 	}
-	s = &job->steps[t->step];
+	s = &job->kinds[t->step];
+	jb_note(j, job, t, trace_kind(e->state), w, e->queue_ms, e->run_ms);
 	jb_release(job, t);
 	if (e->state != PD_END_RETURNED)
 		job->started = true;
@@ -241,8 +271,8 @@
 static void
 mark_doubtful(struct jb *j, struct jb_job *job, struct jb_task *t)
 {
-	(void)j;
-	(void)job;
+	jb_note(j, job, t, TR_DOUBTFUL, t->worker,
+	    (double)ck_mono_ms(j->clock) - (double)t->worker->seen_ms, 0);
 	t->state = JB_DOUBTFUL;
 	t->doubt_ms = t->worker->answered_ms + DOUBT_MS;
 }
@@ -250,6 +280,7 @@
 static void
 lose(struct jb *j, struct jb_job *job, struct jb_task *t)
 {
+	jb_note(j, job, t, TR_RESTARTED, t->worker, 0, 0);
 	jb_release(job, t);
 	job->started = true;
 	jb_returned(j, job, t);
@@ -308,6 +339,7 @@
 			mark_doubtful(j, job, t);
 		if (t->state == JB_DOUBTFUL && now > t->doubt_ms) {
 			job->started = true;
+			jb_note(j, job, t, TR_DROPPED, t->worker, 0, 0);
 			jb_release(job, t);
 			t->state = JB_READY;
 		}
--- a/sched/runner_endpoint.c
+++ b/sched/runner_endpoint.c
@@ -8,8 +8,9 @@
 /* A stop takes the endpoint up to 50 ms; a run that a look sent later than
  * that does not list has ended, or was never there. */
 #define STOP_SETTLE_MS 60
-/* A start that was answered is in each list asked for this much later. */
-#define START_SETTLE_MS 100
+/* A start that was answered is in each list asked for later; the list is not
+ * ordered with answers on other connections. */
+#define START_SETTLE_MS 20
 /* Pause after the endpoint said that it is full, though it should not be. */
 #define FULL_PAUSE_MS 20
 /* The reading of the endpoint's clock may be this much too high. */
@@ -182,7 +183,7 @@
 is_missing(const struct ru_look *look, const struct ru_task *t)
 {
 	if (t->phase == RU_RUNNING)
-		return (look->sent_ms > t->started_ms + START_SETTLE_MS &&
+		return (look->sent_ms > t->running_ms + START_SETTLE_MS &&
 		    !is_listed(look, t));
 	if (t->phase == RU_STOPPING)
 		return (t->stopped_ms != 0 &&
@@ -233,7 +234,7 @@
 	if (t == NULL || (t->phase != RU_STARTING && t->phase != RU_STOPPING))
 		return;
 	if (answer == RU_STARTED) {
-		t->started = true;
+		t->running_ms = ck_mono_ms(r->clock);
 		if (t->phase == RU_STARTING)
 			t->phase = RU_RUNNING;
 		return;
--- a/sched/runner_impl.h
+++ b/sched/runner_impl.h
@@ -44,12 +44,12 @@
 	uint64_t start_by_ms;
 	uint64_t expires_ms;
 	uint64_t queued_ms;
-	uint64_t started_ms;
+	uint64_t started_ms; /* when the start was ordered; 0: not yet */
+	uint64_t running_ms; /* when the endpoint confirmed it */
 	uint64_t stop_sent_ms;
 	uint64_t stopped_ms; /* when a stop was confirmed; 0: not yet */
 	enum ru_phase phase;
 	enum pd_end_state end; /* how a stopped one is reported */
-	bool started;          /* the endpoint confirmed the start */
 };
 
 struct ru_entry {
