--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -240,6 +240,23 @@
 	return ((double)job->deadline_ms - (double)ck_mono_ms(j->clock));
 }
 
+/*
+ * Load pattern: a burst, or workers lost, at a load that leaves no reserve. A
+ * backlog makes every later answer late, and a late answer is worth little to
+ * a caller, so a job is refused on arrival when it is not expected to be in
+ * time by this share of the time it has.
+ */
+#define LATE_SHARE 1.0
+
+static bool
+can_be_in_time(const struct jb *j, const struct jb_job *job, double finish_ms)
+{
+	uint64_t now = ck_mono_ms(j->clock);
+	double left = (double)job->due_ms - (double)now;
+
+	return (finish_ms <= left * LATE_SHARE);
+}
+
 /* Whether a task that is expected to end on @w in @finish_ms may still do so
  * by the deadline. */
 static bool
@@ -308,7 +325,8 @@
 							      : JB_R_NO_ROOM;
 			jb_note(
 			    j, job, &job->tasks[i], TR_NO_WORKER, NULL, 0, 0);
-		} else if (!can_end(j, job, &need, w, finish)) {
+		} else if (!can_end(j, job, &need, w, finish) ||
+		    !can_be_in_time(j, job, finish)) {
 			reason = JB_R_OVERLOAD;
 			jb_note(j, job, &job->tasks[i], TR_TOO_LATE, w, finish,
 			    left_ms(j, job));
