Tell loads to all entries, spread work before workers are full

Tasks waited 40 to 60 ms at an agent on average while other workers had room: three entries fill the same fastest worker on reports some 50 ms old.

--- a/agent/links.c
+++ b/agent/links.c
@@ -15,6 +15,8 @@
 #define IDLE_MS 900
 /* An address that cannot be reached for this time is forgotten. */
 #define FORGET_MS 60000
+/* Time between reports of the load to an entry whose tasks do not end. */
+#define TELL_MS 40
 #define US_PER_MS 1000
 
 struct link {
@@ -27,6 +29,7 @@
 	uint64_t entry;    /* incarnation, 0 while unknown */
 	uint64_t asked_ms; /* clock in the heartbeat under way */
 	uint64_t heard_ms;
+	uint64_t told_ms; /* when the load was told last */
 	GArray *ended; /* struct pd_end with owned ids, to be sent */
 };
 
@@ -288,10 +291,19 @@
 	lk_now(k);
 }
 
+/* Load patterns in which entries compete for a worker need fresh loads, but
+ * an entry without work here needs no more than the heartbeats. */
+static bool
+is_due(const struct link *l, uint64_t now)
+{
+	return (l->open && l->entry != 0 && now - l->told_ms >= TELL_MS);
+}
+
 static void
 on_flush(evutil_socket_t fd, short what, void *arg)
 {
 	struct lk *k = arg;
+	uint64_t now = ck_mono_ms(k->clock);
 	struct pd_ended e = {0};
 	GHashTableIter it;
 	struct link *l;
@@ -301,8 +313,9 @@
 	fill_load(k, &e);
 	g_hash_table_iter_init(&it, k->table);
 	while (g_hash_table_iter_next(&it, NULL, (void **)&l)) {
-		if (l->ended->len == 0)
+		if (l->ended->len == 0 && !is_due(l, now))
 			continue;
+		l->told_ms = now;
 		e.list.list_val = (struct pd_end *)l->ended->data;
 		e.list.list_len = MIN(l->ended->len, PD_BATCH_MAX);
 		if (l->open)
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -15,6 +15,12 @@
 /* Mean run time of a worker that has not finished a task yet. */
 #define FL_FIRST_MEAN_MS 150.0
 
+/* Expected wait at a worker that is full as far as known, in mean run times:
+ * one of some ten that run there ends after a tenth. */
+#define FULL_SHARE 0.15
+/* How late the expected wait rises as a worker fills up. */
+#define FULL_POWER 6
+
 struct fl {
 	const struct ck *clock;
 	struct ct *counters;
@@ -202,17 +208,22 @@
 	return (po_unit(&w->speed, ck_mono_us(f->clock)));
 }
 
+/*
+ * Load pattern: several entries grant to the same workers on reports that are
+ * some 50 ms old. The nearer a worker is to full, the likelier it is that
+ * another entry fills it first, so work spreads over workers of equal speed
+ * instead of filling the fastest one to the brim.
+ */
 static double
 wait_ms(const struct fl_worker *w, unsigned cpu, double unit)
 {
-	double mean = FL_FIRST_MEAN_MS;
-	double over = (double)w->cpu_own + w->cpu_others + cpu - w->cpu;
+	double mean = FL_FIRST_MEAN_MS, load, wait;
 
-	if (over <= 0)
-		return (0);
 	if (w->speed.samples > 0)
 		mean = w->speed.mean_ms * unit / w->speed.unit;
-	return (over / w->cpu * mean);
+	load = ((double)w->cpu_own + w->cpu_others + cpu) / w->cpu;
+	wait = mean * FULL_SHARE * pow(fmin(load, 1), FULL_POWER);
+	return (load > 1 ? wait + (load - 1) * mean : wait);
 }
 
 struct fl_worker *
