--- a/agent/links.c
+++ b/agent/links.c
@@ -13,6 +13,11 @@
 /* A connection that nothing came over for this time is silent: a new one may
  * get through. */
 #define IDLE_MS 900
+/* The opening packet to a host without power is lost and is sent again after a
+ * second; a new connection gets through sooner. */
+#define CONNECT_MS 150
+/* Period of attempts while no entry, or not each one, is connected. */
+#define RETRY_MS 50
 /* An address that cannot be reached for this time is forgotten. */
 #define FORGET_MS 60000
 /* Time between reports of the load to an entry whose tasks do not end. */
@@ -27,10 +32,10 @@
 	bool asking;
 	bool seed;
 	uint64_t entry;    /* incarnation, 0 while unknown */
-	uint64_t asked_ms; /* clock in the heartbeat under way */
+	uint64_t asked_ms; /* clock in the last heartbeat */
 	uint64_t heard_ms;
 	uint64_t told_ms; /* when the load was told last */
-	GArray *ended; /* struct pd_end with owned ids, to be sent */
+	GArray *ended;    /* struct pd_end with owned ids, to be sent */
 };
 
 struct lk {
@@ -71,14 +76,17 @@
 	clear_ended(l);
 }
 
+static void attach(struct link *l);
+
 static void
 link_opened(void *arg, struct cn *c)
 {
 	struct link *l = arg;
 
-	(void)c;
 	l->open = true;
-	lk_now(l->links);
+	cn_set_idle(c, IDLE_MS);
+	if (!l->asking)
+		attach(l);
 }
 
 static void
@@ -242,13 +250,14 @@
 	a.clock_ms = ck_mono_ms(k->clock);
 	a.entries_hash = entries_hash(k);
 	l->asking = true;
+	l->asked_ms = a.clock_ms;
 	cn_call(l->conn, PD_ATTACH, (xdrproc_t)xdr_pd_attach, &a,
 	    (xdrproc_t)xdr_pd_attached, sizeof(struct pd_attached),
 	    HEARTBEAT_TIMEOUT_MS, on_attached, l);
 }
 
 static void
-reach(struct link *l)
+reach(struct link *l, bool now)
 {
 	enum cn_error error;
 
@@ -256,14 +265,16 @@
 		l->conn = cn_connect(
 		    l->links->base, l->address, &link_ops, l, &error);
 		if (l->conn != NULL)
-			cn_set_idle(l->conn, IDLE_MS);
-	} else if (l->open && !l->asking) {
+			cn_set_idle(l->conn, CONNECT_MS);
+	} else if (l->open && !l->asking &&
+	    (now ||
+		ck_mono_ms(l->links->clock) - l->asked_ms >= LE_HEARTBEAT_MS)) {
 		attach(l);
 	}
 }
 
-void
-lk_now(struct lk *k)
+static void
+each_link(struct lk *k, bool heartbeat)
 {
 	GList *links = g_hash_table_get_values(k->table), *i;
 	uint64_t now = ck_mono_ms(k->clock);
@@ -274,21 +285,27 @@
 		if (!l->seed && now - l->heard_ms > FORGET_MS)
 			g_hash_table_remove(k->table, l->address);
 		else
-			reach(l);
+			reach(l, heartbeat);
 	}
 	g_list_free(links);
 }
 
+void
+lk_now(struct lk *k)
+{
+	each_link(k, true);
+}
+
 static void
 on_timer(evutil_socket_t fd, short what, void *arg)
 {
-	struct timeval tv = {0, LE_HEARTBEAT_MS * US_PER_MS};
+	struct timeval tv = {0, RETRY_MS * US_PER_MS};
 	struct lk *k = arg;
 
 	(void)fd;
 	(void)what;
 	event_add(k->timer, &tv);
-	lk_now(k);
+	each_link(k, false);
 }
 
 /* Load patterns in which entries compete for a worker need fresh loads, but
--- a/entry/gossip.c
+++ b/entry/gossip.c
@@ -10,6 +10,9 @@
  * between two entries within one period. */
 #define PERIOD_MS 300
 #define CALL_TIMEOUT_MS 600
+/* A host without power does not refuse a connection: a new attempt gets through
+ * sooner than the next opening packet of the old one. */
+#define CONNECT_MS 250
 #define IDLE_MS 1500
 /* An entry that was not heard for this time is not told to agents. */
 #define FRESH_MS 10000
@@ -57,13 +60,16 @@
 	p->open = false;
 }
 
+static void tell(struct go *g, struct peer *p);
+
 static void
 peer_opened(void *arg, struct cn *c)
 {
 	struct peer *p = arg;
 
-	(void)c;
 	p->open = true;
+	cn_set_idle(c, IDLE_MS);
+	tell(p->gossip, p);
 }
 
 static void
@@ -245,7 +251,7 @@
 		p->asking = false;
 		p->conn = cn_connect(g->base, p->address, &peer_ops, p, &error);
 		if (p->conn != NULL)
-			cn_set_idle(p->conn, IDLE_MS);
+			cn_set_idle(p->conn, CONNECT_MS);
 	} else if (p->open && !p->asking) {
 		tell(g, p);
 	}
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -12,6 +12,8 @@
 #define FL_PROBE_MS 500
 /* A worker that no heartbeat came from for three periods gets no work. */
 #define FL_SILENT_MS 650
+/* Agents reach an entry that has started within this time. */
+#define FL_SETTLE_MS 1000
 /* Mean run time of a worker that has not finished a task yet. */
 #define FL_FIRST_MEAN_MS 150.0
 
@@ -26,6 +28,7 @@
 	struct ct *counters;
 	const struct cf *config;
 	GPtrArray *workers; /* struct fl_worker, owned */
+	uint64_t started_ms;
 };
 
 static void
@@ -48,6 +51,7 @@
 	f->clock = clock;
 	f->counters = counters;
 	f->config = config;
+	f->started_ms = ck_mono_ms(clock);
 	f->workers = g_ptr_array_new_with_free_func(worker_free);
 	return (f);
 }
@@ -322,6 +326,12 @@
 	return (n);
 }
 
+bool
+fl_settling(const struct fl *f)
+{
+	return (ck_mono_ms(f->clock) - f->started_ms < FL_SETTLE_MS);
+}
+
 void
 fl_each(struct fl *f, void (*visit)(void *arg, struct fl_worker *w), void *arg)
 {
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -145,6 +145,10 @@
 /** fl_count() - workers that take work now */
 unsigned fl_count(const struct fl *f);
 
+/** fl_settling() - whether this entry has just started, so that agents are
+ * about to connect */
+bool fl_settling(const struct fl *f);
+
 /** fl_each() - visit all workers */
 void fl_each(
     struct fl *f, void (*visit)(void *arg, struct fl_worker *w), void *arg);
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -6,7 +6,7 @@
 /* An answer needs this much time to reach the client. */
 #define ANSWER_MS 8
 /* A run is not normal when it takes this many times what is expected. */
-#define LIMIT_FACTOR 3.0
+#define LIMIT_FACTOR 4.0
 /* Shorter limits would stop runs that only wait for the processor. */
 #define LIMIT_MIN_MS 120
 /* Declared run times are off by up to 40%: a job is given up only when a run
@@ -28,6 +28,8 @@
 	j->ops = ops;
 	j->arg = arg;
 	j->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	j->sizes =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	j->by_number = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, jb_job_free);
 	return (j);
@@ -40,6 +42,7 @@
 		return;
 	g_hash_table_destroy(j->by_id);
 	g_hash_table_destroy(j->by_number);
+	g_hash_table_destroy(j->sizes);
 	g_free(j);
 }
 
@@ -55,6 +58,7 @@
 	g_strfreev(job->labels);
 	g_free(job->kinds);
 	g_free(job->tasks);
+	g_free(job->declared);
 	g_free(job->left);
 	g_array_free(job->waiters, TRUE);
 	g_array_free(job->steps, TRUE);
@@ -96,23 +100,39 @@
 	return (n);
 }
 
-/* Longest chain of declared run times. */
+/* Longest chain of expected run times. */
 static uint64_t
-chain_ms(const struct jb_request *r)
+chain_ms(const struct jb_job *job)
 {
 	uint64_t end[JB_STEPS_MAX], longest = 0;
 	unsigned i, k;
 
-	for (i = 0; i < r->nsteps; i++) {
+	for (i = 0; i < job->nsteps; i++) {
 		end[i] = 0;
-		for (k = 0; k < r->steps[i].nafter; k++)
-			end[i] = MAX(end[i], end[r->steps[i].after[k]]);
-		end[i] += r->steps[i].size_ms;
+		for (k = 0; k < job->kinds[i].nafter; k++)
+			end[i] = MAX(end[i], end[job->kinds[i].after[k]]);
+		end[i] += job->kinds[i].size_ms;
 		longest = MAX(longest, end[i]);
 	}
 	return (longest);
 }
 
+/*
+ * Load pattern: declared run times are off by 40% and more. What a queue's
+ * tasks took so far tells how much of a declaration to believe.
+ */
+static struct po_sizes *
+sizes_of(struct jb *j, const char *queue)
+{
+	struct po_sizes *s = g_hash_table_lookup(j->sizes, queue);
+
+	if (s == NULL) {
+		s = g_new0(struct po_sizes, 1);
+		g_hash_table_insert(j->sizes, g_strdup(queue), s);
+	}
+	return (s);
+}
+
 static void
 copy_steps(struct jb_job *job, const struct jb_request *r)
 {
@@ -122,10 +142,14 @@
 	job->kinds = g_memdup2(r->steps, r->nsteps * sizeof(*r->steps));
 	job->labels = g_new0(char *, r->nsteps + 1);
 	job->left = g_new0(unsigned, r->nsteps);
+	job->declared = g_new0(unsigned, r->nsteps);
 	for (i = 0; i < r->nsteps; i++) {
 		job->labels[i] = g_strdup(r->steps[i].label);
 		job->kinds[i].label = job->labels[i];
 		job->left[i] = r->steps[i].count;
+		job->declared[i] = r->steps[i].size_ms;
+		job->kinds[i].size_ms =
+		    (unsigned)MAX(po_size(job->sizes, r->steps[i].size_ms), 1);
 		job->ntasks += r->steps[i].count;
 	}
 	job->tasks = g_new0(struct jb_task, job->ntasks);
@@ -153,12 +177,13 @@
 	job->number = ++j->last_number;
 	job->arrived_ms = now;
 	job->deadline_ms = now + (limit > ANSWER_MS ? limit - ANSWER_MS : 0);
-	job->due_ms = now + r->queue->target_ms +
-	    chain_ms(r) * r->queue->stretch_permille / PERMILLE;
 	job->waiters = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	g_array_append_val(job->waiters, waiter);
 	job->steps = g_array_new(FALSE, FALSE, sizeof(struct tr_step));
+	job->sizes = sizes_of(j, job->queue);
 	copy_steps(job, r);
+	job->due_ms = now + r->queue->target_ms +
+	    chain_ms(job) * r->queue->stretch_permille / PERMILLE;
 	g_hash_table_insert(j->by_id, job->id, job);
 	g_hash_table_insert(j->by_number, &job->number, job);
 	return (job);
@@ -187,12 +212,16 @@
 			job->tasks[i].state = JB_READY;
 }
 
-/* A limit is set only where a second run could still end in time. */
+/* A limit is set only where a second run could still end in time, and not
+ * again: a task that takes long twice is long. */
 static unsigned
-run_limit_ms(uint64_t now, const struct jb_job *job, double run_ms)
+run_limit_ms(uint64_t now, const struct jb_job *job, const struct jb_task *t,
+    double run_ms)
 {
 	double limit = MAX(run_ms * LIMIT_FACTOR, LIMIT_MIN_MS);
 
+	if (t->stopped)
+		return (0);
 	if ((double)now + limit + run_ms > (double)job->deadline_ms)
 		return (0);
 	return ((unsigned)limit);
@@ -210,7 +239,7 @@
 	    .index = t->index,
 	    .cpu = s->cpu,
 	    .mem_mb = s->mem_mb,
-	    .limit_ms = run_limit_ms(now, job, run_ms),
+	    .limit_ms = run_limit_ms(now, job, t, run_ms),
 	};
 
 	t->attempt++;
@@ -287,7 +316,7 @@
 		w = fl_choose(j->fleet, &need, &finish);
 		if (w == NULL) {
 			jb_note(j, job, t, TR_NO_WORKER, NULL, 0, 0);
-			return (true);
+			return (left_ms(j, job) > need.size_ms * SIZE_BEST);
 		}
 		if (!can_end(j, job, &need, w, finish)) {
 			jb_note(
@@ -321,6 +350,8 @@
 		need = jb_need(job, &job->tasks[i]);
 		w = fl_choose(j->fleet, &need, &finish);
 		if (w == NULL) {
+			if (fl_settling(j->fleet))
+				continue;
 			reason = fl_possible(j->fleet, &need) ? JB_R_NO_WORKER
 							      : JB_R_NO_ROOM;
 			jb_note(
--- a/sched/jobs_impl.h
+++ b/sched/jobs_impl.h
@@ -41,18 +41,21 @@
 	uint16_t failures;
 	uint8_t navoid;
 	uint8_t state;
+	bool stopped; /* a run took longer than its limit */
 };
 
 struct jb_job {
 	char *id;
 	char *queue;
 	char *service;
+	struct po_sizes *sizes; /* of its queue, borrowed */
 	char *body;
 	size_t body_len;
 	char **labels;
 	struct jb_step *kinds; /* steps of the job */
 	struct jb_task *tasks;
-	unsigned *left; /* tasks of each step that are not done */
+	unsigned *declared; /* run times of the steps as declared */
+	unsigned *left;     /* tasks of each step that are not done */
 	unsigned nsteps;
 	unsigned ntasks;
 	unsigned ndone;
@@ -76,6 +79,7 @@
 	const struct jb_ops *ops;
 	void *arg;
 	GHashTable *by_id;     /* id -> struct jb_job, borrowed */
+	GHashTable *sizes;     /* queue -> struct po_sizes, owned */
 	GHashTable *by_number; /* number -> struct jb_job, owned */
 	uint64_t last_number;
 };
--- a/sched/jobs_outcome.c
+++ b/sched/jobs_outcome.c
@@ -224,6 +224,8 @@
 		job->started = true;
 	switch (e->state) {
 	case PD_END_DONE:
+		po_sizes_learn(job->sizes, job->declared[t->step],
+		    e->run_ms / fl_unit(j->fleet, w));
 		fl_done(j->fleet, w, s->size_ms, e->run_ms);
 		task_done(j, job, t);
 		break;
@@ -233,6 +235,7 @@
 	case PD_END_STOPPED:
 		fl_done(j->fleet, w, s->size_ms, e->run_ms);
 		fl_failed(j->fleet, w, job->number);
+		t->stopped = true;
 		avoid(t, w);
 		jb_returned(j, job, t);
 		break;
