--- /dev/null
+++ b/tests/test_event.c
@@ -0,0 +1,89 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+#include <fcntl.h>
+#include <jansson.h>
+
+#include "event.h"
+
+#define READ_BYTES 65536
+
+/* Standard output of the test as a pipe; cmocka reports on another copy. */
+static int
+open_pipe(int *saved)
+{
+	int ends[2];
+
+	assert_int_equal(0, pipe(ends));
+	*saved = dup(STDOUT_FILENO);
+	assert_int_equal(STDOUT_FILENO, dup2(ends[1], STDOUT_FILENO));
+	close(ends[1]);
+	return (ends[0]);
+}
+
+static void
+close_pipe(int saved)
+{
+	dup2(saved, STDOUT_FILENO);
+	close(saved);
+}
+
+/* Guards against a line that is not one JSON object, and against text that
+ * breaks the format. */
+static void
+test_line(void **state)
+{
+	char text[READ_BYTES] = "";
+	int saved, fd = open_pipe(&saved);
+	json_t *o;
+
+	(void)state;
+	ev_open("test");
+	ev_write("part", "happened", "{s:s,s:i}", "text", "a \"b\"\nc", "n", 5);
+	assert_true(read(fd, text, sizeof(text) - 1) > 0);
+	close_pipe(saved);
+	close(fd);
+	assert_ptr_equal(strchr(text, '\n'), text + strlen(text) - 1);
+	o = json_loads(text, 0, NULL);
+	assert_string_equal(
+	    "happened", json_string_value(json_object_get(o, "event")));
+	assert_string_equal(
+	    "a \"b\"\nc", json_string_value(json_object_get(o, "text")));
+	assert_int_equal(5, json_integer_value(json_object_get(o, "n")));
+	json_decref(o);
+}
+
+/* Guards against a process that blocks, or a request that waits, because
+ * nobody reads its log; and against a volume without a bound. */
+static void
+test_reader_stands_still(void **state)
+{
+	char text[2000];
+	int saved, fd = open_pipe(&saved), i;
+	uint64_t before = ev_dropped();
+
+	(void)state;
+	memset(text, 'x', sizeof(text) - 1);
+	text[sizeof(text) - 1] = '\0';
+	ev_open("test");
+	for (i = 0; i < EV_LINES_PER_S * 10; i++)
+		ev_write("part", "happened", "{s:s}", "text", text);
+	close_pipe(saved);
+	close(fd);
+	assert_true(ev_dropped() - before >= EV_LINES_PER_S * 7);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_line),
+	    cmocka_unit_test(test_reader_stands_still),
+	};
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
