--- a/agent/executor.c
+++ b/agent/executor.c
@@ -34,6 +34,7 @@
 	char *heartbeats;
 	char *orders;
 	char *metrics;
+	struct st_strings addresses;
 	struct st_strings seeds;
 	int64_t entry_port;
 	char *log_level;
@@ -50,10 +51,12 @@
 	"IP:port on which the endpoint reports"},
     {"endpoint.orders", ST_STRING, AT(orders), 9, 21, NULL, NULL,
 	"IP:port of the endpoint"},
+    {"entries.addresses", ST_STRINGS, AT(addresses), 0, PD_ENTRIES_MAX, "",
+	NULL, "RPC addresses of entries, IP:port"},
     {"entries.seeds", ST_STRINGS, AT(seeds), 0, PD_ENTRIES_MAX, "", NULL,
 	"addresses of entries; their RPC port is entries.port"},
-    {"entries.port", ST_INTEGER, AT(entry_port), 1, 65535, NULL, NULL,
-	"RPC port of the entries"},
+    {"entries.port", ST_INTEGER, AT(entry_port), 0, 65535, "0", NULL,
+	"RPC port of the entries in entries.seeds"},
     {"listen.metrics", ST_STRING, AT(metrics), 0, 21, "", NULL,
 	"IP:port of the metrics; empty for none"},
     {"log.level", ST_STRING, AT(log_level), 1, 16, "info",
@@ -324,6 +327,9 @@
 	GPtrArray *seeds = g_ptr_array_new_with_free_func(g_free);
 	size_t i;
 
+	for (i = 0; i < e->settings.addresses.count; i++)
+		g_ptr_array_add(
+		    seeds, g_strdup(e->settings.addresses.items[i]));
 	for (i = 0; i < e->settings.seeds.count; i++) {
 		const char *seed = e->settings.seeds.items[i];
 
--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -44,6 +44,7 @@
 	char *probes;
 	char *rpc;
 	char *metrics;
+	struct st_strings addresses;
 	struct st_strings seeds;
 	char *store;
 	char *log_level;
@@ -64,6 +65,8 @@
 	"IP:port for agents and other entries"},
     {"listen.metrics", ST_STRING, AT(metrics), 0, 21, "", NULL,
 	"IP:port of the metrics; empty for none"},
+    {"entries.addresses", ST_STRINGS, AT(addresses), 0, PD_ENTRIES_MAX, "",
+	NULL, "RPC addresses of other entries, IP:port"},
     {"entries.seeds", ST_STRINGS, AT(seeds), 0, PD_ENTRIES_MAX, "", NULL,
 	"addresses of other entries; their RPC port is that of listen.rpc"},
     {"platform.store", ST_STRING, AT(store), 9, 21, NULL, NULL,
@@ -411,6 +414,9 @@
 	size_t i;
 
 	d->seeds = g_ptr_array_new_with_free_func(g_free);
+	for (i = 0; i < d->settings.addresses.count; i++)
+		g_ptr_array_add(
+		    d->seeds, g_strdup(d->settings.addresses.items[i]));
 	for (i = 0; i < d->settings.seeds.count; i++) {
 		const char *seed = d->settings.seeds.items[i];
 
--- /dev/null
+++ b/tests/harness_fleet.c
@@ -0,0 +1,521 @@
+#include <fcntl.h>
+#include <glib.h>
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <ulfius.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include "harness_fleet.h"
+
+#define PREFIX "/q/"
+#define CPU 6000
+#define ROOM 64000
+#define DEADLINE_MS 1500
+/* A client sends a job again this long after it got no answer. */
+#define AGAIN_MS 1300
+#define TRIES_MAX 3
+#define SENDERS 48
+#define JOBS_MAX 20000
+
+struct worker {
+	struct hn_proc *agent;
+	struct hn_proc *minion;
+	unsigned beats;
+	unsigned orders;
+	char az[8];
+};
+
+struct entry {
+	struct hn_proc *proc;
+	unsigned clients;
+	unsigned probes;
+	unsigned rpc;
+};
+
+struct hf {
+	struct hn *hn;
+	struct hn_proc *store;
+	unsigned store_port;
+	unsigned nentries;
+	unsigned nworkers;
+	unsigned starts; /* processes started, for names of logs */
+	struct entry entries[HF_MAX];
+	struct worker workers[HF_MAX];
+	char *log;
+	GThreadPool *senders;
+	GThread *loader;
+	unsigned per_s;
+	gint stop;
+	gint njobs;
+	struct hf_job jobs[JOBS_MAX];
+	GMutex lock;
+};
+
+/* --- processes --- */
+
+static void
+start_entry(struct hf *f, unsigned i)
+{
+	struct entry *e = &f->entries[i];
+	char name[32], *path, *text;
+	GString *seeds = g_string_new("");
+	unsigned k;
+
+	for (k = 0; k < f->nentries; k++)
+		g_string_append_printf(seeds, "%s\"127.0.0.1:%u\"",
+		    k == 0 ? "" : ",", f->entries[k].rpc);
+	text = g_strdup_printf(
+	    "name = \"e%u\"\navailability_zone = \"z%u\"\n"
+	    "[listen]\nclients = \"127.0.0.1:%u\"\n"
+	    "probes = \"127.0.0.1:%u\"\n"
+	    "rpc = \"127.0.0.1:%u\"\n[entries]\n"
+	    "addresses = [%s]\n[platform]\n"
+	    "store = \"127.0.0.1:%u\"\n",
+	    i, i, e->clients, e->probes, e->rpc, seeds->str, f->store_port);
+	snprintf(name, sizeof(name), "entry%u.toml", i);
+	hn_write(f->hn, name, text);
+	path = hn_path(f->hn, name);
+	snprintf(name, sizeof(name), "entry%u-%u", i, f->starts++);
+	e->proc = hn_start(f->hn, name,
+	    (const char *const[]){
+		"entry/pimentodock", "dispatch", "--settings", path, NULL});
+	g_free(path);
+	g_free(text);
+	g_string_free(seeds, TRUE);
+}
+
+static void
+start_agent(struct hf *f, unsigned i)
+{
+	struct worker *w = &f->workers[i];
+	char name[32], *path, *text;
+	GString *seeds = g_string_new("");
+	unsigned k;
+
+	for (k = 0; k < f->nentries; k++)
+		g_string_append_printf(seeds, "%s\"127.0.0.1:%u\"",
+		    k == 0 ? "" : ",", f->entries[k].rpc);
+	text = g_strdup_printf(
+	    "name = \"w%u\"\navailability_zone = \"%s\"\n"
+	    "[endpoint]\nheartbeats = \"127.0.0.1:%u\"\n"
+	    "orders = \"127.0.0.1:%u\"\n[entries]\n"
+	    "addresses = [%s]\n",
+	    i, w->az, w->beats, w->orders, seeds->str);
+	snprintf(name, sizeof(name), "agent%u.toml", i);
+	hn_write(f->hn, name, text);
+	path = hn_path(f->hn, name);
+	snprintf(name, sizeof(name), "agent%u-%u", i, f->starts++);
+	w->agent = hn_start(f->hn, name,
+	    (const char *const[]){"agent/pimentodock-agent", "--execute",
+		"--settings", path, NULL});
+	g_free(path);
+	g_free(text);
+	g_string_free(seeds, TRUE);
+}
+
+static void
+start_minion(struct hf *f, unsigned i)
+{
+	struct worker *w = &f->workers[i];
+	char name[32], orders[16], beats[16], id[16], cpu[16];
+	unsigned port;
+
+	snprintf(name, sizeof(name), "minion%u-%u", i, f->starts++);
+	snprintf(orders, sizeof(orders), "%u", w->orders);
+	snprintf(beats, sizeof(beats), "%u", w->beats);
+	snprintf(id, sizeof(id), "m%u", i);
+	snprintf(cpu, sizeof(cpu), "%u", ROOM);
+	w->minion = hn_start(f->hn, name,
+	    (const char *const[]){"fakes/fake_minion", "--port", orders,
+		"--agent", beats, "--cpu", cpu, "--name", id, "--az", w->az,
+		"--log", f->log, NULL});
+	hn_ready(w->minion, &port, 1);
+}
+
+static void
+store_put(struct hf *f, const char *key, const char *value, bool remove)
+{
+	char *text = g_base64_encode((const guchar *)value, strlen(value));
+	json_t *tx =
+	    json_pack("{s:[{s:s,s:s,s:s,s:s}]}", remove ? "remove" : "writes",
+		"table", "op", "part", "", "key", key, "value", text);
+	char *body = json_dumps(tx, JSON_COMPACT);
+	int status = 0, i;
+
+	/* The operator tries until the store has taken the change. */
+	for (i = 0; i < 200 && status != 200; i++) {
+		status = hn_http(
+		    "POST", f->store_port, "/v1/rows-tx", body, NULL, NULL);
+		if (status != 200)
+			hn_sleep_ms(50);
+	}
+	assert_int_equal(200, status);
+	free(body);
+	json_decref(tx);
+	g_free(text);
+}
+
+void
+hf_config(struct hf *f, unsigned version, unsigned timeout_ms)
+{
+	json_t *o = json_pack(
+	    "{s:i,s:[{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:f,s:i}],s:[],s:{}}",
+	    "version", (int)version, "routes", "name", "q", "host", "127.0.0.1",
+	    "path_prefix", PREFIX, "service", "desk", "timeout_ms",
+	    (int)timeout_ms, "target_latency_ms", 60, "max_attempts", 3,
+	    "stretch", 1.6, "priority", 0, "services", "limits");
+	char *text = json_dumps(o, JSON_COMPACT);
+
+	store_put(f, "config", text, false);
+	free(text);
+	json_decref(o);
+}
+
+void
+hf_evacuate(struct hf *f, const char *az, bool out)
+{
+	char *key = g_strconcat("evacuate/", az, NULL);
+
+	store_put(f, key, "{}", !out);
+	g_free(key);
+}
+
+bool
+hf_ready(struct hf *f, unsigned i)
+{
+	return (hn_http("GET", f->entries[i].probes, "/v1/readiness", NULL,
+		    NULL, NULL) == 200);
+}
+
+static bool
+all_serve(void *arg)
+{
+	struct hf *f = arg;
+	char id[32];
+	unsigned i;
+
+	for (i = 0; i < f->nentries; i++) {
+		snprintf(id, sizeof(id), "%016x", 0xabc0 + f->starts++);
+		if (!hf_ready(f, i) ||
+		    hf_submit(f, i, id, "run_ms=1 cpu=1", f->nworkers, 1,
+			NULL) != 200)
+			return (false);
+	}
+	return (true);
+}
+
+struct hf *
+hf_new(struct hn *h, unsigned entries, unsigned workers)
+{
+	struct hf *f = g_new0(struct hf, 1);
+	unsigned i;
+
+	f->hn = h;
+	f->nentries = entries;
+	f->nworkers = workers;
+	f->log = hn_path(h, "runs.log");
+	g_mutex_init(&f->lock);
+	f->store = hn_start(
+	    h, "store", (const char *const[]){"fakes/fake_platform", NULL});
+	hn_ready(f->store, &f->store_port, 1);
+	hf_config(f, 1, DEADLINE_MS);
+	for (i = 0; i < entries; i++) {
+		f->entries[i].clients = hn_port(h);
+		f->entries[i].probes = hn_port(h);
+		f->entries[i].rpc = hn_port(h);
+	}
+	for (i = 0; i < workers; i++) {
+		f->workers[i].beats = hn_port(h);
+		f->workers[i].orders = hn_port(h);
+		snprintf(f->workers[i].az, sizeof(f->workers[i].az), "z%u",
+		    i % entries);
+	}
+	for (i = 0; i < entries; i++)
+		start_entry(f, i);
+	for (i = 0; i < workers; i++) {
+		start_agent(f, i);
+		start_minion(f, i);
+	}
+	assert_true(hn_until(all_serve, f, 15000));
+	/* Agents meet their endpoints with the first heartbeats. */
+	hn_sleep_ms(500);
+	return (f);
+}
+
+struct hn_proc *
+hf_entry(struct hf *f, unsigned i)
+{
+	return (f->entries[i].proc);
+}
+
+struct hn_proc *
+hf_agent(struct hf *f, unsigned i)
+{
+	return (f->workers[i].agent);
+}
+
+static void
+end_process(struct hn_proc *p, int sig)
+{
+	if (sig == SIGKILL) {
+		hn_kill(p);
+		return;
+	}
+	hn_signal(p, sig);
+	assert_int_equal(0, hn_wait(p, 7000));
+}
+
+void
+hf_restart_entry(struct hf *f, unsigned i, int sig)
+{
+	end_process(f->entries[i].proc, sig);
+	start_entry(f, i);
+}
+
+void
+hf_restart_agent(struct hf *f, unsigned i, int sig)
+{
+	end_process(f->workers[i].agent, sig);
+	start_agent(f, i);
+}
+
+void
+hf_restart_minion(struct hf *f, unsigned i)
+{
+	char line[128];
+	int fd, n;
+
+	/* What it ran ends with it; it cannot say so itself, and the agent
+	 * notices at once. */
+	hn_signal(f->workers[i].minion, SIGSTOP);
+	n = snprintf(line, sizeof(line), "%llu\tkilled\tm%u\t0\t-\t0\n",
+	    (unsigned long long)hn_wall_ms(), i);
+	fd = open(f->log, O_WRONLY | O_APPEND);
+	assert_int_equal(n, write(fd, line, (size_t)n));
+	close(fd);
+	hn_kill(f->workers[i].minion);
+	start_minion(f, i);
+}
+
+unsigned
+hf_clients_port(const struct hf *f, unsigned i)
+{
+	return (f->entries[i].clients);
+}
+
+unsigned
+hf_store_port(const struct hf *f)
+{
+	return (f->store_port);
+}
+
+unsigned
+hf_minion_port(const struct hf *f, unsigned i)
+{
+	return (f->workers[i].orders);
+}
+
+/* --- clients --- */
+
+int
+hf_submit(struct hf *f, unsigned entry, const char *id, const char *spec,
+    unsigned tasks, unsigned size_ms, json_t **answer)
+{
+	json_t *o = json_pack("{s:s,s:b,s:[{s:i,s:i,s:i,s:i}]}", "spec", spec,
+	    "best_effort", 1, "steps", "count", (int)tasks, "cpu", CPU,
+	    "mem_mb", 64, "estimate_ms", (int)size_ms);
+	char *body = json_dumps(o, JSON_COMPACT);
+	char *path = g_strconcat(PREFIX, id, NULL);
+	int status;
+
+	status = hn_http(
+	    "POST", f->entries[entry].clients, path, body, NULL, answer);
+	g_free(path);
+	free(body);
+	json_decref(o);
+	return (status);
+}
+
+/* Sends a job as a client does: again after no answer, at another entry. */
+static void
+send_job(void *item, void *arg)
+{
+	struct hf_job *job = item;
+	struct hf *f = arg;
+	unsigned size = job->tasks > 3 ? 60 : 150;
+	uint64_t start = hn_mono_ms();
+	json_t *answer = NULL;
+	char spec[64];
+
+	snprintf(spec, sizeof(spec), "run_ms=%u cpu=%d", size, CPU);
+	job->refused = true;
+	while (job->tries < TRIES_MAX) {
+		unsigned entry =
+		    (unsigned)(job->id[15] + job->tries) % f->nentries;
+
+		job->tries++;
+		job->status = hf_submit(
+		    f, entry, job->id, spec, job->tasks, size, &answer);
+		job->done = job->status == 200 &&
+		    strcmp(hn_text(answer, "state"), "completed") == 0;
+		json_decref(answer);
+		answer = NULL;
+		if (job->status != 429 && job->status != 503)
+			job->refused = false;
+		if (job->status != 0 && job->status != 504)
+			break;
+		hn_sleep_ms(AGAIN_MS);
+	}
+	job->took_ms = hn_mono_ms() - start;
+}
+
+static void *
+load(void *arg)
+{
+	struct hf *f = arg;
+	struct hf_job *job;
+	int n;
+
+	while (!g_atomic_int_get(&f->stop) && f->njobs < JOBS_MAX) {
+		n = g_atomic_int_add(&f->njobs, 1);
+		job = &f->jobs[n];
+		snprintf(job->id, sizeof(job->id), "%016x", n + 1);
+		job->tasks = n % 4 == 0 ? 8 : 2;
+		g_thread_pool_push(f->senders, job, NULL);
+		g_usleep(G_USEC_PER_SEC / f->per_s);
+	}
+	return (NULL);
+}
+
+void
+hf_load(struct hf *f, unsigned per_s)
+{
+	f->per_s = per_s;
+	f->senders = g_thread_pool_new(send_job, f, SENDERS, TRUE, NULL);
+	f->loader = g_thread_new("load", load, f);
+}
+
+const struct hf_job *
+hf_finish(struct hf *f, unsigned *n)
+{
+	g_atomic_int_set(&f->stop, 1);
+	g_thread_join(f->loader);
+	g_thread_pool_free(f->senders, FALSE, TRUE);
+	f->loader = NULL;
+	*n = (unsigned)f->njobs;
+	return (f->jobs);
+}
+
+void
+hf_free(struct hf *f)
+{
+	unsigned n;
+
+	if (f == NULL)
+		return;
+	if (f->loader != NULL)
+		(void)hf_finish(f, &n);
+	g_free(f->log);
+	g_mutex_clear(&f->lock);
+	g_free(f);
+}
+
+/* --- what the endpoints saw --- */
+
+/* Runs that are under way, by "task", with the endpoint that has them. */
+static void
+check_line(
+    char **part, GHashTable *running, GHashTable *refused, struct hf_runs *out)
+{
+	const char *what = part[1], *minion = part[2], *task = part[4];
+	const char *at = g_hash_table_lookup(running, task);
+	char id[17];
+
+	if (strcmp(what, "start") == 0) {
+		out->starts++;
+		if (at != NULL) {
+			out->doubles++;
+			print_message("%s: %s runs at %s and %s\n", part[0],
+			    task, at, minion);
+		}
+		g_strlcpy(id, task, sizeof(id));
+		if (g_hash_table_contains(refused, id)) {
+			out->refused++;
+			print_message("%s was refused and started\n", task);
+		}
+		g_hash_table_insert(running, g_strdup(task), g_strdup(minion));
+		return;
+	}
+	out->lapsed += strcmp(what, "lapsed") == 0;
+	if (at != NULL && strcmp(at, minion) == 0)
+		g_hash_table_remove(running, task);
+}
+
+static gboolean
+is_at(void *key, void *value, void *minion)
+{
+	(void)key;
+	return (strcmp(value, minion) == 0);
+}
+
+struct hf_runs
+hf_check(struct hf *f, const struct hf_job *jobs, unsigned njobs)
+{
+	GHashTable *running =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	GHashTable *refused = g_hash_table_new(g_str_hash, g_str_equal);
+	struct hf_runs out = {0};
+	char *text = NULL, **lines, **part;
+	unsigned i;
+
+	for (i = 0; i < njobs; i++)
+		if (jobs[i].refused)
+			g_hash_table_add(
+			    refused, (char *)(uintptr_t)jobs[i].id);
+	assert_true(g_file_get_contents(f->log, &text, NULL, NULL));
+	lines = g_strsplit(text, "\n", -1);
+	for (i = 0; lines[i] != NULL; i++) {
+		part = g_strsplit(lines[i], "\t", 6);
+		if (g_strv_length(part) == 6) {
+			if (strcmp(part[1], "killed") == 0)
+				g_hash_table_foreach_remove(
+				    running, is_at, part[2]);
+			else
+				check_line(part, running, refused, &out);
+		}
+		g_strfreev(part);
+	}
+	g_strfreev(lines);
+	g_free(text);
+	g_hash_table_destroy(running);
+	g_hash_table_destroy(refused);
+	return (out);
+}
+
+unsigned
+hf_starts_in(struct hf *f, const char *az, uint64_t after_ms)
+{
+	char *text = NULL, **lines, **part;
+	unsigned i, worker, n = 0;
+
+	assert_true(g_file_get_contents(f->log, &text, NULL, NULL));
+	lines = g_strsplit(text, "\n", -1);
+	for (i = 0; lines[i] != NULL; i++) {
+		part = g_strsplit(lines[i], "\t", 6);
+		if (g_strv_length(part) == 6 && strcmp(part[1], "start") == 0 &&
+		    g_ascii_strtoull(part[0], NULL, 10) > after_ms) {
+			worker =
+			    (unsigned)g_ascii_strtoull(part[2] + 1, NULL, 10);
+			n += strcmp(f->workers[worker].az, az) == 0;
+		}
+		g_strfreev(part);
+	}
+	g_strfreev(lines);
+	g_free(text);
+	return (n);
+}
