--- a/entry/gossip.c
+++ b/entry/gossip.c
@@ -392,7 +392,7 @@
 {
 	struct cancel *k = arg;
 
-	if (error == CN_OK && *(bool_t *)result)
+	if (error == CN_OK && result != NULL && *(bool_t *)result)
 		k->known = true;
 	if (--k->left > 0)
 		return;
--- a/fakes/fake_minion.c
+++ b/fakes/fake_minion.c
@@ -165,8 +165,9 @@
 }
 
 static void
-look_answer(struct look *l)
+look_answer(void *arg)
 {
+	struct look *l = arg;
 	struct minion *m = l->minion;
 
 	m->looks = g_list_remove(m->looks, l);
@@ -189,6 +190,7 @@
 {
 	struct end *e = g_new0(struct end, 1);
 	unsigned highest;
+	GList *looks;
 
 	highest = GPOINTER_TO_UINT(g_hash_table_lookup(m->highest, r->task));
 	g_hash_table_insert(m->highest, g_strdup(r->task),
@@ -200,8 +202,9 @@
 	e->how = how;
 	g_ptr_array_add(m->ends, e);
 	g_ptr_array_remove(m->runs, r);
-	while (m->looks != NULL)
-		look_answer(m->looks->data);
+	looks = m->looks;
+	m->looks = NULL;
+	g_list_free_full(looks, look_answer);
 }
 
 static void
--- a/fakes/fake_platform.c
+++ b/fakes/fake_platform.c
@@ -241,8 +241,10 @@
 }
 
 static void
-feed_free(struct feed *f)
+feed_free(void *arg)
 {
+	struct feed *f = arg;
+
 	event_free(f->timer);
 	f->platform->feeds = g_list_remove(f->platform->feeds, f);
 	g_free(f->table);
@@ -334,9 +336,13 @@
 
 	p->version++;
 	json_array_foreach(json_object_get(tx, "writes"), i, entry)
-	    set_row(p, entry, text_of(entry, "value"));
+	{
+		set_row(p, entry, text_of(entry, "value"));
+	}
 	json_array_foreach(json_object_get(tx, "remove"), i, entry)
-	    set_row(p, entry, NULL);
+	{
+		set_row(p, entry, NULL);
+	}
 	tell_feeds(p);
 }
 
@@ -639,6 +645,7 @@
 	struct platform p = {0};
 	unsigned port = parse_options(argc, argv);
 	struct evhttp *http;
+	GList *feeds;
 
 	p.base = wb_base_new();
 	p.rows = g_ptr_array_new_with_free_func(row_free);
@@ -649,8 +656,9 @@
 	wb_run(p.base);
 	evhttp_free(http);
 	g_list_free(p.held);
-	while (p.feeds != NULL)
-		feed_free(p.feeds->data);
+	feeds = p.feeds;
+	p.feeds = NULL;
+	g_list_free_full(feeds, feed_free);
 	g_ptr_array_free(p.rows, TRUE);
 	g_hash_table_destroy(p.objects);
 	event_base_free(p.base);
--- a/sched/jobs_outcome.c
+++ b/sched/jobs_outcome.c
@@ -43,12 +43,12 @@
 retry_ms(struct jb *j, const struct jb_job *job)
 {
 	struct fl_need need = jb_need(job, &job->tasks[0]);
-	uint64_t left = job->deadline_ms - job->arrived_ms;
+	double left = (double)(job->deadline_ms - job->arrived_ms);
 	double finish;
 
 	if (fl_choose(j->fleet, &need, &finish) == NULL || finish < left)
 		return (0);
-	return ((unsigned)(finish - (double)left));
+	return ((unsigned)(finish - left));
 }
 
 const char *
--- a/sched/runner.c
+++ b/sched/runner.c
@@ -219,8 +219,8 @@
 	struct ru_run run;
 	unsigned mem;
 
-	if (!r->known || !r->accepting || !r->clean || r->misses >= RU_MISSES_MAX ||
-	    now < r->full_until_ms)
+	if (!r->known || !r->accepting || !r->clean ||
+	    r->misses >= RU_MISSES_MAX || now < r->full_until_ms)
 		return;
 	for (;;) {
 		l = ru_load(r);
--- a/tests/harness_fleet.c
+++ b/tests/harness_fleet.c
@@ -14,7 +14,7 @@
 
 #define PREFIX "/q/"
 #define CPU 6000
-#define ROOM 64000
+#define ROOM 64000U
 #define DEADLINE_MS 1500
 /* A client sends a job again this long after it got no answer. */
 #define AGAIN_MS 1300
