Give back grants that would wait longer than the entry knew

An agent gives a grant back when more work waits than the entry allowed for; entries of large fleets look at a sample of the workers; a long task counts as urgent earlier, since its run time is uncertain.

--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -451,11 +451,11 @@
 	    .incarnation = rn_u64(rng),
 	};
 
-	rn_free(rng);
 	d->clock = ck_new_system();
 	d->counters = ct_new();
 	d->config = cf_new();
-	d->fleet = fl_new(d->clock, d->counters, d->config);
+	d->fleet = fl_new(d->clock, d->counters, d->config, rn_u64(rng));
+	rn_free(rng);
 	d->jobs = jb_new(d->clock, d->counters, d->fleet, &job_ops, d);
 	read_seeds(d);
 	d->workers =
--- a/entry/workers.c
+++ b/entry/workers.c
@@ -28,16 +28,6 @@
 	uint64_t last_number;
 };
 
-static void
-load_reported(struct wo *w, struct fl_worker *from, const struct pd_ended *e)
-{
-	unsigned i;
-
-	for (i = 0; i < e->list.list_len; i++)
-		jb_ended(w->jobs, from, &e->list.list_val[i]);
-	fl_load(from, e->cpu_used, e->cpu_queued, e->accepting);
-}
-
 static void
 on_ended(struct link *l, XDR *args)
 {
@@ -47,7 +37,7 @@
 	if (!cn_decode(l->conn, args, (xdrproc_t)xdr_pd_ended, &e))
 		return;
 	if (from != NULL)
-		load_reported(l->workers, from, &e);
+		jb_ended(l->workers->jobs, from, &e);
 	xdr_free((xdrproc_t)xdr_pd_ended, (char *)&e);
 }
 
@@ -241,7 +231,7 @@
 		    "an agent does not tell what it holds: %s",
 		    cn_error_name(error));
 	else if (from != NULL && q->workers->jobs != NULL)
-		load_reported(q->workers, from, result);
+		jb_ended(q->workers->jobs, from, result);
 	g_free(q);
 }
 
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -7,6 +7,7 @@
 #include "counters.h"
 #include "fleet.h"
 #include "log.h"
+#include "rng.h"
 
 /* Time between probes of an ejected worker: two tasks a second are risked. */
 #define FL_PROBE_MS 500
@@ -20,6 +21,12 @@
 /* Expected wait at a worker that is full as far as known, in mean run times:
  * one of some ten that run there ends after a tenth. */
 #define FULL_SHARE 0.15
+/* Workers that are looked at for one task, on average: fewer would miss the
+ * fast ones. */
+#define SAMPLE 16
+/* Allowance for work that has come to a worker since its last report: a sixth
+ * of its room, which is some 30 ms of waiting. */
+#define QUEUE_SHARE 6
 /* How late the expected wait rises as a worker fills up. */
 #define FULL_POWER 6
 
@@ -27,6 +34,7 @@
 	const struct ck *clock;
 	struct ct *counters;
 	const struct cf *config;
+	struct rn *rng;
 	GPtrArray *workers; /* struct fl_worker, owned */
 	uint64_t started_ms;
 };
@@ -44,13 +52,15 @@
 }
 
 struct fl *
-fl_new(const struct ck *clock, struct ct *counters, const struct cf *config)
+fl_new(const struct ck *clock, struct ct *counters, const struct cf *config,
+    uint64_t seed)
 {
 	struct fl *f = g_new0(struct fl, 1);
 
 	f->clock = clock;
 	f->counters = counters;
 	f->config = config;
+	f->rng = rn_new(seed);
 	f->started_ms = ck_mono_ms(clock);
 	f->workers = g_ptr_array_new_with_free_func(worker_free);
 	return (f);
@@ -62,6 +72,7 @@
 	if (f == NULL)
 		return;
 	g_ptr_array_free(f->workers, TRUE);
+	rn_free(f->rng);
 	g_free(f);
 }
 
@@ -123,7 +134,7 @@
 	w->clock_offset_ms = (int64_t)a->clock_ms - (int64_t)now;
 	w->answered_ms = now;
 	w->seen_ms = now;
-	fl_load(w, a->cpu_used, a->cpu_queued, a->accepting);
+	fl_load(w, a->cpu_used, a->cpu_queued, 0, a->accepting);
 	return (w);
 }
 
@@ -152,15 +163,24 @@
 }
 
 void
-fl_load(
-    struct fl_worker *w, unsigned cpu_used, unsigned cpu_queued, bool accepting)
+fl_load(struct fl_worker *w, unsigned cpu_used, unsigned cpu_queued,
+    unsigned cpu_ending, bool accepting)
 {
 	unsigned all = cpu_used + cpu_queued;
+	unsigned own = w->cpu_own - MIN(cpu_ending, w->cpu_own);
 
-	w->cpu_others = all > w->cpu_own ? all - w->cpu_own : 0;
+	w->cpu_others = all > own ? all - own : 0;
 	w->accepting = accepting;
 }
 
+unsigned
+fl_queue(const struct fl_worker *w, unsigned cpu)
+{
+	unsigned all = w->cpu_own + w->cpu_others + cpu;
+
+	return ((all > w->cpu ? all - w->cpu : 0) + w->cpu / QUEUE_SHARE);
+}
+
 static bool
 has_label(const struct fl_worker *w, const char *label)
 {
@@ -230,30 +250,56 @@
 	return (load > 1 ? wait + (load - 1) * mean : wait);
 }
 
-struct fl_worker *
-fl_choose(struct fl *f, const struct fl_need *need, double *finish_ms)
+static bool
+has_room(const struct fl_worker *w, unsigned cpu)
+{
+	return (w->cpu_own + w->cpu_others + cpu <= w->cpu);
+}
+
+/* Best worker of a sample: each one is in it with the probability @share. */
+static struct fl_worker *
+best_of(struct fl *f, const struct fl_need *need, double share, bool all,
+    double *finish_ms)
 {
 	uint64_t now = ck_mono_ms(f->clock);
 	struct fl_worker *w, *best = NULL;
 	double finish, unit;
-	int pass;
 	guint i;
 
-	/* A worker that the task failed on is better than none. */
-	for (pass = 0; pass < 2 && best == NULL; pass++)
-		for (i = 0; i < f->workers->len; i++) {
-			w = f->workers->pdata[i];
-			if (!usable(f, w, now) || !suits(w, need) ||
-			    (pass == 0 && avoided(w, need)))
-				continue;
-			unit = fl_unit(f, w);
-			finish =
-			    wait_ms(w, need->cpu, unit) + need->size_ms * unit;
-			if (best == NULL || finish < *finish_ms) {
-				best = w;
-				*finish_ms = finish;
-			}
+	for (i = 0; i < f->workers->len; i++) {
+		w = f->workers->pdata[i];
+		if (share < 1 && rn_unit(f->rng) > share)
+			continue;
+		if (!usable(f, w, now) || !suits(w, need) ||
+		    (!all && avoided(w, need)))
+			continue;
+		unit = fl_unit(f, w);
+		finish = wait_ms(w, need->cpu, unit) + need->size_ms * unit;
+		if (best == NULL || finish < *finish_ms) {
+			best = w;
+			*finish_ms = finish;
 		}
+	}
+	return (best);
+}
+
+/*
+ * Load pattern: many entries look for the best of many workers on old reports,
+ * and all find the same one. Each looks at a random sample, and at all of them
+ * only when the sample has no room.
+ */
+struct fl_worker *
+fl_choose(struct fl *f, const struct fl_need *need, double *finish_ms)
+{
+	double share = (double)SAMPLE / MAX(f->workers->len, 1);
+	struct fl_worker *best;
+
+	best = best_of(f, need, share, false, finish_ms);
+	if (share < 1 && (best == NULL || !has_room(best, need->cpu)))
+		best = best_of(f, need, 1, false, finish_ms);
+	/* A worker that the task failed on is better than none. */
+	if (best == NULL)
+		best = best_of(f, need, 1, true, finish_ms);
 	return (best);
 }
 
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -87,9 +87,10 @@
 /**
  * fl_new() - no workers
  * @config: borrowed; tells which availability zones get no work
+ * @seed: of random choices
  */
-struct fl *fl_new(
-    const struct ck *clock, struct ct *counters, const struct cf *config);
+struct fl *fl_new(const struct ck *clock, struct ct *counters,
+    const struct cf *config, uint64_t seed);
 
 /** fl_free() - consumed, NULL is allowed */
 void fl_free(struct fl *f);
@@ -111,9 +112,12 @@
 /** fl_find() - worker of a connection, NULL if unknown */
 struct fl_worker *fl_find(const struct fl *f, uint64_t session);
 
-/** fl_load() - an agent reported its load */
+/**
+ * fl_load() - an agent reported its load
+ * @cpu_ending: room of grants that the report ends; they are in cpu_own still
+ */
 void fl_load(struct fl_worker *w, unsigned cpu_used, unsigned cpu_queued,
-    bool accepting);
+    unsigned cpu_ending, bool accepting);
 
 /**
  * fl_choose() - worker on which a task is expected to end first
@@ -124,6 +128,12 @@
 struct fl_worker *fl_choose(
     struct fl *f, const struct fl_need *need, double *finish_ms);
 
+/**
+ * fl_queue() - room that may wait at a worker before a grant of @cpu, as far as
+ * known, with some allowance for what has come meanwhile
+ */
+unsigned fl_queue(const struct fl_worker *w, unsigned cpu);
+
 /** fl_possible() - whether some worker, free or not, may run the task */
 bool fl_possible(const struct fl *f, const struct fl_need *need);
 
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -12,6 +12,11 @@
 /* Declared run times are off by up to 40%: a job is given up only when a run
  * time that much shorter does not fit. */
 #define SIZE_BEST 0.6
+/* Run times are uncertain, so a task counts as late to start when this many
+ * times the expected one does not fit any more. */
+#define START_MARGIN 1.5
+/* Grants of a task that come back from full queues before it waits anywhere. */
+#define RETURNS_MAX 3
 /* Jobs that an entry holds; its memory allows some 10,000. */
 #define JOBS_MAX 4096
 #define PERMILLE 1000
@@ -240,6 +245,8 @@
 	    .cpu = s->cpu,
 	    .mem_mb = s->mem_mb,
 	    .limit_ms = run_limit_ms(now, job, t, run_ms),
+	    .queue_max = t->returns < RETURNS_MAX ? fl_queue(w, s->cpu)
+						  : UINT32_MAX,
 	};
 
 	t->attempt++;
@@ -255,7 +262,7 @@
 	out.key.attempt = t->attempt;
 	out.start_by_ms =
 	    (uint64_t)((int64_t)MIN(job->due_ms, job->deadline_ms) +
-		w->clock_offset_ms - (int64_t)run_ms);
+		w->clock_offset_ms - (int64_t)(run_ms * START_MARGIN));
 	out.expires_ms =
 	    (uint64_t)((int64_t)job->deadline_ms + w->clock_offset_ms);
 	out.body.body_val = job->body;
--- a/sched/jobs.h
+++ b/sched/jobs.h
@@ -162,8 +162,8 @@
 /** jb_cancel() - withdraw a job. Return: whether it was known and running */
 bool jb_cancel(struct jb *j, const char *id);
 
-/** jb_ended() - an agent reported the end of a grant */
-void jb_ended(struct jb *j, struct fl_worker *w, const struct pd_end *e);
+/** jb_ended() - an agent reported the end of grants, and its load */
+void jb_ended(struct jb *j, struct fl_worker *w, const struct pd_ended *e);
 
 /** jb_attached() - a connection to an agent opened
  * @restarted: its predecessor's tasks do not run any more */
--- a/sched/jobs_impl.h
+++ b/sched/jobs_impl.h
@@ -39,6 +39,7 @@
 	uint16_t index;
 	uint16_t attempt;
 	uint16_t failures;
+	uint16_t returns; /* grants that came back without a start */
 	uint8_t navoid;
 	uint8_t state;
 	bool stopped; /* a run took longer than its limit */
--- a/sched/jobs_outcome.c
+++ b/sched/jobs_outcome.c
@@ -203,8 +203,8 @@
 	}
 }
 
-void
-jb_ended(struct jb *j, struct fl_worker *w, const struct pd_end *e)
+static void
+one_ended(struct jb *j, struct fl_worker *w, const struct pd_end *e)
 {
 	struct jb_job *job;
 	struct jb_task *t = find_task(j, &e->key, &job);
@@ -239,6 +239,10 @@
 		avoid(t, w);
 		jb_returned(j, job, t);
 		break;
+	case PD_END_RETURNED:
+		t->returns++;
+		jb_returned(j, job, t);
+		break;
 	default:
 		avoid(t, w);
 		jb_returned(j, job, t);
@@ -246,6 +250,35 @@
 	}
 }
 
+/* Room of the grants that a report ends. */
+static unsigned
+cpu_ending(struct jb *j, const struct fl_worker *w, const struct pd_ended *e)
+{
+	const struct jb_task *t;
+	struct jb_job *job;
+	unsigned i, cpu = 0;
+
+	for (i = 0; i < e->list.list_len; i++) {
+		t = find_task(j, &e->list.list_val[i].key, &job);
+		if (t != NULL && t->worker == w &&
+		    e->list.list_val[i].state != PD_END_ACTIVE)
+			cpu += job->kinds[t->step].cpu;
+	}
+	return (cpu);
+}
+
+/* The load comes first, since tasks may be placed again below. */
+void
+jb_ended(struct jb *j, struct fl_worker *w, const struct pd_ended *e)
+{
+	unsigned i;
+
+	fl_load(w, e->cpu_used, e->cpu_queued, cpu_ending(j, w, e),
+	    e->accepting);
+	for (i = 0; i < e->list.list_len; i++)
+		one_ended(j, w, &e->list.list_val[i]);
+}
+
 /* Calls @fn for each task that @w holds; @fn may end the job. */
 static void
 each_grant(struct jb *j, struct fl_worker *w,
--- a/sched/runner.c
+++ b/sched/runner.c
@@ -281,9 +281,13 @@
 {
 	struct ru_load l = ru_load(r);
 	struct ru_task *t = task_new(r, entry, s);
+	bool full;
 
+	/* More waits here than the entry knew: it may find a better place. */
+	full = l.cpu_used + s->cpu > l.cpu &&
+	    l.cpu_queued + s->cpu > s->queue_max;
 	g_ptr_array_add(r->tasks, t);
-	if (!l.accepting || l.queued >= QUEUE_MAX || s->cpu > l.cpu ||
+	if (full || !l.accepting || l.queued >= QUEUE_MAX || s->cpu > l.cpu ||
 	    ck_mono_ms(r->clock) >= s->expires_ms)
 		ru_end(r, t, PD_END_RETURNED);
 	else
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -103,7 +103,7 @@
 	f->clock = ck_new_manual(START_MS, START_MS);
 	f->counters = ct_new();
 	f->config = cf_new();
-	f->fleet = fl_new(f->clock, f->counters, f->config);
+	f->fleet = fl_new(f->clock, f->counters, f->config, 1);
 	f->jobs = jb_new(f->clock, f->counters, f->fleet, &ops, f);
 	ck_advance_ms(f->clock, SETTLED_MS);
 	*state = f;
@@ -192,8 +192,11 @@
 {
 	struct pd_end e = {
 	    .key = f->starts[start], .state = state, .run_ms = 100};
+	struct pd_ended report = {.cpu_used = f->at[start]->cpu_own,
+	    .accepting = true,
+	    .list = {.list_len = 1, .list_val = &e}};
 
-	jb_ended(f->jobs, f->at[start], &e);
+	jb_ended(f->jobs, f->at[start], &report);
 }
 
 /* Guards against an answer that is given before every task is done. */
@@ -260,7 +263,7 @@
 
 	fl_free(f->fleet);
 	jb_free(f->jobs);
-	f->fleet = fl_new(f->clock, f->counters, f->config);
+	f->fleet = fl_new(f->clock, f->counters, f->config, 1);
 	f->jobs = jb_new(f->clock, f->counters, f->fleet, &ops, f);
 	submit(f, "a", 1);
 	assert_int_equal(0, f->nanswers);
@@ -343,6 +346,8 @@
 test_reconnect(void **state)
 {
 	struct pd_end active = {.state = PD_END_ACTIVE};
+	struct pd_ended report = {
+	    .cpu_used = CPU, .accepting = true, .list = {.list_len = 1}};
 	struct fix *f = *state;
 	struct fl_worker *w;
 
@@ -353,7 +358,8 @@
 	attach_in(f, "w1", "z1", 2, 1, CPU);
 	assert_int_equal(1, f->nasked);
 	active.key = f->starts[0];
-	jb_ended(f->jobs, w, &active);
+	report.list.list_val = &active;
+	jb_ended(f->jobs, w, &report);
 	end(f, 0, PD_END_DONE);
 	assert_int_equal(1, f->nstarts);
 	assert_int_equal(JB_COMPLETED, f->answers[0].status);
--- a/wire/pd.h
+++ b/wire/pd.h
@@ -358,6 +358,7 @@
 	u_int cpu;
 	u_int mem_mb;
 	u_int limit_ms;
+	u_int queue_max;
 	u_quad_t start_by_ms;
 	u_quad_t expires_ms;
 	struct {
--- a/wire/pd.x
+++ b/wire/pd.x
@@ -271,6 +271,7 @@
 	unsigned int cpu;
 	unsigned int mem_mb;
 	unsigned int limit_ms;		/* run time that is not normal; 0: none */
+	unsigned int queue_max;		/* cpu that may wait there before it */
 	unsigned hyper start_by_ms;	/* agent's clock: latest start in time */
 	unsigned hyper expires_ms;	/* agent's clock: of no use afterwards */
 	opaque body<PD_BODY_MAX>;
--- a/wire/pd_xdr.c
+++ b/wire/pd_xdr.c
@@ -717,7 +717,7 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_pd_key (xdrs, &objp->key))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->step))
 				 return FALSE;
@@ -729,6 +729,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->limit_ms))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->queue_max))
+				 return FALSE;
 
 		} else {
 		IXDR_PUT_U_LONG(buf, objp->step);
@@ -736,6 +738,7 @@
 		IXDR_PUT_U_LONG(buf, objp->cpu);
 		IXDR_PUT_U_LONG(buf, objp->mem_mb);
 		IXDR_PUT_U_LONG(buf, objp->limit_ms);
+		IXDR_PUT_U_LONG(buf, objp->queue_max);
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->start_by_ms))
 			 return FALSE;
@@ -747,7 +750,7 @@
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_pd_key (xdrs, &objp->key))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->step))
 				 return FALSE;
@@ -759,6 +762,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->limit_ms))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->queue_max))
+				 return FALSE;
 
 		} else {
 		objp->step = IXDR_GET_U_LONG(buf);
@@ -766,6 +771,7 @@
 		objp->cpu = IXDR_GET_U_LONG(buf);
 		objp->mem_mb = IXDR_GET_U_LONG(buf);
 		objp->limit_ms = IXDR_GET_U_LONG(buf);
+		objp->queue_max = IXDR_GET_U_LONG(buf);
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->start_by_ms))
 			 return FALSE;
@@ -788,6 +794,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->limit_ms))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->queue_max))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->start_by_ms))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->expires_ms))
