--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -13,8 +13,10 @@
 #define FL_PROBE_MS 500
 /* A worker that no heartbeat came from for three periods gets no work. */
 #define FL_SILENT_MS 650
-/* Agents reach an entry that has started within this time. */
+/* Agents reach an entry that has started, or woken up, within this time. */
 #define FL_SETTLE_MS 1000
+/* A pause of the process that is longer than one between heartbeats. */
+#define FL_GAP_MS 300
 /* Mean run time of a worker that has not finished a task yet. */
 #define FL_FIRST_MEAN_MS 150.0
 
@@ -36,7 +38,8 @@
 	const struct cf *config;
 	struct rn *rng;
 	GPtrArray *workers; /* struct fl_worker, owned */
-	uint64_t started_ms;
+	uint64_t settle_from_ms;
+	uint64_t ticked_ms;
 };
 
 static void
@@ -61,7 +64,8 @@
 	f->counters = counters;
 	f->config = config;
 	f->rng = rn_new(seed);
-	f->started_ms = ck_mono_ms(clock);
+	f->settle_from_ms = ck_mono_ms(clock);
+	f->ticked_ms = f->settle_from_ms;
 	f->workers = g_ptr_array_new_with_free_func(worker_free);
 	return (f);
 }
@@ -372,10 +376,25 @@
 	return (n);
 }
 
+void
+fl_tick(struct fl *f)
+{
+	uint64_t now = ck_mono_ms(f->clock);
+
+	if (now - f->ticked_ms > FL_GAP_MS) {
+		lg_write(LOG_NOTICE, "fleet",
+		    "nothing was done for %u ms: agents are awaited",
+		    (unsigned)(now - f->ticked_ms));
+		f->settle_from_ms = now;
+	}
+	f->ticked_ms = now;
+}
+
 bool
-fl_settling(const struct fl *f)
+fl_settling(struct fl *f)
 {
-	return (ck_mono_ms(f->clock) - f->started_ms < FL_SETTLE_MS);
+	fl_tick(f);
+	return (ck_mono_ms(f->clock) - f->settle_from_ms < FL_SETTLE_MS);
 }
 
 void
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -155,9 +155,14 @@
 /** fl_count() - workers that take work now */
 unsigned fl_count(const struct fl *f);
 
-/** fl_settling() - whether this entry has just started, so that agents are
- * about to connect */
-bool fl_settling(const struct fl *f);
+/**
+ * fl_settling() - whether this entry has just started, or has just woken up, so
+ * that agents are about to be heard
+ */
+bool fl_settling(struct fl *f);
+
+/** fl_tick() - notice that time was lost; call at least every 100 ms */
+void fl_tick(struct fl *f);
 
 /** fl_each() - visit all workers */
 void fl_each(
--- a/sched/jobs_outcome.c
+++ b/sched/jobs_outcome.c
@@ -391,6 +391,7 @@
 	uint64_t now = ck_mono_ms(j->clock);
 	struct jb_job *job;
 
+	fl_tick(j->fleet);
 	for (l = jobs; l != NULL; l = l->next) {
 		job = l->data;
 		if (now >= job->deadline_ms || !check_tasks(j, job, now))
--- a/tests/proc_dispatch.c
+++ b/tests/proc_dispatch.c
@@ -55,8 +55,13 @@
 	unsigned i, n, done = 0;
 
 	jobs = hf_finish(w->fleet, &n);
-	for (i = 0; i < n; i++)
+	for (i = 0; i < n; i++) {
 		done += jobs[i].done;
+		if (!jobs[i].done)
+			print_message("%s: status %d after %u tries, %llu ms\n",
+			    jobs[i].id, jobs[i].status, jobs[i].tries,
+			    (unsigned long long)jobs[i].took_ms);
+	}
 	runs = hf_check(w->fleet, jobs, n);
 	print_message("%u jobs, %u done, %u starts, %u lapsed\n", n, done,
 	    runs.starts, runs.lapsed);
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -95,6 +95,18 @@
 static const struct jb_ops ops = {
     on_start, on_withdraw, on_reconcile, on_answer, on_ended};
 
+/* An entry waits for its agents at first, and after a gap. */
+static void
+settle(struct fix *f)
+{
+	unsigned i;
+
+	for (i = 0; i < SETTLED_MS; i += 100) {
+		ck_advance_ms(f->clock, 100);
+		jb_tick(f->jobs);
+	}
+}
+
 static int
 set_up(void **state)
 {
@@ -105,7 +117,7 @@
 	f->config = cf_new();
 	f->fleet = fl_new(f->clock, f->counters, f->config, 1);
 	f->jobs = jb_new(f->clock, f->counters, f->fleet, &ops, f);
-	ck_advance_ms(f->clock, SETTLED_MS);
+	settle(f);
 	*state = f;
 	return (0);
 }
@@ -275,6 +287,32 @@
 	assert_int_equal(JB_COMPLETED, f->answers[0].status);
 }
 
+/* Guards against refusals in the moment after an entry was frozen: it has not
+ * heard its agents for seconds, though all of them are there. */
+static void
+test_wait_after_freeze(void **state)
+{
+	struct fix *f = *state;
+	unsigned i;
+
+	attach(f, "w1", 1);
+	jb_tick(f->jobs);
+	ck_advance_ms(f->clock, 3000);
+	submit(f, "a", 1);
+	assert_int_equal(0, f->nanswers);
+	attach(f, "w1", 1);
+	jb_tick(f->jobs);
+	assert_int_equal(1, f->nstarts);
+	/* While it runs, silent agents are a reason to refuse. */
+	for (i = 0; i < 12; i++) {
+		ck_advance_ms(f->clock, 100);
+		jb_tick(f->jobs);
+	}
+	submit(f, "b", 1);
+	assert_int_equal(1, f->nanswers);
+	assert_int_equal(JB_REFUSED, f->answers[0].status);
+}
+
 /* Guards against a second attempt on the worker that has failed, and against
  * more attempts than the queue allows. */
 static void
@@ -506,6 +544,7 @@
 	    T(test_steps),
 	    T(test_refuse_at_once),
 	    T(test_wait_for_agents),
+	    T(test_wait_after_freeze),
 	    T(test_failures),
 	    T(test_stale_report),
 	    T(test_lost_agent),
