--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -245,8 +245,8 @@
 	    .cpu = s->cpu,
 	    .mem_mb = s->mem_mb,
 	    .limit_ms = run_limit_ms(now, job, t, run_ms),
-	    .queue_max = t->returns < RETURNS_MAX ? fl_queue(w, s->cpu)
-						  : UINT32_MAX,
+	    .queue_max =
+		t->returns < RETURNS_MAX ? fl_queue(w, s->cpu) : UINT32_MAX,
 	};
 
 	t->attempt++;
--- a/sched/jobs_outcome.c
+++ b/sched/jobs_outcome.c
@@ -273,8 +273,8 @@
 {
 	unsigned i;
 
-	fl_load(w, e->cpu_used, e->cpu_queued, cpu_ending(j, w, e),
-	    e->accepting);
+	fl_load(
+	    w, e->cpu_used, e->cpu_queued, cpu_ending(j, w, e), e->accepting);
 	for (i = 0; i < e->list.list_len; i++)
 		one_ended(j, w, &e->list.list_val[i]);
 }
--- a/sched/runner.c
+++ b/sched/runner.c
@@ -7,6 +7,10 @@
  * wait than the deadline of its jobs, some 100 tasks of 10 at a time. */
 #define QUEUE_MAX 256
 
+/* How long a late task gives way to those that can still be in time: about as
+ * long as a task of a middling size runs. */
+#define LATE_MS 200
+
 static void
 task_free(void *p)
 {
@@ -177,19 +181,16 @@
 }
 
 /*
- * Load pattern: a burst fills the queue with tasks of different urgency. Those
- * that can still be in time go first, by their latest start; those that are
- * late already follow, since a late answer is worth less to the caller than
- * one in time.
+ * Load pattern: a burst fills the queue with tasks of different urgency. They
+ * start by their latest start in time. One that is late already gives way to
+ * others for a while, since a late answer is worth less to the caller than one
+ * in time, but not for ever: the rest of its job may be done.
  */
-static bool
-before(const struct ru_task *a, const struct ru_task *b, uint64_t now)
+static uint64_t
+rank(const struct ru_task *t, uint64_t now)
 {
-	bool late_a = a->start_by_ms < now, late_b = b->start_by_ms < now;
-
-	if (late_a != late_b)
-		return (late_b);
-	return (a->start_by_ms < b->start_by_ms);
+	return (
+	    t->start_by_ms < now ? t->start_by_ms + LATE_MS : t->start_by_ms);
 }
 
 static struct ru_task *
@@ -204,7 +205,7 @@
 		    t->mem_mb > mem_free || !in_contact(r, t->entry) ||
 		    now >= t->expires_ms || same_task_active(r, t))
 			continue;
-		if (best == NULL || before(t, best, now))
+		if (best == NULL || rank(t, now) < rank(best, now))
 			best = t;
 	}
 	return (best);
@@ -270,6 +271,7 @@
 	t->limit_ms = s->limit_ms;
 	t->start_by_ms = s->start_by_ms;
 	t->expires_ms = s->expires_ms;
+	t->movable = s->queue_max != UINT32_MAX;
 	t->queued_ms = ck_mono_ms(r->clock);
 	t->body = g_memdup2(s->body.body_val, s->body.body_len);
 	t->body_len = s->body.body_len;
@@ -284,8 +286,8 @@
 	bool full;
 
 	/* More waits here than the entry knew: it may find a better place. */
-	full = l.cpu_used + s->cpu > l.cpu &&
-	    l.cpu_queued + s->cpu > s->queue_max;
+	full =
+	    l.cpu_used + s->cpu > l.cpu && l.cpu_queued + s->cpu > s->queue_max;
 	g_ptr_array_add(r->tasks, t);
 	if (full || !l.accepting || l.queued >= QUEUE_MAX || s->cpu > l.cpu ||
 	    ck_mono_ms(r->clock) >= s->expires_ms)
@@ -397,6 +399,11 @@
 		t = r->tasks->pdata[i];
 		if (now >= t->expires_ms)
 			ru_stop_task(r, t, PD_END_LOST);
+		else if (t->phase == RU_QUEUED && t->movable &&
+		    now > t->start_by_ms)
+			/* It will be late here; another worker may have room.
+			 */
+			ru_end(r, t, PD_END_RETURNED);
 		else if (t->phase == RU_RUNNING && t->limit_ms > 0 &&
 		    now > t->started_ms + t->limit_ms)
 			ru_stop_task(r, t, PD_END_STOPPED);
--- a/sched/runner_impl.h
+++ b/sched/runner_impl.h
@@ -53,6 +53,7 @@
 	uint64_t stop_sent_ms;
 	uint64_t stopped_ms; /* when a stop was confirmed; 0: not yet */
 	enum ru_phase phase;
+	bool movable;          /* its entry may find a better place */
 	enum pd_end_state end; /* how a stopped one is reported */
 };
 
