--- a/agent/executor.c
+++ b/agent/executor.c
@@ -12,6 +12,7 @@
 #include "links.h"
 #include "log.h"
 #include "minion.h"
+#include "process.h"
 #include "rng.h"
 #include "runner.h"
 #include "scrape.h"
@@ -73,11 +74,12 @@
 	struct lk *links;
 	struct sc *metrics;
 	struct event *tick;
-	struct event *signals[3];
+	struct pr_signals *signals;
 	uint64_t incarnation;
 	char *service; /* of the endpoint, owned */
 	GPtrArray *labels;
 	uint64_t stopping_ms;
+	const char *path; /* of the settings */
 };
 
 /* --- outputs of the runner --- */
@@ -301,6 +303,49 @@
 		event_base_loopbreak(e->base);
 }
 
+static GPtrArray *
+read_seeds(const struct settings *s)
+{
+	char port[16];
+
+	snprintf(port, sizeof(port), "%d", (int)s->entry_port);
+	return (pr_seeds(&s->addresses, &s->seeds, port));
+}
+
+static bool
+load(const char *path, struct settings *s)
+{
+	return (
+	    pr_load("pimentodock-agent", path, keys, G_N_ELEMENTS(keys), s));
+}
+
+/* Takes what can change while the process runs. A file that is not valid, or
+ * changes an address, leaves the settings as they are. */
+static void
+reload(struct ex *e)
+{
+	struct settings s = {0};
+	GPtrArray *seeds;
+	guint i;
+
+	if (!load(e->path, &s)) {
+		lg_write(LOG_ERR, PART,
+		    "SIGHUP: the settings are not valid, the old ones stay");
+		return;
+	}
+	if (strcmp(s.heartbeats, e->settings.heartbeats) != 0 ||
+	    strcmp(s.orders, e->settings.orders) != 0)
+		lg_write(LOG_WARNING, PART,
+		    "SIGHUP: addresses change at the next start only");
+	lg_open("pimentodock-agent", lg_level(s.log_level));
+	seeds = read_seeds(&s);
+	for (i = 0; i < seeds->len; i++)
+		lk_seed(e->links, seeds->pdata[i]);
+	g_ptr_array_free(seeds, TRUE);
+	st_release(keys, G_N_ELEMENTS(keys), &s);
+	lg_write(LOG_NOTICE, PART, "SIGHUP: settings read");
+}
+
 static void
 on_signal(evutil_socket_t signal, short what, void *arg)
 {
@@ -308,8 +353,7 @@
 
 	(void)what;
 	if (signal == SIGHUP) {
-		lg_write(LOG_NOTICE, PART,
-		    "SIGHUP: the settings are read at the next start");
+		reload(e);
 		return;
 	}
 	if (e->stopping_ms != 0)
@@ -324,19 +368,8 @@
 static void
 start_links(struct ex *e)
 {
-	GPtrArray *seeds = g_ptr_array_new_with_free_func(g_free);
-	size_t i;
-
-	for (i = 0; i < e->settings.addresses.count; i++)
-		g_ptr_array_add(
-		    seeds, g_strdup(e->settings.addresses.items[i]));
-	for (i = 0; i < e->settings.seeds.count; i++) {
-		const char *seed = e->settings.seeds.items[i];
-
-		g_ptr_array_add(seeds,
-		    g_strdup_printf("%.*s:%d", (int)strcspn(seed, ":"), seed,
-			(int)e->settings.entry_port));
-	}
+	GPtrArray *seeds = read_seeds(&e->settings);
+
 	e->links = lk_new(e->base, e->clock, e->settings.cell,
 	    (const char *const *)seeds->pdata, seeds->len, &link_ops, e);
 	g_ptr_array_free(seeds, TRUE);
@@ -371,15 +404,9 @@
 static void
 start_events(struct ex *e)
 {
-	static const int numbers[] = {SIGTERM, SIGINT, SIGHUP};
 	struct timeval tv = {0, TICK_MS * US_PER_MS};
-	size_t i;
 
-	signal(SIGPIPE, SIG_IGN);
-	for (i = 0; i < G_N_ELEMENTS(numbers); i++) {
-		e->signals[i] = evsignal_new(e->base, numbers[i], on_signal, e);
-		event_add(e->signals[i], NULL);
-	}
+	e->signals = pr_signals_new(e->base, on_signal, e);
 	e->tick = event_new(e->base, -1, EV_PERSIST, on_tick, e);
 	event_add(e->tick, &tv);
 }
@@ -387,11 +414,7 @@
 static void
 stop(struct ex *e)
 {
-	size_t i;
-
-	for (i = 0; i < G_N_ELEMENTS(e->signals); i++)
-		if (e->signals[i] != NULL)
-			event_free(e->signals[i]);
+	pr_signals_free(e->signals);
 	if (e->tick != NULL)
 		event_free(e->tick);
 	sc_free(e->metrics);
@@ -407,18 +430,6 @@
 	event_base_free(e->base);
 }
 
-static bool
-load(const char *path, struct settings *s)
-{
-	char message[1024];
-
-	if (st_load(path, keys, G_N_ELEMENTS(keys), s, message,
-		sizeof(message)) == ST_OK)
-		return (true);
-	fprintf(stderr, "pimentodock-agent: %s\n", message);
-	return (false);
-}
-
 int
 ex_check(const char *path)
 {
@@ -433,7 +444,7 @@
 int
 ex_run(const char *path)
 {
-	struct ex e = {0};
+	struct ex e = {.path = path};
 	int code = 1;
 
 	if (!load(path, &e.settings))
--- a/agent/links.c
+++ b/agent/links.c
@@ -341,6 +341,12 @@
 	}
 }
 
+void
+lk_seed(struct lk *k, const char *address)
+{
+	link_add(k, address, true);
+}
+
 void
 lk_ended(struct lk *k, uint64_t entry, const struct pd_end *e)
 {
--- a/agent/links.h
+++ b/agent/links.h
@@ -48,6 +48,9 @@
 /** lk_free() - consumed, NULL is allowed */
 void lk_free(struct lk *l);
 
+/** lk_seed() - one more address to begin with; copied */
+void lk_seed(struct lk *l, const char *address);
+
 /** lk_ended() - report the end of a grant; batched per loop pass */
 void lk_ended(struct lk *l, uint64_t entry, const struct pd_end *e);
 
--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -17,6 +17,7 @@
 #include "gossip.h"
 #include "jobs.h"
 #include "log.h"
+#include "process.h"
 #include "rng.h"
 #include "scrape.h"
 #include "settings.h"
@@ -89,7 +90,8 @@
 	struct fd *feed;
 	struct sc *metrics;
 	struct event *tick;
-	struct event *signals[3];
+	struct pr_signals *signals;
+	const char *path; /* of the settings */
 	GPtrArray *seeds; /* RPC addresses, owned */
 	uint64_t jobs_logged;
 	uint64_t stopping_ms; /* when the stop was asked for; 0: not */
@@ -387,6 +389,50 @@
 		check_stop(d);
 }
 
+static GPtrArray *
+read_seeds(const struct settings *s)
+{
+	const char *port = strrchr(s->rpc, ':');
+
+	return (
+	    pr_seeds(&s->addresses, &s->seeds, port == NULL ? "" : port + 1));
+}
+
+static bool
+load(const char *path, struct settings *s)
+{
+	return (pr_load("pimentodock", path, keys, G_N_ELEMENTS(keys), s));
+}
+
+/* Takes what can change while the process runs. A file that is not valid, or
+ * changes an address, leaves the settings as they are. */
+static void
+reload(struct di *d)
+{
+	struct settings s = {0};
+	GPtrArray *seeds;
+	guint i;
+
+	if (!load(d->path, &s)) {
+		lg_write(LOG_ERR, "dispatch",
+		    "SIGHUP: the settings are not valid, the old ones stay");
+		return;
+	}
+	if (strcmp(s.clients, d->settings.clients) != 0 ||
+	    strcmp(s.probes, d->settings.probes) != 0 ||
+	    strcmp(s.rpc, d->settings.rpc) != 0 ||
+	    strcmp(s.store, d->settings.store) != 0)
+		lg_write(LOG_WARNING, "dispatch",
+		    "SIGHUP: addresses change at the next start only");
+	lg_open("pimentodock", lg_level(s.log_level));
+	seeds = read_seeds(&s);
+	for (i = 0; i < seeds->len; i++)
+		go_seed(d->gossip, seeds->pdata[i]);
+	g_ptr_array_free(seeds, TRUE);
+	st_release(keys, G_N_ELEMENTS(keys), &s);
+	lg_write(LOG_NOTICE, "dispatch", "SIGHUP: settings read");
+}
+
 static void
 on_signal(evutil_socket_t signal, short what, void *arg)
 {
@@ -394,8 +440,7 @@
 
 	(void)what;
 	if (signal == SIGHUP) {
-		lg_write(LOG_NOTICE, "dispatch",
-		    "SIGHUP: the settings are read at the next start");
+		reload(d);
 		return;
 	}
 	if (d->stopping_ms != 0)
@@ -406,26 +451,6 @@
 	fr_drain(d->front);
 }
 
-/* Seeds come with a port of another interface. */
-static void
-read_seeds(struct di *d)
-{
-	const char *port = strrchr(d->settings.rpc, ':');
-	size_t i;
-
-	d->seeds = g_ptr_array_new_with_free_func(g_free);
-	for (i = 0; i < d->settings.addresses.count; i++)
-		g_ptr_array_add(
-		    d->seeds, g_strdup(d->settings.addresses.items[i]));
-	for (i = 0; i < d->settings.seeds.count; i++) {
-		const char *seed = d->settings.seeds.items[i];
-
-		g_ptr_array_add(d->seeds,
-		    g_strdup_printf("%.*s%s", (int)strcspn(seed, ":"), seed,
-			port == NULL ? "" : port));
-	}
-}
-
 static void
 start_gossip(struct di *d, uint64_t incarnation)
 {
@@ -457,7 +482,7 @@
 	d->fleet = fl_new(d->clock, d->counters, d->config, rn_u64(rng));
 	rn_free(rng);
 	d->jobs = jb_new(d->clock, d->counters, d->fleet, &job_ops, d);
-	read_seeds(d);
+	d->seeds = read_seeds(&d->settings);
 	d->workers =
 	    wo_new(d->base, d->settings.rpc, &self, d->fleet, &worker_ops, d);
 	d->front = fr_new(
@@ -477,15 +502,9 @@
 static void
 start_events(struct di *d)
 {
-	static const int numbers[] = {SIGTERM, SIGINT, SIGHUP};
 	struct timeval tv = {0, TICK_MS * US_PER_MS};
-	size_t i;
 
-	signal(SIGPIPE, SIG_IGN);
-	for (i = 0; i < G_N_ELEMENTS(numbers); i++) {
-		d->signals[i] = evsignal_new(d->base, numbers[i], on_signal, d);
-		event_add(d->signals[i], NULL);
-	}
+	d->signals = pr_signals_new(d->base, on_signal, d);
 	d->tick = event_new(d->base, -1, EV_PERSIST, on_tick, d);
 	event_add(d->tick, &tv);
 }
@@ -493,11 +512,7 @@
 static void
 stop(struct di *d)
 {
-	size_t i;
-
-	for (i = 0; i < G_N_ELEMENTS(d->signals); i++)
-		if (d->signals[i] != NULL)
-			event_free(d->signals[i]);
+	pr_signals_free(d->signals);
 	if (d->tick != NULL)
 		event_free(d->tick);
 	fd_free(d->feed);
@@ -517,18 +532,6 @@
 	event_base_free(d->base);
 }
 
-static bool
-load(const char *path, struct settings *s)
-{
-	char message[1024];
-
-	if (st_load(path, keys, G_N_ELEMENTS(keys), s, message,
-		sizeof(message)) == ST_OK)
-		return (true);
-	fprintf(stderr, "pimentodock: %s\n", message);
-	return (false);
-}
-
 int
 di_check(const char *path)
 {
@@ -543,7 +546,7 @@
 int
 di_run(const char *path)
 {
-	struct di d = {0};
+	struct di d = {.path = path};
 	int result = EX_FAILED;
 
 	if (!load(path, &d.settings))
--- a/entry/gossip.c
+++ b/entry/gossip.c
@@ -286,6 +286,12 @@
 	g_list_free(peers);
 }
 
+void
+go_seed(struct go *g, const char *address)
+{
+	peer_add(g, address, true);
+}
+
 void
 go_now(struct go *g)
 {
--- a/entry/gossip.h
+++ b/entry/gossip.h
@@ -50,6 +50,9 @@
 void go_call(
     struct go *g, struct cn *c, uint32_t proc, uint32_t xid, XDR *args);
 
+/** go_seed() - one more address to begin with; copied */
+void go_seed(struct go *g, const char *address);
+
 /** go_now() - tell the others now instead of at the next period */
 void go_now(struct go *g);
 
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -33,6 +33,11 @@
 	j->ops = ops;
 	j->arg = arg;
 	j->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	j->took = hg_new(
+	    counters, "pd_job_took_ms", "From a job's arrival to its answer");
+	j->queued = hg_new(
+	    counters, "pd_task_queued_ms", "Wait of a task at its agent");
+	j->ran = hg_new(counters, "pd_task_ran_ms", "Run time of a task");
 	j->sizes =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	j->by_number = g_hash_table_new_full(
@@ -48,6 +53,9 @@
 	g_hash_table_destroy(j->by_id);
 	g_hash_table_destroy(j->by_number);
 	g_hash_table_destroy(j->sizes);
+	hg_free(j->took);
+	hg_free(j->queued);
+	hg_free(j->ran);
 	g_free(j);
 }
 
--- a/sched/jobs_impl.h
+++ b/sched/jobs_impl.h
@@ -5,6 +5,7 @@
 
 #include "clock.h"
 #include "counters.h"
+#include "histogram.h"
 #include "jobs.h"
 
 /**
@@ -82,6 +83,9 @@
 	GHashTable *by_id;     /* id -> struct jb_job, borrowed */
 	GHashTable *sizes;     /* queue -> struct po_sizes, owned */
 	GHashTable *by_number; /* number -> struct jb_job, owned */
+	struct hg *took;       /* from arrival to answer */
+	struct hg *queued;     /* of a task at its agent */
+	struct hg *ran;        /* of a task at its endpoint */
 	uint64_t last_number;
 };
 
--- a/sched/jobs_outcome.c
+++ b/sched/jobs_outcome.c
@@ -101,6 +101,7 @@
 		jb_release(job, t);
 	}
 	count(j, status, reason);
+	hg_observe(j->took, a.took_ms);
 	for (i = 0; i < job->waiters->len; i++)
 		j->ops->answer(
 		    j->arg, g_array_index(job->waiters, uint64_t, i), &a);
@@ -220,8 +221,11 @@
 	s = &job->kinds[t->step];
 	jb_note(j, job, t, trace_kind(e->state), w, e->queue_ms, e->run_ms);
 	jb_release(job, t);
-	if (e->state != PD_END_RETURNED)
+	if (e->state != PD_END_RETURNED) {
 		job->started = true;
+		hg_observe(j->queued, e->queue_ms);
+		hg_observe(j->ran, e->run_ms);
+	}
 	switch (e->state) {
 	case PD_END_DONE:
 		po_sizes_learn(job->sizes, job->declared[t->step],
--- a/tests/proc_dispatch.c
+++ b/tests/proc_dispatch.c
@@ -70,14 +70,22 @@
 	return (done * 100 / n);
 }
 
-/* Guards against jobs that do not come through on a calm day. */
+/* Guards against jobs that do not come through on a calm day, and against a
+ * process that ends, or loses work, because its settings file changes. */
 static void
 test_calm(void **state)
 {
 	struct world *w = *state;
 
 	hf_load(w->fleet, PER_S);
-	hn_sleep_ms(3000);
+	hn_sleep_ms(1500);
+	hn_signal(hf_entry(w->fleet, 0), SIGHUP);
+	hn_signal(hf_agent(w->fleet, 0), SIGHUP);
+	hn_write(w->hn, "entry1.toml", "name = 5\n");
+	hn_write(w->hn, "agent1.toml", "name = 5\n");
+	hn_signal(hf_entry(w->fleet, 1), SIGHUP);
+	hn_signal(hf_agent(w->fleet, 1), SIGHUP);
+	hn_sleep_ms(1500);
 	assert_int_equal(100, finish(w));
 }
 
