--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -44,6 +44,7 @@
 	char *clients;
 	char *probes;
 	char *rpc;
+	char *advertised;
 	char *metrics;
 	struct st_strings addresses;
 	struct st_strings seeds;
@@ -64,6 +65,8 @@
 	"IP:port for the balancer's probes"},
     {"listen.rpc", ST_STRING, AT(rpc), 9, 21, NULL, NULL,
 	"IP:port for agents and other entries"},
+    {"listen.advertised", ST_STRING, AT(advertised), 0, 21, "", NULL,
+	"IP:port by which agents and entries reach listen.rpc; empty for it"},
     {"listen.metrics", ST_STRING, AT(metrics), 0, 21, "", NULL,
 	"IP:port of the metrics; empty for none"},
     {"entries.addresses", ST_STRINGS, AT(addresses), 0, PD_ENTRIES_MAX, "",
@@ -458,7 +461,9 @@
 	    .cell = d->settings.cell,
 	    .name = d->settings.name,
 	    .incarnation = incarnation,
-	    .address = d->settings.rpc,
+	    .address = d->settings.advertised[0] != '\0'
+		? d->settings.advertised
+		: d->settings.rpc,
 	    .seeds = (const char *const *)d->seeds->pdata,
 	    .nseeds = d->seeds->len,
 	};
--- a/fakes/fake_relay.c
+++ b/fakes/fake_relay.c
@@ -13,17 +13,19 @@
 /**
  * DOC: fake_relay - TCP relay that can cut or silence connections
  *
- * Prints `ready PORT CONTROL_PORT`. `PUT /control?mode=pass|cut|silent` on the
- * control port: "cut" closes all connections and refuses new ones,
- * "silent" keeps connections open and passes nothing. With `existing=1` only
- * the connections that are open now become silent, for good; new ones pass.
- * `delay_ms=N` delays every byte by N milliseconds.
+ * Prints `ready PORT CONTROL_PORT`. `PUT /control?mode=pass|cut|silent|one_way`
+ * on the control port: "cut" closes all connections and refuses new ones,
+ * "silent" keeps connections open and passes nothing, "one_way" passes only
+ * what the caller sends. A connection that has lost bytes stays silent for
+ * good. With `existing=1` only the connections that are open now become silent,
+ * for good; new ones pass. `delay_ms=N` delays every byte by N milliseconds.
  */
 
 enum mode {
 	MODE_PASS,
 	MODE_CUT,
 	MODE_SILENT,
+	MODE_ONE_WAY,
 	MODE_COUNT,
 };
 
@@ -31,6 +33,7 @@
     [MODE_PASS] = "pass",
     [MODE_CUT] = "cut",
     [MODE_SILENT] = "silent",
+    [MODE_ONE_WAY] = "one_way",
 };
 
 struct relay {
@@ -51,6 +54,7 @@
 	struct relay *relay;
 	struct bufferevent *side[2];
 	bool silent; /* for good, whatever the mode */
+	bool mute;   /* what the target sends is lost, for good */
 };
 
 /* Bytes that wait for the end of the delay. */
@@ -126,7 +130,10 @@
 	struct pair *pair = arg;
 	int to = bev == pair->side[0] ? 1 : 0;
 
-	if (is_silent(pair)) {
+	pair->silent = is_silent(pair);
+	if (pair->relay->mode == MODE_ONE_WAY && to == 0)
+		pair->mute = true;
+	if (pair->silent || (pair->mute && to == 0)) {
 		evbuffer_drain(in, evbuffer_get_length(in));
 		return;
 	}
--- a/tests/harness_fleet.c
+++ b/tests/harness_fleet.c
@@ -27,6 +27,8 @@
 	struct hn_proc *minion;
 	unsigned beats;
 	unsigned orders;
+	unsigned relay; /* before orders, or the same */
+	unsigned relay_control;
 	char az[8];
 };
 
@@ -35,12 +37,17 @@
 	unsigned clients;
 	unsigned probes;
 	unsigned rpc;
+	unsigned relay; /* before rpc, or the same */
+	unsigned relay_control;
 };
 
 struct hf {
 	struct hn *hn;
 	struct hn_proc *store;
 	unsigned store_port;
+	unsigned store_relay; /* before the store, or the same */
+	unsigned store_relay_control;
+	bool relayed;
 	unsigned nentries;
 	unsigned nworkers;
 	unsigned starts; /* processes started, for names of logs */
@@ -68,15 +75,17 @@
 
 	for (k = 0; k < f->nentries; k++)
 		g_string_append_printf(seeds, "%s\"127.0.0.1:%u\"",
-		    k == 0 ? "" : ",", f->entries[k].rpc);
+		    k == 0 ? "" : ",", f->entries[k].relay);
 	text = g_strdup_printf(
 	    "name = \"e%u\"\navailability_zone = \"z%u\"\n"
 	    "[listen]\nclients = \"127.0.0.1:%u\"\n"
 	    "probes = \"127.0.0.1:%u\"\n"
-	    "rpc = \"127.0.0.1:%u\"\n[entries]\n"
+	    "rpc = \"127.0.0.1:%u\"\n"
+	    "advertised = \"127.0.0.1:%u\"\n[entries]\n"
 	    "addresses = [%s]\n[platform]\n"
 	    "store = \"127.0.0.1:%u\"\n",
-	    i, i, e->clients, e->probes, e->rpc, seeds->str, f->store_port);
+	    i, i, e->clients, e->probes, e->rpc, e->relay, seeds->str,
+	    f->store_relay);
 	snprintf(name, sizeof(name), "entry%u.toml", i);
 	hn_write(f->hn, name, text);
 	path = hn_path(f->hn, name);
@@ -99,13 +108,13 @@
 
 	for (k = 0; k < f->nentries; k++)
 		g_string_append_printf(seeds, "%s\"127.0.0.1:%u\"",
-		    k == 0 ? "" : ",", f->entries[k].rpc);
+		    k == 0 ? "" : ",", f->entries[k].relay);
 	text = g_strdup_printf(
 	    "name = \"w%u\"\navailability_zone = \"%s\"\n"
 	    "[endpoint]\nheartbeats = \"127.0.0.1:%u\"\n"
 	    "orders = \"127.0.0.1:%u\"\n[entries]\n"
 	    "addresses = [%s]\n",
-	    i, w->az, w->beats, w->orders, seeds->str);
+	    i, w->az, w->beats, w->relay, seeds->str);
 	snprintf(name, sizeof(name), "agent%u.toml", i);
 	hn_write(f->hn, name, text);
 	path = hn_path(f->hn, name);
@@ -209,13 +218,42 @@
 	return (true);
 }
 
-struct hf *
-hf_new(struct hn *h, unsigned entries, unsigned workers)
+/* Return: port of a relay before @target; @control is its control port. */
+static unsigned
+start_relay(struct hf *f, unsigned target, unsigned *control)
+{
+	char name[32], address[32];
+	unsigned ports[2];
+
+	if (!f->relayed)
+		return (target);
+	snprintf(name, sizeof(name), "relay-%u", f->starts++);
+	snprintf(address, sizeof(address), "127.0.0.1:%u", target);
+	hn_ready(hn_start(f->hn, name,
+		     (const char *const[]){
+			 "fakes/fake_relay", "--target", address, NULL}),
+	    ports, 2);
+	*control = ports[1];
+	return (ports[0]);
+}
+
+void
+hf_relay(struct hf *f, enum hf_link link, unsigned i, const char *control)
+{
+	hn_control(link == HF_ENTRY   ? f->entries[i].relay_control
+		: link == HF_ENDPOINT ? f->workers[i].relay_control
+				      : f->store_relay_control,
+	    control);
+}
+
+static struct hf *
+fleet_new(struct hn *h, unsigned entries, unsigned workers, bool relayed)
 {
 	struct hf *f = g_new0(struct hf, 1);
 	unsigned i;
 
 	f->hn = h;
+	f->relayed = relayed;
 	f->nentries = entries;
 	f->nworkers = workers;
 	f->log = hn_path(h, "runs.log");
@@ -223,15 +261,20 @@
 	f->store = hn_start(
 	    h, "store", (const char *const[]){"fakes/fake_platform", NULL});
 	hn_ready(f->store, &f->store_port, 1);
+	f->store_relay = start_relay(f, f->store_port, &f->store_relay_control);
 	hf_config(f, 1, DEADLINE_MS);
 	for (i = 0; i < entries; i++) {
 		f->entries[i].clients = hn_port(h);
 		f->entries[i].probes = hn_port(h);
 		f->entries[i].rpc = hn_port(h);
+		f->entries[i].relay = start_relay(
+		    f, f->entries[i].rpc, &f->entries[i].relay_control);
 	}
 	for (i = 0; i < workers; i++) {
 		f->workers[i].beats = hn_port(h);
 		f->workers[i].orders = hn_port(h);
+		f->workers[i].relay = start_relay(
+		    f, f->workers[i].orders, &f->workers[i].relay_control);
 		snprintf(f->workers[i].az, sizeof(f->workers[i].az), "z%u",
 		    i % entries);
 	}
@@ -247,6 +290,18 @@
 	return (f);
 }
 
+struct hf *
+hf_new(struct hn *h, unsigned entries, unsigned workers)
+{
+	return (fleet_new(h, entries, workers, false));
+}
+
+struct hf *
+hf_new_relayed(struct hn *h, unsigned entries, unsigned workers)
+{
+	return (fleet_new(h, entries, workers, true));
+}
+
 struct hn_proc *
 hf_entry(struct hf *f, unsigned i)
 {
--- a/tests/harness_fleet.h
+++ b/tests/harness_fleet.h
@@ -31,6 +31,20 @@
  */
 struct hf *hf_new(struct hn *h, unsigned entries, unsigned workers);
 
+/** hf_new_relayed() - the same, with a relay before each entry's RPC address,
+ * each endpoint and the store */
+struct hf *hf_new_relayed(struct hn *h, unsigned entries, unsigned workers);
+
+/** enum hf_link - what a relay is before */
+enum hf_link {
+	HF_ENTRY,
+	HF_ENDPOINT,
+	HF_STORE,
+};
+
+/** hf_relay() - control a relay of hf_new_relayed() */
+void hf_relay(struct hf *f, enum hf_link link, unsigned i, const char *control);
+
 /** hf_free() - stop the load; consumed. hn_free() ends the processes */
 void hf_free(struct hf *f);
 
--- /dev/null
+++ b/tests/soak_dispatch.c
@@ -0,0 +1,285 @@
+#include <argtable2.h>
+#include <glib.h>
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "harness_fleet.h"
+#include "rng.h"
+
+/*
+ * Fault soak: the real programs on the stand-ins, with faults from outside in
+ * series and overlapping, drawn from a seed. Checks what clients and endpoints
+ * see: no task runs twice at the same time, no refused job starts, no
+ * configuration goes back, and that jobs are served again once the faults end.
+ */
+
+#define ENTRIES 3
+#define WORKERS 5
+#define PER_S 20
+/* Time after the last fault in which everything has to work again. */
+#define RECOVERY_MS 4000
+#define CALM_JOBS 20
+/* Least and greatest pause between two faults: most of them overlap. */
+#define PAUSE_MIN_MS 100
+#define PAUSE_SPAN_MS 900
+#define SEEDS_MAX 256
+
+struct soak {
+	struct hn *hn;
+	struct hf *fleet;
+	struct rn *rng;
+	unsigned version;
+	bool frozen_entry[ENTRIES];
+	bool frozen_agent[WORKERS];
+};
+
+/* A kind of fault; @i is drawn below @n. */
+struct fault {
+	const char *name;
+	unsigned n;
+	void (*strike)(struct soak *s, unsigned i);
+};
+
+static void
+thaw(struct soak *s)
+{
+	unsigned i;
+
+	for (i = 0; i < ENTRIES; i++)
+		if (s->frozen_entry[i])
+			hn_signal(hf_entry(s->fleet, i), SIGCONT);
+	for (i = 0; i < WORKERS; i++)
+		if (s->frozen_agent[i])
+			hn_signal(hf_agent(s->fleet, i), SIGCONT);
+	memset(s->frozen_entry, 0, sizeof(s->frozen_entry));
+	memset(s->frozen_agent, 0, sizeof(s->frozen_agent));
+}
+
+static void
+kill_entry(struct soak *s, unsigned i)
+{
+	thaw(s);
+	hf_restart_entry(s->fleet, i, SIGKILL);
+}
+
+static void
+stop_entry(struct soak *s, unsigned i)
+{
+	thaw(s);
+	hf_restart_entry(s->fleet, i, SIGTERM);
+}
+
+static void
+freeze_entry(struct soak *s, unsigned i)
+{
+	hn_signal(hf_entry(s->fleet, i), SIGSTOP);
+	s->frozen_entry[i] = true;
+}
+
+static void
+kill_agent(struct soak *s, unsigned i)
+{
+	thaw(s);
+	hf_restart_agent(s->fleet, i, SIGKILL);
+}
+
+static void
+stop_agent(struct soak *s, unsigned i)
+{
+	thaw(s);
+	hf_restart_agent(s->fleet, i, SIGTERM);
+}
+
+static void
+freeze_agent(struct soak *s, unsigned i)
+{
+	hn_signal(hf_agent(s->fleet, i), SIGSTOP);
+	s->frozen_agent[i] = true;
+}
+
+static void
+thaw_all(struct soak *s, unsigned i)
+{
+	(void)i;
+	thaw(s);
+}
+
+static void
+kill_endpoint(struct soak *s, unsigned i)
+{
+	hf_restart_minion(s->fleet, i);
+}
+
+static void
+trouble_endpoint(struct soak *s, unsigned i)
+{
+	static const char *const kinds[] = {"drop=8", "late=8&late_ms=300",
+	    "late=4&late_ms=2000", "hang=1", "fail=1", "speed=0.2",
+	    "hang=0&fail=0&speed=1", "drain=1", "drain=0"};
+
+	hn_control(hf_minion_port(s->fleet, i),
+	    kinds[rn_below(s->rng, G_N_ELEMENTS(kinds))]);
+}
+
+static void
+trouble_store(struct soak *s, unsigned i)
+{
+	static const char *const kinds[] = {"mode=silent", "mode=error",
+	    "mode=busy", "mode=down", "mode=slow&delay_ms=200", "refuse=5",
+	    "forget=1", "mode=up"};
+
+	(void)i;
+	hn_control(hf_store_port(s->fleet),
+	    kinds[rn_below(s->rng, G_N_ELEMENTS(kinds))]);
+}
+
+static const char *
+relay_trouble(struct soak *s)
+{
+	static const char *const kinds[] = {"mode=cut", "mode=silent",
+	    "mode=one_way", "mode=silent&existing=1", "delay_ms=60",
+	    "mode=pass&delay_ms=0", "mode=pass&delay_ms=0"};
+
+	return (kinds[rn_below(s->rng, G_N_ELEMENTS(kinds))]);
+}
+
+static void
+trouble_entry_link(struct soak *s, unsigned i)
+{
+	hf_relay(s->fleet, HF_ENTRY, i, relay_trouble(s));
+}
+
+static void
+trouble_endpoint_link(struct soak *s, unsigned i)
+{
+	hf_relay(s->fleet, HF_ENDPOINT, i, relay_trouble(s));
+}
+
+static void
+trouble_store_link(struct soak *s, unsigned i)
+{
+	(void)i;
+	hf_relay(s->fleet, HF_STORE, 0, relay_trouble(s));
+}
+
+static const struct fault faults[] = {
+    {"kill entry", ENTRIES, kill_entry},
+    {"stop entry", ENTRIES, stop_entry},
+    {"freeze entry", ENTRIES, freeze_entry},
+    {"kill agent", WORKERS, kill_agent},
+    {"stop agent", WORKERS, stop_agent},
+    {"freeze agent", WORKERS, freeze_agent},
+    {"thaw", 1, thaw_all},
+    {"kill endpoint", WORKERS, kill_endpoint},
+    {"endpoint", WORKERS, trouble_endpoint},
+    {"endpoint", WORKERS, trouble_endpoint},
+    {"store", 1, trouble_store},
+    {"entry link", ENTRIES, trouble_entry_link},
+    {"endpoint link", WORKERS, trouble_endpoint_link},
+    {"store link", 1, trouble_store_link},
+};
+
+static void
+heal(struct soak *s)
+{
+	unsigned i;
+
+	thaw(s);
+	hn_control(hf_store_port(s->fleet), "mode=up&refuse=0");
+	hf_relay(s->fleet, HF_STORE, 0, "mode=pass&delay_ms=0");
+	for (i = 0; i < ENTRIES; i++)
+		hf_relay(s->fleet, HF_ENTRY, i, "mode=pass&delay_ms=0");
+	for (i = 0; i < WORKERS; i++) {
+		hf_relay(s->fleet, HF_ENDPOINT, i, "mode=pass&delay_ms=0");
+		hn_control(hf_minion_port(s->fleet, i),
+		    "drop=0&late=0&hang=0&fail=0&speed=1&drain=0");
+	}
+}
+
+/* Every entry has to complete jobs again. Return: those that it does not. */
+static unsigned
+check_served(struct soak *s)
+{
+	unsigned i, wrong = 0;
+	char id[32];
+
+	for (i = 0; i < CALM_JOBS; i++) {
+		snprintf(id, sizeof(id), "ca1%013x", i);
+		if (hf_submit(s->fleet, i % ENTRIES, id, "run_ms=40 cpu=6000",
+			2, 40, NULL) != 200)
+			wrong++;
+	}
+	return (wrong);
+}
+
+/* Return: whether all held. */
+static bool
+run(unsigned seed, unsigned seconds)
+{
+	struct soak s = {.hn = hn_new(), .rng = rn_new(seed), .version = 1};
+	const struct hf_job *jobs;
+	const struct fault *f;
+	struct hf_runs runs;
+	unsigned i, n, done = 0, unserved;
+	uint64_t end;
+
+	s.fleet = hf_new_relayed(s.hn, ENTRIES, WORKERS);
+	hf_load(s.fleet, PER_S);
+	end = hn_mono_ms() + (uint64_t)seconds * 1000;
+	while (hn_mono_ms() < end) {
+		hn_sleep_ms(PAUSE_MIN_MS + rn_below(s.rng, PAUSE_SPAN_MS));
+		f = &faults[rn_below(s.rng, G_N_ELEMENTS(faults))];
+		i = rn_below(s.rng, f->n);
+		printf("seed %u: %llu %s %u\n", seed,
+		    (unsigned long long)hn_wall_ms(), f->name, i);
+		f->strike(&s, i);
+	}
+	heal(&s);
+	hn_sleep_ms(RECOVERY_MS);
+	unserved = check_served(&s);
+	jobs = hf_finish(s.fleet, &n);
+	for (i = 0; i < n; i++)
+		done += jobs[i].done;
+	runs = hf_check(s.fleet, jobs, n);
+	printf(
+	    "seed %u: %u jobs, %u done, %u starts, %u lapsed, %u double, "
+	    "%u refused and started, %u of %u not served at the end\n",
+	    seed, n, done, runs.starts, runs.lapsed, runs.doubles, runs.refused,
+	    unserved, CALM_JOBS);
+	hf_free(s.fleet);
+	hn_free(s.hn);
+	rn_free(s.rng);
+	return (runs.doubles == 0 && runs.refused == 0 && unserved == 0);
+}
+
+int
+main(int argc, char **argv)
+{
+	struct arg_int *seed =
+	    arg_intn(NULL, "seed", "N", 1, SEEDS_MAX, "seed of the faults");
+	struct arg_int *seconds =
+	    arg_int0(NULL, "seconds", "N", "time with faults for each seed");
+	struct arg_end *end = arg_end(4);
+	void *table[] = {seed, seconds, end};
+	unsigned failed = 0;
+	int i;
+
+	seconds->ival[0] = 10;
+	if (arg_parse(argc, argv, table) != 0) {
+		arg_print_errors(stderr, end, argv[0]);
+		return (2);
+	}
+	setvbuf(stdout, NULL, _IOLBF, 0);
+	for (i = 0; i < seed->count; i++)
+		failed +=
+		    !run((unsigned)seed->ival[i], (unsigned)seconds->ival[0]);
+	printf("%d passed, %u failed\n", seed->count - (int)failed, failed);
+	arg_freetable(table, G_N_ELEMENTS(table));
+	return (failed > 0);
+}
