--- a/agent/executor.c
+++ b/agent/executor.c
@@ -11,7 +11,7 @@
 #include "executor.h"
 #include "links.h"
 #include "log.h"
-#include "minion.h"
+#include "orders.h"
 #include "process.h"
 #include "rng.h"
 #include "runner.h"
@@ -70,7 +70,7 @@
 	struct ck *clock;
 	struct ct *counters;
 	struct ru *runner;
-	struct mi *endpoint;
+	struct od *endpoint;
 	struct lk *links;
 	struct sc *metrics;
 	struct event *tick;
@@ -89,7 +89,7 @@
 {
 	struct ex *e = arg;
 
-	mi_start(e->endpoint, run);
+	od_start(e->endpoint, run);
 }
 
 static void
@@ -97,7 +97,7 @@
 {
 	struct ex *e = arg;
 
-	mi_stop(e->endpoint, run);
+	od_stop(e->endpoint, run);
 }
 
 static void
@@ -118,7 +118,7 @@
 /* --- the endpoint --- */
 
 static void
-on_about(void *arg, const struct mi_about *a)
+on_about(void *arg, const struct od_about *a)
 {
 	struct ru_load before, after;
 	struct ex *e = arg;
@@ -186,7 +186,7 @@
 	ru_stop_answer(e->runner, run, done);
 }
 
-static const struct mi_ops endpoint_ops = {
+static const struct od_ops endpoint_ops = {
     .about = on_about,
     .gone = on_gone,
     .looked = on_looked,
@@ -390,7 +390,7 @@
 	e->counters = ct_new();
 	e->runner = ru_new(e->clock, e->counters, &runner_ops, e);
 	start_links(e);
-	e->endpoint = mi_new(e->base, e->clock, e->settings.heartbeats,
+	e->endpoint = od_new(e->base, e->clock, e->settings.heartbeats,
 	    e->settings.orders, &endpoint_ops, e);
 	if (e->endpoint == NULL)
 		return (false);
@@ -418,7 +418,7 @@
 	if (e->tick != NULL)
 		event_free(e->tick);
 	sc_free(e->metrics);
-	mi_free(e->endpoint);
+	od_free(e->endpoint);
 	lk_free(e->links);
 	ru_free(e->runner);
 	ct_free(e->counters);
--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -90,7 +90,7 @@
 	struct wo *workers;
 	struct go *gossip;
 	struct fr *front;
-	struct fd *feed;
+	struct fe *feed;
 	struct sc *metrics;
 	struct event *tick;
 	struct pr_signals *signals;
@@ -147,8 +147,8 @@
 	if (a->status == JB_COMPLETED && a->late_ms == 0 &&
 	    ++d->jobs_logged % SAMPLE != 0)
 		return;
-	for (i = 0; i < a->nsteps; i++) {
-		s = &a->steps[i];
+	for (i = 0; i < a->ntrace; i++) {
+		s = &a->trace[i];
 		ev_write("jobs", tr_name(s->kind),
 		    "{s:s,s:i,s:i,s:i,s:s*,s:i,s:i}", "job", a->id, "at_ms",
 		    (int)s->at_ms, "task", (int)s->task, "attempt",
@@ -294,7 +294,7 @@
 	    answers);
 }
 
-static const struct fd_ops feed_ops = {
+static const struct fe_ops feed_ops = {
     .config = on_feed,
     .state = on_store_state,
 };
@@ -496,7 +496,7 @@
 		return (false);
 	wo_set_jobs(d->workers, d->jobs);
 	start_gossip(d, self.incarnation);
-	d->feed = fd_new(d->base, d->settings.store, &feed_ops, d);
+	d->feed = fe_new(d->base, d->settings.store, &feed_ops, d);
 	if (d->settings.metrics[0] == '\0')
 		return (true);
 	d->metrics = sc_new(
@@ -520,7 +520,7 @@
 	pr_signals_free(d->signals);
 	if (d->tick != NULL)
 		event_free(d->tick);
-	fd_free(d->feed);
+	fe_free(d->feed);
 	go_free(d->gossip);
 	wo_free(d->workers);
 	fr_free(d->front);
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -69,12 +69,12 @@
 	g_free(job->service);
 	g_free(job->body);
 	g_strfreev(job->labels);
-	g_free(job->kinds);
+	g_free(job->steps);
 	g_free(job->tasks);
 	g_free(job->declared);
 	g_free(job->left);
 	g_array_free(job->waiters, TRUE);
-	g_array_free(job->steps, TRUE);
+	g_array_free(job->trace, TRUE);
 	g_free(job);
 }
 
@@ -92,14 +92,14 @@
 	    .b = (int32_t)b,
 	};
 
-	if (job->steps->len < TR_STEPS_MAX)
-		g_array_append_val(job->steps, step);
+	if (job->trace->len < TR_STEPS_MAX)
+		g_array_append_val(job->trace, step);
 }
 
 struct fl_need
 jb_need(const struct jb_job *job, const struct jb_task *t)
 {
-	const struct jb_step *s = &job->kinds[t->step];
+	const struct jb_step *s = &job->steps[t->step];
 	struct fl_need n = {
 	    .service = job->service,
 	    .label = s->label,
@@ -122,9 +122,9 @@
 
 	for (i = 0; i < job->nsteps; i++) {
 		end[i] = 0;
-		for (k = 0; k < job->kinds[i].nafter; k++)
-			end[i] = MAX(end[i], end[job->kinds[i].after[k]]);
-		end[i] += job->kinds[i].size_ms;
+		for (k = 0; k < job->steps[i].nafter; k++)
+			end[i] = MAX(end[i], end[job->steps[i].after[k]]);
+		end[i] += job->steps[i].size_ms;
 		longest = MAX(longest, end[i]);
 	}
 	return (longest);
@@ -152,16 +152,16 @@
 	unsigned i, k, n = 0;
 
 	job->nsteps = r->nsteps;
-	job->kinds = g_memdup2(r->steps, r->nsteps * sizeof(*r->steps));
+	job->steps = g_memdup2(r->steps, r->nsteps * sizeof(*r->steps));
 	job->labels = g_new0(char *, r->nsteps + 1);
 	job->left = g_new0(unsigned, r->nsteps);
 	job->declared = g_new0(unsigned, r->nsteps);
 	for (i = 0; i < r->nsteps; i++) {
 		job->labels[i] = g_strdup(r->steps[i].label);
-		job->kinds[i].label = job->labels[i];
+		job->steps[i].label = job->labels[i];
 		job->left[i] = r->steps[i].count;
 		job->declared[i] = r->steps[i].size_ms;
-		job->kinds[i].size_ms =
+		job->steps[i].size_ms =
 		    (unsigned)MAX(po_size(job->sizes, r->steps[i].size_ms), 1);
 		job->ntasks += r->steps[i].count;
 	}
@@ -192,7 +192,7 @@
 	job->deadline_ms = now + (limit > ANSWER_MS ? limit - ANSWER_MS : 0);
 	job->waiters = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	g_array_append_val(job->waiters, waiter);
-	job->steps = g_array_new(FALSE, FALSE, sizeof(struct tr_step));
+	job->trace = g_array_new(FALSE, FALSE, sizeof(struct tr_step));
 	job->sizes = sizes_of(j, job->queue);
 	copy_steps(job, r);
 	job->due_ms = now + r->queue->target_ms +
@@ -205,7 +205,7 @@
 static bool
 step_open(const struct jb_job *job, unsigned step)
 {
-	const struct jb_step *s = &job->kinds[step];
+	const struct jb_step *s = &job->steps[step];
 	unsigned i;
 
 	for (i = 0; i < s->nafter; i++)
@@ -244,7 +244,7 @@
 grant(struct jb *j, struct jb_job *job, struct jb_task *t, struct fl_worker *w,
     double finish_ms)
 {
-	const struct jb_step *s = &job->kinds[t->step];
+	const struct jb_step *s = &job->steps[t->step];
 	double run_ms = s->size_ms * fl_unit(j->fleet, w);
 	uint64_t now = ck_mono_ms(j->clock);
 	struct pd_start out = {
--- a/sched/jobs.h
+++ b/sched/jobs.h
@@ -106,8 +106,8 @@
  * @took_ms: time since it arrived
  * @late_ms: time by which it is late; 0: in time
  * @queue: name of its queue, borrowed
- * @steps: decisions about it, borrowed; none when it was not taken
- * @nsteps: number of them
+ * @trace: decisions about it, borrowed; none when it was not taken
+ * @ntrace: number of them
  */
 struct jb_answer {
 	const char *id; /* borrowed */
@@ -117,8 +117,8 @@
 	unsigned took_ms;
 	unsigned late_ms;
 	const char *queue;
-	const struct tr_step *steps;
-	unsigned nsteps;
+	const struct tr_step *trace;
+	unsigned ntrace;
 };
 
 /**
--- a/sched/jobs_impl.h
+++ b/sched/jobs_impl.h
@@ -54,7 +54,7 @@
 	char *body;
 	size_t body_len;
 	char **labels;
-	struct jb_step *kinds; /* steps of the job */
+	struct jb_step *steps; /* steps of the job */
 	struct jb_task *tasks;
 	unsigned *declared; /* run times of the steps as declared */
 	unsigned *left;     /* tasks of each step that are not done */
@@ -68,7 +68,7 @@
 	uint64_t due_ms; /* answer in time */
 	uint64_t deadline_ms;
 	GArray *waiters; /* uint64_t */
-	GArray *steps;   /* struct tr_step */
+	GArray *trace;   /* struct tr_step */
 	bool granted;    /* a task was granted */
 	bool started;    /* a task has started, or may have */
 	bool over;
--- a/sched/jobs_outcome.c
+++ b/sched/jobs_outcome.c
@@ -33,7 +33,7 @@
 jb_release(struct jb_job *job, struct jb_task *t)
 {
 	if (t->worker != NULL)
-		fl_release(t->worker, job->kinds[t->step].cpu);
+		fl_release(t->worker, job->steps[t->step].cpu);
 	t->worker = NULL;
 }
 
@@ -83,8 +83,8 @@
 	    .took_ms = (unsigned)(now - job->arrived_ms),
 	    .late_ms = now > job->due_ms ? (unsigned)(now - job->due_ms) : 0,
 	    .queue = job->queue,
-	    .steps = (struct tr_step *)job->steps->data,
-	    .nsteps = job->steps->len,
+	    .trace = (struct tr_step *)job->trace->data,
+	    .ntrace = job->trace->len,
 	};
 	struct jb_task *t;
 	struct pd_key k;
@@ -218,7 +218,7 @@
 		t->state = JB_GRANTED;
 		return;
 	}
-	s = &job->kinds[t->step];
+	s = &job->steps[t->step];
 	jb_note(j, job, t, trace_kind(e->state), w, e->queue_ms, e->run_ms);
 	jb_release(job, t);
 	if (e->state != PD_END_RETURNED) {
@@ -266,7 +266,7 @@
 		t = find_task(j, &e->list.list_val[i].key, &job);
 		if (t != NULL && t->worker == w &&
 		    e->list.list_val[i].state != PD_END_ACTIVE)
-			cpu += job->kinds[t->step].cpu;
+			cpu += job->steps[t->step].cpu;
 	}
 	return (cpu);
 }
