Keep runs of an endpoint that refuses connections until their lease is over

It gets no work now and its waiting tasks go back, but its runs count until the lease is over or it has restarted.

--- a/agent/executor.c
+++ b/agent/executor.c
@@ -146,6 +146,19 @@
 	lk_now(e->links);
 }
 
+static void
+on_refused(void *arg)
+{
+	bool before, after;
+	struct ex *e = arg;
+
+	before = ru_load(e->runner).accepting;
+	ru_refused(e->runner);
+	after = ru_load(e->runner).accepting;
+	if (before != after)
+		lk_now(e->links);
+}
+
 static void
 on_looked(void *arg, const struct ru_look *look)
 {
@@ -189,6 +202,7 @@
 static const struct od_ops endpoint_ops = {
     .about = on_about,
     .gone = on_gone,
+    .refused = on_refused,
     .looked = on_looked,
     .renewing = on_renewing,
     .unreachable = on_unreachable,
--- a/sched/runner.c
+++ b/sched/runner.c
@@ -87,7 +87,8 @@
 {
 	struct ru_load l = {.cpu = r->known ? r->cpu : 0,
 	    .mem_mb = r->mem_mb,
-	    .accepting = r->known && r->accepting && !r->draining,
+	    .accepting = r->known && r->accepting && !r->draining &&
+		r->misses < RU_MISSES_MAX,
 	    .clean = r->clean};
 	const struct ru_task *t;
 	guint i;
@@ -357,12 +358,12 @@
 }
 
 void
-ru_drain(struct ru *r)
+ru_return_queued(struct ru *r)
 {
 	struct ru_task *t;
 	guint i;
 
-	r->draining = true;
+	/* From the end, since each one leaves the table. */
 	for (i = r->tasks->len; i-- > 0;) {
 		t = r->tasks->pdata[i];
 		if (t->phase == RU_QUEUED)
@@ -370,6 +371,13 @@
 	}
 }
 
+void
+ru_drain(struct ru *r)
+{
+	r->draining = true;
+	ru_return_queued(r);
+}
+
 static void
 check_entries(struct ru *r)
 {
--- a/sched/runner.h
+++ b/sched/runner.h
@@ -121,6 +121,14 @@
 /** ru_unreachable() - a call to the endpoint got no answer */
 void ru_unreachable(struct ru *r);
 
+/**
+ * ru_refused() - the endpoint refused a connection
+ *
+ * That does not prove that its runs have ended: they count until their lease is
+ * over, or the endpoint says that it has restarted.
+ */
+void ru_refused(struct ru *r);
+
 /** ru_start_answer() - see struct ru_ops */
 void ru_start_answer(
     struct ru *r, const struct ru_run *run, enum ru_started answer);
--- a/sched/runner_endpoint.c
+++ b/sched/runner_endpoint.c
@@ -78,16 +78,8 @@
 	r->cpu = cpu;
 	r->mem_mb = mem_mb;
 	r->accepting = accepting;
-	if (!accepting) {
-		struct ru_task *t;
-		guint i;
-
-		for (i = r->tasks->len; i-- > 0;) {
-			t = r->tasks->pdata[i];
-			if (t->phase == RU_QUEUED)
-				ru_end(r, t, PD_END_RETURNED);
-		}
-	}
+	if (!accepting)
+		ru_return_queued(r);
 	ru_pump(r);
 }
 
@@ -219,10 +211,28 @@
 	ru_pump(r);
 }
 
+/* A silent endpoint gets no work; what waits may find another one. */
+static void
+set_misses(struct ru *r, unsigned misses)
+{
+	r->misses = misses;
+	if (misses == RU_MISSES_MAX) {
+		lg_write(LOG_NOTICE, "runner", "the endpoint does not answer");
+		ru_return_queued(r);
+	}
+}
+
 void
 ru_unreachable(struct ru *r)
 {
-	r->misses++;
+	set_misses(r, r->misses + 1);
+}
+
+void
+ru_refused(struct ru *r)
+{
+	if (r->misses < RU_MISSES_MAX)
+		set_misses(r, RU_MISSES_MAX);
 }
 
 void
--- a/sched/runner_impl.h
+++ b/sched/runner_impl.h
@@ -87,6 +87,9 @@
 /** ru_end() - report the end of a task and forget it; @t is consumed */
 void ru_end(struct ru *r, struct ru_task *t, enum pd_end_state state);
 
+/** ru_return_queued() - give back what waits */
+void ru_return_queued(struct ru *r);
+
 /** ru_stop_task() - end a task early, reported as @end */
 void ru_stop_task(struct ru *r, struct ru_task *t, enum pd_end_state end);
 
--- a/tests/soak_dispatch.c
+++ b/tests/soak_dispatch.c
@@ -24,7 +24,7 @@
 #define PER_S 20
 /* Time after the last fault in which everything has to work again. */
 #define RECOVERY_MS 4000
-#define CALM_JOBS 20
+#define CALM_JOBS 20U
 /* Least and greatest pause between two faults: most of them overlap. */
 #define PAUSE_MIN_MS 100
 #define PAUSE_SPAN_MS 900
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -306,6 +306,34 @@
 	assert_int_equal(PD_END_LOST, f->ends[0].state);
 }
 
+/* Guards against a second run of a task whose endpoint refuses connections and
+ * runs on (soak seeds 209, 211 and 311: two runs of one task), and against work
+ * that waits for such an endpoint. */
+static void
+test_refusing_endpoint(void **state)
+{
+	static const char *const ids[] = {"a", "b", "c", "d", "e"};
+	struct fix *f = *state;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(ids); i++) {
+		grant(f, E1, ids[i]);
+		confirm(f, ids[i], RU_STARTED);
+	}
+	ru_refused(f->runner);
+	assert_int_equal(1, f->nends);
+	assert_int_equal(PD_END_RETURNED, f->ends[0].state);
+	assert_false(ru_load(f->runner).accepting);
+	assert_int_equal(0, ru_renewing(f->runner));
+	pass(f, LE_RUN_MS, E1);
+	assert_int_equal(1, f->nends);
+	pass(f, 80, E1);
+	assert_int_equal(5, f->nends);
+	assert_int_equal(PD_END_LOST, f->ends[4].state);
+	look_empty(f);
+	assert_true(ru_load(f->runner).accepting);
+}
+
 /* Guards against runs of a killed agent that its successor lets go on, or
  * beside which it starts others before they have ended. */
 static void
@@ -546,6 +574,7 @@
 	    T(test_entry_gone_stops_runs),
 	    T(test_unanswered_start),
 	    T(test_silent_endpoint),
+	    T(test_refusing_endpoint),
 	    T(test_runs_of_predecessor),
 	    T(test_room),
 	    T(test_urgent_first),
