--- a/tests/harness_fleet.c
+++ b/tests/harness_fleet.c
@@ -65,17 +65,26 @@
 
 /* --- processes --- */
 
+/* Addresses of the entries as members of a TOML list, owned. */
+static char *
+entry_list(const struct hf *f)
+{
+	GString *list = g_string_new("");
+	unsigned k;
+
+	for (k = 0; k < f->nentries; k++)
+		g_string_append_printf(list, "%s\"127.0.0.1:%u\"",
+		    k == 0 ? "" : ",", f->entries[k].relay);
+	return (g_string_free(list, FALSE));
+}
+
 static void
 start_entry(struct hf *f, unsigned i)
 {
 	struct entry *e = &f->entries[i];
 	char name[32], *path, *text;
-	GString *seeds = g_string_new("");
-	unsigned k;
+	char *seeds = entry_list(f);
 
-	for (k = 0; k < f->nentries; k++)
-		g_string_append_printf(seeds, "%s\"127.0.0.1:%u\"",
-		    k == 0 ? "" : ",", f->entries[k].relay);
 	text = g_strdup_printf(
 	    "name = \"e%u\"\navailability_zone = \"z%u\"\n"
 	    "[listen]\nclients = \"127.0.0.1:%u\"\n"
@@ -84,7 +93,7 @@
 	    "advertised = \"127.0.0.1:%u\"\n[entries]\n"
 	    "addresses = [%s]\n[platform]\n"
 	    "store = \"127.0.0.1:%u\"\n",
-	    i, i, e->clients, e->probes, e->rpc, e->relay, seeds->str,
+	    i, i, e->clients, e->probes, e->rpc, e->relay, seeds,
 	    f->store_relay);
 	snprintf(name, sizeof(name), "entry%u.toml", i);
 	hn_write(f->hn, name, text);
@@ -95,7 +104,7 @@
 		"entry/pimentodock", "dispatch", "--settings", path, NULL});
 	g_free(path);
 	g_free(text);
-	g_string_free(seeds, TRUE);
+	g_free(seeds);
 }
 
 static void
@@ -103,18 +112,14 @@
 {
 	struct worker *w = &f->workers[i];
 	char name[32], *path, *text;
-	GString *seeds = g_string_new("");
-	unsigned k;
+	char *seeds = entry_list(f);
 
-	for (k = 0; k < f->nentries; k++)
-		g_string_append_printf(seeds, "%s\"127.0.0.1:%u\"",
-		    k == 0 ? "" : ",", f->entries[k].relay);
 	text = g_strdup_printf(
 	    "name = \"w%u\"\navailability_zone = \"%s\"\n"
 	    "[endpoint]\nheartbeats = \"127.0.0.1:%u\"\n"
 	    "orders = \"127.0.0.1:%u\"\n[entries]\n"
 	    "addresses = [%s]\n",
-	    i, w->az, w->beats, w->relay, seeds->str);
+	    i, w->az, w->beats, w->relay, seeds);
 	snprintf(name, sizeof(name), "agent%u.toml", i);
 	hn_write(f->hn, name, text);
 	path = hn_path(f->hn, name);
@@ -124,7 +129,7 @@
 		"--settings", path, NULL});
 	g_free(path);
 	g_free(text);
-	g_string_free(seeds, TRUE);
+	g_free(seeds);
 }
 
 static void
