Place a task where it delays others little; replay loads on a model

Each entry sent a task where it ended first, so the queues of the fast workers grew until they were as slow as the others, and long jobs, which end in time on the fast ones only, had to wait behind.

Ruled out: recovery after the power loss (entries serve within 0.1 s of their start), late answers of the store, endpoints that fail.

Change: the choice weighs the wait that a task causes to those behind it, by DELAY_WEIGHT. Model of a cell in bench/ (the real decisions on the paused clock) that replays load files, with a test of the load; the test fails before.

--- /dev/null
+++ b/bench/load.c
@@ -0,0 +1,218 @@
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "load.h"
+#include "settings.h"
+
+#define PERCENT 100.0
+#define PERMILLE 1000.0
+#define AT(field) offsetof(struct file, field)
+#define ROW(type, field) offsetof(struct type, field)
+
+struct file {
+	int64_t seed;
+	int64_t seconds;
+	int64_t entries;
+	int64_t net_ms;
+	int64_t estimate_off_percent;
+	int64_t uneven_percent;
+	int64_t error_permille;
+	struct st_strings kinds;
+	struct st_strings workers;
+	struct st_strings troubles;
+};
+
+static const struct st_key keys[] = {
+    {"seed", ST_INTEGER, AT(seed), 0, INT64_MAX, "1", NULL,
+	"of all random choices"},
+    {"seconds", ST_INTEGER, AT(seconds), 1, 100000, "60", NULL,
+	"simulated time for which jobs arrive"},
+    {"entries", ST_INTEGER, AT(entries), 1, 64, "3", NULL, "entries"},
+    {"net_ms", ST_INTEGER, AT(net_ms), 0, 1000, "1", NULL,
+	"time that a message takes, milliseconds"},
+    {"estimate_off_percent", ST_INTEGER, AT(estimate_off_percent), 0, 99, "40",
+	NULL, "by how much declared run times may be wrong"},
+    {"uneven_percent", ST_INTEGER, AT(uneven_percent), 0, 99, "15", NULL,
+	"by how much the tasks of a job differ"},
+    {"error_permille", ST_INTEGER, AT(error_permille), 0, 1000, "2", NULL,
+	"share of the runs that fail"},
+    {"kinds", ST_STRINGS, AT(kinds), 1, MD_KINDS_MAX, NULL, NULL,
+	"kinds of job, see struct md_kind"},
+    {"workers", ST_STRINGS, AT(workers), 1, MD_GROUPS_MAX, NULL, NULL,
+	"groups of workers, see struct md_group"},
+    {"troubles", ST_STRINGS, AT(troubles), 0, MD_TROUBLES_MAX, "", NULL,
+	"troubles, see struct md_trouble"},
+};
+
+/* A field of a row; either a number or a text. */
+struct field {
+	const char *name;
+	size_t offset;
+	enum {
+		FIELD_REAL,
+		FIELD_COUNT,
+		FIELD_TEXT
+	} type;
+};
+
+static const struct field kind_fields[] = {
+    {"per_s", ROW(md_kind, per_s), FIELD_REAL},
+    {"tasks", ROW(md_kind, tasks), FIELD_REAL},
+    {"work_ms", ROW(md_kind, work_ms), FIELD_REAL},
+    {"spread", ROW(md_kind, spread), FIELD_REAL},
+    {"cpu", ROW(md_kind, cpu), FIELD_COUNT},
+    {"target_ms", ROW(md_kind, target_ms), FIELD_COUNT},
+    {"deadline_ms", ROW(md_kind, deadline_ms), FIELD_COUNT},
+    {"attempts", ROW(md_kind, attempts), FIELD_COUNT},
+    {"priority", ROW(md_kind, priority), FIELD_COUNT},
+    {0},
+};
+
+static const struct field group_fields[] = {
+    {"count", ROW(md_group, count), FIELD_COUNT},
+    {"cpu", ROW(md_group, cpu), FIELD_COUNT},
+    {"speed", ROW(md_group, speed), FIELD_REAL},
+    {0},
+};
+
+static const struct field trouble_fields[] = {
+    {"kind", ROW(md_trouble, kind), FIELD_TEXT},
+    {"at_ms", ROW(md_trouble, at_ms), FIELD_COUNT},
+    {"for_ms", ROW(md_trouble, for_ms), FIELD_COUNT},
+    {"count", ROW(md_trouble, count), FIELD_COUNT},
+    {"x", ROW(md_trouble, x), FIELD_REAL},
+    {0},
+};
+
+static const char *const trouble_names[] = {"burst", "slow", "away"};
+
+static bool
+set_field(const struct field *f, void *row, const char *text)
+{
+	char *end = NULL;
+	double real;
+
+	if (f->type == FIELD_TEXT) {
+		g_strlcpy((char *)row + f->offset, text, MD_NAME_MAX);
+		return (strlen(text) < MD_NAME_MAX);
+	}
+	real = g_ascii_strtod(text, &end);
+	if (end == text || *end != '\0' || !(real >= 0))
+		return (false);
+	if (f->type == FIELD_REAL)
+		*(double *)((char *)row + f->offset) = real;
+	else
+		*(unsigned *)((char *)row + f->offset) = (unsigned)real;
+	return (true);
+}
+
+static bool
+set_word(const struct field *fields, void *row, char *word)
+{
+	char *value = strchr(word, '=');
+	unsigned i;
+
+	if (value == NULL)
+		return (false);
+	*value++ = '\0';
+	for (i = 0; fields[i].name != NULL; i++)
+		if (strcmp(fields[i].name, word) == 0)
+			return (set_field(&fields[i], row, value));
+	return (false);
+}
+
+/* @name: set to the first word, which stands alone; NULL if there is none. */
+static bool
+read_row(const char *text, const struct field *fields, void *row, char *name)
+{
+	char **words = g_strsplit_set(text, " ", 0);
+	bool valid = true;
+	unsigned i = 0;
+
+	if (name != NULL && words[0] != NULL)
+		g_strlcpy(name, words[i++], MD_NAME_MAX);
+	for (; valid && words[i] != NULL; i++)
+		valid = words[i][0] == '\0' || set_word(fields, row, words[i]);
+	g_strfreev(words);
+	return (valid);
+}
+
+static bool
+read_trouble(const char *text, struct md_trouble *t)
+{
+	char name[MD_NAME_MAX] = "";
+	unsigned i;
+
+	if (!read_row(text, trouble_fields, t, name))
+		return (false);
+	for (i = 0; i < G_N_ELEMENTS(trouble_names); i++)
+		if (strcmp(trouble_names[i], name) == 0) {
+			t->what = (enum md_what)i;
+			/* Burst and slowdown are factors. */
+			return (t->what == MD_AWAY || t->x > 0);
+		}
+	return (false);
+}
+
+static bool
+read_rows(const struct file *f, struct md_load *load, const char **wrong)
+{
+	struct md_kind *k;
+	struct md_group *g;
+	size_t i;
+
+	for (i = 0; i < f->kinds.count; i++) {
+		*wrong = f->kinds.items[i];
+		k = &load->kinds[load->nkinds++];
+		if (!read_row(*wrong, kind_fields, k, k->name) ||
+		    k->per_s <= 0 || k->work_ms <= 0 || k->deadline_ms == 0)
+			return (false);
+	}
+	for (i = 0; i < f->workers.count; i++) {
+		*wrong = f->workers.items[i];
+		g = &load->groups[load->ngroups++];
+		if (!read_row(*wrong, group_fields, g, NULL) || g->speed <= 0 ||
+		    g->count == 0 || g->cpu == 0)
+			return (false);
+	}
+	for (i = 0; i < f->troubles.count; i++) {
+		*wrong = f->troubles.items[i];
+		if (!read_trouble(*wrong, &load->troubles[load->ntroubles++]))
+			return (false);
+	}
+	return (true);
+}
+
+bool
+ld_read(const char *path, struct md_load *load, char *message, size_t size)
+{
+	const char *wrong = "";
+	struct file f = {0};
+	bool valid;
+
+	memset(load, 0, sizeof(*load));
+	if (st_load(path, keys, G_N_ELEMENTS(keys), &f, message, size) != ST_OK)
+		return (false);
+	load->seed = (uint64_t)f.seed;
+	load->seconds = (unsigned)f.seconds;
+	load->entries = (unsigned)f.entries;
+	load->net_ms = (unsigned)f.net_ms;
+	load->estimate_off = (double)f.estimate_off_percent / PERCENT;
+	load->uneven = (double)f.uneven_percent / PERCENT;
+	load->error_share = (double)f.error_permille / PERMILLE;
+	valid = read_rows(&f, load, &wrong);
+	if (!valid)
+		snprintf(message, size, "%s: not a valid row: %s", path, wrong);
+	st_release(keys, G_N_ELEMENTS(keys), &f);
+	return (valid);
+}
+
+void
+ld_scale(struct md_load *load, double x)
+{
+	unsigned i;
+
+	for (i = 0; i < load->nkinds; i++)
+		load->kinds[i].per_s *= x;
+}
--- /dev/null
+++ b/bench/model.c
@@ -0,0 +1,394 @@
+#include <math.h>
+#include <string.h>
+#include <syslog.h>
+
+#include "log.h"
+#include "model_impl.h"
+
+#define US_PER_MS 1000
+#define US_PER_S 1000000
+#define START_MS 100000
+/* Entries wait this long for their agents after a start. */
+#define SETTLE_MS 1500
+/* Period in which the programs look at deadlines. */
+#define TICK_MS 20
+/* Objectives of the users: 1.6 run times and the target of the queue. */
+#define STRETCH_PERMILLE 1600
+#define PERMILLE 1000
+/* Run times and widths are cut at this many times their mean. */
+#define CUT 4.0
+
+uint64_t
+md_net_us(const struct md *m)
+{
+	return ((uint64_t)m->load->net_ms * US_PER_MS);
+}
+
+static gint
+compare(gconstpointer a, gconstpointer b, gpointer arg)
+{
+	const struct md_event *x = a, *y = b;
+
+	(void)arg;
+	if (x->at_us != y->at_us)
+		return (x->at_us < y->at_us ? -1 : 1);
+	return (x->order < y->order ? -1 : 1);
+}
+
+static void
+event_free(void *arg)
+{
+	struct md_event *e = arg;
+
+	g_free(e->data);
+	g_free(e);
+}
+
+void
+md_at(struct md *m, uint64_t delay_us, md_fn fn, unsigned a, unsigned b,
+    void *data)
+{
+	struct md_event *e = g_new0(struct md_event, 1);
+
+	e->at_us = ck_mono_us(m->clock) + delay_us;
+	e->order = ++m->last_order;
+	e->fn = fn;
+	e->a = a;
+	e->b = b;
+	e->data = data;
+	g_sequence_insert_sorted(m->events, e, compare, NULL);
+}
+
+/* --- arrivals --- */
+
+static double
+normal(struct rn *r)
+{
+	double u = 1 - rn_unit(r);
+
+	return (sqrt(-2 * log(u)) * cos(2 * G_PI * rn_unit(r)));
+}
+
+/* Log-normal with the mean 1. */
+static double
+factor(struct rn *r, double spread)
+{
+	return (fmin(exp(spread * normal(r) - spread * spread / 2), CUT));
+}
+
+static double
+off_by(struct rn *r, double share)
+{
+	return (1 + share * (2 * rn_unit(r) - 1));
+}
+
+static struct md_job *
+job_new(struct md *m, unsigned kind)
+{
+	const struct md_kind *k = &m->load->kinds[kind];
+	struct md_job *job = g_new0(struct md_job, 1);
+	double work, longest = 0;
+	unsigned i;
+
+	snprintf(job->id, sizeof(job->id), "%016x", m->jobs->len + 1);
+	job->kind = kind;
+	job->ntasks =
+	    (unsigned)fmax(1, round(k->tasks * factor(m->rng, k->spread)));
+	job->work_ms = g_new0(double, job->ntasks);
+	work = k->work_ms * factor(m->rng, k->spread);
+	for (i = 0; i < job->ntasks; i++) {
+		job->work_ms[i] = work * off_by(m->rng, m->load->uneven);
+		longest = fmax(longest, job->work_ms[i]);
+		m->result->core_s +=
+		    job->work_ms[i] * k->cpu / PERMILLE / PERMILLE;
+	}
+	job->arrived_us = ck_mono_us(m->clock);
+	job->allowed_us =
+	    (uint64_t)((longest * STRETCH_PERMILLE / PERMILLE + k->target_ms) *
+		US_PER_MS);
+	g_ptr_array_add(m->jobs, job);
+	g_hash_table_insert(m->jobs_by, job->id, job);
+	return (job);
+}
+
+static void
+submit(struct md *m, unsigned kind)
+{
+	const struct md_kind *k = &m->load->kinds[kind];
+	struct md_job *job = job_new(m, kind);
+	struct pd_queue q = {.name = (char *)(uintptr_t)k->name,
+	    .service = (char *)(uintptr_t) "service",
+	    .timeout_ms = k->deadline_ms,
+	    .target_ms = k->target_ms,
+	    .priority = k->priority,
+	    .attempts = k->attempts,
+	    .stretch_permille = STRETCH_PERMILLE};
+	struct jb_step step = {.count = job->ntasks,
+	    .cpu = k->cpu,
+	    .size_ms = (unsigned)fmax(
+		1, job->work_ms[0] * off_by(m->rng, m->load->estimate_off)),
+	    .label = ""};
+	struct jb_request r = {.id = job->id,
+	    .queue = &q,
+	    .deadline_ms = k->deadline_ms,
+	    .steps = &step,
+	    .nsteps = 1,
+	    .body = "",
+	    .body_len = 0};
+	unsigned entry = rn_below(m->rng, m->load->entries);
+
+	jb_submit(m->entries[entry].jobs, &r, m->jobs->len);
+}
+
+static void plan_arrival(struct md *m, unsigned kind);
+
+static void
+on_arrival(struct md *m, struct md_event *e)
+{
+	if (e->at_us >= m->end_us)
+		return;
+	submit(m, e->a);
+	plan_arrival(m, e->a);
+}
+
+static void
+plan_arrival(struct md *m, unsigned kind)
+{
+	double per_s = m->load->kinds[kind].per_s * m->burst[kind];
+	double gap_s = -log(1 - rn_unit(m->rng)) / per_s;
+
+	md_at(m, (uint64_t)(gap_s * US_PER_S), on_arrival, kind, 0, NULL);
+}
+
+/* --- troubles --- */
+
+static void
+set_trouble(struct md *m, const struct md_trouble *t, bool on)
+{
+	unsigned i;
+
+	switch (t->what) {
+	case MD_BURST:
+		for (i = 0; i < m->load->nkinds; i++)
+			if (t->kind[0] == '\0' ||
+			    strcmp(t->kind, m->load->kinds[i].name) == 0)
+				m->burst[i] *= on ? t->x : 1 / t->x;
+		break;
+	case MD_SLOW:
+		for (i = 0; i < MIN(t->count, m->nworkers); i++)
+			m->workers[i].slowdown = on ? t->x : 1;
+		break;
+	case MD_AWAY:
+		for (i = 0; i < MIN(t->count, m->nworkers); i++)
+			if (on)
+				md_worker_stop(&m->workers[i]);
+			else
+				md_worker_start(&m->workers[i]);
+		break;
+	}
+}
+
+static void
+on_trouble(struct md *m, struct md_event *e)
+{
+	set_trouble(m, &m->load->troubles[e->a], e->b != 0);
+}
+
+/* --- entries --- */
+
+static void
+job_start(void *arg, struct fl_worker *w, const struct pd_start *s)
+{
+	md_grant(arg, w, s);
+}
+
+static void
+job_withdraw(void *arg, struct fl_worker *w, const struct pd_key *k)
+{
+	md_withdraw(arg, w, k);
+}
+
+static void
+job_reconcile(
+    void *arg, struct fl_worker *w, const struct pd_key *keys, unsigned n)
+{
+	md_reconcile(arg, w, keys, n);
+}
+
+static void
+job_answer(void *arg, uint64_t waiter, const struct jb_answer *a)
+{
+	struct md_entry *e = arg;
+	struct md_job *job = e->model->jobs->pdata[waiter - 1];
+
+	job->answered = true;
+	job->status = a->status;
+	job->took_us = ck_mono_us(e->model->clock) - job->arrived_us;
+}
+
+static void
+job_ended(void *arg, const struct jb_answer *a)
+{
+	(void)arg;
+	(void)a;
+}
+
+static const struct jb_ops job_ops = {
+    .start = job_start,
+    .withdraw = job_withdraw,
+    .reconcile = job_reconcile,
+    .answer = job_answer,
+    .ended = job_ended,
+};
+
+static void
+entries_new(struct md *m)
+{
+	struct md_entry *e;
+	unsigned i;
+
+	m->entries = g_new0(struct md_entry, m->load->entries);
+	for (i = 0; i < m->load->entries; i++) {
+		e = &m->entries[i];
+		e->model = m;
+		e->number = i;
+		e->config = cf_new();
+		e->fleet =
+		    fl_new(m->clock, m->counters, e->config, m->load->seed + i);
+		e->jobs = jb_new(m->clock, m->counters, e->fleet, &job_ops, e);
+	}
+}
+
+static void
+on_tick(struct md *m, struct md_event *e)
+{
+	uint64_t now = ck_mono_ms(m->clock);
+	unsigned i, queued = 0;
+	struct md_window *w;
+
+	(void)e;
+	for (i = 0; i < m->load->entries; i++)
+		jb_tick(m->entries[i].jobs);
+	for (i = 0; i < m->nworkers; i++)
+		if (m->workers[i].up) {
+			ru_tick(m->workers[i].runner);
+			queued += ru_load(m->workers[i].runner).queued;
+		}
+	if (now >= START_MS && now * US_PER_MS < m->end_us) {
+		w = &m->result->windows[(now - START_MS) / MD_WINDOW_MS];
+		w->queued_max = MAX(w->queued_max, queued);
+	}
+	md_at(m, TICK_MS * US_PER_MS, on_tick, 0, 0, NULL);
+}
+
+/* --- the run --- */
+
+static void
+run_until(struct md *m, uint64_t until_us)
+{
+	struct md_event *e;
+	GSequenceIter *first;
+
+	for (;;) {
+		first = g_sequence_get_begin_iter(m->events);
+		e = g_sequence_get(first);
+		if (e->at_us > until_us)
+			break;
+		ck_advance_us(m->clock, e->at_us - ck_mono_us(m->clock));
+		e->fn(m, e);
+		g_sequence_remove(first);
+	}
+	ck_advance_us(m->clock, until_us - ck_mono_us(m->clock));
+}
+
+static void
+plan(struct md *m)
+{
+	const struct md_trouble *t;
+	unsigned i;
+
+	for (i = 0; i < m->load->nkinds; i++) {
+		m->burst[i] = 1;
+		plan_arrival(m, i);
+	}
+	for (i = 0; i < m->load->ntroubles; i++) {
+		t = &m->load->troubles[i];
+		md_at(
+		    m, (uint64_t)t->at_ms * US_PER_MS, on_trouble, i, 1, NULL);
+		md_at(m, ((uint64_t)t->at_ms + t->for_ms) * US_PER_MS,
+		    on_trouble, i, 0, NULL);
+	}
+}
+
+static void
+job_free(void *arg)
+{
+	struct md_job *job = arg;
+
+	g_free(job->work_ms);
+	g_free(job);
+}
+
+static void
+model_free(struct md *m)
+{
+	unsigned i;
+
+	for (i = 0; i < m->load->entries; i++) {
+		jb_free(m->entries[i].jobs);
+		fl_free(m->entries[i].fleet);
+		cf_free(m->entries[i].config);
+	}
+	g_free(m->entries);
+	md_workers_free(m);
+	g_sequence_free(m->events);
+	g_hash_table_destroy(m->jobs_by);
+	g_hash_table_destroy(m->active);
+	g_ptr_array_free(m->jobs, TRUE);
+	rn_free(m->rng);
+	rn_free(m->fates);
+	ct_free(m->counters);
+	ck_free(m->clock);
+}
+
+struct md_result *
+md_run(const struct md_load *load)
+{
+	uint64_t us = (uint64_t)load->seconds * US_PER_S;
+	struct md m = {.load = load};
+	unsigned i, drain_ms = 0;
+
+	lg_open("model", LOG_CRIT);
+	m.clock = ck_new_manual(START_MS - SETTLE_MS, START_MS);
+	m.counters = ct_new();
+	m.rng = rn_new(load->seed);
+	m.fates = rn_new(load->seed);
+	m.events = g_sequence_new(event_free);
+	m.jobs = g_ptr_array_new_with_free_func(job_free);
+	m.jobs_by = g_hash_table_new(g_str_hash, g_str_equal);
+	m.active = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	m.result = g_new0(struct md_result, 1);
+	m.result->nwindows = load->seconds * PERMILLE / MD_WINDOW_MS;
+	m.result->windows = g_new0(struct md_window, m.result->nwindows + 1);
+	entries_new(&m);
+	md_workers_new(&m);
+	md_at(&m, 0, on_tick, 0, 0, NULL);
+	run_until(&m, (uint64_t)START_MS * US_PER_MS);
+	m.end_us = (uint64_t)START_MS * US_PER_MS + us;
+	plan(&m);
+	for (i = 0; i < load->nkinds; i++)
+		drain_ms = MAX(drain_ms, load->kinds[i].deadline_ms);
+	run_until(&m, m.end_us + (uint64_t)drain_ms * US_PER_MS);
+	md_count(&m);
+	model_free(&m);
+	return (m.result);
+}
+
+void
+md_result_free(struct md_result *r)
+{
+	if (r == NULL)
+		return;
+	g_free(r->windows);
+	g_free(r);
+}
--- /dev/null
+++ b/bench/model_impl.h
@@ -0,0 +1,143 @@
+#ifndef MODEL_IMPL_H
+#define MODEL_IMPL_H
+
+#include <glib.h>
+
+#include "clock.h"
+#include "config.h"
+#include "counters.h"
+#include "fleet.h"
+#include "jobs.h"
+#include "model.h"
+#include "rng.h"
+#include "runner.h"
+
+/**
+ * DOC: md - parts: model.c moves the time and the arrivals, model_worker.c has
+ * the agents and their endpoints, model_result.c counts
+ */
+
+struct md;
+struct md_event;
+
+/** typedef md_fn - what happens at an event; the event is freed afterwards */
+typedef void (*md_fn)(struct md *m, struct md_event *e);
+
+/**
+ * struct md_event - something at a moment of the simulated time
+ * @order: events of the same moment keep the order in which they were made
+ * @a: @b: numbers for @fn, such as an entry and a worker
+ * @data: for @fn, owned; freed with g_free()
+ */
+struct md_event {
+	uint64_t at_us;
+	uint64_t order;
+	md_fn fn;
+	unsigned a;
+	unsigned b;
+	void *data;
+};
+
+/** struct md_job - a job as its client knows it */
+struct md_job {
+	char id[20];
+	unsigned kind;
+	unsigned ntasks;
+	uint64_t arrived_us;
+	uint64_t allowed_us; /* time in which it should be answered */
+	double *work_ms;     /* of each task */
+	double run_core_s;   /* of its runs so far */
+	bool answered;
+	enum jb_status status;
+	uint64_t took_us;
+};
+
+struct md_entry {
+	struct md *model;
+	unsigned number;
+	struct cf *config;
+	struct fl *fleet;
+	struct jb *jobs;
+};
+
+/** struct md_run_at - a run at an endpoint */
+struct md_run_at {
+	char id[20];
+	unsigned index;
+	unsigned run;
+	unsigned cpu;
+	uint64_t number; /* differs for each run of the model */
+	uint64_t started_us;
+};
+
+struct md_worker {
+	struct md *model;
+	unsigned number;
+	char name[16];
+	unsigned cpu;
+	double speed;
+	double slowdown;
+	bool up;
+	uint64_t life;
+	struct ru *runner;
+	GArray *runs;   /* struct md_run_at */
+	GArray **ended; /* struct pd_end for each entry, with owned ids */
+	uint64_t *told_us;
+	bool flushing;
+};
+
+struct md {
+	const struct md_load *load;
+	struct md_result *result;
+	struct ck *clock;
+	struct ct *counters;
+	struct rn *rng;    /* of arrivals, the same whatever is decided */
+	struct rn *fates;  /* of runs */
+	GSequence *events; /* struct md_event, owned */
+	uint64_t last_order;
+	struct md_entry *entries;
+	struct md_worker *workers;
+	unsigned nworkers;
+	GPtrArray *jobs;     /* struct md_job, owned */
+	GHashTable *jobs_by; /* id -> struct md_job */
+	GHashTable *active;  /* "id.index" -> number of runs */
+	double burst[MD_KINDS_MAX];
+	uint64_t end_us;
+	uint64_t last_run;
+};
+
+/** md_at() - have @fn called in @delay_us; takes @data */
+void md_at(struct md *m, uint64_t delay_us, md_fn fn, unsigned a, unsigned b,
+    void *data);
+
+/** md_net_us() - time that a message takes */
+uint64_t md_net_us(const struct md *m);
+
+/** md_workers_new() - agents and endpoints, all up */
+void md_workers_new(struct md *m);
+
+/** md_workers_free() - see md_workers_new() */
+void md_workers_free(struct md *m);
+
+/** md_worker_stop() - a worker loses its power */
+void md_worker_stop(struct md_worker *w);
+
+/** md_worker_start() - a worker is back, with a new agent and endpoint */
+void md_worker_start(struct md_worker *w);
+
+/** md_grant() - bring a grant to an agent; copies it */
+void md_grant(
+    struct md_entry *e, const struct fl_worker *to, const struct pd_start *s);
+
+/** md_withdraw() - bring a withdrawal to an agent */
+void md_withdraw(
+    struct md_entry *e, const struct fl_worker *to, const struct pd_key *k);
+
+/** md_reconcile() - ask an agent about grants */
+void md_reconcile(struct md_entry *e, const struct fl_worker *to,
+    const struct pd_key *keys, unsigned n);
+
+/** md_count() - fill the result from the jobs */
+void md_count(struct md *m);
+
+#endif
--- /dev/null
+++ b/bench/model_result.c
@@ -0,0 +1,164 @@
+#include <string.h>
+
+#include "model_impl.h"
+
+#define US_PER_MS 1000.0
+#define PERMILLE 1000
+#define P99 0.99
+#define MEDIAN 0.5
+/* An answer that is later than this many times the time that was allowed is of
+ * no use to its caller. */
+#define USELESS_FACTOR 3
+
+static gint
+compare(gconstpointer a, gconstpointer b)
+{
+	double x = *(const double *)a, y = *(const double *)b;
+
+	return (x < y ? -1 : x > y);
+}
+
+static double
+quantile(GArray *values, double q)
+{
+	if (values->len == 0)
+		return (0);
+	g_array_sort(values, compare);
+	return (g_array_index(values, double, (guint)((values->len - 1) * q)));
+}
+
+/* Times of one class. */
+struct times {
+	GArray *done;
+	GArray *refused;
+};
+
+static void
+times_init(struct times *t)
+{
+	t->done = g_array_new(FALSE, FALSE, sizeof(double));
+	t->refused = g_array_new(FALSE, FALSE, sizeof(double));
+}
+
+static void
+times_finish(struct times *t, struct md_class *c)
+{
+	c->median_ms = quantile(t->done, MEDIAN);
+	c->p99_ms = quantile(t->done, P99);
+	c->refusal_ms = quantile(t->refused, MEDIAN);
+	g_array_free(t->done, TRUE);
+	g_array_free(t->refused, TRUE);
+}
+
+static bool
+in_time(const struct md_job *job)
+{
+	return (job->answered && job->status == JB_COMPLETED &&
+	    job->took_us <= job->allowed_us);
+}
+
+static void
+count_job(const struct md_job *job, struct md_class *c, struct times *t)
+{
+	double ms = (double)job->took_us / US_PER_MS;
+
+	c->asked++;
+	switch (job->answered ? job->status : JB_GAVE_UP) {
+	case JB_COMPLETED:
+		g_array_append_val(t->done, ms);
+		if (job->took_us <= job->allowed_us)
+			c->in_time++;
+		else if (job->took_us <= USELESS_FACTOR * job->allowed_us)
+			c->late++;
+		else
+			c->too_late++;
+		break;
+	case JB_REFUSED:
+		g_array_append_val(t->refused, ms);
+		c->refused++;
+		break;
+	case JB_FAILED:
+		c->failed++;
+		break;
+	default:
+		c->gave_up++;
+		break;
+	}
+}
+
+static void
+count_work(struct md *m, const struct md_job *job)
+{
+	const struct md_kind *k = &m->load->kinds[job->kind];
+	unsigned i;
+
+	if (!job->answered || job->status != JB_COMPLETED) {
+		m->result->core_s_wasted += job->run_core_s;
+		return;
+	}
+	for (i = 0; i < job->ntasks; i++)
+		m->result->core_s_done +=
+		    job->work_ms[i] * k->cpu / PERMILLE / PERMILLE;
+}
+
+static void
+count_windows(struct md *m)
+{
+	uint64_t first = m->end_us - (uint64_t)m->load->seconds * 1000000;
+	struct md_window *w;
+	const struct md_job *job;
+	GArray *took;
+	double ms;
+	unsigned i, k;
+
+	for (i = 0; i < m->result->nwindows; i++) {
+		w = &m->result->windows[i];
+		took = g_array_new(FALSE, FALSE, sizeof(double));
+		for (k = 0; k < m->jobs->len; k++) {
+			job = m->jobs->pdata[k];
+			if ((job->arrived_us - first) / 1000 / MD_WINDOW_MS !=
+			    i)
+				continue;
+			w->asked++;
+			w->in_time += in_time(job);
+			w->refused +=
+			    job->answered && job->status == JB_REFUSED;
+			ms = (double)job->took_us / US_PER_MS;
+			if (job->answered && job->status == JB_COMPLETED)
+				g_array_append_val(took, ms);
+		}
+		w->median_ms = quantile(took, MEDIAN);
+		g_array_free(took, TRUE);
+	}
+}
+
+void
+md_count(struct md *m)
+{
+	struct times all, kinds[MD_KINDS_MAX];
+	const struct md_job *job;
+	unsigned i;
+
+	times_init(&all);
+	for (i = 0; i < MD_KINDS_MAX; i++)
+		times_init(&kinds[i]);
+	for (i = 0; i < m->jobs->len; i++) {
+		job = m->jobs->pdata[i];
+		count_job(job, &m->result->all, &all);
+		count_job(job, &m->result->kinds[job->kind], &kinds[job->kind]);
+		count_work(m, job);
+	}
+	times_finish(&all, &m->result->all);
+	for (i = 0; i < MD_KINDS_MAX; i++)
+		times_finish(&kinds[i], &m->result->kinds[i]);
+	for (i = 0; i < m->nworkers; i++)
+		m->result->core_s_room += m->workers[i].cpu *
+		    m->workers[i].speed * m->load->seconds / PERMILLE;
+	count_windows(m);
+}
+
+double
+md_share(const struct md_class *c)
+{
+	return (c->asked == 0 ? 1 : (double)c->in_time / c->asked);
+}
--- /dev/null
+++ b/bench/model_worker.c
@@ -0,0 +1,532 @@
+#include <string.h>
+
+#include "lease.h"
+#include "model_impl.h"
+
+#define US_PER_MS 1000
+#define PERMILLE 1000
+/* An agent and its endpoint are on one host. */
+#define LOCAL_US 500
+/* A stop takes the endpoint this long. */
+#define STOP_US 20000
+/* Period in which an agent tells its load to entries that hear nothing else. */
+#define TELL_US 40000
+#define MEM_MB 100000
+
+struct grant {
+	struct pd_start start;
+	char id[20];
+	uint64_t life;
+};
+
+struct report {
+	struct pd_ended ended;
+	uint64_t life;
+};
+
+struct order {
+	char id[20];
+	unsigned index;
+	unsigned run;
+	uint64_t number;
+	uint64_t life;
+};
+
+static uint64_t
+session_of(const struct md_worker *w)
+{
+	return (w->life * (w->model->nworkers + 1) + w->number + 1);
+}
+
+static struct md_worker *
+worker_of(struct md *m, const struct fl_worker *to)
+{
+	return (&m->workers[(to->session - 1) % (m->nworkers + 1)]);
+}
+
+/* --- the endpoint --- */
+
+static char *
+task_name(const struct order *o)
+{
+	return (g_strdup_printf("%s.%u", o->id, o->index));
+}
+
+/* Changes how many runs of a task there are. Return: the number before. */
+static int
+count_task(struct md *m, const struct order *o, int by)
+{
+	char *name = task_name(o);
+	int n = GPOINTER_TO_INT(g_hash_table_lookup(m->active, name));
+
+	g_hash_table_insert(m->active, name, GINT_TO_POINTER(n + by));
+	return (n);
+}
+
+static void
+charge(struct md_worker *w, const struct md_run_at *run)
+{
+	struct md *m = w->model;
+	struct md_job *job = g_hash_table_lookup(m->jobs_by, run->id);
+	double ms =
+	    (double)(ck_mono_us(m->clock) - run->started_us) / US_PER_MS;
+
+	job->run_core_s +=
+	    ms * w->speed / w->slowdown * run->cpu / PERMILLE / PERMILLE;
+}
+
+static void
+take_run(struct md_worker *w, guint i)
+{
+	struct md_run_at *run = &g_array_index(w->runs, struct md_run_at, i);
+	struct order o = {.index = run->index};
+
+	charge(w, run);
+	g_strlcpy(o.id, run->id, sizeof(o.id));
+	count_task(w->model, &o, -1);
+	g_array_remove_index(w->runs, i);
+}
+
+/* The endpoint tells that a run has ended. */
+static void
+list_end(struct md_worker *w, const struct order *o, enum ru_how how)
+{
+	struct ru_listed ended = {
+	    .id = o->id, .index = o->index, .run = o->run, .how = how};
+	struct ru_listed *running = g_new0(struct ru_listed, w->runs->len + 1);
+	struct ru_look look = {.sent_ms = ck_mono_ms(w->model->clock),
+	    .life = w->life,
+	    .running = running,
+	    .nrunning = w->runs->len,
+	    .ended = &ended,
+	    .nended = 1};
+	const struct md_run_at *run;
+	guint i;
+
+	for (i = 0; i < w->runs->len; i++) {
+		run = &g_array_index(w->runs, struct md_run_at, i);
+		running[i].id = run->id;
+		running[i].index = run->index;
+		running[i].run = run->run;
+	}
+	ru_looked(w->runner, &look);
+	g_free(running);
+}
+
+static void
+on_run_end(struct md *m, struct md_event *e)
+{
+	struct md_worker *w = &m->workers[e->a];
+	const struct order *o = e->data;
+	guint i;
+
+	if (!w->up || w->life != o->life)
+		return;
+	for (i = 0; i < w->runs->len; i++)
+		if (g_array_index(w->runs, struct md_run_at, i).number ==
+		    o->number) {
+			take_run(w, i);
+			list_end(w, o, (enum ru_how)e->b);
+			return;
+		}
+}
+
+static unsigned
+cpu_used(const struct md_worker *w)
+{
+	unsigned cpu = 0;
+	guint i;
+
+	for (i = 0; i < w->runs->len; i++)
+		cpu += g_array_index(w->runs, struct md_run_at, i).cpu;
+	return (cpu);
+}
+
+static void
+begin_run(struct md_worker *w, const struct order *o, const struct md_job *job,
+    unsigned cpu)
+{
+	struct md *m = w->model;
+	struct md_run_at run = {.index = o->index,
+	    .run = o->run,
+	    .cpu = cpu,
+	    .number = ++m->last_run,
+	    .started_us = ck_mono_us(m->clock)};
+	struct order *end = g_memdup2(o, sizeof(*o));
+	double ms = job->work_ms[o->index] / w->speed * w->slowdown;
+	enum ru_how how = RU_DONE;
+
+	if (rn_unit(m->fates) < m->load->error_share)
+		how = RU_FAILED;
+	g_strlcpy(run.id, o->id, sizeof(run.id));
+	g_array_append_val(w->runs, run);
+	if (count_task(m, o, 1) > 0)
+		m->result->twice++;
+	end->number = run.number;
+	md_at(m, (uint64_t)(ms * US_PER_MS), on_run_end, w->number, how, end);
+}
+
+static void
+on_order_start(struct md *m, struct md_event *e)
+{
+	struct md_worker *w = &m->workers[e->a];
+	const struct order *o = e->data;
+	struct md_job *job = g_hash_table_lookup(m->jobs_by, o->id);
+	struct ru_run run = {.id = o->id, .index = o->index, .run = o->run};
+	unsigned cpu = m->load->kinds[job->kind].cpu;
+
+	if (!w->up || w->life != o->life)
+		return;
+	m->result->starts++;
+	if (cpu_used(w) + cpu > w->cpu) {
+		m->result->starts_refused++;
+		ru_start_answer(w->runner, &run, RU_NO_ROOM);
+		return;
+	}
+	begin_run(w, o, job, cpu);
+	ru_start_answer(w->runner, &run, RU_STARTED);
+}
+
+static void
+on_order_stop(struct md *m, struct md_event *e)
+{
+	struct md_worker *w = &m->workers[e->a];
+	const struct order *o = e->data;
+	struct ru_run run = {.id = o->id, .index = o->index, .run = o->run};
+	struct md_run_at *at;
+	guint i;
+
+	if (!w->up || w->life != o->life)
+		return;
+	ru_stop_answer(w->runner, &run, true);
+	for (i = 0; i < w->runs->len; i++) {
+		at = &g_array_index(w->runs, struct md_run_at, i);
+		if (strcmp(at->id, o->id) == 0 && at->index == o->index &&
+		    at->run == o->run) {
+			take_run(w, i);
+			list_end(w, o, RU_STOPPED);
+			return;
+		}
+	}
+}
+
+/* --- the agent --- */
+
+static struct order *
+order_of(const struct md_worker *w, const struct ru_run *run)
+{
+	struct order *o = g_new0(struct order, 1);
+
+	g_strlcpy(o->id, run->id, sizeof(o->id));
+	o->index = run->index;
+	o->run = run->run;
+	o->life = w->life;
+	return (o);
+}
+
+static void
+runner_start(void *arg, const struct ru_run *run)
+{
+	struct md_worker *w = arg;
+
+	md_at(
+	    w->model, LOCAL_US, on_order_start, w->number, 0, order_of(w, run));
+}
+
+static void
+runner_stop(void *arg, const struct ru_run *run)
+{
+	struct md_worker *w = arg;
+
+	md_at(w->model, STOP_US, on_order_stop, w->number, 0, order_of(w, run));
+}
+
+static void
+clear_ended(GArray *ended)
+{
+	guint i;
+
+	for (i = 0; i < ended->len; i++)
+		g_free(g_array_index(ended, struct pd_end, i).key.sub.id);
+	g_array_set_size(ended, 0);
+}
+
+static void
+on_report(struct md *m, struct md_event *e)
+{
+	struct md_entry *entry = &m->entries[e->a];
+	struct md_worker *w = &m->workers[e->b];
+	struct report *r = e->data;
+	struct fl_worker *from;
+	unsigned i;
+
+	from = fl_find(entry->fleet, session_of(w));
+	if (from != NULL && w->life == r->life)
+		jb_ended(entry->jobs, from, &r->ended);
+	for (i = 0; i < r->ended.list.list_len; i++)
+		g_free(r->ended.list.list_val[i].key.sub.id);
+	g_free(r->ended.list.list_val);
+}
+
+static void
+send_report(struct md_worker *w, unsigned entry)
+{
+	struct ru_load l = ru_load(w->runner);
+	struct report *r = g_new0(struct report, 1);
+	GArray *ended = w->ended[entry];
+
+	r->life = w->life;
+	r->ended.cpu_used = l.cpu_used;
+	r->ended.cpu_queued = l.cpu_queued;
+	r->ended.accepting = l.accepting;
+	r->ended.list.list_len = ended->len;
+	r->ended.list.list_val =
+	    g_memdup2(ended->data, ended->len * sizeof(struct pd_end));
+	g_array_set_size(ended, 0);
+	w->told_us[entry] = ck_mono_us(w->model->clock);
+	md_at(w->model, md_net_us(w->model), on_report, entry, w->number, r);
+}
+
+static void
+on_flush(struct md *m, struct md_event *e)
+{
+	struct md_worker *w = &m->workers[e->a];
+	unsigned i;
+
+	w->flushing = false;
+	if (!w->up)
+		return;
+	for (i = 0; i < m->load->entries; i++)
+		if (w->ended[i]->len > 0 ||
+		    ck_mono_us(m->clock) - w->told_us[i] >= TELL_US)
+			send_report(w, i);
+}
+
+static void
+runner_ended(void *arg, uint64_t entry, const struct pd_end *end)
+{
+	struct md_worker *w = arg;
+	struct pd_end copy = *end;
+
+	copy.key.sub.id = g_strdup(end->key.sub.id);
+	g_array_append_val(w->ended[entry - 1], copy);
+	if (!w->flushing)
+		md_at(w->model, 0, on_flush, w->number, 0, NULL);
+	w->flushing = true;
+}
+
+static const struct ru_ops runner_ops = {
+    .start = runner_start,
+    .stop = runner_stop,
+    .ended = runner_ended,
+};
+
+static void
+attach(struct md_worker *w, struct md_entry *entry, uint64_t clock_ms)
+{
+	struct ru_load l = ru_load(w->runner);
+	struct pd_attach a = {.cell = (char *)(uintptr_t) "cell",
+	    .name = w->name,
+	    .az = (char *)(uintptr_t) "az",
+	    .service = (char *)(uintptr_t) "service",
+	    .incarnation = w->life,
+	    .cpu = l.cpu,
+	    .mem_mb = MEM_MB,
+	    .cpu_used = l.cpu_used,
+	    .cpu_queued = l.cpu_queued,
+	    .accepting = l.accepting,
+	    .clock_ms = clock_ms};
+	struct fl_worker *f;
+	bool known, restarted;
+
+	known = fl_find(entry->fleet, session_of(w)) != NULL;
+	f = fl_attach(entry->fleet, &a, session_of(w), &restarted);
+	if (!known)
+		jb_attached(entry->jobs, f, restarted);
+}
+
+static void
+on_heartbeat(struct md *m, struct md_event *e)
+{
+	struct md_worker *w = &m->workers[e->a];
+	uint64_t now = ck_mono_ms(m->clock);
+	unsigned i;
+
+	if (!w->up || w->life != e->b)
+		return;
+	ru_renewing(w->runner);
+	for (i = 0; i < m->load->entries; i++) {
+		attach(w, &m->entries[i], now);
+		ru_contact(w->runner, i + 1, now);
+	}
+	md_at(m, LE_HEARTBEAT_MS * US_PER_MS, on_heartbeat, e->a, e->b, NULL);
+}
+
+static void
+on_grant(struct md *m, struct md_event *e)
+{
+	struct md_worker *w = &m->workers[e->b];
+	struct grant *g = e->data;
+
+	if (!w->up || w->life != g->life)
+		return;
+	g->start.key.sub.id = g->id;
+	ru_grant(w->runner, e->a + 1, &g->start);
+}
+
+void
+md_grant(
+    struct md_entry *e, const struct fl_worker *to, const struct pd_start *s)
+{
+	struct md *m = e->model;
+	struct md_worker *w = worker_of(m, to);
+	struct grant *g = g_new0(struct grant, 1);
+
+	g->start = *s;
+	g->start.body.body_val = NULL;
+	g->start.body.body_len = 0;
+	g->life = w->life;
+	g_strlcpy(g->id, s->key.sub.id, sizeof(g->id));
+	md_at(m, md_net_us(m), on_grant, e->number, w->number, g);
+}
+
+static void
+on_withdraw(struct md *m, struct md_event *e)
+{
+	struct md_worker *w = &m->workers[e->b];
+	struct grant *g = e->data;
+
+	if (!w->up || w->life != g->life)
+		return;
+	g->start.key.sub.id = g->id;
+	ru_withdraw(w->runner, e->a + 1, &g->start.key);
+}
+
+void
+md_withdraw(
+    struct md_entry *e, const struct fl_worker *to, const struct pd_key *k)
+{
+	struct md *m = e->model;
+	struct md_worker *w = worker_of(m, to);
+	struct grant *g = g_new0(struct grant, 1);
+
+	g->start.key = *k;
+	g->life = w->life;
+	g_strlcpy(g->id, k->sub.id, sizeof(g->id));
+	md_at(m, md_net_us(m), on_withdraw, e->number, w->number, g);
+}
+
+/* The answer is on its way for as long as the question. */
+void
+md_reconcile(struct md_entry *e, const struct fl_worker *to,
+    const struct pd_key *keys, unsigned n)
+{
+	struct md *m = e->model;
+	struct md_worker *w = worker_of(m, to);
+	struct report *r = g_new0(struct report, 1);
+	struct ru_load l = ru_load(w->runner);
+	unsigned i;
+
+	r->life = w->life;
+	r->ended.cpu_used = l.cpu_used;
+	r->ended.cpu_queued = l.cpu_queued;
+	r->ended.accepting = l.accepting;
+	r->ended.list.list_len = n;
+	r->ended.list.list_val = g_new0(struct pd_end, n);
+	for (i = 0; i < n; i++) {
+		r->ended.list.list_val[i].key = keys[i];
+		r->ended.list.list_val[i].key.sub.id = g_strdup(keys[i].sub.id);
+		r->ended.list.list_val[i].state =
+		    ru_state(w->runner, e->number + 1, &keys[i]);
+	}
+	md_at(m, 2 * md_net_us(m), on_report, e->number, w->number, r);
+}
+
+/* --- life --- */
+
+void
+md_worker_start(struct md_worker *w)
+{
+	struct md *m = w->model;
+
+	w->up = true;
+	w->life++;
+	w->runner = ru_new(m->clock, m->counters, &runner_ops, w);
+	ru_endpoint(w->runner, w->life, w->cpu, MEM_MB, true);
+	list_end(w, &(struct order){.id = ""}, RU_LAPSED);
+	md_at(m, 0, on_heartbeat, w->number, (unsigned)w->life, NULL);
+}
+
+void
+md_worker_stop(struct md_worker *w)
+{
+	struct md *m = w->model;
+	struct fl_worker *f;
+	unsigned i;
+
+	w->up = false;
+	while (w->runs->len > 0)
+		take_run(w, 0);
+	ru_free(w->runner);
+	w->runner = NULL;
+	for (i = 0; i < m->load->entries; i++) {
+		clear_ended(w->ended[i]);
+		f = fl_detach(m->entries[i].fleet, session_of(w));
+		if (f != NULL)
+			jb_detached(m->entries[i].jobs, f);
+	}
+}
+
+static void
+worker_new(struct md *m, unsigned number, const struct md_group *g)
+{
+	struct md_worker *w = &m->workers[number];
+	unsigned i;
+
+	w->model = m;
+	w->number = number;
+	w->cpu = g->cpu;
+	w->speed = g->speed;
+	w->slowdown = 1;
+	snprintf(w->name, sizeof(w->name), "w%u", number);
+	w->runs = g_array_new(FALSE, TRUE, sizeof(struct md_run_at));
+	w->ended = g_new0(GArray *, m->load->entries);
+	w->told_us = g_new0(uint64_t, m->load->entries);
+	for (i = 0; i < m->load->entries; i++)
+		w->ended[i] = g_array_new(FALSE, TRUE, sizeof(struct pd_end));
+	md_worker_start(w);
+}
+
+void
+md_workers_new(struct md *m)
+{
+	const struct md_load *l = m->load;
+	unsigned i, k, n = 0;
+
+	for (i = 0; i < l->ngroups; i++)
+		m->nworkers += l->groups[i].count;
+	m->workers = g_new0(struct md_worker, m->nworkers);
+	for (i = 0; i < l->ngroups; i++)
+		for (k = 0; k < l->groups[i].count; k++)
+			worker_new(m, n++, &l->groups[i]);
+}
+
+void
+md_workers_free(struct md *m)
+{
+	struct md_worker *w;
+	unsigned i, k;
+
+	for (i = 0; i < m->nworkers; i++) {
+		w = &m->workers[i];
+		ru_free(w->runner);
+		g_array_free(w->runs, TRUE);
+		for (k = 0; k < m->load->entries; k++) {
+			clear_ended(w->ended[k]);
+			g_array_free(w->ended[k], TRUE);
+		}
+		g_free(w->ended);
+		g_free(w->told_us);
+	}
+	g_free(m->workers);
+}
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -31,6 +31,10 @@
 #define QUEUE_SHARE 6
 /* How late the expected wait rises as a worker fills up. */
 #define FULL_POWER 6
+/* Weight of the wait that a task causes to those behind it. On the replayed
+ * loads 1 leaves long tasks without the fast workers and 6 moves short ones to
+ * slow workers too early. */
+#define DELAY_WEIGHT 3.0
 
 struct fl {
 	const struct ck *clock;
@@ -260,14 +264,21 @@
 	return (w->cpu_own + w->cpu_others + cpu <= w->cpu);
 }
 
-/* Best worker of a sample: each one is in it with the probability @share. */
+/*
+ * Best worker of a sample: each one is in it with the probability @share.
+ *
+ * Load pattern: few workers are fast, and long tasks end in time on these only.
+ * A task that waits at a worker makes others wait there as well, so it takes a
+ * slow worker with room before a fast one with a queue, also when it would end
+ * a little sooner on the fast one.
+ */
 static struct fl_worker *
 best_of(struct fl *f, const struct fl_need *need, double share, bool all,
     double *finish_ms)
 {
 	uint64_t now = ck_mono_ms(f->clock);
 	struct fl_worker *w, *best = NULL;
-	double finish, unit;
+	double cost, least = 0, unit, wait;
 	guint i;
 
 	for (i = 0; i < f->workers->len; i++) {
@@ -278,10 +289,12 @@
 		    (!all && avoided(w, need)))
 			continue;
 		unit = fl_unit(f, w);
-		finish = wait_ms(w, need->cpu, unit) + need->size_ms * unit;
-		if (best == NULL || finish < *finish_ms) {
+		wait = wait_ms(w, need->cpu, unit);
+		cost = wait * (1 + DELAY_WEIGHT) + need->size_ms * unit;
+		if (best == NULL || cost < least) {
 			best = w;
-			*finish_ms = finish;
+			least = cost;
+			*finish_ms = wait + need->size_ms * unit;
 		}
 	}
 	return (best);
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -120,7 +120,7 @@
     unsigned cpu_ending, bool accepting);
 
 /**
- * fl_choose() - worker on which a task is expected to end first
+ * fl_choose() - worker for a task: it ends there soon, and delays others little
  * @finish_ms: set to the expected time until it ends
  *
  * Return: NULL when no worker may run the task now.
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -266,6 +266,39 @@
 	assert_int_equal(0, f->nstarts);
 }
 
+/* Reports a run of each worker, so that their speeds are known. */
+static void
+teach_speed(struct fix *f, struct fl_worker *w, double unit)
+{
+	unsigned i;
+
+	for (i = 0; i < 20; i++)
+		fl_done(f->fleet, w, 100, 100 * unit);
+}
+
+/* Guards against short tasks in the queue of a fast worker, where long ones
+ * have to wait for them, while a slow worker has room. */
+static void
+test_spare_fast_worker(void **state)
+{
+	struct fix *f = *state;
+	struct fl_worker *fast, *slow;
+
+	fast = attach(f, "fast", 1);
+	slow = attach(f, "slow", 2);
+	teach_speed(f, fast, 0.5);
+	teach_speed(f, slow, 1.2);
+	/* Load pattern: the fast one is full, and somewhat more. */
+	attach_in(f, "fast", "z1", 1, 1, ROOM + ROOM / 2);
+	submit_step(f, "a", 7, 1, 100, 1);
+	assert_int_equal(1, f->nstarts);
+	assert_ptr_equal(slow, f->at[0]);
+	/* It is worth the wait when the slow one would take much longer. */
+	submit_step(f, "b", 7, 1, 1000, 1);
+	assert_int_equal(2, f->nstarts);
+	assert_ptr_equal(fast, f->at[1]);
+}
+
 /* Guards against the loss of all requests of the moment after a start: the
  * agents connect within a second (503 for 100 ms after each power loss). */
 static void
@@ -543,6 +576,7 @@
 	    T(test_complete),
 	    T(test_steps),
 	    T(test_refuse_at_once),
+	    T(test_spare_fast_worker),
 	    T(test_wait_for_agents),
 	    T(test_wait_after_freeze),
 	    T(test_failures),
