--- a/agent/executor.c
+++ b/agent/executor.c
@@ -226,9 +226,7 @@
 	a->labels.labels_len = e->labels->len;
 	a->cpu = l.cpu;
 	a->mem_mb = l.mem_mb;
-	a->cpu_used = l.cpu_used;
-	a->cpu_queued = l.cpu_queued;
-	a->accepting = l.accepting;
+	a->load = ru_report(&l);
 	return (l.clean && e->service != NULL);
 }
 
--- a/agent/links.c
+++ b/agent/links.c
@@ -122,9 +122,7 @@
 	struct pd_attach a = {0};
 
 	k->ops->describe(k->arg, &a);
-	e->cpu_used = a.cpu_used;
-	e->cpu_queued = a.cpu_queued;
-	e->accepting = a.accepting;
+	e->load = a.load;
 }
 
 static void
--- a/bench/model_worker.c
+++ b/bench/model_worker.c
@@ -276,9 +276,7 @@
 	GArray *ended = w->ended[entry];
 
 	r->life = w->life;
-	r->ended.cpu_used = l.cpu_used;
-	r->ended.cpu_queued = l.cpu_queued;
-	r->ended.accepting = l.accepting;
+	r->ended.load = ru_report(&l);
 	r->ended.list.list_len = ended->len;
 	r->ended.list.list_val =
 	    g_memdup2(ended->data, ended->len * sizeof(struct pd_end));
@@ -332,9 +330,7 @@
 	    .incarnation = w->life,
 	    .cpu = l.cpu,
 	    .mem_mb = MEM_MB,
-	    .cpu_used = l.cpu_used,
-	    .cpu_queued = l.cpu_queued,
-	    .accepting = l.accepting,
+	    .load = ru_report(&l),
 	    .clock_ms = clock_ms};
 	struct fl_worker *f;
 	bool known, restarted;
@@ -428,9 +424,7 @@
 	unsigned i;
 
 	r->life = w->life;
-	r->ended.cpu_used = l.cpu_used;
-	r->ended.cpu_queued = l.cpu_queued;
-	r->ended.accepting = l.accepting;
+	r->ended.load = ru_report(&l);
 	r->ended.list.list_len = n;
 	r->ended.list.list_val = g_new0(struct pd_end, n);
 	for (i = 0; i < n; i++) {
--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -136,24 +136,35 @@
 	fr_answer(d->front, waiter, a);
 }
 
+static void
+log_step(const struct jb_answer *job, const struct tr_step *s)
+{
+	json_t *values = json_object();
+
+	if (tr_field_a(s->kind) != NULL)
+		json_object_set_new(
+		    values, tr_field_a(s->kind), json_integer(s->a));
+	if (tr_field_b(s->kind) != NULL)
+		json_object_set_new(
+		    values, tr_field_b(s->kind), json_integer(s->b));
+	ev_write("jobs", tr_name(s->kind), "{s:s,s:i,s:i,s:i,s:s*,s:O}", "job",
+	    job->id, "at_ms", (int)s->at_ms, "task", (int)s->task, "attempt",
+	    (int)s->attempt, "worker", s->worker, "because", values);
+	json_decref(values);
+}
+
 /* All steps of jobs that did not end well and in time, and of a sample. */
 static void
 on_job_ended(void *arg, const struct jb_answer *a)
 {
 	struct di *d = arg;
-	const struct tr_step *s;
 	unsigned i;
 
 	if (a->status == JB_COMPLETED && a->late_ms == 0 &&
 	    ++d->jobs_logged % SAMPLE != 0)
 		return;
-	for (i = 0; i < a->ntrace; i++) {
-		s = &a->trace[i];
-		ev_write("jobs", tr_name(s->kind),
-		    "{s:s,s:i,s:i,s:i,s:s*,s:i,s:i}", "job", a->id, "at_ms",
-		    (int)s->at_ms, "task", (int)s->task, "attempt",
-		    (int)s->attempt, "worker", s->worker, "a", s->a, "b", s->b);
-	}
+	for (i = 0; i < a->ntrace; i++)
+		log_step(a, &a->trace[i]);
 	ev_write("jobs", "answered", "{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:I}", "job",
 	    a->id, "queue", a->queue, "status", jb_status_name(a->status),
 	    "reason", jb_reason_name(a->reason), "took_ms", (int)a->took_ms,
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -6,6 +6,7 @@
 #include "config.h"
 #include "counters.h"
 #include "fleet.h"
+#include "level.h"
 #include "log.h"
 #include "rng.h"
 
@@ -36,6 +37,11 @@
  * slow workers too early. */
 #define DELAY_WEIGHT 3.0
 
+/* Run times of shorter tasks tell more of messages than of the worker: from one
+ * of 1 ms that took 10 ms all others were expected to take ten times longer,
+ * and were refused. */
+#define LEARN_MIN_MS 10
+
 struct fl {
 	const struct ck *clock;
 	struct ct *counters;
@@ -142,7 +148,7 @@
 	w->clock_offset_ms = (int64_t)a->clock_ms - (int64_t)now;
 	w->answered_ms = now;
 	w->seen_ms = now;
-	fl_load(w, a->cpu_used, a->cpu_queued, 0, a->accepting);
+	fl_load(w, &a->load, 0);
 	return (w);
 }
 
@@ -171,20 +177,37 @@
 }
 
 void
-fl_load(struct fl_worker *w, unsigned cpu_used, unsigned cpu_queued,
-    unsigned cpu_ending, bool accepting)
+fl_load(struct fl_worker *w, const struct pd_load *load, unsigned cpu_ending)
 {
-	unsigned all = cpu_used + cpu_queued;
 	unsigned own = w->cpu_own - MIN(cpu_ending, w->cpu_own);
+	unsigned all = load->cpu_used, i;
 
+	for (i = 0; i < PD_LEVELS; i++)
+		all += load->cpu_queued[i];
+	memcpy(w->cpu_queued, load->cpu_queued, sizeof(w->cpu_queued));
 	w->cpu_others = all > own ? all - own : 0;
-	w->accepting = accepting;
+	w->accepting = load->accepting;
+}
+
+/*
+ * Load pattern: more work than the workers can do, of different priorities. A
+ * task waits only for what goes before it, so less urgent tasks that wait at a
+ * worker are no reason to refuse a more urgent one.
+ */
+static unsigned
+cpu_before(const struct fl_worker *w, unsigned priority)
+{
+	unsigned all = w->cpu_own + w->cpu_others, less_urgent = 0, i;
+
+	for (i = lv_of(priority) + 1; i < PD_LEVELS; i++)
+		less_urgent += w->cpu_queued[i];
+	return (all > less_urgent ? all - less_urgent : 0);
 }
 
 unsigned
-fl_queue(const struct fl_worker *w, unsigned cpu)
+fl_queue(const struct fl_worker *w, unsigned cpu, unsigned priority)
 {
-	unsigned all = w->cpu_own + w->cpu_others + cpu;
+	unsigned all = cpu_before(w, priority) + cpu;
 
 	return ((all > w->cpu ? all - w->cpu : 0) + w->cpu / QUEUE_SHARE);
 }
@@ -247,57 +270,78 @@
  * instead of filling the fastest one to the brim.
  */
 static double
-wait_ms(const struct fl_worker *w, unsigned cpu, double unit)
+wait_ms(const struct fl_worker *w, const struct fl_need *need, double unit)
 {
 	double mean = FL_FIRST_MEAN_MS, load, wait;
 
 	if (w->speed.samples > 0)
 		mean = w->speed.mean_ms * unit / w->speed.unit;
-	load = ((double)w->cpu_own + w->cpu_others + cpu) / w->cpu;
+	load = ((double)cpu_before(w, need->priority) + need->cpu) / w->cpu;
 	wait = mean * FULL_SHARE * pow(fmin(load, 1), FULL_POWER);
 	return (load > 1 ? wait + (load - 1) * mean : wait);
 }
 
 static bool
-has_room(const struct fl_worker *w, unsigned cpu)
+has_room(const struct fl_worker *w, const struct fl_need *need)
 {
-	return (w->cpu_own + w->cpu_others + cpu <= w->cpu);
+	return (cpu_before(w, need->priority) + need->cpu <= w->cpu);
 }
 
+/* What is known of a worker as the place of a task. */
+struct place {
+	struct fl_worker *worker;
+	double finish_ms;
+	double cost_ms;
+};
+
 /*
- * Best worker of a sample: each one is in it with the probability @share.
- *
  * Load pattern: few workers are fast, and long tasks end in time on these only.
  * A task that waits at a worker makes others wait there as well, so it takes a
  * slow worker with room before a fast one with a queue, also when it would end
- * a little sooner on the fast one.
+ * a little sooner on the fast one; but not when it would be late there.
  */
+static bool
+is_better(
+    const struct fl_need *need, const struct place *a, const struct place *b)
+{
+	bool a_in_time = a->finish_ms <= need->left_ms;
+	bool b_in_time = b->finish_ms <= need->left_ms;
+
+	if (b->worker == NULL)
+		return (true);
+	if (a_in_time != b_in_time)
+		return (a_in_time);
+	if (!a_in_time && need->left_ms > 0)
+		return (a->finish_ms < b->finish_ms);
+	return (a->cost_ms < b->cost_ms);
+}
+
+/* Best worker of a sample: each one is in it with the probability @share. */
 static struct fl_worker *
 best_of(struct fl *f, const struct fl_need *need, double share, bool all,
     double *finish_ms)
 {
 	uint64_t now = ck_mono_ms(f->clock);
-	struct fl_worker *w, *best = NULL;
-	double cost, least = 0, unit, wait;
+	struct place best = {0}, p;
+	double unit, wait;
 	guint i;
 
 	for (i = 0; i < f->workers->len; i++) {
-		w = f->workers->pdata[i];
+		p.worker = f->workers->pdata[i];
 		if (share < 1 && rn_unit(f->rng) > share)
 			continue;
-		if (!usable(f, w, now) || !suits(w, need) ||
-		    (!all && avoided(w, need)))
+		if (!usable(f, p.worker, now) || !suits(p.worker, need) ||
+		    (!all && avoided(p.worker, need)))
 			continue;
-		unit = fl_unit(f, w);
-		wait = wait_ms(w, need->cpu, unit);
-		cost = wait * (1 + DELAY_WEIGHT) + need->size_ms * unit;
-		if (best == NULL || cost < least) {
-			best = w;
-			least = cost;
-			*finish_ms = wait + need->size_ms * unit;
-		}
+		unit = fl_unit(f, p.worker);
+		wait = wait_ms(p.worker, need, unit);
+		p.finish_ms = wait + need->size_ms * unit;
+		p.cost_ms = p.finish_ms + wait * DELAY_WEIGHT;
+		if (is_better(need, &p, &best))
+			best = p;
 	}
-	return (best);
+	*finish_ms = best.finish_ms;
+	return (best.worker);
 }
 
 /*
@@ -312,7 +356,7 @@
 	struct fl_worker *best;
 
 	best = best_of(f, need, share, false, finish_ms);
-	if (share < 1 && (best == NULL || !has_room(best, need->cpu)))
+	if (share < 1 && (best == NULL || !has_room(best, need)))
 		best = best_of(f, need, 1, false, finish_ms);
 	/* A worker that the task failed on is better than none. */
 	if (best == NULL)
@@ -348,7 +392,8 @@
 void
 fl_done(struct fl *f, struct fl_worker *w, double size_ms, double run_ms)
 {
-	po_learn(&w->speed, size_ms, run_ms, ck_mono_us(f->clock));
+	if (size_ms >= LEARN_MIN_MS)
+		po_learn(&w->speed, size_ms, run_ms, ck_mono_us(f->clock));
 	w->failures = 0;
 	if (w->ejected)
 		lg_write(LOG_NOTICE, "fleet", "worker %s works again", w->name);
@@ -377,6 +422,23 @@
 	    w->name);
 }
 
+double
+fl_best_unit(const struct fl *f)
+{
+	uint64_t now = ck_mono_ms(f->clock);
+	double best = 0, unit;
+	guint i;
+
+	for (i = 0; i < f->workers->len; i++) {
+		if (!usable(f, f->workers->pdata[i], now))
+			continue;
+		unit = fl_unit(f, f->workers->pdata[i]);
+		if (best == 0 || unit < best)
+			best = unit;
+	}
+	return (best == 0 ? 1 : best);
+}
+
 unsigned
 fl_count(const struct fl *f)
 {
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -32,6 +32,7 @@
  * @cpu: room, thousandths of a core; 0 while its endpoint is unknown
  * @cpu_others: room taken by work of other entries, from the last report
  * @cpu_own: room taken by grants of this entry
+ * @cpu_queued: room of the tasks that wait, by level, from the last report
  * @accepting: takes new work
  * @clock_offset_ms: agent's clock minus the clock of this entry, low by the
  *     time that a message takes
@@ -54,6 +55,7 @@
 	unsigned mem_mb;
 	unsigned cpu_others;
 	unsigned cpu_own;
+	unsigned cpu_queued[PD_LEVELS];
 	bool accepting;
 	int64_t clock_offset_ms;
 	uint64_t answered_ms;
@@ -70,7 +72,9 @@
  * @service: service whose workers may run it
  * @label: label that the worker must have, "" for none
  * @cpu: thousandths of a core
+ * @priority: of its queue, 0 goes first
  * @size_ms: declared run time
+ * @left_ms: time in which it should end; 0 or less: none
  * @avoid: workers that this task has failed on, or NULL
  * @navoid: number of them
  */
@@ -79,7 +83,9 @@
 	const char *label;
 	unsigned cpu;
 	unsigned mem_mb;
+	unsigned priority;
 	double size_ms;
+	double left_ms;
 	struct fl_worker *const *avoid;
 	unsigned navoid;
 };
@@ -116,8 +122,8 @@
  * fl_load() - an agent reported its load
  * @cpu_ending: room of grants that the report ends; they are in cpu_own still
  */
-void fl_load(struct fl_worker *w, unsigned cpu_used, unsigned cpu_queued,
-    unsigned cpu_ending, bool accepting);
+void fl_load(
+    struct fl_worker *w, const struct pd_load *load, unsigned cpu_ending);
 
 /**
  * fl_choose() - worker for a task: it ends there soon, and delays others little
@@ -131,8 +137,9 @@
 /**
  * fl_queue() - room that may wait at a worker before a grant of @cpu, as far as
  * known, with some allowance for what has come meanwhile
+ * @priority: less urgent tasks do not count
  */
-unsigned fl_queue(const struct fl_worker *w, unsigned cpu);
+unsigned fl_queue(const struct fl_worker *w, unsigned cpu, unsigned priority);
 
 /** fl_possible() - whether some worker, free or not, may run the task */
 bool fl_possible(const struct fl *f, const struct fl_need *need);
@@ -152,6 +159,10 @@
 /** fl_unit() - expected run time per declared one */
 double fl_unit(const struct fl *f, const struct fl_worker *w);
 
+/** fl_best_unit() - the lowest fl_unit() of the workers that take work; 1 when
+ * there is none */
+double fl_best_unit(const struct fl *f);
+
 /** fl_count() - workers that take work now */
 unsigned fl_count(const struct fl *f);
 
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -9,9 +9,6 @@
 #define LIMIT_FACTOR 4.0
 /* Shorter limits would stop runs that only wait for the processor. */
 #define LIMIT_MIN_MS 120
-/* Declared run times are off by up to 40%: a job is given up only when a run
- * time that much shorter does not fit. */
-#define SIZE_BEST 0.6
 /* Run times are uncertain, so a task counts as late to start when this many
  * times the expected one does not fit any more. */
 #define START_MARGIN 1.5
@@ -38,8 +35,7 @@
 	j->queued = hg_new(
 	    counters, "pd_task_queued_ms", "Wait of a task at its agent");
 	j->ran = hg_new(counters, "pd_task_ran_ms", "Run time of a task");
-	j->sizes =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	j->queues = jb_queues_new();
 	j->by_number = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, jb_job_free);
 	return (j);
@@ -52,7 +48,7 @@
 		return;
 	g_hash_table_destroy(j->by_id);
 	g_hash_table_destroy(j->by_number);
-	g_hash_table_destroy(j->sizes);
+	g_hash_table_destroy(j->queues);
 	hg_free(j->took);
 	hg_free(j->queued);
 	hg_free(j->ran);
@@ -97,7 +93,7 @@
 }
 
 struct fl_need
-jb_need(const struct jb_job *job, const struct jb_task *t)
+jb_need(const struct jb *j, const struct jb_job *job, const struct jb_task *t)
 {
 	const struct jb_step *s = &job->steps[t->step];
 	struct fl_need n = {
@@ -105,7 +101,10 @@
 	    .label = s->label,
 	    .cpu = s->cpu,
 	    .mem_mb = s->mem_mb,
+	    .priority = job->priority,
 	    .size_ms = s->size_ms,
+	    .left_ms = (double)MIN(job->due_ms, job->deadline_ms) -
+		(double)ck_mono_ms(j->clock),
 	    .avoid = t->avoid,
 	    .navoid = t->navoid,
 	};
@@ -113,9 +112,8 @@
 	return (n);
 }
 
-/* Longest chain of expected run times. */
-static uint64_t
-chain_ms(const struct jb_job *job)
+uint64_t
+jb_chain_ms(const struct jb_job *job)
 {
 	uint64_t end[JB_STEPS_MAX], longest = 0;
 	unsigned i, k;
@@ -130,22 +128,6 @@
 	return (longest);
 }
 
-/*
- * Load pattern: declared run times are off by 40% and more. What a queue's
- * tasks took so far tells how much of a declaration to believe.
- */
-static struct po_sizes *
-sizes_of(struct jb *j, const char *queue)
-{
-	struct po_sizes *s = g_hash_table_lookup(j->sizes, queue);
-
-	if (s == NULL) {
-		s = g_new0(struct po_sizes, 1);
-		g_hash_table_insert(j->sizes, g_strdup(queue), s);
-	}
-	return (s);
-}
-
 static void
 copy_steps(struct jb_job *job, const struct jb_request *r)
 {
@@ -161,8 +143,8 @@
 		job->steps[i].label = job->labels[i];
 		job->left[i] = r->steps[i].count;
 		job->declared[i] = r->steps[i].size_ms;
-		job->steps[i].size_ms =
-		    (unsigned)MAX(po_size(job->sizes, r->steps[i].size_ms), 1);
+		job->steps[i].size_ms = (unsigned)MAX(
+		    po_size(&job->learned->sizes, r->steps[i].size_ms), 1);
 		job->ntasks += r->steps[i].count;
 	}
 	job->tasks = g_new0(struct jb_task, job->ntasks);
@@ -193,10 +175,11 @@
 	job->waiters = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	g_array_append_val(job->waiters, waiter);
 	job->trace = g_array_new(FALSE, FALSE, sizeof(struct tr_step));
-	job->sizes = sizes_of(j, job->queue);
+	job->learned = jb_queue_of(j, job->queue, job->service);
 	copy_steps(job, r);
 	job->due_ms = now + r->queue->target_ms +
-	    chain_ms(job) * r->queue->stretch_permille / PERMILLE;
+	    jb_chain_ms(job) * r->queue->stretch_permille / PERMILLE;
+	jb_queue_learn(j, job);
 	g_hash_table_insert(j->by_id, job->id, job);
 	g_hash_table_insert(j->by_number, &job->number, job);
 	return (job);
@@ -252,9 +235,11 @@
 	    .index = t->index,
 	    .cpu = s->cpu,
 	    .mem_mb = s->mem_mb,
+	    .priority = job->priority,
 	    .limit_ms = run_limit_ms(now, job, t, run_ms),
-	    .queue_max =
-		t->returns < RETURNS_MAX ? fl_queue(w, s->cpu) : UINT32_MAX,
+	    .queue_max = t->returns < RETURNS_MAX
+		? fl_queue(w, s->cpu, job->priority)
+		: UINT32_MAX,
 	};
 
 	t->attempt++;
@@ -310,7 +295,7 @@
 	double run_ms = n->size_ms * fl_unit(j->fleet, w);
 
 	return ((double)ck_mono_ms(j->clock) + finish_ms -
-		run_ms * (1 - SIZE_BEST) <=
+		run_ms * (1 - JB_SIZE_BEST) <=
 	    (double)job->deadline_ms);
 }
 
@@ -327,11 +312,11 @@
 		t = &job->tasks[i];
 		if (t->state != JB_READY)
 			continue;
-		need = jb_need(job, t);
+		need = jb_need(j, job, t);
 		w = fl_choose(j->fleet, &need, &finish);
 		if (w == NULL) {
 			jb_note(j, job, t, TR_NO_WORKER, NULL, 0, 0);
-			return (left_ms(j, job) > need.size_ms * SIZE_BEST);
+			return (left_ms(j, job) > need.size_ms * JB_SIZE_BEST);
 		}
 		if (!can_end(j, job, &need, w, finish)) {
 			jb_note(
@@ -359,10 +344,12 @@
 	double finish = 0;
 	unsigned i;
 
+	if (jb_crowds_out(j, job))
+		return (JB_R_OVERLOAD);
 	for (i = 0; i < job->ntasks && reason == JB_R_NONE; i++) {
 		if (job->tasks[i].state != JB_READY)
 			continue;
-		need = jb_need(job, &job->tasks[i]);
+		need = jb_need(j, job, &job->tasks[i]);
 		w = fl_choose(j->fleet, &need, &finish);
 		if (w == NULL) {
 			if (fl_settling(j->fleet))
--- a/sched/jobs_outcome.c
+++ b/sched/jobs_outcome.c
@@ -7,6 +7,9 @@
  * lease of the endpoint has ended. */
 #define DOUBT_MS                                                               \
 	(LE_CONTACT_MS + LE_RUN_MS + LE_RUN_MS * LE_DRIFT_PERMILLE / 1000)
+/* An agent whose connection was reset is back within 100 ms; one that has
+ * started again tells that it knows nothing of the run within this time. */
+#define RECONNECT_MS 300
 
 const char *
 jb_reason_name(enum jb_reason r)
@@ -42,7 +45,7 @@
 static unsigned
 retry_ms(struct jb *j, const struct jb_job *job)
 {
-	struct fl_need need = jb_need(job, &job->tasks[0]);
+	struct fl_need need = jb_need(j, job, &job->tasks[0]);
 	double left = (double)(job->deadline_ms - job->arrived_ms);
 	double finish;
 
@@ -228,7 +231,7 @@
 	}
 	switch (e->state) {
 	case PD_END_DONE:
-		po_sizes_learn(job->sizes, job->declared[t->step],
+		po_sizes_learn(&job->learned->sizes, job->declared[t->step],
 		    e->run_ms / fl_unit(j->fleet, w));
 		fl_done(j->fleet, w, s->size_ms, e->run_ms);
 		task_done(j, job, t);
@@ -277,8 +280,7 @@
 {
 	unsigned i;
 
-	fl_load(
-	    w, e->cpu_used, e->cpu_queued, cpu_ending(j, w, e), e->accepting);
+	fl_load(w, &e->load, cpu_ending(j, w, e));
 	for (i = 0; i < e->list.list_len; i++)
 		one_ended(j, w, &e->list.list_val[i]);
 }
@@ -314,6 +316,7 @@
 	jb_note(j, job, t, TR_DOUBTFUL, t->worker,
 	    (double)ck_mono_ms(j->clock) - (double)t->worker->seen_ms, 0);
 	t->state = JB_DOUBTFUL;
+	t->cut_ms = ck_mono_ms(j->clock);
 	t->doubt_ms = t->worker->answered_ms + DOUBT_MS;
 }
 
@@ -363,6 +366,21 @@
 	each_grant(j, w, mark_doubtful);
 }
 
+/*
+ * Load pattern: a host loses its power. Its runs may go on until their lease
+ * has ended, and a further run then ends too late for many jobs. Their callers
+ * are told as soon as the agent can be expected not to come back.
+ */
+static bool
+is_hopeless(struct jb *j, const struct jb_job *job, const struct jb_task *t)
+{
+	double run_ms =
+	    job->steps[t->step].size_ms * JB_SIZE_BEST * fl_best_unit(j->fleet);
+
+	return (ck_mono_ms(j->clock) > t->cut_ms + RECONNECT_MS &&
+	    (double)t->doubt_ms + run_ms > (double)job->deadline_ms);
+}
+
 /* Return: whether the job goes on. */
 static bool
 check_tasks(struct jb *j, struct jb_job *job, uint64_t now)
@@ -377,6 +395,12 @@
 		if (t->state == JB_GRANTED &&
 		    now > t->worker->answered_ms + DOUBT_MS)
 			mark_doubtful(j, job, t);
+		if (t->state == JB_DOUBTFUL && is_hopeless(j, job, t)) {
+			jb_note(j, job, t, TR_HOPELESS, t->worker,
+			    (double)t->doubt_ms - (double)now,
+			    (double)job->deadline_ms - (double)now);
+			return (false);
+		}
 		if (t->state == JB_DOUBTFUL && now > t->doubt_ms) {
 			job->started = true;
 			jb_note(j, job, t, TR_DROPPED, t->worker, 0, 0);
--- a/sched/runner.c
+++ b/sched/runner.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "level.h"
 #include "log.h"
 #include "runner_impl.h"
 
@@ -7,6 +8,11 @@
  * wait than the deadline of its jobs, some 100 tasks of 10 at a time. */
 #define QUEUE_MAX 256
 
+/* How much longer a task waits than one of the priority above it. On the
+ * replayed loads 50 ms starve the least urgent tasks at twice the usual load,
+ * and 0 leaves the most urgent ones behind. */
+#define LEVEL_MS 20
+
 /* How long a late task gives way to those that can still be in time: about as
  * long as a task of a middling size runs. */
 #define LATE_MS 200
@@ -96,7 +102,7 @@
 	for (i = 0; i < r->tasks->len; i++) {
 		t = r->tasks->pdata[i];
 		if (t->phase == RU_QUEUED) {
-			l.cpu_queued += t->cpu;
+			l.cpu_queued[t->level] += t->cpu;
 			l.queued++;
 		} else {
 			l.cpu_used += t->cpu;
@@ -106,6 +112,16 @@
 	return (l);
 }
 
+struct pd_load
+ru_report(const struct ru_load *l)
+{
+	struct pd_load report = {
+	    .cpu_used = l->cpu_used, .accepting = l->accepting};
+
+	memcpy(report.cpu_queued, l->cpu_queued, sizeof(report.cpu_queued));
+	return (report);
+}
+
 static unsigned
 mem_used(const struct ru *r)
 {
@@ -183,15 +199,17 @@
 
 /*
  * Load pattern: a burst fills the queue with tasks of different urgency. They
- * start by their latest start in time. One that is late already gives way to
- * others for a while, since a late answer is worth less to the caller than one
- * in time, but not for ever: the rest of its job may be done.
+ * start by their latest start in time, and a little later for each step of
+ * priority that they are below the most urgent one. One that is late already
+ * gives way to others for a while, since a late answer is worth less to the
+ * caller than one in time, but not for ever: the rest of its job may be done.
  */
 static uint64_t
 rank(const struct ru_task *t, uint64_t now)
 {
-	return (
-	    t->start_by_ms < now ? t->start_by_ms + LATE_MS : t->start_by_ms);
+	uint64_t by = t->start_by_ms + (uint64_t)t->level * LEVEL_MS;
+
+	return (t->start_by_ms < now ? by + LATE_MS : by);
 }
 
 static struct ru_task *
@@ -269,6 +287,7 @@
 	t->index = s->index;
 	t->cpu = s->cpu;
 	t->mem_mb = s->mem_mb;
+	t->level = lv_of(s->priority);
 	t->limit_ms = s->limit_ms;
 	t->start_by_ms = s->start_by_ms;
 	t->expires_ms = s->expires_ms;
@@ -279,6 +298,17 @@
 	return (t);
 }
 
+/* Room of the tasks that wait and go before @t, or with it. */
+static unsigned
+queued_before(const struct ru_load *l, const struct ru_task *t)
+{
+	unsigned cpu = 0, i;
+
+	for (i = 0; i <= t->level; i++)
+		cpu += l->cpu_queued[i];
+	return (cpu);
+}
+
 void
 ru_grant(struct ru *r, uint64_t entry, const struct pd_start *s)
 {
@@ -287,8 +317,8 @@
 	bool full;
 
 	/* More waits here than the entry knew: it may find a better place. */
-	full =
-	    l.cpu_used + s->cpu > l.cpu && l.cpu_queued + s->cpu > s->queue_max;
+	full = l.cpu_used + s->cpu > l.cpu &&
+	    queued_before(&l, t) + s->cpu > s->queue_max;
 	g_ptr_array_add(r->tasks, t);
 	if (full || !l.accepting || l.queued >= QUEUE_MAX || s->cpu > l.cpu ||
 	    ck_mono_ms(r->clock) >= s->expires_ms)
--- a/sched/runner.h
+++ b/sched/runner.h
@@ -163,7 +163,7 @@
 	unsigned cpu;
 	unsigned mem_mb;
 	unsigned cpu_used;
-	unsigned cpu_queued;
+	unsigned cpu_queued[PD_LEVELS];
 	unsigned active; /* runs at the endpoint */
 	unsigned queued;
 	bool accepting;
@@ -173,4 +173,7 @@
 /** ru_load() - load at this moment */
 struct ru_load ru_load(const struct ru *r);
 
+/** ru_report() - a load as entries are told */
+struct pd_load ru_report(const struct ru_load *l);
+
 #endif
--- a/sched/runner_impl.h
+++ b/sched/runner_impl.h
@@ -44,6 +44,7 @@
 	unsigned run;
 	unsigned cpu;
 	unsigned mem_mb;
+	unsigned level;
 	unsigned limit_ms;
 	uint64_t start_by_ms;
 	uint64_t expires_ms;
--- a/sched/trace.h
+++ b/sched/trace.h
@@ -13,6 +13,7 @@
 /** enum tr_kind - a decision or a report */
 enum tr_kind {
 	TR_TAKEN = 0, /* a: ms until it is late, b: ms until its deadline */
+	TR_CROWDED,   /* a: ms that a more urgent task waits, b: ms it may */
 	TR_GRANTED,   /* a: expected ms until the end, b: load of the worker */
 	TR_NO_WORKER, /* no worker takes the task now */
 	TR_TOO_LATE,  /* a: expected ms until the end, b: ms that are left */
@@ -22,6 +23,7 @@
 	TR_LOST,      /* the same: the run ended without a result */
 	TR_RETURNED,  /* the same: the agent did not start it */
 	TR_DOUBTFUL,  /* its agent is out of reach; a: ms since it was heard */
+	TR_HOPELESS,  /* a: ms until its run has surely ended, b: ms left */
 	TR_DROPPED,   /* the lease of a doubtful run has ended */
 	TR_RESTARTED, /* its agent has restarted, so the run has ended */
 	TR_MAX,
@@ -53,4 +55,10 @@
 /** tr_name() - text of a kind, never NULL */
 const char *tr_name(enum tr_kind kind);
 
+/** tr_field_a() - what tr_step.a holds, as a name in logs; NULL for nothing */
+const char *tr_field_a(enum tr_kind kind);
+
+/** tr_field_b() - the same for tr_step.b */
+const char *tr_field_b(enum tr_kind kind);
+
 #endif
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -41,6 +41,7 @@
 	uint64_t waiters[RECORDS];
 	unsigned nanswers;
 	char ids[RECORDS][32];
+	unsigned priority; /* of the jobs that are submitted */
 };
 
 static void
@@ -147,8 +148,8 @@
 	    .incarnation = incarnation,
 	    .cpu = ROOM,
 	    .mem_mb = 1000,
-	    .cpu_used = used,
-	    .accepting = true,
+	    .load.cpu_used = used,
+	    .load.accepting = true,
 	    .clock_ms = ck_mono_ms(f->clock)};
 	bool restarted;
 	struct fl_worker *w;
@@ -168,10 +169,12 @@
 submit_step(struct fix *f, const char *id, uint64_t waiter, unsigned count,
     unsigned size_ms, unsigned steps)
 {
-	struct pd_queue q = {.name = (char *)(uintptr_t) "q",
+	static const char *const names[] = {"q", "q1", "q2", "q3"};
+	struct pd_queue q = {.name = (char *)(uintptr_t)names[f->priority],
 	    .service = (char *)(uintptr_t) "desk",
 	    .timeout_ms = TIMEOUT_MS,
 	    .target_ms = TARGET_MS,
+	    .priority = f->priority,
 	    .attempts = 2,
 	    .stretch_permille = 1600};
 	struct jb_step s[2] = {
@@ -204,8 +207,8 @@
 {
 	struct pd_end e = {
 	    .key = f->starts[start], .state = state, .run_ms = 100};
-	struct pd_ended report = {.cpu_used = f->at[start]->cpu_own,
-	    .accepting = true,
+	struct pd_ended report = {.load.cpu_used = f->at[start]->cpu_own,
+	    .load.accepting = true,
 	    .list = {.list_len = 1, .list_val = &e}};
 
 	jb_ended(f->jobs, f->at[start], &report);
@@ -272,7 +275,7 @@
 {
 	unsigned i;
 
-	for (i = 0; i < 20; i++)
+	for (i = 0; i < 200; i++)
 		fl_done(f->fleet, w, 100, 100 * unit);
 }
 
@@ -297,6 +300,26 @@
 	submit_step(f, "b", 7, 1, 1000, 1);
 	assert_int_equal(2, f->nstarts);
 	assert_ptr_equal(fast, f->at[1]);
+	/* The slow one is no reason to refuse what the fast one does in time.
+	 */
+	teach_speed(f, slow, 2.2);
+	submit_step(f, "c", 7, 1, 100, 1);
+	assert_int_equal(3, f->nstarts);
+	assert_ptr_equal(fast, f->at[2]);
+}
+
+/* Guards against an entry that refuses everything after a tiny task, whose run
+ * time is that of the messages (proc_dispatch beside eleven busy processes). */
+static void
+test_tiny_task_teaches_nothing(void **state)
+{
+	struct fix *f = *state;
+	struct fl_worker *w;
+
+	w = attach(f, "w1", 1);
+	fl_done(f->fleet, w, 1, 20);
+	submit(f, "a", 1);
+	assert_int_equal(1, f->nstarts);
 }
 
 /* Guards against the loss of all requests of the moment after a start: the
@@ -412,13 +435,79 @@
 	assert_int_equal(3, f->nstarts);
 }
 
+/* Guards against a caller that waits until the deadline for a job that was lost
+ * with the host of an agent and cannot be done again in time. */
+static void
+test_lost_host_told_early(void **state)
+{
+	const unsigned reconnect_ms = 300;
+	struct fix *f = *state;
+	struct fl_worker *w;
+	unsigned i;
+
+	w = attach(f, "w1", 1);
+	submit_step(f, "a", 7, 1, 500, 1);
+	ck_advance_ms(f->clock, 100);
+	fl_detach(f->fleet, 1);
+	jb_detached(f->jobs, w);
+	for (i = 0; i < reconnect_ms; i += 20) {
+		ck_advance_ms(f->clock, 20);
+		attach(f, "w2", 2);
+		jb_tick(f->jobs);
+		assert_int_equal(0, f->nanswers);
+	}
+	for (i = 0; i < 60; i += 20) {
+		ck_advance_ms(f->clock, 20);
+		attach(f, "w2", 2);
+		jb_tick(f->jobs);
+	}
+	assert_int_equal(1, f->nanswers);
+	assert_int_equal(JB_GAVE_UP, f->answers[0].status);
+	assert_int_equal(1, f->nstarts);
+}
+
+/* Guards against an urgent job that is refused for the sake of less urgent ones
+ * that wait, and against patient ones that leave no room for it. */
+static void
+test_priorities(void **state)
+{
+	struct pd_ended report = {
+	    .load = {.cpu_used = ROOM, .accepting = true}};
+	struct fix *f = *state;
+	struct fl_worker *w;
+
+	w = attach(f, "w1", 1);
+	teach_speed(f, w, 1);
+	/* Load pattern: a backlog of less urgent work. */
+	report.load.cpu_queued[2] = ROOM * 3;
+	jb_ended(f->jobs, w, &report);
+	f->priority = 1;
+	submit_step(f, "urgent", 1, 1, 60, 1);
+	assert_int_equal(1, f->nstarts);
+	assert_int_equal(0, f->nanswers);
+	/* A patient job could wait for all of it, and must not. */
+	f->priority = 3;
+	submit_step(f, "patient", 2, 1, 900, 1);
+	assert_int_equal(1, f->nstarts);
+	assert_int_equal(JB_REFUSED, f->answers[0].status);
+	assert_int_equal(JB_R_OVERLOAD, f->answers[0].reason);
+	/* Without urgent jobs for a while it may. */
+	ck_advance_ms(f->clock, 2500);
+	attach(f, "w1", 1);
+	jb_tick(f->jobs);
+	jb_ended(f->jobs, w, &report);
+	submit_step(f, "patient again", 3, 1, 900, 1);
+	assert_int_equal(2, f->nstarts);
+}
+
 /* Guards against runs that are thrown away because a connection was reset. */
 static void
 test_reconnect(void **state)
 {
 	struct pd_end active = {.state = PD_END_ACTIVE};
-	struct pd_ended report = {
-	    .cpu_used = CPU, .accepting = true, .list = {.list_len = 1}};
+	struct pd_ended report = {.load.cpu_used = CPU,
+	    .load.accepting = true,
+	    .list = {.list_len = 1}};
 	struct fix *f = *state;
 	struct fl_worker *w;
 
@@ -577,11 +666,14 @@
 	    T(test_steps),
 	    T(test_refuse_at_once),
 	    T(test_spare_fast_worker),
+	    T(test_tiny_task_teaches_nothing),
 	    T(test_wait_for_agents),
 	    T(test_wait_after_freeze),
 	    T(test_failures),
 	    T(test_stale_report),
 	    T(test_lost_agent),
+	    T(test_lost_host_told_early),
+	    T(test_priorities),
 	    T(test_reconnect),
 	    T(test_give_up),
 	    T(test_waiters),
--- a/tests/test_load.c
+++ b/tests/test_load.c
@@ -16,6 +16,10 @@
 #define SEEDS 3
 /* Users expect that a cell with room serves everyone. */
 #define SERVED_WITH_ROOM 0.99
+/* Users expect no kind of job to be served much less than the others. */
+#define WORST_CLASS 0.1
+/* Users expect the median refusal within this time. */
+#define REFUSAL_MS 20
 
 struct sums {
 	struct md_class all;
@@ -76,6 +80,39 @@
 		assert_true(md_share(&s.kinds[i]) >= SERVED_WITH_ROOM);
 }
 
+/* Guards against urgent jobs that are refused at a load beyond all room,
+ * because patient ones fill the queues; and against the opposite. */
+static void
+test_overload_is_shared(void **state)
+{
+	struct sums s;
+	unsigned i;
+
+	(void)state;
+	s = replay(LOADS "order-desk.toml", 2);
+	for (i = 0; i < s.nkinds; i++)
+		assert_true(
+		    md_share(&s.kinds[i]) >= md_share(&s.all) - WORST_CLASS);
+}
+
+/* Guards against callers that wait for a refusal. */
+static void
+test_refusals_are_quick(void **state)
+{
+	struct md_result *r;
+	struct md_load load;
+	char message[256];
+
+	(void)state;
+	assert_true(
+	    ld_read(LOADS "order-desk.toml", &load, message, sizeof(message)));
+	ld_scale(&load, 2.5);
+	r = md_run(&load);
+	assert_true(r->all.refused > 0);
+	assert_true(r->all.refusal_ms <= REFUSAL_MS);
+	md_result_free(r);
+}
+
 /* Guards against a result that depends on anything but the load. */
 static void
 test_same_seed_same_result(void **state)
@@ -116,6 +153,8 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_fast_workers_for_long_jobs),
+	    cmocka_unit_test(test_overload_is_shared),
+	    cmocka_unit_test(test_refusals_are_quick),
 	    cmocka_unit_test(test_same_seed_same_result),
 	    cmocka_unit_test(test_no_task_twice),
 	};
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -37,6 +37,7 @@
 	struct pd_end ends[ORDERS_MAX];
 	char end_ids[ORDERS_MAX][32];
 	unsigned nends;
+	unsigned priority; /* of the tasks that are granted */
 };
 
 static void
@@ -157,6 +158,7 @@
 		.attempt = attempt},
 	    .cpu = CPU,
 	    .mem_mb = 1,
+	    .priority = f->priority,
 	    .limit_ms = limit_ms,
 	    .queue_max = UINT32_MAX,
 	    .start_by_ms = (uint64_t)((int64_t)now + start_by_ms),
@@ -365,7 +367,7 @@
 	for (i = 0; i < G_N_ELEMENTS(ids); i++)
 		grant(f, E1, ids[i]);
 	assert_int_equal(4, f->norders);
-	assert_int_equal(CPU, ru_load(f->runner).cpu_queued);
+	assert_int_equal(CPU, ru_load(f->runner).cpu_queued[0]);
 	confirm(f, "a", RU_STARTED);
 	end_run(f, "a", 1, RU_DONE);
 	assert_int_equal(5, f->norders);
@@ -395,6 +397,34 @@
 	assert_string_equal("late", f->orders[6].id);
 }
 
+/* Load pattern: a burst with tasks of different priority. Guards against a less
+ * urgent task that goes first because it came a little earlier, and against one
+ * that never starts while more urgent ones keep coming. */
+static void
+test_priority_first(void **state)
+{
+	static const char *const first[] = {"1", "2", "3", "4"};
+	struct fix *f = *state;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(first); i++)
+		grant(f, E1, first[i]);
+	f->priority = 2;
+	grant_full(f, E1, "low", 1, 100, 0);
+	grant_full(f, E1, "low and old", 1, 40, 0);
+	f->priority = 0;
+	grant_full(f, E1, "high", 1, 110, 0);
+	assert_int_equal(CPU, ru_load(f->runner).cpu_queued[0]);
+	assert_int_equal(2 * CPU, ru_load(f->runner).cpu_queued[2]);
+	for (i = 0; i < 3; i++) {
+		confirm(f, first[i], RU_STARTED);
+		end_run(f, first[i], 1, RU_DONE);
+	}
+	assert_string_equal("low and old", f->orders[4].id);
+	assert_string_equal("high", f->orders[5].id);
+	assert_string_equal("low", f->orders[6].id);
+}
+
 /* Load pattern: more entries than one find the same worker. Guards against
  * tasks that wait in a queue that their entry did not know of, and against one
  * that stays there until it is of no use (the last task of 137 of 199 jobs
@@ -578,6 +608,7 @@
 	    T(test_runs_of_predecessor),
 	    T(test_room),
 	    T(test_urgent_first),
+	    T(test_priority_first),
 	    T(test_give_back),
 	    T(test_late_task_gets_its_turn),
 	    T(test_same_task_of_two_entries),
--- a/wire/pd.h
+++ b/wire/pd.h
@@ -319,6 +319,14 @@
 #define PD_AZS_MAX 64
 
 typedef char *pd_name;
+#define PD_LEVELS 4
+
+struct pd_load {
+	u_int cpu_used;
+	u_int cpu_queued[PD_LEVELS];
+	bool_t accepting;
+};
+typedef struct pd_load pd_load;
 
 struct pd_attach {
 	char *cell;
@@ -332,9 +340,7 @@
 	} labels;
 	u_int cpu;
 	u_int mem_mb;
-	u_int cpu_used;
-	u_int cpu_queued;
-	bool_t accepting;
+	pd_load load;
 	u_quad_t clock_ms;
 	u_int entries_hash;
 };
@@ -357,6 +363,7 @@
 	u_int index;
 	u_int cpu;
 	u_int mem_mb;
+	u_int priority;
 	u_int limit_ms;
 	u_int queue_max;
 	u_quad_t start_by_ms;
@@ -387,9 +394,7 @@
 typedef struct pd_end pd_end;
 
 struct pd_ended {
-	u_int cpu_used;
-	u_int cpu_queued;
-	bool_t accepting;
+	pd_load load;
 	struct {
 		u_int list_len;
 		pd_end *list_val;
@@ -607,6 +612,7 @@
 extern  bool_t xdr_pd_answer (XDR *, pd_answer*);
 extern  bool_t xdr_pd_lookup (XDR *, pd_lookup*);
 extern  bool_t xdr_pd_name (XDR *, pd_name*);
+extern  bool_t xdr_pd_load (XDR *, pd_load*);
 extern  bool_t xdr_pd_attach (XDR *, pd_attach*);
 extern  bool_t xdr_pd_attached (XDR *, pd_attached*);
 extern  bool_t xdr_pd_start (XDR *, pd_start*);
@@ -650,6 +656,7 @@
 extern bool_t xdr_pd_answer ();
 extern bool_t xdr_pd_lookup ();
 extern bool_t xdr_pd_name ();
+extern bool_t xdr_pd_load ();
 extern bool_t xdr_pd_attach ();
 extern bool_t xdr_pd_attached ();
 extern bool_t xdr_pd_start ();
--- a/wire/pd.x
+++ b/wire/pd.x
@@ -240,6 +240,14 @@
 
 typedef string pd_name<PD_NAME_MAX>;
 
+const PD_LEVELS = 4;	/* priorities told apart; the last one holds the rest */
+
+struct pd_load {
+	unsigned int cpu_used;
+	unsigned int cpu_queued[PD_LEVELS];	/* by priority, 0 goes first */
+	bool accepting;
+};
+
 /* Sent when a connection opens and repeated as a heartbeat. */
 struct pd_attach {
 	string cell<PD_NAME_MAX>;
@@ -250,9 +258,7 @@
 	pd_name labels<PD_LABELS_MAX>;
 	unsigned int cpu;		/* thousandths of a core; 0: unknown */
 	unsigned int mem_mb;
-	unsigned int cpu_used;
-	unsigned int cpu_queued;
-	bool accepting;
+	pd_load load;
 	unsigned hyper clock_ms;	/* agent's clock */
 	unsigned int entries_hash;	/* of the entries it knows */
 };
@@ -270,6 +276,7 @@
 	unsigned int index;		/* within the step */
 	unsigned int cpu;
 	unsigned int mem_mb;
+	unsigned int priority;		/* 0 goes first */
 	unsigned int limit_ms;		/* run time that is not normal; 0: none */
 	unsigned int queue_max;		/* cpu that may wait there before it */
 	unsigned hyper start_by_ms;	/* agent's clock: latest start in time */
@@ -294,9 +301,7 @@
 };
 
 struct pd_ended {
-	unsigned int cpu_used;
-	unsigned int cpu_queued;
-	bool accepting;
+	pd_load load;
 	pd_end list<PD_BATCH_MAX>;
 };
 
--- a/wire/pd_xdr.c
+++ b/wire/pd_xdr.c
@@ -576,91 +576,75 @@
 }
 
 bool_t
-xdr_pd_attach (XDR *xdrs, pd_attach *objp)
+xdr_pd_load (XDR *xdrs, pd_load *objp)
 {
 	register int32_t *buf;
 
+	int i;
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_string (xdrs, &objp->cell, PD_NAME_MAX))
-			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->name, PD_NAME_MAX))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
-			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->az, PD_NAME_MAX))
-			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->service, PD_NAME_MAX))
-			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->labels.labels_val, (u_int *) &objp->labels.labels_len, PD_LABELS_MAX,
-			sizeof (pd_name), (xdrproc_t) xdr_pd_name))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, (2 +  PD_LEVELS )* BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->cpu))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->mem_mb))
-				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->cpu_used))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->cpu_queued))
+			 if (!xdr_vector (xdrs, (char *)objp->cpu_queued, PD_LEVELS,
+				sizeof (u_int), (xdrproc_t) xdr_u_int))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->accepting))
 				 return FALSE;
-
 		} else {
-		IXDR_PUT_U_LONG(buf, objp->cpu);
-		IXDR_PUT_U_LONG(buf, objp->mem_mb);
-		IXDR_PUT_U_LONG(buf, objp->cpu_used);
-		IXDR_PUT_U_LONG(buf, objp->cpu_queued);
-		IXDR_PUT_BOOL(buf, objp->accepting);
+			IXDR_PUT_U_LONG(buf, objp->cpu_used);
+			{
+				register u_int *genp;
+
+				for (i = 0, genp = objp->cpu_queued;
+					i < PD_LEVELS; ++i) {
+					IXDR_PUT_U_LONG(buf, *genp++);
+				}
+			}
+			IXDR_PUT_BOOL(buf, objp->accepting);
 		}
-		 if (!xdr_u_quad_t (xdrs, &objp->clock_ms))
-			 return FALSE;
-		 if (!xdr_u_int (xdrs, &objp->entries_hash))
-			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_string (xdrs, &objp->cell, PD_NAME_MAX))
-			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->name, PD_NAME_MAX))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
-			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->az, PD_NAME_MAX))
-			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->service, PD_NAME_MAX))
-			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->labels.labels_val, (u_int *) &objp->labels.labels_len, PD_LABELS_MAX,
-			sizeof (pd_name), (xdrproc_t) xdr_pd_name))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, (2 +  PD_LEVELS )* BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->cpu))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->mem_mb))
-				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->cpu_used))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->cpu_queued))
+			 if (!xdr_vector (xdrs, (char *)objp->cpu_queued, PD_LEVELS,
+				sizeof (u_int), (xdrproc_t) xdr_u_int))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->accepting))
 				 return FALSE;
-
 		} else {
-		objp->cpu = IXDR_GET_U_LONG(buf);
-		objp->mem_mb = IXDR_GET_U_LONG(buf);
-		objp->cpu_used = IXDR_GET_U_LONG(buf);
-		objp->cpu_queued = IXDR_GET_U_LONG(buf);
-		objp->accepting = IXDR_GET_BOOL(buf);
+			objp->cpu_used = IXDR_GET_U_LONG(buf);
+			{
+				register u_int *genp;
+
+				for (i = 0, genp = objp->cpu_queued;
+					i < PD_LEVELS; ++i) {
+					*genp++ = IXDR_GET_U_LONG(buf);
+				}
+			}
+			objp->accepting = IXDR_GET_BOOL(buf);
 		}
-		 if (!xdr_u_quad_t (xdrs, &objp->clock_ms))
-			 return FALSE;
-		 if (!xdr_u_int (xdrs, &objp->entries_hash))
-			 return FALSE;
 	 return TRUE;
 	}
 
+	 if (!xdr_u_int (xdrs, &objp->cpu_used))
+		 return FALSE;
+	 if (!xdr_vector (xdrs, (char *)objp->cpu_queued, PD_LEVELS,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->accepting))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_pd_attach (XDR *xdrs, pd_attach *objp)
+{
+	register int32_t *buf;
+
 	 if (!xdr_string (xdrs, &objp->cell, PD_NAME_MAX))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->name, PD_NAME_MAX))
@@ -678,11 +662,7 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->mem_mb))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->cpu_used))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->cpu_queued))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->accepting))
+	 if (!xdr_pd_load (xdrs, &objp->load))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->clock_ms))
 		 return FALSE;
@@ -717,7 +697,7 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_pd_key (xdrs, &objp->key))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->step))
 				 return FALSE;
@@ -727,6 +707,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->mem_mb))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->priority))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->limit_ms))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->queue_max))
@@ -737,6 +719,7 @@
 		IXDR_PUT_U_LONG(buf, objp->index);
 		IXDR_PUT_U_LONG(buf, objp->cpu);
 		IXDR_PUT_U_LONG(buf, objp->mem_mb);
+		IXDR_PUT_U_LONG(buf, objp->priority);
 		IXDR_PUT_U_LONG(buf, objp->limit_ms);
 		IXDR_PUT_U_LONG(buf, objp->queue_max);
 		}
@@ -750,7 +733,7 @@
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_pd_key (xdrs, &objp->key))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->step))
 				 return FALSE;
@@ -760,6 +743,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->mem_mb))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->priority))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->limit_ms))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->queue_max))
@@ -770,6 +755,7 @@
 		objp->index = IXDR_GET_U_LONG(buf);
 		objp->cpu = IXDR_GET_U_LONG(buf);
 		objp->mem_mb = IXDR_GET_U_LONG(buf);
+		objp->priority = IXDR_GET_U_LONG(buf);
 		objp->limit_ms = IXDR_GET_U_LONG(buf);
 		objp->queue_max = IXDR_GET_U_LONG(buf);
 		}
@@ -792,6 +778,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->mem_mb))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->priority))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->limit_ms))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->queue_max))
@@ -836,52 +824,7 @@
 {
 	register int32_t *buf;
 
-
-	if (xdrs->x_op == XDR_ENCODE) {
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->cpu_used))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->cpu_queued))
-				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->accepting))
-				 return FALSE;
-
-		} else {
-		IXDR_PUT_U_LONG(buf, objp->cpu_used);
-		IXDR_PUT_U_LONG(buf, objp->cpu_queued);
-		IXDR_PUT_BOOL(buf, objp->accepting);
-		}
-		 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, PD_BATCH_MAX,
-			sizeof (pd_end), (xdrproc_t) xdr_pd_end))
-			 return FALSE;
-		return TRUE;
-	} else if (xdrs->x_op == XDR_DECODE) {
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->cpu_used))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->cpu_queued))
-				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->accepting))
-				 return FALSE;
-
-		} else {
-		objp->cpu_used = IXDR_GET_U_LONG(buf);
-		objp->cpu_queued = IXDR_GET_U_LONG(buf);
-		objp->accepting = IXDR_GET_BOOL(buf);
-		}
-		 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, PD_BATCH_MAX,
-			sizeof (pd_end), (xdrproc_t) xdr_pd_end))
-			 return FALSE;
-	 return TRUE;
-	}
-
-	 if (!xdr_u_int (xdrs, &objp->cpu_used))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->cpu_queued))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->accepting))
+	 if (!xdr_pd_load (xdrs, &objp->load))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, PD_BATCH_MAX,
 		sizeof (pd_end), (xdrproc_t) xdr_pd_end))
