Wait for the configuration after a start; tell a job's life from logs

The entry serves clients some ms to 100 ms before it hears a configuration, and clients do not come again after a 503. No log line told of it: an entry did not log a request refused for want of a configuration.

Ruled out: refusals for want of workers (none was logged), a store that does not answer (revision 3 came from another entry within 4 ms).

Change: requests wait for the configuration while the entry starts, at most a second, and the wait counts against their deadline. `pimentodock trace ID` joins logs of entries and agents and tells the first thing that went wrong. The line of an answer comes first and names the first trouble; the lines of the steps give way when the budget is short. Agents log each run that ended badly with the id of its job. The budget of lines follows the monotonic clock, so a step of the wall clock does not stop the log.

--- a/base/event.c
+++ b/base/event.c
@@ -45,21 +45,21 @@
 }
 
 static uint64_t
-wall_ms(void)
+read_ms(clockid_t clock)
 {
 	struct timespec now;
 
-	clock_gettime(CLOCK_REALTIME, &now);
+	clock_gettime(clock, &now);
 	return ((uint64_t)now.tv_sec * MS_PER_S +
 	    (uint64_t)now.tv_nsec / NS_PER_MS);
 }
 
-/* The wall clock may step back; then the budget is not refilled until it has
- * caught up. */
+/* @reserve: lines that must be left */
 static int
-take_token(uint64_t now)
+take_token(unsigned reserve)
 {
 	const uint64_t most = (uint64_t)EV_LINES_PER_S * 2 * MS_PER_S;
+	uint64_t now = read_ms(CLOCK_MONOTONIC);
 
 	if (now > refilled_ms) {
 		if (refilled_ms != 0)
@@ -68,7 +68,7 @@
 	}
 	if (tokens > most)
 		tokens = most;
-	if (tokens < MS_PER_S)
+	if (tokens < (uint64_t)(reserve + 1) * MS_PER_S)
 		return (0);
 	tokens -= MS_PER_S;
 	return (1);
@@ -109,23 +109,21 @@
 	json_decref(o);
 }
 
-void
-ev_write(const char *part, const char *event, const char *format, ...)
+static void
+write_line(unsigned reserve, const char *part, const char *event,
+    const char *format, va_list ap)
 {
-	uint64_t now = wall_ms();
+	uint64_t now = read_ms(CLOCK_REALTIME);
 	json_t *members, *o;
-	va_list ap;
 
 	if (fd < 0)
 		return;
-	if (!take_token(now)) {
+	if (!take_token(reserve)) {
 		dropped++;
 		return;
 	}
 	tell_dropped(now);
-	va_start(ap, format);
 	members = json_vpack_ex(NULL, 0, format, ap);
-	va_end(ap);
 	o = header(now, part, event);
 	if (members == NULL || json_object_update(o, members) != 0 ||
 	    !write_object(o))
@@ -133,3 +131,23 @@
 	json_decref(members);
 	json_decref(o);
 }
+
+void
+ev_write(const char *part, const char *event, const char *format, ...)
+{
+	va_list ap;
+
+	va_start(ap, format);
+	write_line(0, part, event, format, ap);
+	va_end(ap);
+}
+
+void
+ev_detail(const char *part, const char *event, const char *format, ...)
+{
+	va_list ap;
+
+	va_start(ap, format);
+	write_line(EV_LINES_PER_S, part, event, format, ap);
+	va_end(ap);
+}
--- a/entry/command.c
+++ b/entry/command.c
@@ -1,4 +1,5 @@
 #include <argtable2.h>
+#include <errno.h>
 #include <glib.h>
 #include <jansson.h>
 #include <stdio.h>
@@ -11,6 +12,7 @@
 #include "exits.h"
 #include "options.h"
 #include "serve.h"
+#include "story.h"
 
 #define PROGRAM "pimentodock"
 #define TIMEOUT_DEFAULT_S 15
@@ -18,10 +20,13 @@
 #define ERRORS_MAX 20
 #define NAMES_MAX PD_MEMBERS_MAX
 #define ARGS_MAX 12
+/* Logs that one command reads. */
+#define LOGS_MAX 1000
 
 enum shape {
 	SHAPE_SETTINGS, /* reads a settings file, asks no entry */
 	SHAPE_VIEW,     /* asks an entry */
+	SHAPE_LOGS,     /* reads logs, asks no entry */
 	SHAPE_CHANGE,   /* changes the configuration through an entry */
 };
 
@@ -45,6 +50,7 @@
 	struct arg_file *settings;
 	struct arg_str *operator_url;
 	struct arg_file *token_file;
+	struct arg_file *logs;
 	struct arg_lit *json;
 	struct arg_int *timeout;
 	struct arg_str *change_id;
@@ -113,6 +119,45 @@
 	return (cl_explain(&p->client, p->operand->sval[0]));
 }
 
+static bool
+read_log(struct so *story, const char *path)
+{
+	FILE *f = fopen(path, "r");
+
+	if (f == NULL) {
+		fprintf(stderr, PROGRAM " trace: %s: %s\n", path,
+		    g_strerror(errno));
+		return (false);
+	}
+	so_read(story, f);
+	fclose(f);
+	return (true);
+}
+
+static int
+run_trace(const struct parsed *p)
+{
+	struct so *story = so_new(p->operand->sval[0]);
+	bool valid = true;
+	int i;
+
+	for (i = 0; valid && i < p->logs->count; i++)
+		valid = read_log(story, p->logs->filename[i]);
+	if (p->logs->count == 0)
+		so_read(story, stdin);
+	if (valid && !so_print(story, stdout)) {
+		fprintf(stderr,
+		    PROGRAM
+		    " trace: the logs tell nothing about \"%s\"; a "
+		    "job that ended well and in time is logged in a "
+		    "sample only\n",
+		    p->operand->sval[0]);
+		valid = false;
+	}
+	so_free(story);
+	return (valid ? EX_DONE : EX_FAILED);
+}
+
 static int
 change_name(const struct parsed *p, const char *kind, const char *field)
 {
@@ -218,6 +263,11 @@
 	"print the state of an entry and of its endpoints", "", SHAPE_VIEW, 0},
     {"explain", "ID", run_explain, "print what happened to a submission", "",
 	SHAPE_VIEW, 1},
+    {"trace", "ID", run_trace, "print the life of a job from logs",
+	"Joins the logs of any entries and agents: the decisions about the job "
+	"in their\norder, what happened to its workers, and the first thing "
+	"that went wrong.",
+	SHAPE_LOGS, 1},
 };
 
 static void
@@ -287,6 +337,9 @@
 	if (c->shape == SHAPE_SETTINGS)
 		p->table[n++] = p->settings = arg_file1(
 		    NULL, "settings", "FILE", "settings of the entry (TOML)");
+	else if (c->shape == SHAPE_LOGS)
+		p->table[n++] = p->logs = arg_filen(NULL, "log", "FILE", 0,
+		    LOGS_MAX, "log of an entry or an agent (standard input)");
 	else
 		build_client(p, &n);
 	if (c->operand != NULL)
@@ -388,8 +441,12 @@
 		g_free(name);
 		return (EX_SETTINGS);
 	}
-	result = p->command->shape == SHAPE_SETTINGS ? EX_DONE
-						     : check_client(p, &token);
+	if (p->command->shape == SHAPE_SETTINGS)
+		result = EX_DONE;
+	else if (p->command->shape == SHAPE_LOGS)
+		result = check_operands(p);
+	else
+		result = check_client(p, &token);
 	if (result == EX_DONE)
 		result = p->command->run(p);
 	g_free(token);
--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -147,29 +147,47 @@
 	if (tr_field_b(s->kind) != NULL)
 		json_object_set_new(
 		    values, tr_field_b(s->kind), json_integer(s->b));
-	ev_write("jobs", tr_name(s->kind), "{s:s,s:i,s:i,s:i,s:s*,s:O}", "job",
+	ev_detail("jobs", tr_name(s->kind), "{s:s,s:i,s:i,s:i,s:s*,s:O}", "job",
 	    job->id, "at_ms", (int)s->at_ms, "task", (int)s->task, "attempt",
 	    (int)s->attempt, "worker", s->worker, "because", values);
 	json_decref(values);
 }
 
-/* All steps of jobs that did not end well and in time, and of a sample. */
+/* First step that is not as it should be, NULL for none. */
+static const struct tr_step *
+first_trouble(const struct jb_answer *a)
+{
+	unsigned i;
+
+	for (i = 0; i < a->ntrace; i++)
+		if (tr_is_trouble(a->trace[i].kind))
+			return (&a->trace[i]);
+	return (NULL);
+}
+
+/* All steps of jobs that did not end well and in time, and of a sample. When
+ * many jobs end so at once, their first trouble is told, and the steps of
+ * some. */
 static void
 on_job_ended(void *arg, const struct jb_answer *a)
 {
+	const struct tr_step *first = first_trouble(a);
 	struct di *d = arg;
 	unsigned i;
 
 	if (a->status == JB_COMPLETED && a->late_ms == 0 &&
 	    ++d->jobs_logged % SAMPLE != 0)
 		return;
+	ev_write("jobs", "answered",
+	    "{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:I,s:s*,s:s*}", "job", a->id,
+	    "queue", a->queue, "status", jb_status_name(a->status), "reason",
+	    jb_reason_name(a->reason), "took_ms", (int)a->took_ms, "late_ms",
+	    (int)a->late_ms, "workers", (int)fl_count(d->fleet), "config",
+	    (json_int_t)cf_revision(d->config), "trouble",
+	    first == NULL ? NULL : tr_name(first->kind), "trouble_worker",
+	    first == NULL ? NULL : first->worker);
 	for (i = 0; i < a->ntrace; i++)
 		log_step(a, &a->trace[i]);
-	ev_write("jobs", "answered", "{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:I}", "job",
-	    a->id, "queue", a->queue, "status", jb_status_name(a->status),
-	    "reason", jb_reason_name(a->reason), "took_ms", (int)a->took_ms,
-	    "late_ms", (int)a->late_ms, "workers", (int)fl_count(d->fleet),
-	    "config", (json_int_t)cf_revision(d->config));
 }
 
 static const struct jb_ops job_ops = {
@@ -190,6 +208,14 @@
 	return (cf_revision(d->config) != 0);
 }
 
+static bool
+front_starting(void *arg)
+{
+	struct di *d = arg;
+
+	return (fl_settling(d->fleet));
+}
+
 static const struct pd_queue *
 front_match(void *arg, const char *host, const char *path)
 {
@@ -267,6 +293,7 @@
 
 static const struct fr_ops front_ops = {
     .configured = front_configured,
+    .starting = front_starting,
     .match = front_match,
     .submit = front_submit,
     .cancel = front_cancel,
@@ -287,6 +314,7 @@
 	    (unsigned long long)c->revision, source, c->queues.queues_len,
 	    c->evacuated.evacuated_len);
 	fr_limits(d->front, c->header_bytes, c->body_bytes);
+	fr_decide(d->front);
 }
 
 static void
@@ -399,6 +427,8 @@
 	(void)fd;
 	(void)what;
 	jb_tick(d->jobs);
+	if (!front_configured(d) && !front_starting(d))
+		fr_decide(d->front);
 	if (d->stopping_ms != 0)
 		check_stop(d);
 }
@@ -501,8 +531,8 @@
 	d->seeds = read_seeds(&d->settings);
 	d->workers =
 	    wo_new(d->base, d->settings.rpc, &self, d->fleet, &worker_ops, d);
-	d->front = fr_new(
-	    d->base, d->settings.clients, d->settings.probes, &front_ops, d);
+	d->front = fr_new(d->base, d->clock, d->settings.clients,
+	    d->settings.probes, &front_ops, d);
 	if (d->workers == NULL || d->front == NULL)
 		return (false);
 	wo_set_jobs(d->workers, d->jobs);
--- /dev/null
+++ b/entry/story.c
@@ -0,0 +1,321 @@
+#include <glib.h>
+#include <jansson.h>
+#include <limits.h>
+#include <stdint.h>
+#include <string.h>
+
+#include "story.h"
+
+/* Notes about the workers of a job matter from this time before it on. */
+#define BEFORE_MS 2000
+/* A run that takes this many times what was expected is a reason of its own. */
+#define LONG_RUN 1.5
+/* A wait that is no reason for a late answer. */
+#define SHORT_WAIT_MS 20
+#define LINE_MAX_BYTES 65536
+
+/* One line of a log. */
+struct line {
+	int64_t at_ms; /* when it happened, ms since 1970 */
+	unsigned number;
+	char *source;
+	json_t *object;
+};
+
+struct so {
+	char *job;
+	GPtrArray *lines; /* struct line, owned */
+	unsigned count;
+};
+
+static void
+line_free(void *arg)
+{
+	struct line *l = arg;
+
+	g_free(l->source);
+	json_decref(l->object);
+	g_free(l);
+}
+
+struct so *
+so_new(const char *job)
+{
+	struct so *s = g_new0(struct so, 1);
+
+	s->job = g_strdup(job);
+	s->lines = g_ptr_array_new_with_free_func(line_free);
+	return (s);
+}
+
+void
+so_free(struct so *s)
+{
+	if (s == NULL)
+		return;
+	g_free(s->job);
+	g_ptr_array_free(s->lines, TRUE);
+	g_free(s);
+}
+
+static const char *
+text_of(const struct line *l, const char *key)
+{
+	const char *text = json_string_value(json_object_get(l->object, key));
+
+	return (text == NULL ? "" : text);
+}
+
+static int64_t
+number_of(const struct line *l, const char *key)
+{
+	return (json_integer_value(json_object_get(l->object, key)));
+}
+
+static bool
+is_step(const struct line *l)
+{
+	return (json_object_get(l->object, "job") != NULL);
+}
+
+/* A line about the job itself. */
+static bool
+is_own(const struct so *s, const struct line *l)
+{
+	return (strcmp(text_of(l, "job"), s->job) == 0 ||
+	    strstr(text_of(l, "text"), s->job) != NULL);
+}
+
+/* Keeps the lines of the job, and notes, which may be about its workers. */
+static void
+read_line(struct so *s, const char *text)
+{
+	const char *brace = strchr(text, '{');
+	struct line *l;
+	json_t *o;
+
+	if (brace == NULL)
+		return;
+	o = json_loads(brace, JSON_DISABLE_EOF_CHECK, NULL);
+	if (o == NULL)
+		return;
+	l = g_new0(struct line, 1);
+	l->object = o;
+	l->number = ++s->count;
+	l->at_ms = number_of(l, "t");
+	l->source = g_strstrip(g_strndup(text, (gsize)(brace - text)));
+	if (is_own(s, l) || !is_step(l))
+		g_ptr_array_add(s->lines, l);
+	else
+		line_free(l);
+}
+
+void
+so_read(struct so *s, FILE *f)
+{
+	char *text = g_malloc(LINE_MAX_BYTES);
+
+	while (fgets(text, LINE_MAX_BYTES, f) != NULL)
+		read_line(s, text);
+	g_free(text);
+}
+
+/*
+ * The steps of a job are logged when it has been answered, after the line of
+ * the answer, with their time since it arrived.
+ */
+static void
+set_times(struct so *s, int64_t *from_ms, int64_t *to_ms)
+{
+	int64_t arrived = 0;
+	struct line *l;
+	guint i;
+
+	for (i = 0; i < s->lines->len; i++) {
+		l = s->lines->pdata[i];
+		if (!is_step(l))
+			continue;
+		if (strcmp(text_of(l, "event"), "answered") == 0) {
+			arrived = l->at_ms - number_of(l, "took_ms");
+			*to_ms = MAX(*to_ms, l->at_ms);
+			*from_ms = MIN(*from_ms, arrived);
+			/* It comes last among what is as old. */
+			l->number = UINT_MAX;
+		} else if (arrived != 0) {
+			l->at_ms = arrived + number_of(l, "at_ms");
+		}
+	}
+}
+
+static gint
+compare(gconstpointer a, gconstpointer b)
+{
+	const struct line *x = *(struct line *const *)a;
+	const struct line *y = *(struct line *const *)b;
+
+	if (x->at_ms != y->at_ms)
+		return (x->at_ms < y->at_ms ? -1 : 1);
+	return (x->number < y->number ? -1 : x->number > y->number);
+}
+
+/* Whether a note names a worker of the job, or was written by its agent. */
+static bool
+about_worker(const struct so *s, const struct line *note)
+{
+	const struct line *l;
+	const char *worker;
+	guint i;
+
+	for (i = 0; i < s->lines->len; i++) {
+		l = s->lines->pdata[i];
+		worker = text_of(l, "worker");
+		if (worker[0] != '\0' &&
+		    (strstr(text_of(note, "text"), worker) != NULL ||
+			strstr(note->source, worker) != NULL))
+			return (true);
+	}
+	return (false);
+}
+
+static void
+print_because(const struct line *l, FILE *out)
+{
+	json_t *because = json_object_get(l->object, "because"), *value;
+	const char *key;
+
+	json_object_foreach(because, key, value)
+	{
+		fprintf(out, ", %s %" JSON_INTEGER_FORMAT, key,
+		    json_integer_value(value));
+	}
+}
+
+static void
+print_step(const struct line *l, int64_t from_ms, FILE *out)
+{
+	const char *event = text_of(l, "event");
+
+	fprintf(out, "%+6" G_GINT64_FORMAT " ms  ", l->at_ms - from_ms);
+	if (l->source[0] != '\0')
+		fprintf(out, "%s: ", l->source);
+	if (!is_step(l)) {
+		fprintf(
+		    out, "(%s) %s\n", text_of(l, "part"), text_of(l, "text"));
+		return;
+	}
+	if (strcmp(event, "answered") == 0) {
+		fprintf(out,
+		    "answered: %s, reason %s, late by %d ms, %d workers, "
+		    "configuration %d",
+		    text_of(l, "status"), text_of(l, "reason"),
+		    (int)number_of(l, "late_ms"), (int)number_of(l, "workers"),
+		    (int)number_of(l, "config"));
+		if (text_of(l, "trouble")[0] != '\0')
+			fprintf(out, ", first trouble: %s %s",
+			    text_of(l, "trouble"),
+			    text_of(l, "trouble_worker"));
+		fputc('\n', out);
+		return;
+	}
+	fprintf(out, "task %d, attempt %d: %s", (int)number_of(l, "task"),
+	    (int)number_of(l, "attempt"), event);
+	if (text_of(l, "worker")[0] != '\0')
+		fprintf(out, " at %s", text_of(l, "worker"));
+	print_because(l, out);
+	fputc('\n', out);
+}
+
+static int64_t
+because_of(const struct line *l, const char *key)
+{
+	return (json_integer_value(
+	    json_object_get(json_object_get(l->object, "because"), key)));
+}
+
+/* Time that was expected of the attempt that ended in @end; 0 if unknown. */
+static int64_t
+expected_ms(const struct so *s, const struct line *end)
+{
+	const struct line *l;
+	guint i;
+
+	for (i = 0; i < s->lines->len; i++) {
+		l = s->lines->pdata[i];
+		if (strcmp(text_of(l, "event"), "granted") == 0 &&
+		    number_of(l, "task") == number_of(end, "task") &&
+		    number_of(l, "attempt") == number_of(end, "attempt"))
+			return (because_of(l, "expected_ms"));
+	}
+	return (0);
+}
+
+static const char *
+explain_end(const struct so *s, const struct line *l)
+{
+	int64_t expected = expected_ms(s, l);
+
+	if (because_of(l, "queue_ms") > SHORT_WAIT_MS)
+		return ("the task waited at its agent");
+	if (expected > 0 &&
+	    (double)because_of(l, "run_ms") > (double)expected * LONG_RUN)
+		return ("the run took much longer than expected");
+	return (NULL);
+}
+
+/* Text for a step that is a reason for a bad end, NULL for any other. */
+static const char *
+explain(const struct so *s, const struct line *l)
+{
+	static const char *const reasons[][2] = {
+	    {"crowded", "more urgent queues would have waited too long"},
+	    {"no_worker", "no worker took the task"},
+	    {"too_late", "no worker was expected to end the task in time"},
+	    {"failed", "the run failed"},
+	    {"stopped", "the run took longer than its limit and was stopped"},
+	    {"lost", "the run ended without a result"},
+	    {"returned", "the agent gave the task back without starting it"},
+	    {"doubtful", "the agent of the task was out of reach"},
+	    {"hopeless", "its run could not be replaced by the deadline"},
+	    {"dropped", "the lease of a run out of reach had ended"},
+	    {"restarted", "the agent of the task had started again"},
+	};
+	const char *event = text_of(l, "event");
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(reasons); i++)
+		if (strcmp(reasons[i][0], event) == 0)
+			return (reasons[i][1]);
+	return (strcmp(event, "done") == 0 ? explain_end(s, l) : NULL);
+}
+
+bool
+so_print(struct so *s, FILE *out)
+{
+	int64_t from_ms = INT64_MAX, to_ms = 0;
+	const struct line *l, *first = NULL;
+	bool found = false;
+	guint i;
+
+	set_times(s, &from_ms, &to_ms);
+	g_ptr_array_sort(s->lines, compare);
+	for (i = 0; i < s->lines->len; i++) {
+		l = s->lines->pdata[i];
+		if (!is_own(s, l) &&
+		    (l->at_ms < from_ms - BEFORE_MS || l->at_ms > to_ms ||
+			!about_worker(s, l)))
+			continue;
+		found = found || is_own(s, l);
+		print_step(l, from_ms, out);
+		if (first == NULL && is_step(l) && explain(s, l) != NULL)
+			first = l;
+	}
+	if (!found)
+		return (false);
+	if (first == NULL) {
+		fputs("Nothing went wrong that the logs tell of.\n", out);
+		return (true);
+	}
+	fprintf(out, "First thing that went wrong: %s.\n", explain(s, first));
+	print_step(first, from_ms, out);
+	return (true);
+}
--- a/sched/runner.c
+++ b/sched/runner.c
@@ -162,6 +162,12 @@
 
 	ct_count(r->counters, "pd_runs_ended_total", "Granted tasks that ended",
 	    "state", end_name(state));
+	if (state != PD_END_DONE && state != PD_END_RETURNED)
+		lg_write(LOG_NOTICE, "runner",
+		    "job %s task %u attempt %u: run %s, %u ms waiting, %u ms "
+		    "running",
+		    t->id, t->task, t->attempt, end_name(state), e.queue_ms,
+		    e.run_ms);
 	r->ops->ended(r->arg, t->entry, &e);
 	g_ptr_array_remove(r->tasks, t);
 }
--- a/sched/trace.c
+++ b/sched/trace.c
@@ -29,6 +29,12 @@
 	return (kind < TR_MAX ? kinds[kind].name : "invalid");
 }
 
+bool
+tr_is_trouble(enum tr_kind kind)
+{
+	return (kind != TR_TAKEN && kind != TR_GRANTED && kind != TR_DONE);
+}
+
 const char *
 tr_field_a(enum tr_kind kind)
 {
--- a/sched/trace.h
+++ b/sched/trace.h
@@ -1,6 +1,7 @@
 #ifndef TRACE_H
 #define TRACE_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /**
@@ -55,6 +56,9 @@
 /** tr_name() - text of a kind, never NULL */
 const char *tr_name(enum tr_kind kind);
 
+/** tr_is_trouble() - whether a step makes a job late or ends it badly */
+bool tr_is_trouble(enum tr_kind kind);
+
 /** tr_field_a() - what tr_step.a holds, as a name in logs; NULL for nothing */
 const char *tr_field_a(enum tr_kind kind);
 
--- a/tests/test_event.c
+++ b/tests/test_event.c
@@ -77,12 +77,33 @@
 	assert_true(ev_dropped() - before >= EV_LINES_PER_S * 7);
 }
 
+/* Guards against answers that are not logged because the steps of other jobs
+ * have used up the budget (inc-f2c8: a late job of which no line was left). */
+static void
+test_details_leave_room(void **state)
+{
+	int saved, fd = open_pipe(&saved), i;
+	uint64_t before;
+
+	(void)state;
+	ev_open("test");
+	for (i = 0; i < EV_LINES_PER_S * 10; i++)
+		ev_detail("part", "step", "{s:i}", "n", i);
+	before = ev_dropped();
+	for (i = 0; i < EV_LINES_PER_S; i++)
+		ev_write("part", "answered", "{s:i}", "n", i);
+	close_pipe(saved);
+	close(fd);
+	assert_int_equal(before, ev_dropped());
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_line),
 	    cmocka_unit_test(test_reader_stands_still),
+	    cmocka_unit_test(test_details_leave_room),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
--- /dev/null
+++ b/tests/test_front.c
@@ -0,0 +1,257 @@
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+#include <event2/event.h>
+
+#include "clock.h"
+#include "front.h"
+
+/* The interface for clients, with a dispatcher that completes every job. */
+
+#define START_MS 100000
+#define DEADLINE_MS 1500
+#define REQUEST                                                                \
+	"POST /q/01 HTTP/1.1\r\nHost: h\r\nContent-Length: 61\r\n"             \
+	"X-Pimentodock-Deadline-Ms: 1500\r\n\r\n"                              \
+	"{\"spec\":\"s\",\"best_effort\":true,"                                \
+	"\"steps\":[{\"count\":1,\"cpu\":1}]}"
+
+struct fix {
+	struct event_base *base;
+	struct ck *clock;
+	struct fr *front;
+	struct pd_queue queue;
+	bool configured;
+	bool starting;
+	unsigned deadline_ms; /* of the last job */
+	int client;
+};
+
+static bool
+is_configured(void *arg)
+{
+	struct fix *f = arg;
+
+	return (f->configured);
+}
+
+static bool
+is_starting(void *arg)
+{
+	struct fix *f = arg;
+
+	return (f->starting);
+}
+
+static const struct pd_queue *
+match(void *arg, const char *host, const char *path)
+{
+	struct fix *f = arg;
+
+	(void)host;
+	(void)path;
+	return (f->configured ? &f->queue : NULL);
+}
+
+static void
+submit(void *arg, uint64_t waiter, const struct fr_job *job)
+{
+	struct jb_answer a = {.id = job->request.id, .status = JB_COMPLETED};
+	struct fix *f = arg;
+
+	f->deadline_ms = job->request.deadline_ms;
+	fr_answer(f->front, waiter, &a);
+}
+
+static void
+cancel(void *arg, uint64_t waiter, const char *id)
+{
+	(void)arg;
+	(void)waiter;
+	(void)id;
+}
+
+static void
+gone(void *arg, uint64_t waiter)
+{
+	(void)arg;
+	(void)waiter;
+}
+
+static unsigned
+waiting(void *arg, const char *queue)
+{
+	(void)arg;
+	(void)queue;
+	return (0);
+}
+
+static const struct fr_ops ops = {is_configured, is_starting, match, submit,
+    cancel, gone, waiting, is_configured};
+
+/* An address that was free a moment ago. */
+static void
+free_address(char *text, size_t size)
+{
+	struct sockaddr_in a = {
+	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t len = sizeof(a);
+	int s = socket(AF_INET, SOCK_STREAM, 0);
+
+	assert_int_equal(0, bind(s, (struct sockaddr *)&a, sizeof(a)));
+	assert_int_equal(0, getsockname(s, (struct sockaddr *)&a, &len));
+	close(s);
+	snprintf(text, size, "127.0.0.1:%u", ntohs(a.sin_port));
+}
+
+static int
+connect_to(const char *address)
+{
+	struct sockaddr_in a = {
+	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	int s = socket(AF_INET, SOCK_STREAM, 0);
+	unsigned port;
+
+	assert_int_equal(1, sscanf(address, "127.0.0.1:%u", &port));
+	a.sin_port = htons((uint16_t)port);
+	assert_int_equal(0, connect(s, (struct sockaddr *)&a, sizeof(a)));
+	return (s);
+}
+
+static int
+set_up(void **state)
+{
+	struct fix *f = test_calloc(1, sizeof(*f));
+	char clients[32], probes[32];
+
+	free_address(clients, sizeof(clients));
+	free_address(probes, sizeof(probes));
+	f->base = event_base_new();
+	f->clock = ck_new_manual(START_MS, START_MS);
+	f->queue.prefix = (char *)(uintptr_t) "/q/";
+	f->starting = true;
+	f->front = fr_new(f->base, f->clock, clients, probes, &ops, f);
+	assert_non_null(f->front);
+	f->client = connect_to(clients);
+	*state = f;
+	return (0);
+}
+
+static int
+tear_down(void **state)
+{
+	struct fix *f = *state;
+
+	close(f->client);
+	fr_free(f->front);
+	event_base_loop(f->base, EVLOOP_NONBLOCK);
+	event_base_free(f->base);
+	ck_free(f->clock);
+	test_free(f);
+	return (0);
+}
+
+static void
+run(struct fix *f)
+{
+	int i;
+
+	for (i = 0; i < 20; i++) {
+		usleep(1000);
+		event_base_loop(f->base, EVLOOP_NONBLOCK);
+	}
+}
+
+/* Return: status of the response, 0 when there is none yet. */
+static int
+status(struct fix *f)
+{
+	char text[512] = "";
+	int code = 0;
+
+	run(f);
+	if (recv(f->client, text, sizeof(text) - 1, MSG_DONTWAIT) > 0)
+		assert_int_equal(1, sscanf(text, "HTTP/1.1 %d", &code));
+	return (code);
+}
+
+static void
+send_request(struct fix *f)
+{
+	assert_int_equal(strlen(REQUEST),
+	    send(f->client, REQUEST, strlen(REQUEST), MSG_NOSIGNAL));
+}
+
+/* Guards against clients that are turned away in the moment after a start: the
+ * configuration comes some ms after they do (80 to 110 answers with 503 on each
+ * day that ends with a loss of all power). */
+static void
+test_wait_for_configuration(void **state)
+{
+	struct fix *f = *state;
+
+	send_request(f);
+	assert_int_equal(0, status(f));
+	ck_advance_ms(f->clock, 100);
+	f->configured = true;
+	fr_decide(f->front);
+	assert_int_equal(200, status(f));
+	/* The time that it has waited is not given again. */
+	assert_int_equal(DEADLINE_MS - 100, f->deadline_ms);
+}
+
+/* Guards against a request that waits for a configuration that does not come.
+ */
+static void
+test_no_configuration(void **state)
+{
+	struct fix *f = *state;
+
+	send_request(f);
+	assert_int_equal(0, status(f));
+	f->starting = false;
+	fr_decide(f->front);
+	assert_int_equal(503, status(f));
+	send_request(f);
+	assert_int_equal(503, status(f));
+}
+
+/* Guards against an answer to a client that has gone while it waited. */
+static void
+test_client_gone(void **state)
+{
+	struct fix *f = *state;
+
+	send_request(f);
+	assert_int_equal(0, status(f));
+	close(f->client);
+	run(f);
+	assert_int_equal(0, fr_pending(f->front));
+	f->configured = true;
+	fr_decide(f->front);
+	run(f);
+	assert_int_equal(0, f->deadline_ms);
+	f->client = socket(AF_INET, SOCK_STREAM, 0);
+}
+
+#define T(fn) cmocka_unit_test_setup_teardown(fn, set_up, tear_down)
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    T(test_wait_for_configuration),
+	    T(test_no_configuration),
+	    T(test_client_gone),
+	};
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
