--- a/entry/gossip.c
+++ b/entry/gossip.c
@@ -72,18 +72,8 @@
 	tell(p->gossip, p);
 }
 
-static void
-peer_call(void *arg, struct cn *c, uint32_t proc, uint32_t xid, XDR *args)
-{
-	(void)arg;
-	(void)proc;
-	(void)args;
-	cn_reject(c, xid);
-}
-
 static const struct cn_ops peer_ops = {
     .opened = peer_opened,
-    .call = peer_call,
     .closed = peer_closed,
 };
 
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -85,18 +85,8 @@
 }
 
 /* A peer answers on the connection that this end opened, but never calls. */
-static void
-peer_call(void *arg, struct cn *c, uint32_t proc, uint32_t xid, XDR *args)
-{
-	(void)arg;
-	(void)proc;
-	(void)args;
-	cn_reject(c, xid);
-}
-
 static const struct cn_ops peer_ops = {
     .opened = peer_opened,
-    .call = peer_call,
     .closed = peer_closed,
 };
 
--- a/tests/test_conn.c
+++ b/tests/test_conn.c
@@ -183,6 +183,23 @@
 	assert_int_equal(42, o.revision);
 }
 
+/* Guards against a caller that waits, or a crash, when the other end takes no
+ * calls at all. */
+static void
+test_end_without_calls(void **state)
+{
+	static const struct cn_ops deaf = {NULL, NULL, server_closed};
+	struct pair *p = *state;
+	struct outcome o = {0};
+
+	cn_set(p->server, &deaf, p);
+	call(p, 41, 1000, &o);
+	spin(p, 30);
+	assert_int_equal(1, o.count);
+	assert_int_equal(CN_REJECTED, o.error);
+	assert_int_equal(0, p->calls);
+}
+
 /* Guards against replies that reach the wrong call when they cross. */
 static void
 test_replies_out_of_order(void **state)
@@ -327,6 +344,8 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test_setup_teardown(
 		test_call_and_reply, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		test_end_without_calls, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		test_replies_out_of_order, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
--- a/wire/conn.c
+++ b/wire/conn.c
@@ -398,6 +398,8 @@
 	if (call->cb_rpcvers != RPC_MSG_VERSION || call->cb_prog != PD_PROG ||
 	    call->cb_vers != PD_V1)
 		c->malformed = true;
+	else if (c->ops != NULL && c->ops->call == NULL)
+		cn_reject(c, msg->rm_xid);
 	else if (c->ops != NULL)
 		c->ops->call(c->arg, c, call->cb_proc, msg->rm_xid, xdr);
 }
--- a/wire/conn.h
+++ b/wire/conn.h
@@ -40,7 +40,7 @@
  * @opened: the connection is made (not called for accepted connections)
  * @call: a call arrived. Decode the arguments with cn_decode() during the
  *     callback; answer now or later with cn_reply() and @xid, or not at all
- *     for a batched call
+ *     for a batched call. NULL: every call is rejected
  * @closed: the connection ended; @c is invalid afterwards. Calls without a
  *     reply have been told before
  */
