--- a/entry/client.c
+++ b/entry/client.c
@@ -7,6 +7,7 @@
 
 #include "client.h"
 #include "exits.h"
+#include "fields.h"
 #include "http.h"
 
 #define TRIES 3
@@ -60,14 +61,6 @@
 	ulfius_clean_request(&request);
 }
 
-static const char *
-text_of(const json_t *object, const char *key)
-{
-	const char *text = json_string_value(json_object_get(object, key));
-
-	return (text != NULL ? text : "");
-}
-
 static int
 no_answer(const struct cl *c)
 {
@@ -86,7 +79,7 @@
 		return (no_answer(c));
 	if (r->json != NULL)
 		fprintf(stderr, "pimentodock: %s: %s\n",
-		    text_of(r->json, "error"), text_of(r->json, "detail"));
+		    fd_text(r->json, "error"), fd_text(r->json, "detail"));
 	else
 		fprintf(stderr,
 		    "pimentodock: HTTP status %ld from %s, which does not look "
@@ -144,9 +137,9 @@
 	    "%-20s %-16s %-21s %s\n", "ENTRY", "INCARNATION", "ADDRESS", "AZ");
 	json_array_foreach(json_object_get(root, "entries"), i, entry)
 	{
-		printf("%-20s %-16s %-21s %s%s\n", text_of(entry, "name"),
-		    text_of(entry, "incarnation"), text_of(entry, "address"),
-		    text_of(entry, "az"),
+		printf("%-20s %-16s %-21s %s%s\n", fd_text(entry, "name"),
+		    fd_text(entry, "incarnation"), fd_text(entry, "address"),
+		    fd_text(entry, "az"),
 		    json_is_true(json_object_get(entry, "self")) ? "  (asked)"
 								 : "");
 	}
@@ -165,9 +158,9 @@
 	{
 		printf("%-20s %-12s %-14s %-9s %-10s %-8s %7" PRId64
 		       " %6" PRId64 " %8.3f\n",
-		    text_of(e, "name"), text_of(e, "az"), text_of(e, "service"),
+		    fd_text(e, "name"), fd_text(e, "az"), fd_text(e, "service"),
 		    yes_no(e, "connected"), yes_no(e, "in_service"),
-		    text_of(e, "health"), (int64_t)number_of(e, "running"),
+		    fd_text(e, "health"), (int64_t)number_of(e, "running"),
 		    (int64_t)number_of(e, "queued"),
 		    json_number_value(json_object_get(e, "speed")));
 	}
@@ -180,7 +173,7 @@
 	const json_t *p = json_object_get(root, "partitions");
 
 	printf("entry %s, revision %" PRId64 ", view %" PRId64 "\n",
-	    text_of(root, "name"), (int64_t)number_of(root, "revision"),
+	    fd_text(root, "name"), (int64_t)number_of(root, "revision"),
 	    (int64_t)number_of(root, "view"));
 	printf("registered %s, verified %s, draining %s\n",
 	    yes_no(root, "registered"), yes_no(root, "verified"),
@@ -225,12 +218,12 @@
 	json_t *e;
 	size_t i;
 
-	printf("submission %s\n", text_of(root, "id"));
+	printf("submission %s\n", fd_text(root, "id"));
 	json_array_foreach(json_object_get(root, "events"), i, e)
 	{
 		printf("%" PRId64 " %-12s %s\n",
-		    (int64_t)number_of(e, "wall_ms"), text_of(e, "what"),
-		    text_of(e, "text"));
+		    (int64_t)number_of(e, "wall_ms"), fd_text(e, "what"),
+		    fd_text(e, "text"));
 	}
 	if (number_of(root, "dropped") > 0)
 		printf("%" PRId64 " events in the middle were not kept\n",
@@ -267,7 +260,7 @@
 static int
 print_outcome(const struct cl *c, const struct reply *r)
 {
-	const char *outcome = text_of(r->json, "outcome");
+	const char *outcome = fd_text(r->json, "outcome");
 
 	if (c->json && r->text != NULL)
 		puts(r->text);
@@ -282,7 +275,7 @@
 			printf("pending at revision %" PRId64
 			       ", not yet confirmed by: %s\n",
 			    (int64_t)number_of(r->json, "revision"),
-			    text_of(r->json, "detail"));
+			    fd_text(r->json, "detail"));
 		return (EX_PENDING);
 	}
 	if (strcmp(outcome, "conflict") == 0) {
--- a/fakes/fake_platform.c
+++ b/fakes/fake_platform.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "fields.h"
 #include "web.h"
 
 /**
@@ -143,21 +144,13 @@
 	return (low);
 }
 
-static const char *
-text_of(const json_t *o, const char *key)
-{
-	const char *s = json_string_value(json_object_get(o, key));
-
-	return (s != NULL ? s : "");
-}
-
 /* Row that an entry of a transaction names, NULL when it was never there. */
 static struct row *
 find_row(const struct platform *p, const json_t *entry)
 {
-	const char *table = text_of(entry, "table");
-	const char *part = text_of(entry, "part");
-	const char *key = text_of(entry, "key");
+	const char *table = fd_text(entry, "table");
+	const char *part = fd_text(entry, "part");
+	const char *key = fd_text(entry, "key");
 	guint i = lower_bound(p, table, part, key);
 
 	if (i < p->rows->len &&
@@ -317,9 +310,9 @@
 
 	if (r == NULL) {
 		r = g_new0(struct row, 1);
-		r->table = g_strdup(text_of(entry, "table"));
-		r->part = g_strdup(text_of(entry, "part"));
-		r->key = g_strdup(text_of(entry, "key"));
+		r->table = g_strdup(fd_text(entry, "table"));
+		r->part = g_strdup(fd_text(entry, "part"));
+		r->key = g_strdup(fd_text(entry, "key"));
 		g_ptr_array_insert(p->rows,
 		    (gint)lower_bound(p, r->table, r->part, r->key), r);
 	}
@@ -337,7 +330,7 @@
 	p->version++;
 	json_array_foreach(json_object_get(tx, "writes"), i, entry)
 	{
-		set_row(p, entry, text_of(entry, "value"));
+		set_row(p, entry, fd_text(entry, "value"));
 	}
 	json_array_foreach(json_object_get(tx, "remove"), i, entry)
 	{
