Tell in one table which steps of a job are trouble

trace.c and story.c each listed them, one as an exception list and one with texts. The line of a step is packed only when the budget takes it: an overload logs thousands of steps a second of which most are left out.

--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -136,21 +136,20 @@
 	fr_answer(d->front, waiter, a);
 }
 
+#define STEP "{s:s,s:i,s:i,s:i,s:s*,s:"
+
+/* The fields of a step are named after its kind, which may have none. */
 static void
 log_step(const struct jb_answer *job, const struct tr_step *s)
 {
-	json_t *values = json_object();
-
-	if (tr_field_a(s->kind) != NULL)
-		json_object_set_new(
-		    values, tr_field_a(s->kind), json_integer(s->a));
-	if (tr_field_b(s->kind) != NULL)
-		json_object_set_new(
-		    values, tr_field_b(s->kind), json_integer(s->b));
-	ev_detail("jobs", tr_name(s->kind), "{s:s,s:i,s:i,s:i,s:s*,s:O}", "job",
-	    job->id, "at_ms", (int)s->at_ms, "task", (int)s->task, "attempt",
-	    (int)s->attempt, "worker", s->worker, "because", values);
-	json_decref(values);
+	const char *a = tr_field_a(s->kind), *b = tr_field_b(s->kind);
+	const char *format = b != NULL ? STEP "{s:i,s:i}}"
+	    : a != NULL                ? STEP "{s:i}}"
+				       : STEP "{}}";
+
+	ev_detail("jobs", tr_name(s->kind), format, "job", job->id, "at_ms",
+	    (int)s->at_ms, "task", (int)s->task, "attempt", (int)s->attempt,
+	    "worker", s->worker, "because", a, s->a, b, s->b);
 }
 
 /* First step that is not as it should be, NULL for none. */
--- a/entry/story.c
+++ b/entry/story.c
@@ -4,7 +4,9 @@
 #include <stdint.h>
 #include <string.h>
 
+#include "fields.h"
 #include "story.h"
+#include "trace.h"
 
 /* Notes about the workers of a job matter from this time before it on. */
 #define BEFORE_MS 2000
@@ -61,9 +63,7 @@
 static const char *
 text_of(const struct line *l, const char *key)
 {
-	const char *text = json_string_value(json_object_get(l->object, key));
-
-	return (text == NULL ? "" : text);
+	return (fd_text(l->object, key));
 }
 
 static int64_t
@@ -269,26 +269,11 @@
 static const char *
 explain(const struct so *s, const struct line *l)
 {
-	static const char *const reasons[][2] = {
-	    {"crowded", "more urgent queues would have waited too long"},
-	    {"no_worker", "no worker took the task"},
-	    {"too_late", "no worker was expected to end the task in time"},
-	    {"failed", "the run failed"},
-	    {"stopped", "the run took longer than its limit and was stopped"},
-	    {"lost", "the run ended without a result"},
-	    {"returned", "the agent gave the task back without starting it"},
-	    {"doubtful", "the agent of the task was out of reach"},
-	    {"hopeless", "its run could not be replaced by the deadline"},
-	    {"dropped", "the lease of a run out of reach had ended"},
-	    {"restarted", "the agent of the task had started again"},
-	};
 	const char *event = text_of(l, "event");
-	size_t i;
 
-	for (i = 0; i < G_N_ELEMENTS(reasons); i++)
-		if (strcmp(reasons[i][0], event) == 0)
-			return (reasons[i][1]);
-	return (strcmp(event, "done") == 0 ? explain_end(s, l) : NULL);
+	if (strcmp(event, "done") == 0)
+		return (explain_end(s, l));
+	return (tr_trouble(event));
 }
 
 bool
--- a/sched/trace.c
+++ b/sched/trace.c
@@ -1,26 +1,40 @@
 #include <stddef.h>
+#include <string.h>
 
 #include "trace.h"
 
+/* @a, @b: names of tr_step.a and b in logs, NULL where they hold nothing.
+ * @trouble: why the step makes a job late or ends it badly, NULL if it does
+ * not. */
 static const struct {
 	const char *name;
 	const char *a;
 	const char *b;
+	const char *trouble;
 } kinds[] = {
-    [TR_TAKEN] = {"taken", "in_time_ms", "deadline_ms"},
-    [TR_CROWDED] = {"crowded", "urgent_wait_ms", "urgent_limit_ms"},
-    [TR_GRANTED] = {"granted", "expected_ms", "worker_load"},
-    [TR_NO_WORKER] = {"no_worker", NULL, NULL},
-    [TR_TOO_LATE] = {"too_late", "expected_ms", "left_ms"},
-    [TR_DONE] = {"done", "queue_ms", "run_ms"},
-    [TR_FAILED] = {"failed", "queue_ms", "run_ms"},
-    [TR_STOPPED] = {"stopped", "queue_ms", "run_ms"},
-    [TR_LOST] = {"lost", "queue_ms", "run_ms"},
-    [TR_RETURNED] = {"returned", "queue_ms", "run_ms"},
-    [TR_DOUBTFUL] = {"doubtful", "heard_ms_ago", NULL},
-    [TR_HOPELESS] = {"hopeless", "doubt_left_ms", "left_ms"},
-    [TR_DROPPED] = {"dropped", NULL, NULL},
-    [TR_RESTARTED] = {"restarted", NULL, NULL},
+    [TR_TAKEN] = {"taken", "in_time_ms", "deadline_ms", NULL},
+    [TR_CROWDED] = {"crowded", "urgent_wait_ms", "urgent_limit_ms",
+	"more urgent queues would have waited too long"},
+    [TR_GRANTED] = {"granted", "expected_ms", "worker_load", NULL},
+    [TR_NO_WORKER] = {"no_worker", NULL, NULL, "no worker took the task"},
+    [TR_TOO_LATE] = {"too_late", "expected_ms", "left_ms",
+	"no worker was expected to end the task in time"},
+    [TR_DONE] = {"done", "queue_ms", "run_ms", NULL},
+    [TR_FAILED] = {"failed", "queue_ms", "run_ms", "the run failed"},
+    [TR_STOPPED] = {"stopped", "queue_ms", "run_ms",
+	"the run took longer than its limit and was stopped"},
+    [TR_LOST] = {"lost", "queue_ms", "run_ms",
+	"the run ended without a result"},
+    [TR_RETURNED] = {"returned", "queue_ms", "run_ms",
+	"the agent gave the task back without starting it"},
+    [TR_DOUBTFUL] = {"doubtful", "heard_ms_ago", NULL,
+	"the agent of the task was out of reach"},
+    [TR_HOPELESS] = {"hopeless", "doubt_left_ms", "left_ms",
+	"its run could not be replaced by the deadline"},
+    [TR_DROPPED] = {"dropped", NULL, NULL,
+	"the lease of a run out of reach had ended"},
+    [TR_RESTARTED] = {"restarted", NULL, NULL,
+	"the agent of the task had started again"},
 };
 
 const char *
@@ -32,7 +46,18 @@
 bool
 tr_is_trouble(enum tr_kind kind)
 {
-	return (kind != TR_TAKEN && kind != TR_GRANTED && kind != TR_DONE);
+	return (kind < TR_MAX && kinds[kind].trouble != NULL);
+}
+
+const char *
+tr_trouble(const char *name)
+{
+	unsigned i;
+
+	for (i = 0; i < TR_MAX; i++)
+		if (strcmp(kinds[i].name, name) == 0)
+			return (kinds[i].trouble);
+	return (NULL);
 }
 
 const char *
--- a/sched/trace.h
+++ b/sched/trace.h
@@ -59,6 +59,9 @@
 /** tr_is_trouble() - whether a step makes a job late or ends it badly */
 bool tr_is_trouble(enum tr_kind kind);
 
+/** tr_trouble() - why a step of this name in a log is one; NULL if it is not */
+const char *tr_trouble(const char *name);
+
 /** tr_field_a() - what tr_step.a holds, as a name in logs; NULL for nothing */
 const char *tr_field_a(enum tr_kind kind);
 
