Hold what entries are told in one type; look for the best worker once a tick

struct ru_load repeated the members of struct pd_load and ru_report() copied them. The best unit of the fleet was computed for each doubtful task of each tick, which is every worker for each of thousands of tasks when a zone is lost.

--- a/agent/executor.c
+++ b/agent/executor.c
@@ -133,7 +133,8 @@
 	ru_endpoint(e->runner, a->life, a->cpu, a->mem_mb, a->accepting);
 	after = ru_load(e->runner);
 	/* Entries must know at once that an endpoint leaves or is there. */
-	if (before.accepting != after.accepting || before.cpu != after.cpu)
+	if (before.told.accepting != after.told.accepting ||
+	    before.cpu != after.cpu)
 		lk_now(e->links);
 }
 
@@ -152,9 +153,9 @@
 	bool before, after;
 	struct ex *e = arg;
 
-	before = ru_load(e->runner).accepting;
+	before = ru_load(e->runner).told.accepting;
 	ru_refused(e->runner);
-	after = ru_load(e->runner).accepting;
+	after = ru_load(e->runner).told.accepting;
 	if (before != after)
 		lk_now(e->links);
 }
@@ -226,7 +227,7 @@
 	a->labels.labels_len = e->labels->len;
 	a->cpu = l.cpu;
 	a->mem_mb = l.mem_mb;
-	a->load = ru_report(&l);
+	a->load = l.told;
 	return (l.clean && e->service != NULL);
 }
 
--- a/bench/model.c
+++ b/bench/model.c
@@ -36,7 +36,7 @@
 }
 
 static void
-event_free(void *arg)
+free_event(void *arg)
 {
 	struct md_event *e = arg;
 
@@ -363,7 +363,7 @@
 	m.counters = ct_new();
 	m.rng = rn_new(load->seed);
 	m.fates = rn_new(load->seed);
-	m.events = g_sequence_new(event_free);
+	m.events = g_sequence_new(free_event);
 	m.jobs = g_ptr_array_new_with_free_func(job_free);
 	m.jobs_by = g_hash_table_new(g_str_hash, g_str_equal);
 	m.active = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
--- a/bench/model_worker.c
+++ b/bench/model_worker.c
@@ -276,7 +276,7 @@
 	GArray *ended = w->ended[entry];
 
 	r->life = w->life;
-	r->ended.load = ru_report(&l);
+	r->ended.load = l.told;
 	r->ended.list.list_len = ended->len;
 	r->ended.list.list_val =
 	    g_memdup2(ended->data, ended->len * sizeof(struct pd_end));
@@ -330,7 +330,7 @@
 	    .incarnation = w->life,
 	    .cpu = l.cpu,
 	    .mem_mb = MEM_MB,
-	    .load = ru_report(&l),
+	    .load = l.told,
 	    .clock_ms = clock_ms};
 	struct fl_worker *f;
 	bool known, restarted;
@@ -424,7 +424,7 @@
 	unsigned i;
 
 	r->life = w->life;
-	r->ended.load = ru_report(&l);
+	r->ended.load = l.told;
 	r->ended.list.list_len = n;
 	r->ended.list.list_val = g_new0(struct pd_end, n);
 	for (i = 0; i < n; i++) {
--- a/sched/jobs_impl.h
+++ b/sched/jobs_impl.h
@@ -112,6 +112,7 @@
 	struct hg *queued;     /* of a task at its agent */
 	struct hg *ran;        /* of a task at its endpoint */
 	uint64_t last_number;
+	double best_unit; /* fl_best_unit() at this tick; 0: not asked yet */
 };
 
 /** jb_queues_new() - table for jb.queues, owned */
--- a/sched/jobs_outcome.c
+++ b/sched/jobs_outcome.c
@@ -374,11 +374,15 @@
 static bool
 is_hopeless(struct jb *j, const struct jb_job *job, const struct jb_task *t)
 {
-	double run_ms =
-	    job->steps[t->step].size_ms * JB_SIZE_BEST * fl_best_unit(j->fleet);
-
-	return (ck_mono_ms(j->clock) > t->cut_ms + RECONNECT_MS &&
-	    (double)t->doubt_ms + run_ms > (double)job->deadline_ms);
+	double size_ms = job->steps[t->step].size_ms * JB_SIZE_BEST;
+
+	if (ck_mono_ms(j->clock) <= t->cut_ms + RECONNECT_MS)
+		return (false);
+	/* The loss of a zone makes thousands of tasks doubtful at once. */
+	if (j->best_unit == 0)
+		j->best_unit = fl_best_unit(j->fleet);
+	return ((double)t->doubt_ms + size_ms * j->best_unit >
+	    (double)job->deadline_ms);
 }
 
 /* Return: whether the job goes on. */
@@ -420,6 +424,7 @@
 	struct jb_job *job;
 
 	fl_tick(j->fleet);
+	j->best_unit = 0;
 	for (l = jobs; l != NULL; l = l->next) {
 		job = l->data;
 		if (now >= job->deadline_ms || !check_tasks(j, job, now))
--- a/sched/runner.c
+++ b/sched/runner.c
@@ -93,7 +93,7 @@
 {
 	struct ru_load l = {.cpu = r->known ? r->cpu : 0,
 	    .mem_mb = r->mem_mb,
-	    .accepting = r->known && r->accepting && !r->draining &&
+	    .told.accepting = r->known && r->accepting && !r->draining &&
 		r->misses < RU_MISSES_MAX,
 	    .clean = r->clean};
 	const struct ru_task *t;
@@ -102,26 +102,16 @@
 	for (i = 0; i < r->tasks->len; i++) {
 		t = r->tasks->pdata[i];
 		if (t->phase == RU_QUEUED) {
-			l.cpu_queued[t->level] += t->cpu;
+			l.told.cpu_queued[t->level] += t->cpu;
 			l.queued++;
 		} else {
-			l.cpu_used += t->cpu;
+			l.told.cpu_used += t->cpu;
 			l.active++;
 		}
 	}
 	return (l);
 }
 
-struct pd_load
-ru_report(const struct ru_load *l)
-{
-	struct pd_load report = {
-	    .cpu_used = l->cpu_used, .accepting = l->accepting};
-
-	memcpy(report.cpu_queued, l->cpu_queued, sizeof(report.cpu_queued));
-	return (report);
-}
-
 static unsigned
 mem_used(const struct ru *r)
 {
@@ -251,7 +241,8 @@
 	for (;;) {
 		l = ru_load(r);
 		mem = mem_used(r);
-		t = next_task(r, l.cpu > l.cpu_used ? l.cpu - l.cpu_used : 0,
+		t = next_task(r,
+		    l.cpu > l.told.cpu_used ? l.cpu - l.told.cpu_used : 0,
 		    r->mem_mb > mem ? r->mem_mb - mem : 0, now);
 		if (t == NULL)
 			return;
@@ -311,7 +302,7 @@
 	unsigned cpu = 0, i;
 
 	for (i = 0; i <= t->level; i++)
-		cpu += l->cpu_queued[i];
+		cpu += l->told.cpu_queued[i];
 	return (cpu);
 }
 
@@ -323,11 +314,11 @@
 	bool full;
 
 	/* More waits here than the entry knew: it may find a better place. */
-	full = l.cpu_used + s->cpu > l.cpu &&
+	full = l.told.cpu_used + s->cpu > l.cpu &&
 	    queued_before(&l, t) + s->cpu > s->queue_max;
 	g_ptr_array_add(r->tasks, t);
-	if (full || !l.accepting || l.queued >= QUEUE_MAX || s->cpu > l.cpu ||
-	    ck_mono_ms(r->clock) >= s->expires_ms)
+	if (full || !l.told.accepting || l.queued >= QUEUE_MAX ||
+	    s->cpu > l.cpu || ck_mono_ms(r->clock) >= s->expires_ms)
 		ru_end(r, t, PD_END_RETURNED);
 	else
 		ru_pump(r);
--- a/sched/runner.h
+++ b/sched/runner.h
@@ -160,20 +160,15 @@
 
 /** struct ru_load - load at this moment */
 struct ru_load {
+	struct pd_load told; /* as entries are told */
 	unsigned cpu;
 	unsigned mem_mb;
-	unsigned cpu_used;
-	unsigned cpu_queued[PD_LEVELS];
 	unsigned active; /* runs at the endpoint */
 	unsigned queued;
-	bool accepting;
 	bool clean; /* all runs of an earlier agent have ended */
 };
 
 /** ru_load() - load at this moment */
 struct ru_load ru_load(const struct ru *r);
 
-/** ru_report() - a load as entries are told */
-struct pd_load ru_report(const struct ru_load *l);
-
 #endif
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -253,11 +253,11 @@
 	assert_int_equal(2, f->norders);
 	assert_true(f->orders[1].stop);
 	/* Until the stop has had its effect the room is not free. */
-	assert_int_equal(CPU, ru_load(f->runner).cpu_used);
+	assert_int_equal(CPU, ru_load(f->runner).told.cpu_used);
 	stopped(f, "a");
 	pass(f, 80, E2);
 	look_empty(f);
-	assert_int_equal(0, ru_load(f->runner).cpu_used);
+	assert_int_equal(0, ru_load(f->runner).told.cpu_used);
 }
 
 /* Guards against an end that is reported while an order that was not answered
@@ -325,7 +325,7 @@
 	ru_refused(f->runner);
 	assert_int_equal(1, f->nends);
 	assert_int_equal(PD_END_RETURNED, f->ends[0].state);
-	assert_false(ru_load(f->runner).accepting);
+	assert_false(ru_load(f->runner).told.accepting);
 	assert_int_equal(0, ru_renewing(f->runner));
 	pass(f, LE_RUN_MS, E1);
 	assert_int_equal(1, f->nends);
@@ -333,7 +333,7 @@
 	assert_int_equal(5, f->nends);
 	assert_int_equal(PD_END_LOST, f->ends[4].state);
 	look_empty(f);
-	assert_true(ru_load(f->runner).accepting);
+	assert_true(ru_load(f->runner).told.accepting);
 }
 
 /* Guards against runs of a killed agent that its successor lets go on, or
@@ -367,7 +367,7 @@
 	for (i = 0; i < G_N_ELEMENTS(ids); i++)
 		grant(f, E1, ids[i]);
 	assert_int_equal(4, f->norders);
-	assert_int_equal(CPU, ru_load(f->runner).cpu_queued[0]);
+	assert_int_equal(CPU, ru_load(f->runner).told.cpu_queued[0]);
 	confirm(f, "a", RU_STARTED);
 	end_run(f, "a", 1, RU_DONE);
 	assert_int_equal(5, f->norders);
@@ -414,8 +414,8 @@
 	grant_full(f, E1, "low and old", 1, 40, 0);
 	f->priority = 0;
 	grant_full(f, E1, "high", 1, 110, 0);
-	assert_int_equal(CPU, ru_load(f->runner).cpu_queued[0]);
-	assert_int_equal(2 * CPU, ru_load(f->runner).cpu_queued[2]);
+	assert_int_equal(CPU, ru_load(f->runner).told.cpu_queued[0]);
+	assert_int_equal(2 * CPU, ru_load(f->runner).told.cpu_queued[2]);
 	for (i = 0; i < 3; i++) {
 		confirm(f, first[i], RU_STARTED);
 		end_run(f, first[i], 1, RU_DONE);
