Learn the speed and the failures of a worker at its agent

Cause: each entry learned both from its own tasks only. With 55 entries and 240 workers that is a task in three seconds for each pair, so long tasks went to slow workers, and a worker that fails everything had to fail three tasks of each entry.

Change: the agent sees all runs of its worker. It learns run ratio, mean run time and consecutive failures of several jobs (worker_health.c, shared with the entries) and reports them with its load; START carries the expected run time for that. While ejected it takes one probe in 500 ms from the whole system. An entry uses the report unless four or more own tasks took 2.5 times longer, so a wrong report does not attract tasks for long; after a restart of the agent the last report stays. A run that hits its limit now counts as a failure, as the header of fleet.h said: before, learning its run time reset the count.

Workers are found by name and session in hash tables, and a sample visits its members only (16, then 128, then all if none is suitable) instead of walking all workers for each task.

--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -1,4 +1,5 @@
 #include <glib.h>
+#include <limits.h>
 #include <math.h>
 #include <string.h>
 
@@ -10,8 +11,6 @@
 #include "log.h"
 #include "rng.h"
 
-/* Time between probes of an ejected worker: risks two tasks a second. */
-#define PROBE_INTERVAL_MS 500
 /* A worker without a heartbeat for three periods gets no tasks. */
 #define HEARTBEAT_MAX_AGE_MS 650
 /* Agents connect to an entry that has started or resumed within this time. */
@@ -24,9 +23,13 @@
 /* Expected wait at a worker that is just full, in mean run times: of about ten
  * running tasks the first ends after a tenth of a run time. */
 #define FULL_WAIT_SHARE 0.15
-/* Workers that are considered for a task, on average: a smaller sample would
- * miss the fast ones. */
+/* Workers that are considered for a task: a smaller sample would miss the fast
+ * ones. */
 #define SAMPLE_SIZE 16
+/* Workers that are considered when the sample has no free capacity. */
+#define LARGE_SAMPLE_SIZE 128
+/* Maximum age of the numbers of workers by service and label. */
+#define COUNTS_MAX_AGE_MS 1000
 /* Margin for tasks that reached a worker since its last report: a sixth of its
  * capacity, which is about 30 ms of waiting. */
 #define QUEUE_MARGIN_DIVISOR 6
@@ -38,17 +41,23 @@
  * move to slow workers too early. */
 #define DELAY_WEIGHT 3.0
 
-/* Run times of shorter tasks consist mostly of message delays. After a task of
- * 1 ms took 10 ms, all others were expected to take ten times their declared
- * run time and were refused. */
-#define LEARN_MIN_SIZE_MS 10
+/* Own run times contradict the agent's report when they are this many times
+ * longer, in at least this many tasks. */
+#define CONTRADICTION_FACTOR 2.5
+#define CONTRADICTION_SAMPLES 4
+
+#define PERMILLE 1000.0
+#define US_PER_MS 1000
 
 struct fl {
 	const struct ck *clock;
 	struct ct *counters;
 	const struct cf *config;
 	struct rn *rng;
-	GPtrArray *workers; /* struct fl_worker, owned */
+	GPtrArray *workers;     /* struct fl_worker, owned */
+	GHashTable *by_name;    /* name -> struct fl_worker */
+	GHashTable *by_session; /* session -> struct fl_worker */
+	uint64_t counted_ms;    /* when workers were counted */
 	uint64_t warm_up_from_ms;
 	uint64_t ticked_ms;
 };
@@ -78,6 +87,8 @@
 	f->warm_up_from_ms = ck_mono_ms(clock);
 	f->ticked_ms = f->warm_up_from_ms;
 	f->workers = g_ptr_array_new_with_free_func(worker_free);
+	f->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	f->by_session = g_hash_table_new(g_int64_hash, g_int64_equal);
 	return (f);
 }
 
@@ -86,6 +97,8 @@
 {
 	if (f == NULL)
 		return;
+	g_hash_table_destroy(f->by_name);
+	g_hash_table_destroy(f->by_session);
 	g_ptr_array_free(f->workers, TRUE);
 	rn_free(f->rng);
 	g_free(f);
@@ -94,17 +107,14 @@
 static struct fl_worker *
 find_or_add_worker(struct fl *f, const char *name)
 {
-	struct fl_worker *w;
-	guint i;
+	struct fl_worker *w = g_hash_table_lookup(f->by_name, name);
 
-	for (i = 0; i < f->workers->len; i++) {
-		w = f->workers->pdata[i];
-		if (strcmp(w->name, name) == 0)
-			return (w);
-	}
+	if (w != NULL)
+		return (w);
 	w = g_new0(struct fl_worker, 1);
 	w->name = g_strdup(name);
 	g_ptr_array_add(f->workers, w);
+	g_hash_table_insert(f->by_name, w->name, w);
 	return (w);
 }
 
@@ -129,6 +139,18 @@
 	return (g_string_free(s, FALSE));
 }
 
+static void
+set_session(struct fl *f, struct fl_worker *w, uint64_t session)
+{
+	if (w->session == session)
+		return;
+	if (w->session != 0)
+		g_hash_table_remove(f->by_session, &w->session);
+	w->session = session;
+	if (session != 0)
+		g_hash_table_insert(f->by_session, &w->session, w);
+}
+
 /* A new agent process keeps the learned speed, which belongs to the worker. */
 struct fl_worker *
 fl_attach(
@@ -139,7 +161,7 @@
 
 	*restarted = w->incarnation != 0 && w->incarnation != a->incarnation;
 	w->incarnation = a->incarnation;
-	w->session = session;
+	set_session(f, w, session);
 	set_string(&w->az, a->az);
 	set_string(&w->service, a->service);
 	g_free(w->labels);
@@ -149,22 +171,14 @@
 	w->clock_offset_ms = (int64_t)a->clock_ms - (int64_t)now;
 	w->heartbeat_reply_ms = now;
 	w->heartbeat_ms = now;
-	fl_update_load(w, &a->load, 0);
+	fl_update_load(f, w, &a->load, 0);
 	return (w);
 }
 
 struct fl_worker *
 fl_find_by_session(const struct fl *f, uint64_t session)
 {
-	struct fl_worker *w;
-	guint i;
-
-	for (i = 0; i < f->workers->len; i++) {
-		w = f->workers->pdata[i];
-		if (w->session == session)
-			return (w);
-	}
-	return (NULL);
+	return (g_hash_table_lookup(f->by_session, &session));
 }
 
 struct fl_worker *
@@ -173,13 +187,27 @@
 	struct fl_worker *w = fl_find_by_session(f, session);
 
 	if (w != NULL)
-		w->session = 0;
+		set_session(f, w, 0);
 	return (w);
 }
 
+/* A new agent process has learned nothing yet: what its predecessor reported
+ * stays, as it belongs to the worker. */
+static void
+update_reported_speed(
+    struct fl *f, struct fl_worker *w, const struct pd_speed *s)
+{
+	if (s->ejected && !w->reported.ejected)
+		w->own.next_probe_ms =
+		    ck_mono_ms(f->clock) + WH_PROBE_INTERVAL_MS;
+	w->reported.ejected = s->ejected;
+	if (s->samples > 0 && s->ratio_permille > 0)
+		w->reported = *s;
+}
+
 void
-fl_update_load(
-    struct fl_worker *w, const struct pd_load *load, unsigned cpu_ending)
+fl_update_load(struct fl *f, struct fl_worker *w, const struct pd_load *load,
+    unsigned cpu_ending)
 {
 	unsigned own = w->cpu_own - MIN(cpu_ending, w->cpu_own);
 	unsigned all = load->cpu_used, i;
@@ -189,6 +217,7 @@
 	memcpy(w->cpu_queued, load->cpu_queued, sizeof(w->cpu_queued));
 	w->cpu_others = all > own ? all - own : 0;
 	w->accepting = load->accepting;
+	update_reported_speed(f, w, &load->speed);
 }
 
 /*
@@ -255,15 +284,48 @@
 	if (w->session == 0 || !w->accepting || w->cpu == 0 ||
 	    now - w->heartbeat_ms > HEARTBEAT_MAX_AGE_MS)
 		return (false);
-	if (w->ejected && now < w->next_probe_ms)
+	if ((w->own.ejected || w->reported.ejected) &&
+	    now < w->own.next_probe_ms)
 		return (false);
 	return (!cf_evacuated(f->config, w->az));
 }
 
+/* Whether the run times of this entry's own tasks count instead of the agent's
+ * report. */
+static bool
+uses_own_speed(const struct fl_worker *w, double own_ratio)
+{
+	double reported = w->reported.ratio_permille / PERMILLE;
+
+	if (w->reported.samples < w->own.speed.samples)
+		return (true);
+	return (w->own.speed.samples >= CONTRADICTION_SAMPLES &&
+	    own_ratio > reported * CONTRADICTION_FACTOR);
+}
+
+/* Expected run ratio of a worker, and the mean run time of its tasks. */
+static double
+speed_of(const struct fl_worker *w, uint64_t now_us, double *mean_ms)
+{
+	const struct po_speed *own = &w->own.speed;
+	double ratio = po_run_ratio(own, now_us);
+
+	*mean_ms = DEFAULT_MEAN_MS;
+	if (w->reported.samples > 0 && !uses_own_speed(w, ratio)) {
+		*mean_ms = w->reported.mean_ms;
+		return (w->reported.ratio_permille / PERMILLE);
+	}
+	if (own->samples > 0)
+		*mean_ms = own->mean_ms * ratio / own->run_ratio;
+	return (ratio);
+}
+
 double
 fl_run_ratio(const struct fl *f, const struct fl_worker *w)
 {
-	return (po_run_ratio(&w->speed, ck_mono_us(f->clock)));
+	double mean_ms;
+
+	return (speed_of(w, ck_mono_us(f->clock), &mean_ms));
 }
 
 /*
@@ -275,12 +337,10 @@
  */
 static double
 wait_ms(
-    const struct fl_worker *w, const struct fl_requirements *req, double ratio)
+    const struct fl_worker *w, const struct fl_requirements *req, double mean)
 {
-	double mean = DEFAULT_MEAN_MS, load, wait;
+	double load, wait;
 
-	if (w->speed.samples > 0)
-		mean = w->speed.mean_ms * ratio / w->speed.run_ratio;
 	load = ((double)cpu_ahead(w, req->priority) + req->cpu) / w->cpu;
 	wait = mean * FULL_WAIT_SHARE * pow(fmin(load, 1), LOAD_EXPONENT);
 	return (load > 1 ? wait + (load - 1) * mean : wait);
@@ -323,54 +383,61 @@
 	return (a->cost_ms < b->cost_ms);
 }
 
-/* Best worker of a random sample, which includes each worker with the
- * probability @share. @all: include workers that the task should avoid. */
-static struct fl_worker *
-best_in_sample(struct fl *f, const struct fl_requirements *req, double share,
-    bool all, double *finish_ms)
+/* Replaces @best if the task had better go to @w. @all: include workers that
+ * the task should avoid. */
+static void
+consider(const struct fl *f, const struct fl_requirements *req,
+    struct fl_worker *w, bool all, uint64_t now_us, struct candidate *best)
 {
-	uint64_t now = ck_mono_ms(f->clock);
-	struct candidate best = {0}, p;
-	double ratio, wait;
-	guint i;
+	struct candidate p = {.worker = w};
+	double mean, ratio, wait;
 
-	for (i = 0; i < f->workers->len; i++) {
-		p.worker = f->workers->pdata[i];
-		if (share < 1 && rn_unit(f->rng) > share)
-			continue;
-		if (!is_usable(f, p.worker, now) ||
-		    !is_suitable(p.worker, req) ||
-		    (!all && is_avoided(p.worker, req)))
-			continue;
-		ratio = fl_run_ratio(f, p.worker);
-		wait = wait_ms(p.worker, req, ratio);
-		p.finish_ms = wait + req->size_ms * ratio;
-		p.cost_ms = p.finish_ms + wait * DELAY_WEIGHT;
-		if (is_better(req, &p, &best))
-			best = p;
-	}
-	*finish_ms = best.finish_ms;
-	return (best.worker);
+	if (!is_usable(f, w, now_us / US_PER_MS) || !is_suitable(w, req) ||
+	    (!all && is_avoided(w, req)))
+		return;
+	ratio = speed_of(w, now_us, &mean);
+	wait = wait_ms(w, req, mean);
+	p.finish_ms = wait + req->size_ms * ratio;
+	p.cost_ms = p.finish_ms + wait * DELAY_WEIGHT;
+	if (is_better(req, &p, best))
+		*best = p;
+}
+
+/* Best of @size random workers, or of all if there are not more. */
+static struct candidate
+best_in_sample(
+    struct fl *f, const struct fl_requirements *req, unsigned size, bool all)
+{
+	struct candidate best = {0};
+	uint64_t now_us = ck_mono_us(f->clock);
+	guint i, n = f->workers->len;
+
+	for (i = 0; i < MIN(size, n); i++)
+		consider(f, req,
+		    f->workers->pdata[size < n ? rn_below(f->rng, n) : i], all,
+		    now_us, &best);
+	return (best);
 }
 
 /*
  * With the same old reports, all entries would choose the same best worker.
- * Each considers a random sample instead, and all workers only when the sample
+ * Each considers a random sample instead, and more workers only when the sample
  * has no free capacity.
  */
 struct fl_worker *
 fl_choose(struct fl *f, const struct fl_requirements *req, double *finish_ms)
 {
-	double share = (double)SAMPLE_SIZE / MAX(f->workers->len, 1);
-	struct fl_worker *best;
+	struct candidate best = best_in_sample(f, req, SAMPLE_SIZE, false);
 
-	best = best_in_sample(f, req, share, false, finish_ms);
-	if (share < 1 && (best == NULL || !has_room(best, req)))
-		best = best_in_sample(f, req, 1, false, finish_ms);
+	if (best.worker == NULL || !has_room(best.worker, req))
+		best = best_in_sample(f, req, LARGE_SAMPLE_SIZE, false);
+	if (best.worker == NULL)
+		best = best_in_sample(f, req, UINT_MAX, false);
 	/* Fall back to a worker that the task has failed on. */
-	if (best == NULL)
-		best = best_in_sample(f, req, 1, true, finish_ms);
-	return (best);
+	if (best.worker == NULL)
+		best = best_in_sample(f, req, UINT_MAX, true);
+	*finish_ms = best.finish_ms;
+	return (best.worker);
 }
 
 bool
@@ -387,8 +454,9 @@
 void
 fl_reserve(struct fl *f, struct fl_worker *w, unsigned cpu)
 {
-	if (w->ejected)
-		w->next_probe_ms = ck_mono_ms(f->clock) + PROBE_INTERVAL_MS;
+	if (w->own.ejected || w->reported.ejected)
+		w->own.next_probe_ms =
+		    ck_mono_ms(f->clock) + WH_PROBE_INTERVAL_MS;
 	w->cpu_own += cpu;
 }
 
@@ -401,32 +469,24 @@
 void
 fl_task_done(struct fl *f, struct fl_worker *w, double size_ms, double run_ms)
 {
-	if (size_ms >= LEARN_MIN_SIZE_MS)
-		po_learn_run_time(
-		    &w->speed, size_ms, run_ms, ck_mono_us(f->clock));
-	w->failures = 0;
-	if (w->ejected)
+	if (wh_task_done(&w->own, size_ms, run_ms, ck_mono_us(f->clock)))
 		lg_write(LOG_NOTICE, "fleet",
 		    "worker %s finished a task: no longer ejected", w->name);
-	w->ejected = false;
 }
 
 void
-fl_task_failed(struct fl *f, struct fl_worker *w, uint64_t job)
+fl_task_stopped(struct fl *f, struct fl_worker *w, double size_ms,
+    double run_ms, uint64_t job)
 {
-	uint64_t now = ck_mono_ms(f->clock);
+	wh_learn_run_time(&w->own, size_ms, run_ms, ck_mono_us(f->clock));
+	fl_task_failed(f, w, job);
+}
 
-	if (w->ejected)
-		w->next_probe_ms = now + PROBE_INTERVAL_MS;
-	/* Repeated failures of one job may be the job's own fault. */
-	if (w->failures > 0 && w->failed_job == job)
-		return;
-	w->failures++;
-	w->failed_job = job;
-	if (w->failures < FL_EJECT_FAILURES || w->ejected)
+void
+fl_task_failed(struct fl *f, struct fl_worker *w, uint64_t job)
+{
+	if (!wh_task_failed(&w->own, job, ck_mono_ms(f->clock)))
 		return;
-	w->ejected = true;
-	w->next_probe_ms = now + PROBE_INTERVAL_MS;
 	ct_increment(f->counters, "pd_workers_ejected_total",
 	    "Workers ejected: they get probes only", "reason", "failures");
 	lg_write(LOG_WARNING, "fleet",
@@ -484,6 +544,75 @@
 	return (ck_mono_ms(f->clock) - f->warm_up_from_ms < WARM_UP_MS);
 }
 
+static char *
+service_and_label(const struct fl_worker *w, const char *label)
+{
+	return (g_strdup_printf("%s %s", w->service, label));
+}
+
+static void
+increment_count(
+    GHashTable *counts, const struct fl_worker *w, const char *label)
+{
+	char *key = service_and_label(w, label);
+	unsigned n = GPOINTER_TO_UINT(g_hash_table_lookup(counts, key));
+
+	g_hash_table_insert(counts, key, GUINT_TO_POINTER(n + 1));
+}
+
+static unsigned
+count_of(GHashTable *counts, const struct fl_worker *w, const char *label)
+{
+	g_autofree char *key = service_and_label(w, label);
+
+	return (GPOINTER_TO_UINT(g_hash_table_lookup(counts, key)));
+}
+
+static void
+count_worker(GHashTable *counts, const struct fl_worker *w)
+{
+	g_auto(GStrv) labels = g_strsplit(w->labels, " ", 0);
+	unsigned i;
+
+	if (w->session == 0 || !w->accepting)
+		return;
+	increment_count(counts, w, "");
+	for (i = 0; labels[i] != NULL; i++)
+		if (labels[i][0] != '\0')
+			increment_count(counts, w, labels[i]);
+}
+
+static void
+set_counts(GHashTable *counts, struct fl_worker *w)
+{
+	g_auto(GStrv) labels = g_strsplit(w->labels, " ", 0);
+	unsigned i;
+
+	w->service_workers = count_of(counts, w, "");
+	w->label_workers = w->service_workers;
+	for (i = 0; labels[i] != NULL; i++)
+		if (labels[i][0] != '\0')
+			w->label_workers = MIN(
+			    w->label_workers, count_of(counts, w, labels[i]));
+}
+
+void
+fl_count_workers(struct fl *f)
+{
+	g_autoptr(GHashTable) counts =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	uint64_t now = ck_mono_ms(f->clock);
+	guint i;
+
+	if (now - f->counted_ms < COUNTS_MAX_AGE_MS)
+		return;
+	f->counted_ms = now;
+	for (i = 0; i < f->workers->len; i++)
+		count_worker(counts, f->workers->pdata[i]);
+	for (i = 0; i < f->workers->len; i++)
+		set_counts(counts, f->workers->pdata[i]);
+}
+
 void
 fl_each(struct fl *f, void (*visit)(void *arg, struct fl_worker *w), void *arg)
 {
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -5,8 +5,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "worker_health.h"
 #include "pd.h"
-#include "policy.h"
 
 /**
  * DOC: fl - fleet: the workers known to an entry with their capacity, learned
@@ -20,10 +20,6 @@
 struct ck;
 struct ct;
 
-/** FL_EJECT_FAILURES - consecutive failures, of more than one job, after which
- * a worker is ejected: it gets probes only */
-#define FL_EJECT_FAILURES 3
-
 /**
  * struct fl_worker - a worker; kept when its agent disconnects
  * @name: name of its agent
@@ -39,11 +35,10 @@
  *     time that a message takes
  * @heartbeat_reply_ms: when this entry last replied to a heartbeat
  * @heartbeat_ms: when the last heartbeat arrived
- * @speed: learned ratio of actual to declared run time
- * @failures: consecutive failures
- * @failed_job: job of the last failure
- * @ejected: gets probes only
- * @next_probe_ms: time of the next probe
+ * @service_workers: connected workers of its service
+ * @label_workers: connected workers that have its rarest label
+ * @reported: what its agent has learned from the tasks of all entries
+ * @own: what this entry has learned from its own tasks
  */
 struct fl_worker {
 	char *name;
@@ -61,11 +56,10 @@
 	int64_t clock_offset_ms;
 	uint64_t heartbeat_reply_ms;
 	uint64_t heartbeat_ms;
-	struct po_speed speed;
-	unsigned failures;
-	uint64_t failed_job;
-	bool ejected;
-	uint64_t next_probe_ms;
+	unsigned service_workers;
+	unsigned label_workers;
+	struct pd_speed reported;
+	struct wh own;
 };
 
 /**
@@ -124,8 +118,8 @@
  * fl_update_load() - record the load that an agent reported
  * @cpu_ending: CPU of grants that the report ends, still included in cpu_own
  */
-void fl_update_load(
-    struct fl_worker *w, const struct pd_load *load, unsigned cpu_ending);
+void fl_update_load(struct fl *f, struct fl_worker *w,
+    const struct pd_load *load, unsigned cpu_ending);
 
 /**
  * fl_choose() - choose the worker where a task ends soon and delays other
@@ -163,11 +157,21 @@
 void fl_task_done(
     struct fl *f, struct fl_worker *w, double size_ms, double run_ms);
 
-/** fl_task_failed() - count a task of @job that failed on the worker or hit
- * its run time limit there; may eject the worker */
+/** fl_task_failed() - count a task of @job that failed on the worker; may eject
+ * the worker */
 void fl_task_failed(struct fl *f, struct fl_worker *w, uint64_t job);
 
-/** fl_run_ratio() - expected ratio of actual to declared run time */
+/** fl_task_stopped() - learn from a task of @job that hit its run time limit,
+ * and count it as failed */
+void fl_task_stopped(struct fl *f, struct fl_worker *w, double size_ms,
+    double run_ms, uint64_t job);
+
+/**
+ * fl_run_ratio() - expected ratio of actual to declared run time
+ *
+ * The agent's report counts unless the run times of this entry's own tasks
+ * contradict it, so a wrong report does not attract tasks for long.
+ */
 double fl_run_ratio(const struct fl *f, const struct fl_worker *w);
 
 /** fl_best_run_ratio() - lowest fl_run_ratio() of the usable workers; 1 when
@@ -186,6 +190,10 @@
 /** fl_tick() - detect pauses of this process; call at least every 100 ms */
 void fl_tick(struct fl *f);
 
+/** fl_count_workers() - update service_workers and label_workers of all workers
+ * if they are older than a second */
+void fl_count_workers(struct fl *f);
+
 /** fl_each() - call @visit for each worker */
 void fl_each(
     struct fl *f, void (*visit)(void *arg, struct fl_worker *w), void *arg);
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -242,6 +242,7 @@
 	    .cpu = s->cpu,
 	    .mem_mb = s->mem_mb,
 	    .priority = job->priority,
+	    .size_ms = s->size_ms,
 	    .limit_ms = run_limit_ms(now, job, t, run_ms),
 	    .queue_max = t->returns < RETURNS_MAX
 		? fl_queue_limit(w, s->cpu, job->priority)
--- a/sched/jobs_outcome.c
+++ b/sched/jobs_outcome.c
@@ -244,8 +244,8 @@
 		task_failed(j, job, t, w);
 		break;
 	case PD_END_STOPPED:
-		fl_task_done(j->fleet, w, s->size_ms, e->run_ms);
-		fl_task_failed(j->fleet, w, job->number);
+		fl_task_stopped(
+		    j->fleet, w, s->size_ms, e->run_ms, job->number);
 		t->stopped = true;
 		add_avoided(t, w);
 		jb_retry_task(j, job, t);
@@ -284,7 +284,7 @@
 {
 	unsigned i;
 
-	fl_update_load(w, &e->load, cpu_ending(j, w, e));
+	fl_update_load(j->fleet, w, &e->load, cpu_ending(j, w, e));
 	for (i = 0; i < e->list.list_len; i++)
 		handle_end(j, w, &e->list.list_val[i]);
 }
--- a/sched/runner.c
+++ b/sched/runner.c
@@ -1,4 +1,5 @@
 #include <string.h>
+#include <xxhash.h>
 
 #include "level.h"
 #include "log.h"
@@ -18,6 +19,8 @@
  * still be in time: about the run time of a medium task. */
 #define LATE_DELAY_MS 200
 
+#define PERMILLE 1000
+
 static void
 task_free(void *p)
 {
@@ -89,6 +92,21 @@
 	    e != NULL && ck_mono_ms(r->clock) <= e->echo_ms + LE_CONTACT_MS);
 }
 
+static struct pd_speed
+reported_speed(const struct ru *r)
+{
+	const struct po_speed *s = &r->health.speed;
+	double ratio = po_run_ratio(s, ck_mono_us(r->clock));
+	struct pd_speed p = {.ejected = r->health.ejected};
+
+	if (s->samples == 0)
+		return (p);
+	p.samples = (unsigned)MIN(s->samples, UINT32_MAX);
+	p.ratio_permille = (unsigned)(ratio * PERMILLE);
+	p.mean_ms = (unsigned)(s->mean_ms * ratio / s->run_ratio);
+	return (p);
+}
+
 struct ru_load
 ru_load(const struct ru *r)
 {
@@ -96,6 +114,7 @@
 	    .mem_mb = r->mem_mb,
 	    .reported.accepting = r->endpoint_known && r->accepting &&
 		!r->draining && r->unanswered < RU_UNANSWERED_MAX,
+	    .reported.speed = reported_speed(r),
 	    .old_runs_ended = r->old_runs_ended};
 	const struct ru_task *t;
 	guint i;
@@ -137,6 +156,35 @@
 	return (names[s]);
 }
 
+/* Learns from the end of a run. Its job is identified by its id, since each
+ * entry counts its jobs by itself. */
+static void
+learn_from_end(struct ru *r, const struct ru_task *t, enum pd_end_state state,
+    double run_ms)
+{
+	uint64_t job = XXH3_64bits(t->id, strlen(t->id));
+	uint64_t now_us = ck_mono_us(r->clock);
+	bool ejected = false;
+
+	if (state == PD_END_DONE) {
+		if (wh_task_done(&r->health, t->size_ms, run_ms, now_us))
+			lg_write(LOG_NOTICE, "runner",
+			    "a task succeeded: takes more than probes again");
+	} else if (state == PD_END_FAILED) {
+		ejected = wh_task_failed(&r->health, job, ck_mono_ms(r->clock));
+	} else if (state == PD_END_STOPPED && t->limit_hit) {
+		wh_learn_run_time(&r->health, t->size_ms, run_ms, now_us);
+		ejected = wh_task_failed(&r->health, job, ck_mono_ms(r->clock));
+	}
+	if (!ejected)
+		return;
+	ct_increment(r->counters, "pd_endpoint_ejected_total",
+	    "Ejections of the endpoint: it takes probes only", "reason",
+	    "failures");
+	lg_write(LOG_WARNING, "runner",
+	    "repeated failures: the endpoint takes probes only");
+}
+
 void
 ru_end(struct ru *r, struct ru_task *t, enum pd_end_state state)
 {
@@ -159,6 +207,8 @@
 		    "running",
 		    t->id, t->task, t->attempt, end_name(state), e.queue_ms,
 		    e.run_ms);
+	if (t->started_ms != 0)
+		learn_from_end(r, t, state, e.run_ms);
 	r->ops->ended(r->arg, t->entry, &e);
 	g_ptr_array_remove(r->tasks, t);
 }
@@ -287,6 +337,7 @@
 	t->cpu = s->cpu;
 	t->mem_mb = s->mem_mb;
 	t->level = lv_of(s->priority);
+	t->size_ms = s->size_ms;
 	t->limit_ms = s->limit_ms;
 	t->start_by_ms = s->start_by_ms;
 	t->expires_ms = s->expires_ms;
@@ -313,6 +364,7 @@
 {
 	struct ru_load l = ru_load(r);
 	struct ru_task *t = task_new(r, entry, s);
+	uint64_t now = ck_mono_ms(r->clock);
 	bool full;
 
 	/* More is queued here than its entry knew: the entry chooses again. */
@@ -320,10 +372,13 @@
 	    cpu_queued_ahead(&l, t) + s->cpu > s->queue_max;
 	g_ptr_array_add(r->tasks, t);
 	if (full || !l.reported.accepting || l.queued >= QUEUE_MAX ||
-	    s->cpu > l.cpu || ck_mono_ms(r->clock) >= s->expires_ms)
+	    s->cpu > l.cpu || now >= s->expires_ms ||
+	    !wh_accepts(&r->health, now)) {
 		ru_end(r, t, PD_END_RETURNED);
-	else
-		ru_start_queued(r);
+		return;
+	}
+	wh_probe_sent(&r->health, now);
+	ru_start_queued(r);
 }
 
 void
@@ -358,6 +413,20 @@
 	return (find_grant(r, entry, k) != NULL ? PD_END_ACTIVE : PD_END_LOST);
 }
 
+bool
+ru_has_grants(const struct ru *r, uint64_t entry)
+{
+	const struct ru_task *t;
+	guint i;
+
+	for (i = 0; i < r->tasks->len; i++) {
+		t = r->tasks->pdata[i];
+		if (t->entry == entry)
+			return (true);
+	}
+	return (false);
+}
+
 static void
 stop_entry_tasks(struct ru *r, uint64_t entry)
 {
@@ -441,8 +510,10 @@
 			/* It will be late here; another worker may be free. */
 			ru_end(r, t, PD_END_RETURNED);
 		else if (t->phase == RU_RUNNING && t->limit_ms > 0 &&
-		    now > t->started_ms + t->limit_ms)
+		    now > t->started_ms + t->limit_ms) {
+			t->limit_hit = true;
 			ru_stop_task(r, t, PD_END_STOPPED);
+		}
 	}
 }
 
--- a/sched/runner.h
+++ b/sched/runner.h
@@ -157,6 +157,9 @@
 enum pd_end_state ru_grant_state(
     const struct ru *r, uint64_t entry, const struct pd_key *k);
 
+/** ru_has_grants() - whether an entry has grants here */
+bool ru_has_grants(const struct ru *r, uint64_t entry);
+
 /** ru_drain() - accept no more grants and return the queued ones */
 void ru_drain(struct ru *r);
 
--- a/sched/runner_impl.h
+++ b/sched/runner_impl.h
@@ -5,6 +5,7 @@
 
 #include "clock.h"
 #include "counters.h"
+#include "worker_health.h"
 #include "lease.h"
 #include "runner.h"
 
@@ -45,15 +46,19 @@
 	unsigned cpu;
 	unsigned mem_mb;
 	unsigned level;
+	unsigned size_ms; /* expected run time on a worker of ratio 1 */
 	unsigned limit_ms;
 	uint64_t start_by_ms;
 	uint64_t expires_ms;
 	uint64_t queued_ms;
+	uint64_t
+	    expected_start_ms; /* of a queued task, by ru_expect_starts() */
 	uint64_t started_ms;   /* when the start was sent; 0: not yet */
 	uint64_t confirmed_ms; /* when the endpoint confirmed the start */
 	uint64_t stop_sent_ms;
 	uint64_t stopped_ms; /* when the stop was confirmed; 0: not yet */
 	enum ru_phase phase;
+	bool limit_hit;        /* is being stopped at its run time limit */
 	bool returnable;       /* its entry may choose another worker */
 	enum pd_end_state end; /* state to report once it has stopped */
 };
@@ -70,6 +75,8 @@
 	void *arg;
 	GPtrArray *tasks; /* struct ru_task, owned */
 	GArray *entries;  /* struct ru_entry */
+	struct wh
+	    health; /* of this worker, learned from the runs of all entries */
 	uint64_t endpoint_incarnation;
 	unsigned cpu;
 	unsigned mem_mb;
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -310,6 +310,84 @@
 	assert_ptr_equal(fast, f->start_workers[2]);
 }
 
+/* Sends a report without ended tasks. */
+static void
+report_speed(struct fixture *f, struct fl_worker *w, struct pd_speed speed)
+{
+	struct pd_ended report = {.load.accepting = true, .load.speed = speed};
+
+	jb_grants_ended(f->jobs, w, &report);
+}
+
+/* Guards against long tasks on slow workers while the entry, which has just
+ * started or has few tasks, has not learned their speed by itself. */
+static void
+test_speed_from_agent(void **state)
+{
+	struct fixture *f = *state;
+	struct fl_worker *fast, *slow;
+
+	slow = attach(f, "slow", 1);
+	fast = attach(f, "fast", 2);
+	report_speed(f, slow, (struct pd_speed){20, 2000, 300, false});
+	report_speed(f, fast, (struct pd_speed){20, 500, 75, false});
+	submit_job(f, "a", 7, 1, 1000, 1);
+	assert_int_equal(1, f->nstarts);
+	assert_ptr_equal(fast, f->start_workers[0]);
+	/* A new process of the agent has learned nothing yet. */
+	report_speed(f, fast, (struct pd_speed){0});
+	submit_job(f, "b", 7, 1, 1000, 1);
+	assert_int_equal(2, f->nstarts);
+	assert_ptr_equal(fast, f->start_workers[1]);
+}
+
+/* Guards against a worker that keeps attracting tasks with a wrong report of
+ * its speed. */
+static void
+test_wrong_speed_from_agent(void **state)
+{
+	struct pd_speed wrong = {1000, 100, 10, false};
+	struct fixture *f = *state;
+	struct fl_worker *w, *other;
+	unsigned i;
+
+	w = attach(f, "w", 1);
+	other = attach(f, "other", 2);
+	report_speed(f, w, wrong);
+	submit_job(f, "a", 7, 1, 500, 1);
+	assert_ptr_equal(w, f->start_workers[0]);
+	for (i = 0; i < 5; i++)
+		fl_task_done(f->fleet, w, 100, 300);
+	report_speed(f, w, wrong);
+	submit_job(f, "b", 7, 1, 500, 1);
+	assert_int_equal(2, f->nstarts);
+	assert_ptr_equal(other, f->start_workers[1]);
+}
+
+/* Guards against tasks that an entry loses on a worker that has failed those of
+ * other entries, and against a worker that is never tried again. */
+static void
+test_ejected_by_agent(void **state)
+{
+	struct pd_speed failing = {20, 1000, 100, true};
+	struct fixture *f = *state;
+	struct fl_worker *w;
+
+	w = attach(f, "w", 1);
+	report_speed(f, w, failing);
+	submit(f, "a", 1);
+	assert_int_equal(JB_REFUSED, f->answers[0].status);
+	ck_advance_ms(f->clock, WH_PROBE_INTERVAL_MS);
+	report_speed(f, w, failing);
+	submit(f, "b", 1);
+	submit(f, "c", 1);
+	assert_int_equal(1, f->nstarts);
+	failing.ejected = false;
+	report_speed(f, w, failing);
+	submit(f, "d", 1);
+	assert_int_equal(2, f->nstarts);
+}
+
 /* Guards against an entry that refuses all jobs after a very short task. Its
  * run time consists of message delays and must not count as the speed of the
  * worker (seen in proc_dispatch beside eleven busy processes). */
@@ -630,10 +708,10 @@
 	w = attach(f, "w1", 1);
 	for (i = 0; i < 20; i++)
 		fl_task_failed(f->fleet, w, 1);
-	assert_false(w->ejected);
-	for (i = 2; i <= FL_EJECT_FAILURES; i++)
+	assert_false(w->own.ejected);
+	for (i = 2; i <= WH_EJECT_FAILURES; i++)
 		fl_task_failed(f->fleet, w, i);
-	assert_true(w->ejected);
+	assert_true(w->own.ejected);
 	submit(f, "a", 1);
 	assert_int_equal(JB_REFUSED, f->answers[0].status);
 	/* An ejected worker gets single probes until one succeeds. */
@@ -643,7 +721,7 @@
 	submit(f, "c", 1);
 	assert_int_equal(1, f->nstarts);
 	report_end(f, 0, PD_END_DONE);
-	assert_false(w->ejected);
+	assert_false(w->own.ejected);
 	submit(f, "d", 1);
 	assert_int_equal(2, f->nstarts);
 }
@@ -675,6 +753,9 @@
 	    T(test_refuse_at_once),
 	    T(test_spare_fast_worker),
 	    T(test_short_task_not_learned),
+	    T(test_speed_from_agent),
+	    T(test_wrong_speed_from_agent),
+	    T(test_ejected_by_agent),
 	    T(test_wait_for_agents),
 	    T(test_wait_after_freeze),
 	    T(test_retry_on_other_worker),
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -8,6 +8,7 @@
 
 #include "clock.h"
 #include "counters.h"
+#include "worker_health.h"
 #include "lease.h"
 #include "runner.h"
 
@@ -16,6 +17,7 @@
 #define ENTRY_1 11
 #define ENTRY_2 22
 #define TASK_CPU 1000
+#define TASK_SIZE_MS 100
 #define ENDPOINT_CPU 4000
 #define START_MS 100000
 #define ORDERS_MAX 64
@@ -162,6 +164,7 @@
 	    .cpu = TASK_CPU,
 	    .mem_mb = 1,
 	    .priority = f->priority,
+	    .size_ms = TASK_SIZE_MS,
 	    .limit_ms = limit_ms,
 	    .queue_max = UINT32_MAX,
 	    .start_by_ms = (uint64_t)((int64_t)now + start_by_ms),
@@ -599,6 +602,63 @@
 	assert_true(f->orders[f->norders - 1].stop);
 }
 
+static void
+run_task(
+    struct fixture *f, uint64_t entry, const char *id, enum ru_outcome outcome)
+{
+	grant(f, entry, id);
+	answer_start(f, id, RU_STARTED);
+	pass(f, 2 * TASK_SIZE_MS, entry);
+	report_run_end(f, id, 1, outcome);
+}
+
+/* Guards against many entries that each learn the speed of a worker from the
+ * few tasks that they grant there. */
+static void
+test_learns_from_all_entries(void **state)
+{
+	struct fixture *f = *state;
+	struct pd_speed speed;
+
+	assert_int_equal(0, ru_load(f->runner).reported.speed.samples);
+	run_task(f, ENTRY_1, "a", RU_DONE);
+	ru_entry_contact(f->runner, ENTRY_2, ck_mono_ms(f->clock));
+	run_task(f, ENTRY_2, "b", RU_DONE);
+	speed = ru_load(f->runner).reported.speed;
+	assert_int_equal(2, speed.samples);
+	assert_int_equal(2000, speed.ratio_permille);
+	assert_int_equal(2 * TASK_SIZE_MS, speed.mean_ms);
+}
+
+/* Guards against a worker that fails all tasks and must fail some of each entry
+ * before all of them avoid it, and against probes from each entry. */
+static void
+test_failing_endpoint(void **state)
+{
+	struct fixture *f = *state;
+
+	run_task(f, ENTRY_1, "a", RU_FAILED);
+	run_task(f, ENTRY_1, "a", RU_FAILED);
+	run_task(f, ENTRY_1, "a", RU_FAILED);
+	assert_false(ru_load(f->runner).reported.speed.ejected);
+	run_task(f, ENTRY_1, "b", RU_FAILED);
+	ru_entry_contact(f->runner, ENTRY_2, ck_mono_ms(f->clock));
+	run_task(f, ENTRY_2, "c", RU_FAILED);
+	assert_true(ru_load(f->runner).reported.speed.ejected);
+	assert_int_equal(5, f->nends);
+	grant(f, ENTRY_1, "d");
+	assert_int_equal(6, f->nends);
+	assert_int_equal(PD_END_RETURNED, f->ends[5].state);
+	pass(f, WH_PROBE_INTERVAL_MS, ENTRY_1);
+	grant(f, ENTRY_1, "e");
+	grant(f, ENTRY_1, "f");
+	assert_int_equal(7, f->nends);
+	assert_string_equal("f", f->end_ids[6]);
+	answer_start(f, "e", RU_STARTED);
+	report_run_end(f, "e", 1, RU_DONE);
+	assert_false(ru_load(f->runner).reported.speed.ejected);
+}
+
 int
 main(void)
 {
@@ -622,6 +682,8 @@
 	    T(test_endpoint_leaves),
 	    T(test_endpoint_restarts),
 	    T(test_expiry_and_limit),
+	    T(test_learns_from_all_entries),
+	    T(test_failing_endpoint),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
--- a/wire/pd.h
+++ b/wire/pd.h
@@ -313,7 +313,7 @@
 	u_int wait_ms;
 };
 typedef struct pd_lookup pd_lookup;
-#define PD_ENTRIES_MAX 64
+#define PD_ENTRIES_MAX 512
 #define PD_LABELS_MAX 16
 #define PD_QUEUES_MAX 1024
 #define PD_AZS_MAX 64
@@ -321,10 +321,19 @@
 typedef char *pd_name;
 #define PD_LEVELS 4
 
+struct pd_speed {
+	u_int samples;
+	u_int ratio_permille;
+	u_int mean_ms;
+	bool_t ejected;
+};
+typedef struct pd_speed pd_speed;
+
 struct pd_load {
 	u_int cpu_used;
 	u_int cpu_queued[PD_LEVELS];
 	bool_t accepting;
+	pd_speed speed;
 };
 typedef struct pd_load pd_load;
 
@@ -354,6 +363,8 @@
 		u_int entries_len;
 		pd_name *entries_val;
 	} entries;
+	u_int service_workers;
+	u_int label_workers;
 };
 typedef struct pd_attached pd_attached;
 
@@ -364,6 +375,7 @@
 	u_int cpu;
 	u_int mem_mb;
 	u_int priority;
+	u_int size_ms;
 	u_int limit_ms;
 	u_int queue_max;
 	u_quad_t start_by_ms;
@@ -443,6 +455,7 @@
 	char *address;
 	u_quad_t revision;
 	pd_config *config;
+	u_int entries_hash;
 	struct {
 		u_int entries_len;
 		pd_name *entries_val;
@@ -612,6 +625,7 @@
 extern  bool_t xdr_pd_answer (XDR *, pd_answer*);
 extern  bool_t xdr_pd_lookup (XDR *, pd_lookup*);
 extern  bool_t xdr_pd_name (XDR *, pd_name*);
+extern  bool_t xdr_pd_speed (XDR *, pd_speed*);
 extern  bool_t xdr_pd_load (XDR *, pd_load*);
 extern  bool_t xdr_pd_attach (XDR *, pd_attach*);
 extern  bool_t xdr_pd_attached (XDR *, pd_attached*);
@@ -656,6 +670,7 @@
 extern bool_t xdr_pd_answer ();
 extern bool_t xdr_pd_lookup ();
 extern bool_t xdr_pd_name ();
+extern bool_t xdr_pd_speed ();
 extern bool_t xdr_pd_load ();
 extern bool_t xdr_pd_attach ();
 extern bool_t xdr_pd_attached ();
--- a/wire/pd.x
+++ b/wire/pd.x
@@ -233,7 +233,7 @@
  * Transient jobs are kept in memory only, by the entry that accepted them.
  * created_ms of their keys is the number that the entry gave to the job.
  */
-const PD_ENTRIES_MAX = 64;
+const PD_ENTRIES_MAX = 512;
 const PD_LABELS_MAX = 16;
 const PD_QUEUES_MAX = 1024;
 const PD_AZS_MAX = 64;
@@ -242,10 +242,19 @@
 
 const PD_LEVELS = 4;	/* priority levels; the last has all lower ones */
 
+/* What an agent has learned from the runs at its endpoint, for all entries. */
+struct pd_speed {
+	unsigned int samples;		/* run times learned; 0: none yet */
+	unsigned int ratio_permille;	/* actual / expected run time */
+	unsigned int mean_ms;		/* mean run time */
+	bool ejected;			/* takes probes only */
+};
+
 struct pd_load {
 	unsigned int cpu_used;
 	unsigned int cpu_queued[PD_LEVELS];	/* by level, 0 is most urgent */
 	bool accepting;
+	pd_speed speed;
 };
 
 /* Sent when a connection opens and repeated as a heartbeat. */
@@ -260,7 +269,7 @@
 	unsigned int mem_mb;
 	pd_load load;
 	unsigned hyper clock_ms;	/* clock of the agent */
-	unsigned int entries_hash;	/* of the entries that it knows */
+	unsigned int entries_hash;	/* of the list received last; 0: none */
 };
 
 struct pd_attached {
@@ -268,6 +277,8 @@
 	unsigned hyper incarnation;
 	unsigned hyper clock_ms;	/* copied from pd_attach */
 	pd_name entries<PD_ENTRIES_MAX>; /* empty if the hash is equal */
+	unsigned int service_workers;	/* known workers of the same service */
+	unsigned int label_workers;	/* known workers with its rarest label */
 };
 
 struct pd_start {
@@ -277,6 +288,7 @@
 	unsigned int cpu;
 	unsigned int mem_mb;
 	unsigned int priority;		/* 0 is most urgent */
+	unsigned int size_ms;		/* expected run time on a worker of ratio 1 */
 	unsigned int limit_ms;		/* the run is stopped after it; 0: none */
 	unsigned int queue_max;		/* most cpu queued ahead, its own included */
 	unsigned hyper start_by_ms;	/* agent's clock: latest start in time */
@@ -338,7 +350,8 @@
 	string address<PD_NAME_MAX>;
 	unsigned hyper revision;
 	pd_config *config;	/* if newer than that of the other end */
-	pd_name entries<PD_ENTRIES_MAX>;
+	unsigned int entries_hash;	/* of the list of the sender */
+	pd_name entries<PD_ENTRIES_MAX>; /* empty if the other end has the same */
 	pd_waiting waiting<PD_QUEUES_MAX>;
 };
 
--- a/wire/pd_xdr.c
+++ b/wire/pd_xdr.c
@@ -575,6 +575,61 @@
 	return TRUE;
 }
 
+bool_t
+xdr_pd_speed (XDR *xdrs, pd_speed *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->samples))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->ratio_permille))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->mean_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->ejected))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->samples);
+			IXDR_PUT_U_LONG(buf, objp->ratio_permille);
+			IXDR_PUT_U_LONG(buf, objp->mean_ms);
+			IXDR_PUT_BOOL(buf, objp->ejected);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->samples))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->ratio_permille))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->mean_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->ejected))
+				 return FALSE;
+		} else {
+			objp->samples = IXDR_GET_U_LONG(buf);
+			objp->ratio_permille = IXDR_GET_U_LONG(buf);
+			objp->mean_ms = IXDR_GET_U_LONG(buf);
+			objp->ejected = IXDR_GET_BOOL(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->samples))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ratio_permille))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->mean_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->ejected))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_pd_load (XDR *xdrs, pd_load *objp)
 {
@@ -583,7 +638,7 @@
 	int i;
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		buf = XDR_INLINE (xdrs, (2 +  PD_LEVELS )* BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, (2 + ( PD_LEVELS )) * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->cpu_used))
 				 return FALSE;
@@ -592,21 +647,24 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->accepting))
 				 return FALSE;
+
 		} else {
-			IXDR_PUT_U_LONG(buf, objp->cpu_used);
-			{
-				register u_int *genp;
-
-				for (i = 0, genp = objp->cpu_queued;
-					i < PD_LEVELS; ++i) {
-					IXDR_PUT_U_LONG(buf, *genp++);
-				}
+		IXDR_PUT_U_LONG(buf, objp->cpu_used);
+		{
+			register u_int *genp;
+
+			for (i = 0, genp = objp->cpu_queued;
+				i < PD_LEVELS; ++i) {
+				IXDR_PUT_U_LONG(buf, *genp++);
 			}
-			IXDR_PUT_BOOL(buf, objp->accepting);
 		}
+		IXDR_PUT_BOOL(buf, objp->accepting);
+		}
+		 if (!xdr_pd_speed (xdrs, &objp->speed))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		buf = XDR_INLINE (xdrs, (2 +  PD_LEVELS )* BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, (2 + ( PD_LEVELS )) * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->cpu_used))
 				 return FALSE;
@@ -615,18 +673,21 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->accepting))
 				 return FALSE;
+
 		} else {
-			objp->cpu_used = IXDR_GET_U_LONG(buf);
-			{
-				register u_int *genp;
-
-				for (i = 0, genp = objp->cpu_queued;
-					i < PD_LEVELS; ++i) {
-					*genp++ = IXDR_GET_U_LONG(buf);
-				}
+		objp->cpu_used = IXDR_GET_U_LONG(buf);
+		{
+			register u_int *genp;
+
+			for (i = 0, genp = objp->cpu_queued;
+				i < PD_LEVELS; ++i) {
+				*genp++ = IXDR_GET_U_LONG(buf);
 			}
-			objp->accepting = IXDR_GET_BOOL(buf);
 		}
+		objp->accepting = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_pd_speed (xdrs, &objp->speed))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -637,6 +698,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->accepting))
 		 return FALSE;
+	 if (!xdr_pd_speed (xdrs, &objp->speed))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -685,6 +748,10 @@
 	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, PD_ENTRIES_MAX,
 		sizeof (pd_name), (xdrproc_t) xdr_pd_name))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->service_workers))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->label_workers))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -697,7 +764,7 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_pd_key (xdrs, &objp->key))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 8 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->step))
 				 return FALSE;
@@ -709,6 +776,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->priority))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->size_ms))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->limit_ms))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->queue_max))
@@ -720,6 +789,7 @@
 		IXDR_PUT_U_LONG(buf, objp->cpu);
 		IXDR_PUT_U_LONG(buf, objp->mem_mb);
 		IXDR_PUT_U_LONG(buf, objp->priority);
+		IXDR_PUT_U_LONG(buf, objp->size_ms);
 		IXDR_PUT_U_LONG(buf, objp->limit_ms);
 		IXDR_PUT_U_LONG(buf, objp->queue_max);
 		}
@@ -733,7 +803,7 @@
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_pd_key (xdrs, &objp->key))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 8 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->step))
 				 return FALSE;
@@ -745,6 +815,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->priority))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->size_ms))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->limit_ms))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->queue_max))
@@ -756,6 +828,7 @@
 		objp->cpu = IXDR_GET_U_LONG(buf);
 		objp->mem_mb = IXDR_GET_U_LONG(buf);
 		objp->priority = IXDR_GET_U_LONG(buf);
+		objp->size_ms = IXDR_GET_U_LONG(buf);
 		objp->limit_ms = IXDR_GET_U_LONG(buf);
 		objp->queue_max = IXDR_GET_U_LONG(buf);
 		}
@@ -780,6 +853,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->priority))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->size_ms))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->limit_ms))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->queue_max))
@@ -968,6 +1043,8 @@
 		 return FALSE;
 	 if (!xdr_pointer (xdrs, (char **)&objp->config, sizeof (pd_config), (xdrproc_t) xdr_pd_config))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->entries_hash))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, PD_ENTRIES_MAX,
 		sizeof (pd_name), (xdrproc_t) xdr_pd_name))
 		 return FALSE;
