Connect an agent to 16 entries, or to as many as its service needs

Cause: each agent held a connection to each entry and sent it a heartbeat every 200 ms and its load up to every 40 ms: with 55 entries and 240 agents 13,200 connections and up to 7,200 messages a second at an entry. Each entry spread its tasks over all workers, so what it knew of any of them was old.

Change: contacts.c decides to which entries an agent stays connected: the first 16 by rendezvous hashing, all if there are no more. Entries tell how many workers of the service, and of the rarest label, they know; agents connect to more entries when those are fewer than 64 or 4. An entry that does not answer is replaced at once by the next one and still tried. Before an agent leaves an entry, its heartbeats tell it to grant nothing, for a second and until no grant is left. The list of entries is sent only when it differs from what that entry sent last; agents compared it with all addresses they knew, which differ for a minute after an entry is gone.

Cells of up to 16 entries stay fully connected.

--- a/agent/executor.c
+++ b/agent/executor.c
@@ -272,6 +272,14 @@
 	return (ru_grant_state(e->runner, entry, k));
 }
 
+static bool
+on_has_grants(void *arg, uint64_t entry)
+{
+	struct ex *e = arg;
+
+	return (ru_has_grants(e->runner, entry));
+}
+
 static const struct lk_ops link_ops = {
     .fill_attach = fill_attach,
     .contact = on_contact,
@@ -279,6 +287,7 @@
     .start = on_grant,
     .withdraw = on_withdraw,
     .state = on_state,
+    .has_grants = on_has_grants,
 };
 
 /* --- the process --- */
@@ -384,7 +393,7 @@
 {
 	GPtrArray *seeds = read_seeds(&e->settings);
 
-	e->links = lk_new(e->base, e->clock, e->settings.cell,
+	e->links = lk_new(e->base, e->clock, e->settings.cell, e->settings.name,
 	    (const char *const *)seeds->pdata, seeds->len, &link_ops, e);
 	g_ptr_array_free(seeds, TRUE);
 }
--- a/agent/links.c
+++ b/agent/links.c
@@ -4,6 +4,7 @@
 
 #include "clock.h"
 #include "conn.h"
+#include "contacts.h"
 #include "lease.h"
 #include "links.h"
 #include "log.h"
@@ -18,9 +19,15 @@
 #define CONNECT_TIMEOUT_MS 150
 /* Period at which closed connections are retried and heartbeats checked. */
 #define RETRY_MS 50
-/* An address without an answer for this time is removed, unless it is a seed.
- */
+/* An address that no entry has announced for this time is removed, unless it is
+ * a seed or answers. */
 #define FORGET_ADDRESS_MS 60000
+/* Period at which the complete list of entries is requested, to notice which
+ * ones are no longer announced. */
+#define REFRESH_LIST_MS 10000
+/* A connection that is not needed any more is closed after the entry has been
+ * told for this time to grant nothing. */
+#define RELEASE_MS 1000
 /* Minimum time between load reports to an entry without ended tasks. */
 #define LOAD_REPORT_MS 40
 #define US_PER_MS 1000
@@ -32,9 +39,13 @@
 	bool open;
 	bool heartbeat_pending;
 	bool seed;
+	bool failed;                /* the last attempt got no answer */
+	uint64_t rank;              /* order of preference, lowest first */
 	uint64_t entry;             /* incarnation, 0 while unknown */
 	uint64_t heartbeat_sent_ms; /* clock in the last heartbeat */
-	uint64_t last_answer_ms;
+	uint64_t announced_ms;      /* when it answered or was announced last */
+	uint64_t unneeded_ms;       /* since when it is not needed; 0: it is */
+	uint32_t list_hash;         /* of the entries that it announced last */
 	uint64_t load_sent_ms; /* when a report with the load was sent last */
 	GArray *unsent_ends;   /* struct pd_end with owned ids, to be sent */
 };
@@ -43,9 +54,13 @@
 	struct event_base *base;
 	const struct ck *clock;
 	char *cell;
+	char *name;
+	struct ac *contacts;
 	const struct lk_ops *ops;
 	void *arg;
 	GHashTable *table; /* address -> struct link, owned */
+	GPtrArray *ranked; /* the same links by rank */
+	uint64_t list_requested_ms;
 	struct event *timer;
 	struct event *flush_event;
 	bool closing;
@@ -73,6 +88,7 @@
 		    l->address, cn_error_name(why));
 	l->conn = NULL;
 	l->open = false;
+	l->failed = true;
 	l->heartbeat_pending = false;
 	/* The entry asks about its grants once it is connected again. */
 	clear_unsent_ends(l);
@@ -118,6 +134,13 @@
 	xdr_free((xdrproc_t)xdr_pd_cancel, (char *)&list);
 }
 
+/* An entry that the agent is about to leave must not grant any more. */
+static bool
+accepts_grants(const struct link *l, const struct pd_load *load)
+{
+	return (load->accepting && l->unneeded_ms == 0);
+}
+
 static void
 fill_load(struct lk *k, struct pd_ended *e)
 {
@@ -145,6 +168,7 @@
 		    k->ops->state(k->arg, l->entry, &list.list.list_val[i]);
 	}
 	fill_load(k, &reply);
+	reply.load.accepting = accepts_grants(l, &reply.load);
 	cn_reply(l->conn, xid, (xdrproc_t)xdr_pd_ended, &reply);
 	g_free(reply.list.list_val);
 	xdr_free((xdrproc_t)xdr_pd_cancel, (char *)&list);
@@ -184,6 +208,15 @@
 	g_free(l);
 }
 
+static gint
+compare_ranks(gconstpointer a, gconstpointer b)
+{
+	const struct link *x = *(struct link *const *)a;
+	const struct link *y = *(struct link *const *)b;
+
+	return ((x->rank > y->rank) - (x->rank < y->rank));
+}
+
 static struct link *
 link_add(struct lk *k, const char *address, bool seed)
 {
@@ -195,23 +228,38 @@
 	l->links = k;
 	l->address = g_strdup(address);
 	l->seed = seed;
-	l->last_answer_ms = ck_mono_ms(k->clock);
+	l->rank = ac_rank(k->name, address);
+	l->announced_ms = ck_mono_ms(k->clock);
 	l->unsent_ends = g_array_new(FALSE, TRUE, sizeof(struct pd_end));
 	g_hash_table_insert(k->table, l->address, l);
+	g_ptr_array_add(k->ranked, l);
+	g_ptr_array_sort(k->ranked, compare_ranks);
 	return (l);
 }
 
-static uint32_t
-hash_entries(struct lk *k)
+static void
+link_remove(struct lk *k, struct link *l)
 {
-	GHashTableIter it;
-	struct link *l;
-	uint32_t sum = 0;
+	g_ptr_array_remove(k->ranked, l);
+	g_hash_table_remove(k->table, l->address);
+}
 
-	g_hash_table_iter_init(&it, k->table);
-	while (g_hash_table_iter_next(&it, NULL, (void **)&l))
-		sum += (uint32_t)XXH3_64bits(l->address, strlen(l->address));
-	return (sum);
+static void
+add_announced(struct link *from, const struct pd_attached *a)
+{
+	struct lk *k = from->links;
+	uint32_t hash = 0;
+	pd_name address;
+	unsigned i;
+
+	for (i = 0; i < a->entries.entries_len; i++) {
+		address = a->entries.entries_val[i];
+		hash += (uint32_t)XXH3_64bits(address, strlen(address));
+		link_add(k, address, false)->announced_ms =
+		    ck_mono_ms(k->clock);
+	}
+	if (a->entries.entries_len > 0)
+		from->list_hash = hash;
 }
 
 static void
@@ -220,12 +268,12 @@
 	struct link *l = arg;
 	struct lk *k = l->links;
 	const struct pd_attached *a = result;
-	unsigned i;
 
 	l->heartbeat_pending = false;
 	if (error != CN_OK || k->closing)
 		return;
-	l->last_answer_ms = ck_mono_ms(k->clock);
+	l->announced_ms = ck_mono_ms(k->clock);
+	l->failed = false;
 	if (l->entry != a->incarnation) {
 		lg_write(LOG_NOTICE, "links", "connected to entry %s at %s",
 		    a->entry, l->address);
@@ -234,8 +282,23 @@
 		l->entry = a->incarnation;
 	}
 	k->ops->contact(k->arg, l->entry, a->clock_ms);
-	for (i = 0; i < a->entries.entries_len; i++)
-		link_add(k, a->entries.entries_val[i], false);
+	if (l->unneeded_ms == 0)
+		ac_observe(k->contacts, a->service_workers, a->label_workers);
+	add_announced(l, a);
+}
+
+/* Hash of the list that an entry need not send again. Now and then it is none,
+ * so that addresses that are no longer announced are noticed. */
+static uint32_t
+known_list(struct link *l)
+{
+	struct lk *k = l->links;
+	uint64_t now = ck_mono_ms(k->clock);
+
+	if (now - k->list_requested_ms < REFRESH_LIST_MS)
+		return (l->list_hash);
+	k->list_requested_ms = now;
+	return (0);
 }
 
 static void
@@ -248,7 +311,8 @@
 		return;
 	a.cell = k->cell;
 	a.clock_ms = ck_mono_ms(k->clock);
-	a.entries_hash = hash_entries(k);
+	a.entries_hash = known_list(l);
+	a.load.accepting = accepts_grants(l, &a.load);
 	l->heartbeat_pending = true;
 	l->heartbeat_sent_ms = a.clock_ms;
 	cn_call(l->conn, PD_ATTACH, (xdrproc_t)xdr_pd_attach, &a,
@@ -274,21 +338,74 @@
 	}
 }
 
+/* Whether an entry may still have grants here, or may send one. */
+static bool
+is_in_use(const struct link *l)
+{
+	const struct lk *k = l->links;
+
+	return (l->unsent_ends->len > 0 ||
+	    ck_mono_ms(k->clock) - l->unneeded_ms < RELEASE_MS ||
+	    (l->entry != 0 && k->ops->has_grants(k->arg, l->entry)));
+}
+
+/* Keeps a connection that is not needed until nothing depends on it. */
+static void
+release_link(struct link *l)
+{
+	struct lk *k = l->links;
+
+	if (l->conn == NULL)
+		return;
+	if (l->unneeded_ms == 0)
+		l->unneeded_ms = ck_mono_ms(k->clock);
+	if (l->open && is_in_use(l)) {
+		maintain_link(l, false);
+		return;
+	}
+	lg_write(LOG_DEBUG, "links", "entry %s is not needed", l->address);
+	l->open = false;
+	cn_close(l->conn);
+	l->failed = false;
+	if (l->entry != 0)
+		k->ops->gone(k->arg, l->entry);
+	l->entry = 0;
+}
+
+/* Connects to the first entries by rank. One that does not answer does not
+ * count, but is still tried. */
 static void
 maintain_links(struct lk *k, bool heartbeat)
 {
-	GList *links = g_hash_table_get_values(k->table), *i;
+	unsigned left = ac_count(k->contacts, k->ranked->len);
+	struct link *l;
+	guint i;
+
+	for (i = 0; i < k->ranked->len; i++) {
+		l = k->ranked->pdata[i];
+		if (left == 0) {
+			release_link(l);
+			continue;
+		}
+		l->unneeded_ms = 0;
+		left -= !l->failed;
+		maintain_link(l, heartbeat);
+	}
+}
+
+/* Backwards, since a link that is removed is not visited again. */
+static void
+forget_addresses(struct lk *k)
+{
 	uint64_t now = ck_mono_ms(k->clock);
 	struct link *l;
+	guint i;
 
-	for (i = links; i != NULL; i = i->next) {
-		l = i->data;
-		if (!l->seed && now - l->last_answer_ms > FORGET_ADDRESS_MS)
-			g_hash_table_remove(k->table, l->address);
-		else
-			maintain_link(l, heartbeat);
+	for (i = k->ranked->len; i-- > 0;) {
+		l = k->ranked->pdata[i];
+		if (!l->seed && now - l->announced_ms > FORGET_ADDRESS_MS)
+			link_remove(k, l);
 	}
-	g_list_free(links);
 }
 
 void
@@ -306,6 +423,7 @@
 	(void)fd;
 	(void)what;
 	event_add(k->timer, &tv);
+	forget_addresses(k);
 	maintain_links(k, false);
 }
 
@@ -315,7 +433,7 @@
 static bool
 is_load_report_due(const struct link *l, uint64_t now)
 {
-	return (l->open && l->entry != 0 &&
+	return (l->open && l->entry != 0 && l->unneeded_ms == 0 &&
 	    now - l->load_sent_ms >= LOAD_REPORT_MS);
 }
 
@@ -326,16 +444,19 @@
 	uint64_t now = ck_mono_ms(k->clock);
 	struct pd_ended e = {0};
 	GHashTableIter it;
+	bool accepting;
 	struct link *l;
 
 	(void)fd;
 	(void)what;
 	fill_load(k, &e);
+	accepting = e.load.accepting;
 	g_hash_table_iter_init(&it, k->table);
 	while (g_hash_table_iter_next(&it, NULL, (void **)&l)) {
 		if (l->unsent_ends->len == 0 && !is_load_report_due(l, now))
 			continue;
 		l->load_sent_ms = now;
+		e.load.accepting = accepting && l->unneeded_ms == 0;
 		e.list.list_val = (struct pd_end *)l->unsent_ends->data;
 		e.list.list_len = MIN(l->unsent_ends->len, PD_BATCH_MAX);
 		if (l->open)
@@ -383,8 +504,8 @@
 
 struct lk *
 lk_new(struct event_base *base, const struct ck *clock, const char *cell,
-    const char *const *seeds, size_t nseeds, const struct lk_ops *ops,
-    void *arg)
+    const char *name, const char *const *seeds, size_t nseeds,
+    const struct lk_ops *ops, void *arg)
 {
 	struct lk *k = g_new0(struct lk, 1);
 	size_t i;
@@ -392,6 +513,9 @@
 	k->base = base;
 	k->clock = clock;
 	k->cell = g_strdup(cell);
+	k->name = g_strdup(name);
+	k->contacts = ac_new(clock);
+	k->ranked = g_ptr_array_new();
 	k->ops = ops;
 	k->arg = arg;
 	k->table =
@@ -412,7 +536,10 @@
 	k->closing = true;
 	event_free(k->timer);
 	event_free(k->flush_event);
+	g_ptr_array_free(k->ranked, TRUE);
 	g_hash_table_destroy(k->table);
+	ac_free(k->contacts);
+	g_free(k->name);
 	g_free(k->cell);
 	g_free(k);
 }
--- a/agent/links.h
+++ b/agent/links.h
@@ -9,7 +9,8 @@
 /**
  * DOC: lk - connections of an agent to the entries of transient jobs
  *
- * Connects to the seeds and to the entries that these announce.
+ * Learns the addresses of entries from the seeds and from the entries that it
+ * connects to; contacts.h decides to which of them it connects.
  */
 struct lk;
 struct ck;
@@ -23,6 +24,7 @@
  * @start: a grant arrived
  * @withdraw: a grant is no longer needed
  * @state: return the state of a grant
+ * @has_grants: return whether an entry has grants here
  */
 struct lk_ops {
 	bool (*fill_attach)(void *arg, struct pd_attach *a);
@@ -32,17 +34,19 @@
 	void (*withdraw)(void *arg, uint64_t entry, const struct pd_key *k);
 	enum pd_end_state (*state)(
 	    void *arg, uint64_t entry, const struct pd_key *k);
+	bool (*has_grants)(void *arg, uint64_t entry);
 };
 
 /**
  * lk_new() - connect to the entries
  * @cell: copied
+ * @name: of this agent, copied
  * @seeds: addresses, copied
  *
  * Return: owned handle.
  */
 struct lk *lk_new(struct event_base *base, const struct ck *clock,
-    const char *cell, const char *const *seeds, size_t nseeds,
+    const char *cell, const char *name, const char *const *seeds, size_t nseeds,
     const struct lk_ops *ops, void *arg);
 
 /** lk_free() - consumed, NULL is allowed */
--- a/bench/model_impl.h
+++ b/bench/model_impl.h
@@ -81,6 +81,7 @@
 	uint64_t incarnation;
 	struct ru *runner;
 	GArray *runs;   /* struct md_run_state */
+	bool *contacts; /* whether it is connected to each entry */
 	GArray **ended; /* struct pd_end for each entry, with owned ids */
 	uint64_t *reported_us;
 	bool flush_pending;
--- a/bench/model_worker.c
+++ b/bench/model_worker.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "contacts.h"
 #include "lease.h"
 #include "model_impl.h"
 
@@ -301,9 +302,10 @@
 	if (!w->up)
 		return;
 	for (i = 0; i < m->load->entries; i++)
-		if (w->ended[i]->len > 0 ||
-		    ck_mono_us(m->clock) - w->reported_us[i] >=
-			REPORT_PERIOD_US)
+		if (w->contacts[i] &&
+		    (w->ended[i]->len > 0 ||
+			ck_mono_us(m->clock) - w->reported_us[i] >=
+			    REPORT_PERIOD_US))
 			send_report(w, i);
 }
 
@@ -359,6 +361,8 @@
 		return;
 	ru_renew_lease(w->runner);
 	for (i = 0; i < m->load->entries; i++) {
+		if (!w->contacts[i])
+			continue;
 		attach(w, &m->entries[i], now);
 		ru_entry_contact(w->runner, i + 1, now);
 	}
@@ -480,6 +484,33 @@
 	}
 }
 
+static gint
+compare_ranks(gconstpointer a, gconstpointer b, gpointer worker)
+{
+	char x[16], y[16];
+	uint64_t rank_x, rank_y;
+
+	snprintf(x, sizeof(x), "e%u", *(const unsigned *)a);
+	snprintf(y, sizeof(y), "e%u", *(const unsigned *)b);
+	rank_x = ac_rank(((struct md_worker *)worker)->name, x);
+	rank_y = ac_rank(((struct md_worker *)worker)->name, y);
+	return ((rank_x > rank_y) - (rank_x < rank_y));
+}
+
+static void
+choose_contacts(struct md_worker *w)
+{
+	unsigned n = w->model->load->entries, i;
+	g_autofree unsigned *order = g_new(unsigned, n);
+
+	w->contacts = g_new0(bool, n);
+	for (i = 0; i < n; i++)
+		order[i] = i;
+	g_qsort_with_data(order, (gint)n, sizeof(*order), compare_ranks, w);
+	for (i = 0; i < MIN(n, AC_CONTACTS_MIN); i++)
+		w->contacts[order[i]] = true;
+}
+
 static void
 worker_new(struct md *m, unsigned number, const struct md_worker_group *g)
 {
@@ -493,6 +524,7 @@
 	w->slowdown = 1;
 	snprintf(w->name, sizeof(w->name), "w%u", number);
 	w->runs = g_array_new(FALSE, TRUE, sizeof(struct md_run_state));
+	choose_contacts(w);
 	w->ended = g_new0(GArray *, m->load->entries);
 	w->reported_us = g_new0(uint64_t, m->load->entries);
 	for (i = 0; i < m->load->entries; i++)
@@ -528,6 +560,7 @@
 			clear_ended(w->ended[k]);
 			g_array_free(w->ended[k], TRUE);
 		}
+		g_free(w->contacts);
 		g_free(w->ended);
 		g_free(w->reported_us);
 	}
--- a/entry/workers.c
+++ b/entry/workers.c
@@ -43,13 +43,16 @@
 }
 
 static void
-reply_attach(struct link *l, uint32_t xid, const struct pd_attach *a)
+reply_attach(struct link *l, uint32_t xid, const struct pd_attach *a,
+    const struct fl_worker *f)
 {
 	struct wo *w = l->workers;
 	struct pd_attached reply = {
 	    .entry = (char *)(uintptr_t)w->self.name,
 	    .incarnation = w->self.incarnation,
 	    .clock_ms = a->clock_ms,
+	    .service_workers = f->service_workers,
+	    .label_workers = f->label_workers,
 	};
 	const char *const *entries;
 	unsigned n;
@@ -81,8 +84,9 @@
 		xdr_free((xdrproc_t)xdr_pd_attach, (char *)&a);
 		return;
 	}
-	reply_attach(l, xid, &a);
 	f = fl_attach(w->fleet, &a, l->session, &restarted);
+	fl_count_workers(w->fleet);
+	reply_attach(l, xid, &a, f);
 	if (!l->attached) {
 		lg_write(LOG_NOTICE, "workers",
 		    "agent %s is connected, capacity %u thousandths of a core",
--- /dev/null
+++ b/tests/test_links.c
@@ -0,0 +1,290 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <glib.h>
+
+#include "clock.h"
+#include "conn.h"
+#include "contacts.h"
+#include "links.h"
+#include "log.h"
+
+/* Tests the connections of an agent to more entries than it needs, with
+ * entries that only answer heartbeats, on one event loop. */
+
+#define ENTRIES 20
+#define SEEDS 3
+/* Longer than an agent takes to learn the addresses and to leave the entries
+ * that it does not need. */
+#define SETTLE_MS 1800
+#define RECONNECT_MS 800
+#define MANY_WORKERS 1000
+
+struct fixture;
+
+struct entry {
+	struct fixture *fixture;
+	unsigned number;
+	struct cn_listener *listener;
+	char address[32];
+	struct cn *conn;
+	bool accepting;    /* in the last heartbeat */
+	bool was_attached; /* has received a heartbeat */
+};
+
+struct fixture {
+	struct event_base *base;
+	struct ck *clock;
+	struct lk *links;
+	struct entry entries[ENTRIES];
+	const char *addresses[ENTRIES];
+	uint64_t busy_entry; /* has grants at the agent */
+};
+
+static void
+on_call(void *arg, struct cn *c, uint32_t proc, uint32_t xid, XDR *args)
+{
+	struct entry *e = arg;
+	struct pd_attach a = {0};
+	struct pd_attached reply = {.entry = e->address,
+	    .incarnation = e->number + 1,
+	    .service_workers = MANY_WORKERS,
+	    .label_workers = MANY_WORKERS};
+
+	assert_int_equal(PD_ATTACH, proc);
+	assert_true(cn_decode(c, args, (xdrproc_t)xdr_pd_attach, &a));
+	e->accepting = a.load.accepting;
+	e->was_attached = true;
+	reply.clock_ms = a.clock_ms;
+	reply.entries.entries_val = (pd_name *)(uintptr_t)e->fixture->addresses;
+	reply.entries.entries_len = ENTRIES;
+	cn_reply(c, xid, (xdrproc_t)xdr_pd_attached, &reply);
+	xdr_free((xdrproc_t)xdr_pd_attach, (char *)&a);
+}
+
+static void
+on_closed(void *arg, struct cn *c, enum cn_error why)
+{
+	struct entry *e = arg;
+
+	(void)c;
+	(void)why;
+	e->conn = NULL;
+}
+
+static const struct cn_ops entry_ops = {.call = on_call, .closed = on_closed};
+
+static void
+on_accept(void *arg, struct cn *c)
+{
+	struct entry *e = arg;
+
+	e->conn = c;
+	cn_set_ops(c, &entry_ops, e);
+}
+
+static bool
+fill_attach(void *arg, struct pd_attach *a)
+{
+	(void)arg;
+	a->name = (char *)(uintptr_t) "side-1";
+	a->az = a->service = (char *)(uintptr_t) "x";
+	a->incarnation = 1;
+	a->load.accepting = true;
+	return (true);
+}
+
+static void
+on_contact(void *arg, uint64_t entry, uint64_t clock_ms)
+{
+	(void)arg;
+	(void)entry;
+	(void)clock_ms;
+}
+
+static void
+on_gone(void *arg, uint64_t entry)
+{
+	(void)arg;
+	(void)entry;
+}
+
+static bool
+has_grants(void *arg, uint64_t entry)
+{
+	struct fixture *f = arg;
+
+	return (f->busy_entry == entry);
+}
+
+static const struct lk_ops link_ops = {.fill_attach = fill_attach,
+    .contact = on_contact,
+    .gone = on_gone,
+    .has_grants = has_grants};
+
+static void
+run_loop(struct fixture *f, unsigned ms)
+{
+	struct timeval tv = {ms / 1000, (ms % 1000) * 1000};
+
+	event_base_loopexit(f->base, &tv);
+	event_base_dispatch(f->base);
+}
+
+static int
+set_up(void **state)
+{
+	struct fixture *f = g_new0(struct fixture, 1);
+	enum cn_error error;
+	struct entry *e;
+	unsigned i;
+
+	lg_open("test", LOG_CRIT);
+	f->base = event_base_new();
+	f->clock = ck_new_system();
+	for (i = 0; i < ENTRIES; i++) {
+		e = &f->entries[i];
+		e->fixture = f;
+		e->number = i;
+		e->listener =
+		    cn_listen(f->base, "127.0.0.1:0", on_accept, e, &error);
+		assert_non_null(e->listener);
+		snprintf(e->address, sizeof(e->address), "127.0.0.1:%u",
+		    cn_listener_port(e->listener));
+		f->addresses[i] = e->address;
+	}
+	*state = f;
+	return (0);
+}
+
+static void
+start_links(struct fixture *f)
+{
+	f->links = lk_new(f->base, f->clock, "cell", "side-1", f->addresses,
+	    SEEDS, &link_ops, f);
+}
+
+static int
+tear_down(void **state)
+{
+	struct fixture *f = *state;
+	unsigned i;
+
+	lk_free(f->links);
+	for (i = 0; i < ENTRIES; i++) {
+		if (f->entries[i].conn != NULL)
+			cn_close(f->entries[i].conn);
+		cn_listener_free(f->entries[i].listener);
+	}
+	event_base_loop(f->base, EVLOOP_NONBLOCK);
+	event_base_free(f->base);
+	ck_free(f->clock);
+	g_free(f);
+	return (0);
+}
+
+static unsigned
+connected(const struct fixture *f)
+{
+	unsigned i, n = 0;
+
+	for (i = 0; i < ENTRIES; i++)
+		n += f->entries[i].conn != NULL;
+	return (n);
+}
+
+static gint
+compare_ranks(gconstpointer a, gconstpointer b)
+{
+	uint64_t x = ac_rank("side-1", *(const char *const *)a);
+	uint64_t y = ac_rank("side-1", *(const char *const *)b);
+
+	return ((x < y) - (x > y));
+}
+
+/* Sorts the addresses so that the agent does not need the seeds. Return: the
+ * first seed. */
+static struct entry *
+choose_unneeded_seeds(struct fixture *f)
+{
+	unsigned i;
+
+	qsort(f->addresses, ENTRIES, sizeof(*f->addresses), compare_ranks);
+	for (i = 0; f->entries[i].address != f->addresses[0]; i++)
+		;
+	return (&f->entries[i]);
+}
+
+static bool
+is_needed(struct fixture *f, const struct entry *e)
+{
+	uint64_t rank = ac_rank("side-1", e->address);
+	unsigned i, before = 0;
+
+	for (i = 0; i < ENTRIES; i++)
+		before += ac_rank("side-1", f->entries[i].address) < rank;
+	return (before < AC_CONTACTS_MIN);
+}
+
+/* Guards against a connection to each entry, and against entries that are
+ * replaced by none when they are lost. */
+static void
+test_subset(void **state)
+{
+	struct fixture *f = *state;
+	unsigned i;
+
+	start_links(f);
+	run_loop(f, SETTLE_MS);
+	assert_int_equal(AC_CONTACTS_MIN, connected(f));
+	for (i = 0; i < ENTRIES; i++) {
+		assert_int_equal(
+		    is_needed(f, &f->entries[i]), f->entries[i].conn != NULL);
+		assert_true(
+		    f->entries[i].conn == NULL || f->entries[i].accepting);
+	}
+	for (i = 0; f->entries[i].conn == NULL; i++)
+		;
+	cn_listener_free(f->entries[i].listener);
+	f->entries[i].listener = NULL;
+	cn_close(f->entries[i].conn);
+	run_loop(f, RECONNECT_MS);
+	assert_null(f->entries[i].conn);
+	assert_int_equal(AC_CONTACTS_MIN, connected(f));
+}
+
+/* Guards against leaving an entry that has granted tasks, or that may still
+ * grant some because it was not told. */
+static void
+test_leave_when_idle(void **state)
+{
+	struct fixture *f = *state;
+	struct entry *seed = choose_unneeded_seeds(f);
+
+	f->busy_entry = seed->number + 1;
+	start_links(f);
+	run_loop(f, SETTLE_MS);
+	assert_non_null(seed->conn);
+	assert_false(seed->accepting);
+	assert_int_equal(AC_CONTACTS_MIN + 1, connected(f));
+	f->busy_entry = 0;
+	run_loop(f, RECONNECT_MS);
+	assert_null(seed->conn);
+}
+
+int
+main(void)
+{
+#define T(fn) cmocka_unit_test_setup_teardown(fn, set_up, tear_down)
+	const struct CMUnitTest tests[] = {
+	    T(test_subset),
+	    T(test_leave_when_idle),
+	};
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
