Exchange gossip with a few entries in each period

Cause: each entry exchanged with each other one every 300 ms, 9,900 exchanges a second with 55 entries, each with the list of all addresses, almost all without news.

Change: an entry contacts six others in a period, or a sixth of them if that is more, in random order, each once in a round of 1.8 s. Addresses are sent only if the lists differ. A connection whose message got no reply is closed at the next contact.

Test: 40 entries, of which 8 are away, have a new configuration within one second of the first one.

--- a/entry/gossip.c
+++ b/entry/gossip.c
@@ -5,15 +5,23 @@
 #include "clock.h"
 #include "gossip.h"
 #include "log.h"
+#include "rng.h"
 
-/* Period of the exchange with each other entry. A configuration passes between
- * two entries within one period and has to be in force after 2 s. */
+/* Period of exchanges with some of the other entries. A configuration reaches
+ * an entry within two or three periods and has to be in force after 2 s. */
 #define EXCHANGE_PERIOD_MS 300
+/* Entries that are contacted in each period. */
+#define EXCHANGE_PEERS_MIN 6
+/* Each entry is contacted at least once in so many periods. */
+#define EXCHANGE_ROUND_PERIODS 6
 #define CALL_TIMEOUT_MS 600
 /* A host without power does not refuse connections. Once it is back, a new
  * attempt succeeds sooner than the next SYN retransmission of the old one. */
 #define CONNECT_TIMEOUT_MS 250
+/* A connection that receives nothing in a round of exchanges and this time is
+ * closed. */
 #define IDLE_MS 1500
+#define IDLE_ROUND_MS (IDLE_MS + EXCHANGE_ROUND_PERIODS * EXCHANGE_PERIOD_MS)
 /* An entry that has sent nothing for this time is left out of the lists that
  * agents and other entries get. */
 #define ADVERTISE_MS 10000
@@ -30,9 +38,11 @@
 	bool connected;
 	bool seed;
 	bool call_pending;
+	bool silent; /* the last message got no reply */
 	uint64_t added_ms;
 	uint64_t last_heard_ms; /* 0: never */
 	uint64_t revision;      /* of the configuration that it has */
+	uint32_t list_hash;     /* of the entries that it lists */
 	GHashTable *waiting;    /* queue -> number of waiting jobs */
 };
 
@@ -45,6 +55,8 @@
 	void *arg;
 	GHashTable *peers;    /* address -> struct peer, owned */
 	GPtrArray *addresses; /* result of go_addresses(); borrowed text */
+	GPtrArray *round;     /* addresses not contacted in this round, owned */
+	struct rn *rng;
 	struct event *timer;
 	bool closing;
 };
@@ -70,7 +82,7 @@
 	struct peer *p = arg;
 
 	p->connected = true;
-	cn_set_idle(c, IDLE_MS);
+	cn_set_idle(c, IDLE_ROUND_MS);
 	send_message(p->gossip, p);
 }
 
@@ -126,6 +138,7 @@
 		    m->address);
 	p->last_heard_ms = ck_mono_ms(g->clock);
 	p->revision = m->revision;
+	p->list_hash = m->entries_hash;
 	g_hash_table_remove_all(p->waiting);
 	for (i = 0; i < m->waiting.waiting_len; i++)
 		g_hash_table_insert(p->waiting,
@@ -163,10 +176,12 @@
 	return ((const char *const *)g->addresses->pdata);
 }
 
-/* Fills a message to an entry that has the configuration @revision. The caller
- * frees m->waiting.waiting_val; all else is borrowed. */
+/* Fills a message to an entry that has the configuration @revision and a list
+ * of entries with @list_hash. The caller frees m->waiting.waiting_val; all else
+ * is borrowed. */
 static void
-fill_message(struct go *g, struct pd_gossip *m, uint64_t revision)
+fill_message(
+    struct go *g, struct pd_gossip *m, uint64_t revision, uint32_t list_hash)
 {
 	const struct pd_config *c = cf_current(g->config);
 	const char *const *entries;
@@ -181,8 +196,11 @@
 	if (c->revision > revision)
 		m->config = (struct pd_config *)(uintptr_t)c;
 	entries = go_addresses(g, &n, &hash);
-	m->entries.entries_val = (pd_name *)(uintptr_t)entries;
-	m->entries.entries_len = n;
+	m->entries_hash = hash;
+	if (hash != list_hash) {
+		m->entries.entries_val = (pd_name *)(uintptr_t)entries;
+		m->entries.entries_len = n;
+	}
 	m->waiting.waiting_val =
 	    g_new0(struct pd_waiting, c->queues.queues_len + 1);
 	for (i = 0; i < c->queues.queues_len; i++) {
@@ -211,6 +229,7 @@
 		p = g_hash_table_lookup(x->gossip->peers, x->address);
 	if (p != NULL) {
 		p->call_pending = false;
+		p->silent = error == CN_TIMEOUT;
 		if (error == CN_OK)
 			handle_message(x->gossip, result);
 	}
@@ -224,7 +243,7 @@
 	struct pd_gossip m = {0};
 	struct exchange *x;
 
-	fill_message(g, &m, p->revision);
+	fill_message(g, &m, p->revision, p->list_hash);
 	x = g_new0(struct exchange, 1);
 	x->gossip = g;
 	x->address = g_strdup(p->address);
@@ -240,8 +259,11 @@
 {
 	enum cn_error error;
 
+	if (p->conn != NULL && p->silent)
+		cn_close(p->conn);
 	if (p->conn == NULL) {
 		p->call_pending = false;
+		p->silent = false;
 		p->conn = cn_connect(g->base, p->address, &peer_ops, p, &error);
 		if (p->conn != NULL)
 			cn_set_idle(p->conn, CONNECT_TIMEOUT_MS);
@@ -258,26 +280,65 @@
 		FORGET_MS);
 }
 
+static void
+remove_expired(struct go *g)
+{
+	GHashTableIter it;
+	struct peer *p;
+
+	g_hash_table_iter_init(&it, g->peers);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&p))
+		if (is_expired(g, p))
+			g_hash_table_iter_remove(&it);
+}
+
+/* Starts a round of exchanges with all other entries. */
+static void
+start_round(struct go *g)
+{
+	GHashTableIter it;
+	struct peer *p;
+
+	g_hash_table_iter_init(&it, g->peers);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&p))
+		g_ptr_array_add(g->round, g_strdup(p->address));
+}
+
+/* Contacts random entries, each once in a round. A round through a random order
+ * passes news on as fast as random choices do, and misses no entry. */
+static void
+contact_some(struct go *g)
+{
+	guint peers = g_hash_table_size(g->peers);
+	guint count = MAX(EXCHANGE_PEERS_MIN,
+	    (peers + EXCHANGE_ROUND_PERIODS - 1) / EXCHANGE_ROUND_PERIODS);
+	struct peer *p;
+	char *address;
+	guint i;
+
+	for (i = 0; i < MIN(count, peers); i++) {
+		if (g->round->len == 0)
+			start_round(g);
+		address = g_ptr_array_steal_index_fast(
+		    g->round, rn_below(g->rng, g->round->len));
+		p = g_hash_table_lookup(g->peers, address);
+		if (p != NULL)
+			contact_peer(g, p);
+		g_free(address);
+	}
+}
+
 static void
 on_timer(evutil_socket_t fd, short what, void *arg)
 {
 	struct timeval tv = {0, EXCHANGE_PERIOD_MS * US_PER_MS};
 	struct go *g = arg;
-	GList *peers, *i;
 
 	(void)fd;
 	(void)what;
 	event_add(g->timer, &tv);
-	peers = g_hash_table_get_values(g->peers);
-	for (i = peers; i != NULL; i = i->next) {
-		struct peer *p = i->data;
-
-		if (is_expired(g, p))
-			g_hash_table_remove(g->peers, p->address);
-		else
-			contact_peer(g, p);
-	}
-	g_list_free(peers);
+	remove_expired(g);
+	contact_some(g);
 }
 
 void
@@ -308,6 +369,8 @@
 	g->peers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
 	g->addresses = g_ptr_array_new();
+	g->round = g_ptr_array_new_with_free_func(g_free);
+	g->rng = rn_new(self->incarnation);
 	for (i = 0; i < self->nseeds; i++)
 		peer_add(g, self->seeds[i], true);
 	g->timer = evtimer_new(base, on_timer, g);
@@ -324,6 +387,8 @@
 	event_free(g->timer);
 	g_hash_table_destroy(g->peers);
 	g_ptr_array_free(g->addresses, TRUE);
+	g_ptr_array_free(g->round, TRUE);
+	rn_free(g->rng);
 	g_free(g);
 }
 
@@ -334,8 +399,9 @@
 
 	if (!cn_decode(c, args, (xdrproc_t)xdr_pd_gossip, &m))
 		return;
+	cn_set_idle(c, IDLE_ROUND_MS);
 	handle_message(g, &m);
-	fill_message(g, &reply, m.revision);
+	fill_message(g, &reply, m.revision, m.entries_hash);
 	cn_reply(c, xid, (xdrproc_t)xdr_pd_gossip, &reply);
 	g_free(reply.waiting.waiting_val);
 	xdr_free((xdrproc_t)xdr_pd_gossip, (char *)&m);
--- /dev/null
+++ b/tests/test_gossip.c
@@ -0,0 +1,234 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <glib.h>
+
+#include "clock.h"
+#include "gossip.h"
+#include "log.h"
+
+/* Tests the gossip of many entries on one event loop, over real connections. */
+
+#define ENTRIES 40
+/* An availability zone that is away. */
+#define AWAY 8
+#define SEEDS 3
+/* Two rounds, in which all entries hear of each other. */
+#define SETTLE_MS 4500
+/* Target: half of the shortest time in which a configuration must be in force
+ * at entries that the store does not answer. */
+#define CONVERGE_MS 1000
+#define STEP_MS 50
+
+struct fixture;
+
+struct entry {
+	struct fixture *fixture;
+	struct cn_listener *listener;
+	char address[32];
+	struct cf *config;
+	struct go *gossip;
+	GPtrArray *conns; /* accepted and still open */
+};
+
+struct fixture {
+	struct event_base *base;
+	struct ck *clock;
+	struct entry entries[ENTRIES];
+	const char *seeds[SEEDS];
+};
+
+static void
+on_call(void *arg, struct cn *c, uint32_t proc, uint32_t xid, XDR *args)
+{
+	struct entry *e = arg;
+
+	go_handle_call(e->gossip, c, proc, xid, args);
+}
+
+static void
+on_closed(void *arg, struct cn *c, enum cn_error why)
+{
+	struct entry *e = arg;
+
+	(void)why;
+	g_ptr_array_remove(e->conns, c);
+}
+
+static const struct cn_ops entry_ops = {.call = on_call, .closed = on_closed};
+
+static void
+on_accept(void *arg, struct cn *c)
+{
+	struct entry *e = arg;
+
+	g_ptr_array_add(e->conns, c);
+	cn_set_ops(c, &entry_ops, e);
+}
+
+static void
+config_received(void *arg, const struct pd_config *config)
+{
+	struct entry *e = arg;
+
+	cf_apply(e->config, config);
+}
+
+static unsigned
+waiting_count(void *arg, const char *queue)
+{
+	(void)arg;
+	(void)queue;
+	return (1);
+}
+
+static bool
+cancel(void *arg, const char *id)
+{
+	(void)arg;
+	(void)id;
+	return (false);
+}
+
+static const struct go_ops gossip_ops = {
+    .config_received = config_received,
+    .waiting_count = waiting_count,
+    .cancel = cancel,
+};
+
+static void
+run_loop(struct fixture *f, unsigned ms)
+{
+	struct timeval tv = {ms / 1000, (ms % 1000) * 1000};
+
+	event_base_loopexit(f->base, &tv);
+	event_base_dispatch(f->base);
+}
+
+static void
+start_entry(struct fixture *f, struct entry *e, unsigned number)
+{
+	struct go_identity self = {.cell = "cell",
+	    .name = e->address,
+	    .incarnation = number + 1,
+	    .address = e->address,
+	    .seeds = f->seeds,
+	    .nseeds = SEEDS};
+
+	e->config = cf_new();
+	e->gossip = go_new(f->base, f->clock, e->config, &self, &gossip_ops, e);
+}
+
+static void
+stop_entry(struct entry *e)
+{
+	go_free(e->gossip);
+	e->gossip = NULL;
+	cn_listener_free(e->listener);
+	e->listener = NULL;
+	while (e->conns->len > 0)
+		cn_close(e->conns->pdata[0]);
+}
+
+static int
+set_up(void **state)
+{
+	struct fixture *f = g_new0(struct fixture, 1);
+	enum cn_error error;
+	struct entry *e;
+	unsigned i;
+
+	lg_open("test", LOG_CRIT);
+	f->base = event_base_new();
+	f->clock = ck_new_system();
+	for (i = 0; i < ENTRIES; i++) {
+		e = &f->entries[i];
+		e->fixture = f;
+		e->conns = g_ptr_array_new();
+		e->listener =
+		    cn_listen(f->base, "127.0.0.1:0", on_accept, e, &error);
+		assert_non_null(e->listener);
+		snprintf(e->address, sizeof(e->address), "127.0.0.1:%u",
+		    cn_listener_port(e->listener));
+	}
+	for (i = 0; i < SEEDS; i++)
+		f->seeds[i] = f->entries[i].address;
+	for (i = 0; i < ENTRIES; i++)
+		start_entry(f, &f->entries[i], i);
+	run_loop(f, SETTLE_MS);
+	*state = f;
+	return (0);
+}
+
+static int
+tear_down(void **state)
+{
+	struct fixture *f = *state;
+	unsigned i;
+
+	for (i = 0; i < ENTRIES; i++) {
+		stop_entry(&f->entries[i]);
+		cf_free(f->entries[i].config);
+		g_ptr_array_free(f->entries[i].conns, TRUE);
+	}
+	event_base_loop(f->base, EVLOOP_NONBLOCK);
+	event_base_free(f->base);
+	ck_free(f->clock);
+	g_free(f);
+	return (0);
+}
+
+static bool
+all_have(const struct fixture *f, unsigned first, uint64_t revision)
+{
+	unsigned i;
+
+	for (i = first; i < ENTRIES; i++)
+		if (cf_revision(f->entries[i].config) != revision)
+			return (false);
+	return (true);
+}
+
+/* Guards against entries that learn a configuration late or not at all, since
+ * each entry contacts only a few others in a period. */
+static void
+test_config_spreads(void **state)
+{
+	struct pd_queue queue = {.name = (char *)(uintptr_t) "q",
+	    .host = (char *)(uintptr_t) "h",
+	    .prefix = (char *)(uintptr_t) "/",
+	    .service = (char *)(uintptr_t) "s"};
+	struct pd_config config = {
+	    .revision = 7, .queues = {.queues_len = 1, .queues_val = &queue}};
+	struct fixture *f = *state;
+	unsigned i, n, ms;
+	uint32_t hash;
+
+	go_addresses(f->entries[0].gossip, &n, &hash);
+	assert_int_equal(ENTRIES, n);
+	for (i = 0; i < AWAY; i++)
+		stop_entry(&f->entries[i]);
+	assert_true(cf_apply(f->entries[AWAY].config, &config));
+	for (ms = 0; ms < CONVERGE_MS && !all_have(f, AWAY, 7); ms += STEP_MS)
+		run_loop(f, STEP_MS);
+	assert_true(all_have(f, AWAY, 7));
+	/* After a round, the count of waiting jobs includes each entry. */
+	run_loop(f, SETTLE_MS);
+	assert_in_range(go_waiting_count(f->entries[AWAY].gossip, "q"),
+	    ENTRIES - AWAY - 1, ENTRIES - 1);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test_setup_teardown(
+		test_config_spreads, set_up, tear_down),
+	};
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
