Count the queue at a worker as its agent does

Cause, from a log of the large site: an entry took the known queue for all CPU asked for beyond the capacity. Tasks of 15 cores leave some of 64 cores unused, so the queue was longer than that, and the agent returned the task as unexpectedly queued; the entry chose the same worker up to 16 times. A long task whose sample of 16 workers had no fast one was given up, though one of the others would have ended it in time.

Change: the queue limit follows from the CPU of started tasks in the report; a sample without a worker where the task is in time is followed by the larger one.

--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -211,6 +211,7 @@
 
 	for (i = 0; i < PD_LEVELS; i++)
 		all += load->cpu_queued[i];
+	w->cpu_used = load->cpu_used;
 	memcpy(w->cpu_queued, load->cpu_queued, sizeof(w->cpu_queued));
 	w->cpu_others = all > own ? all - own : 0;
 	w->accepting = load->accepting;
@@ -237,7 +238,9 @@
 {
 	unsigned all = cpu_ahead(w, priority) + cpu;
 
-	return (all > w->cpu ? MAX(all - w->cpu, cpu) : 0);
+	if (all <= w->cpu)
+		return (0);
+	return (MAX(all - MIN(w->cpu_used, all), cpu));
 }
 
 static bool
@@ -418,14 +421,15 @@
 /*
  * With the same old reports, all entries would choose the same best worker.
  * Each considers a random sample instead, and more workers only when the sample
- * has no free capacity.
+ * has no free capacity or none where the task would be in time.
  */
 struct fl_worker *
 fl_choose(struct fl *f, const struct fl_requirements *req, double *finish_ms)
 {
 	struct candidate best = best_in_sample(f, req, SAMPLE_SIZE, false);
 
-	if (best.worker == NULL || !has_room(best.worker, req))
+	if (best.worker == NULL || !has_room(best.worker, req) ||
+	    best.finish_ms > req->left_ms)
 		best = best_in_sample(f, req, LARGE_SAMPLE_SIZE, false);
 	if (best.worker == NULL)
 		best = best_in_sample(f, req, UINT_MAX, false);
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -29,6 +29,7 @@
  * @cpu: capacity, thousandths of a core; 0 while its endpoint is unknown
  * @cpu_others: CPU used by tasks of other entries, as of the last report
  * @cpu_own: CPU used by grants of this entry
+ * @cpu_used: CPU of the started tasks, as of the last report
  * @cpu_queued: CPU of the queued tasks by level, as of the last report
  * @accepting: accepts new tasks
  * @clock_offset_ms: agent's clock minus this entry's clock, too low by the
@@ -51,6 +52,7 @@
 	unsigned mem_mb;
 	unsigned cpu_others;
 	unsigned cpu_own;
+	unsigned cpu_used;
 	unsigned cpu_queued[PD_LEVELS];
 	bool accepting;
 	int64_t clock_offset_ms;
