Answer a job again that has run and lost its answer

Cause: a job was forgotten when its answer was handed to the connection, so a client that lost the answer and submitted the job again had it run once more.

Change: an entry keeps completed and failed jobs by id for 5 s, at most 4,096, and repeats their answer. pd_answers_repeated_total counts them. A job that was refused has not run and is decided again.

--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -18,6 +18,10 @@
 #define RETURNS_MAX 16
 /* Jobs that an entry holds at most; its memory allows about 10,000. */
 #define JOBS_MAX 4096
+/* Jobs that have ended are kept for this time, in which a client that lost the
+ * answer submits its job again: 1,300 ms after the connection broke. */
+#define ENDED_KEEP_MS 5000
+#define ENDED_MAX 4096
 #define PERMILLE 1000
 
 struct jb *
@@ -32,6 +36,8 @@
 	j->ops = ops;
 	j->arg = arg;
 	j->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	j->ended = g_hash_table_new(g_str_hash, g_str_equal);
+	g_queue_init(&j->ended_order);
 	j->took = hg_new(
 	    counters, "pd_job_took_ms", "From a job's arrival to its answer");
 	j->queued = hg_new(
@@ -43,11 +49,54 @@
 	return (j);
 }
 
+static void
+forget_oldest_ended(struct jb *j)
+{
+	struct jb_ended_job *e = g_queue_pop_head(&j->ended_order);
+
+	g_hash_table_remove(j->ended, e->id);
+	g_free(e->id);
+	g_free(e);
+}
+
+static void
+forget_expired_ended(struct jb *j)
+{
+	uint64_t now = ck_mono_ms(j->clock);
+	const struct jb_ended_job *e;
+
+	while ((e = g_queue_peek_head(&j->ended_order)) != NULL &&
+	    now - e->ended_ms > ENDED_KEEP_MS)
+		forget_oldest_ended(j);
+}
+
+void
+jb_remember_ended(
+    struct jb *j, const char *id, enum jb_status status, enum jb_reason reason)
+{
+	struct jb_ended_job *e;
+
+	if (g_hash_table_contains(j->ended, id))
+		return;
+	if (j->ended_order.length >= ENDED_MAX)
+		forget_oldest_ended(j);
+	e = g_new0(struct jb_ended_job, 1);
+	e->id = g_strdup(id);
+	e->status = status;
+	e->reason = reason;
+	e->ended_ms = ck_mono_ms(j->clock);
+	g_hash_table_insert(j->ended, e->id, e);
+	g_queue_push_tail(&j->ended_order, e);
+}
+
 void
 jb_free(struct jb *j)
 {
 	if (j == NULL)
 		return;
+	while (j->ended_order.length > 0)
+		forget_oldest_ended(j);
+	g_hash_table_destroy(j->ended);
 	g_hash_table_destroy(j->by_id);
 	g_hash_table_destroy(j->by_number);
 	g_hash_table_destroy(j->queues);
@@ -384,6 +433,26 @@
 	return (reason);
 }
 
+/* Answers a job that was submitted again after it had ended. */
+static bool
+answer_ended(struct jb *j, const char *id, uint64_t waiter)
+{
+	const struct jb_ended_job *e;
+	struct jb_answer a = {.id = id};
+
+	forget_expired_ended(j);
+	e = g_hash_table_lookup(j->ended, id);
+	if (e == NULL)
+		return (false);
+	a.status = e->status;
+	a.reason = e->reason;
+	ct_increment(j->counters, "pd_answers_repeated_total",
+	    "Jobs submitted again after their end, answered without running",
+	    "status", jb_status_name(a.status));
+	j->ops->answer(j->arg, waiter, &a);
+	return (true);
+}
+
 void
 jb_submit(struct jb *j, const struct jb_request *r, uint64_t waiter)
 {
@@ -394,6 +463,8 @@
 		g_array_append_val(job->waiters, waiter);
 		return;
 	}
+	if (answer_ended(j, r->id, waiter))
+		return;
 	if (g_hash_table_size(j->by_number) >= JOBS_MAX) {
 		refusal.reason = JB_R_OVERLOAD;
 		j->ops->answer(j->arg, waiter, &refusal);
--- a/sched/jobs.h
+++ b/sched/jobs.h
@@ -156,7 +156,7 @@
 
 /**
  * jb_submit() - accept or refuse a job; if its id is known, add a waiter to the
- * existing job
+ * existing job, or repeat the answer of one that has run and ended lately
  * @waiter: number of the caller, passed to jb_ops.answer
  */
 void jb_submit(struct jb *j, const struct jb_request *r, uint64_t waiter);
--- a/sched/jobs_impl.h
+++ b/sched/jobs_impl.h
@@ -99,6 +99,15 @@
 	bool over;
 };
 
+/** struct jb_ended_job - job that has ended, kept for its client's resubmission
+ */
+struct jb_ended_job {
+	char *id;
+	enum jb_status status;
+	enum jb_reason reason;
+	uint64_t ended_ms;
+};
+
 struct jb {
 	const struct ck *clock;
 	struct ct *counters;
@@ -108,6 +117,8 @@
 	GHashTable *by_id;     /* id -> struct jb_job, borrowed */
 	GHashTable *queues;    /* name -> struct jb_queue_stats, owned */
 	GHashTable *by_number; /* number -> struct jb_job, owned */
+	GHashTable *ended;     /* id -> struct jb_ended_job, borrowed */
+	GQueue ended_order;    /* struct jb_ended_job, owned, oldest first */
 	struct hg *took;       /* time from a job's arrival to its answer */
 	struct hg *queued;     /* wait of a task at its agent */
 	struct hg *ran;        /* run time of a task at its endpoint */
@@ -179,6 +190,11 @@
  * give the job up; @job may be consumed */
 void jb_retry_task(struct jb *j, struct jb_job *job, struct jb_task *t);
 
+/** jb_remember_ended() - keep the answer of a job that has run, in case its
+ * client submits it again; @id is copied */
+void jb_remember_ended(
+    struct jb *j, const char *id, enum jb_status status, enum jb_reason reason);
+
 /** jb_job_free() - free a job */
 void jb_job_free(void *job);
 
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -236,6 +236,31 @@
 	assert_int_equal(0, jb_active_count(f->jobs));
 }
 
+/* Guards against running a job again whose client lost the answer. */
+static void
+test_answer_lost(void **state)
+{
+	struct fixture *f = *state;
+
+	attach(f, "w1", 1);
+	submit(f, "a", 1);
+	report_end(f, 0, PD_END_DONE);
+	warm_up(f);
+	attach(f, "w1", 1);
+	submit_job(f, "a", 8, 1, 100, 1);
+	assert_int_equal(1, f->nstarts);
+	assert_int_equal(2, f->nanswers);
+	assert_int_equal(JB_COMPLETED, f->answers[1].status);
+	assert_int_equal(8, f->waiters[1]);
+	/* One that has not run may run now. */
+	fl_detach(f->fleet, 1);
+	submit(f, "b", 1);
+	assert_int_equal(JB_REFUSED, f->answers[2].status);
+	attach(f, "w1", 1);
+	submit(f, "b", 1);
+	assert_int_equal(2, f->nstarts);
+}
+
 /* Guards against a step that starts before the step it depends on is done. */
 static void
 test_steps(void **state)
@@ -770,6 +795,7 @@
 #define T(fn) cmocka_unit_test_setup_teardown(fn, set_up, tear_down)
 	const struct CMUnitTest tests[] = {
 	    T(test_complete),
+	    T(test_answer_lost),
 	    T(test_steps),
 	    T(test_refuse_at_once),
 	    T(test_spare_fast_worker),
