Refuse a job whose text does not fit in a message to an agent

Cause: a text of more than 64 KiB (bodies of 256 KiB are allowed) could not be encoded as START. The message was dropped, and the job was held to its deadline. Now the client gets 400 at once. The test sends this and 16 other malformed bodies to one listener, which answers each and serves the next.

The servers of test_front and test_platform listen on free ports, found the same way; the fixed port of test_platform lies in the range of outgoing ports and was taken twice beside other tests.

--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -11,9 +11,11 @@
 
 #include <cmocka.h>
 #include <event2/event.h>
+#include <glib.h>
 
 #include "clock.h"
 #include "front.h"
+#include "support_net.h"
 
 /* HTTP interface for clients, with a dispatcher stub that completes each job
  * at once. */
@@ -99,21 +101,6 @@
 static const struct fr_ops ops = {is_configured, is_config_expected, find_queue,
     submit, cancel, client_closed, count_waiting, is_configured};
 
-/* Finds a free port by binding any; it is released before use. */
-static void
-pick_free_address(char *text, size_t size)
-{
-	struct sockaddr_in a = {
-	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-	socklen_t len = sizeof(a);
-	int s = socket(AF_INET, SOCK_STREAM, 0);
-
-	assert_int_equal(0, bind(s, (struct sockaddr *)&a, sizeof(a)));
-	assert_int_equal(0, getsockname(s, (struct sockaddr *)&a, &len));
-	close(s);
-	snprintf(text, size, "127.0.0.1:%u", ntohs(a.sin_port));
-}
-
 static int
 connect_to(const char *address)
 {
@@ -131,10 +118,10 @@
 set_up(void **state)
 {
 	struct fixture *f = test_calloc(1, sizeof(*f));
-	char clients[32], probes[32];
+	char clients[SN_ADDRESS_SIZE], probes[SN_ADDRESS_SIZE];
 
-	pick_free_address(clients, sizeof(clients));
-	pick_free_address(probes, sizeof(probes));
+	sn_address(clients, sn_free_port());
+	sn_address(probes, sn_free_port());
 	f->base = event_base_new();
 	f->clock = ck_new_manual(START_MS, START_MS);
 	f->queue.prefix = (char *)(uintptr_t) "/q/";
@@ -244,6 +231,76 @@
 	f->client = socket(AF_INET, SOCK_STREAM, 0);
 }
 
+/* Sends a job with the given body on a connection of its own. Return: status of
+ * the response. */
+static int
+post(struct fixture *f, const char *path, const char *body)
+{
+	char *request = g_strdup_printf(
+	    "POST %s HTTP/1.1\r\nHost: h\r\n"
+	    "Content-Length: %zu\r\n\r\n%s",
+	    path, strlen(body), body);
+	size_t len = strlen(request), sent = 0;
+	ssize_t n;
+
+	while (sent < len) {
+		n = send(f->client, request + sent, len - sent,
+		    MSG_NOSIGNAL | MSG_DONTWAIT);
+		if (n > 0)
+			sent += (size_t)n;
+		run_loop(f);
+	}
+	g_free(request);
+	return (read_status(f));
+}
+
+static char *
+job_with_spec(char filler, size_t len)
+{
+	char *spec = g_strnfill(len, filler), *body;
+
+	body = g_strdup_printf(
+	    "{\"spec\":\"%s\",\"best_effort\":true,"
+	    "\"steps\":[{\"count\":1,\"cpu\":1}]}",
+	    spec);
+	g_free(spec);
+	return (body);
+}
+
+/* Guards against a malformed job that ends the process, is not answered, or is
+ * taken although it cannot be sent to an agent: a text of more than 64 KiB was
+ * dropped on its way, and the job was held to its deadline. */
+static void
+test_malformed(void **state)
+{
+	static const char *const bodies[] = {"", "{", "[]", "null", "7",
+	    "{\"steps\":7}", "{\"steps\":[]}", "{\"steps\":[7]}",
+	    "{\"steps\":[{\"count\":-1}]}",
+	    "{\"steps\":[{\"count\":99999999999999999999}]}",
+	    "{\"steps\":[{\"count\":541,\"cpu\":1}]}",
+	    "{\"steps\":[{\"count\":1,\"after\":[0]}]}",
+	    "{\"steps\":[{\"count\":1,\"after\":[-1]}]}",
+	    "{\"steps\":[{\"count\":\"1\"}]}", "\xff\xfe{}"};
+	char *large = job_with_spec('x', PD_BODY_MAX + 1);
+	char *fits = job_with_spec('x', PD_BODY_MAX);
+	char *nested = g_strnfill(100000, '[');
+	struct fixture *f = *state;
+	size_t i;
+
+	f->has_config = true;
+	for (i = 0; i < G_N_ELEMENTS(bodies); i++)
+		assert_int_equal(400, post(f, "/q/01", bodies[i]));
+	assert_int_equal(400, post(f, "/q/01", nested));
+	assert_int_equal(400, post(f, "/q/01", large));
+	assert_int_equal(0, f->deadline_ms);
+	assert_int_equal(200, post(f, "/q/01", fits));
+	send_request(f);
+	assert_int_equal(200, read_status(f));
+	g_free(large);
+	g_free(fits);
+	g_free(nested);
+}
+
 #define T(fn) cmocka_unit_test_setup_teardown(fn, set_up, tear_down)
 
 int
@@ -253,6 +310,7 @@
 	    T(test_wait_for_configuration),
 	    T(test_no_configuration),
 	    T(test_client_gone),
+	    T(test_malformed),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -13,8 +13,8 @@
 #include <unistd.h>
 
 #include "platform.h"
+#include "support_net.h"
 
-#define PORT 39117
 #define TIMEOUT_MS 1000
 
 /* Platform stub: the response it sends next, and the last request. */
@@ -30,6 +30,7 @@
 };
 
 static struct fake fake;
+static unsigned port; /* of the fake */
 
 static int
 handle_request(
@@ -59,9 +60,10 @@
 	struct sockaddr_in bind_to = {.sin_family = AF_INET};
 
 	(void)state;
-	bind_to.sin_port = htons(PORT);
+	port = sn_free_port();
+	bind_to.sin_port = htons((uint16_t)port);
 	inet_pton(AF_INET, "127.0.0.1", &bind_to.sin_addr);
-	if (ulfius_init_instance(&fake.instance, PORT, &bind_to, NULL) != U_OK)
+	if (ulfius_init_instance(&fake.instance, port, &bind_to, NULL) != U_OK)
 		return (-1);
 	ulfius_add_endpoint_by_val(
 	    &fake.instance, "*", NULL, "*", 0, handle_request, NULL);
@@ -80,7 +82,11 @@
 static struct pf
 new_client(void)
 {
-	return (pf_http("http://127.0.0.1:39117", TIMEOUT_MS));
+	char *url = g_strdup_printf("http://127.0.0.1:%u", port);
+	struct pf client = pf_http(url, TIMEOUT_MS);
+
+	g_free(url);
+	return (client);
 }
 
 static void
