Stop an agent whose endpoint takes orders of a later one

Cause, found by reading: an agent whose fencing token is rejected raised it by a minute, also after the endpoint had accepted it. So an agent that was paused while its successor started took over again when it woke, and both ordered runs in turn.

After that it means that a later agent is in charge: the agent stops and exits with 1.

--- a/agent/executor.c
+++ b/agent/executor.c
@@ -80,6 +80,7 @@
 	GPtrArray *labels;
 	uint64_t stop_requested_ms;
 	const char *path; /* of the settings */
+	bool failed;
 };
 
 /* --- outputs of the runner --- */
@@ -201,6 +202,18 @@
 	ru_stop_answer(e->runner, run, done);
 }
 
+/* The later agent ends the runs of this one. */
+static void
+on_superseded(void *arg)
+{
+	struct ex *e = arg;
+
+	lg_write(LOG_ERR, PART,
+	    "a later agent is in charge of the endpoint: stopping");
+	e->failed = true;
+	event_base_loopbreak(e->base);
+}
+
 static const struct od_ops endpoint_ops = {
     .heartbeat = on_heartbeat,
     .gone = on_gone,
@@ -210,6 +223,7 @@
     .unreachable = on_unreachable,
     .started = on_started,
     .stopped = on_stopped,
+    .superseded = on_superseded,
 };
 
 /* --- the entries --- */
@@ -480,7 +494,7 @@
 		start_events(&e);
 		lg_write(LOG_NOTICE, PART, "%s started", e.settings.name);
 		event_base_dispatch(e.base);
-		code = 0;
+		code = e.failed ? 1 : 0;
 	}
 	stop(&e);
 	st_release(keys, G_N_ELEMENTS(keys), &e.settings);
