Sample connected workers only, and count none that has just connected

Cause: an entry that all agents contact first, as a seed, keeps a record of all workers; three quarters of its sample of 16 were then not connected.

test_disconnected_not_sampled fails without the first change.

--- a/agent/links.c
+++ b/agent/links.c
@@ -282,7 +282,8 @@
 		l->entry = a->incarnation;
 	}
 	k->ops->contact(k->arg, l->entry, a->clock_ms);
-	if (l->unneeded_ms == 0)
+	/* An entry has not counted a worker that has just connected. */
+	if (l->unneeded_ms == 0 && a->service_workers > 0)
 		ac_observe(k->contacts, a->service_workers, a->label_workers);
 	add_announced(l, a);
 }
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -52,6 +52,7 @@
 	const struct cf *config;
 	struct rn *rng;
 	GPtrArray *workers;     /* struct fl_worker, owned */
+	GPtrArray *connected;   /* those with a session, in any order */
 	GHashTable *by_name;    /* name -> struct fl_worker */
 	GHashTable *by_session; /* session -> struct fl_worker */
 	uint64_t counted_ms;    /* when workers were counted */
@@ -84,6 +85,7 @@
 	f->warm_up_from_ms = ck_mono_ms(clock);
 	f->ticked_ms = f->warm_up_from_ms;
 	f->workers = g_ptr_array_new_with_free_func(worker_free);
+	f->connected = g_ptr_array_new();
 	f->by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	f->by_session = g_hash_table_new(g_int64_hash, g_int64_equal);
 	return (f);
@@ -94,6 +96,7 @@
 {
 	if (f == NULL)
 		return;
+	g_ptr_array_free(f->connected, TRUE);
 	g_hash_table_destroy(f->by_name);
 	g_hash_table_destroy(f->by_session);
 	g_ptr_array_free(f->workers, TRUE);
@@ -141,11 +144,15 @@
 {
 	if (w->session == session)
 		return;
-	if (w->session != 0)
+	if (w->session != 0) {
 		g_hash_table_remove(f->by_session, &w->session);
+		g_ptr_array_remove_fast(f->connected, w);
+	}
 	w->session = session;
-	if (session != 0)
+	if (session != 0) {
 		g_hash_table_insert(f->by_session, &w->session, w);
+		g_ptr_array_add(f->connected, w);
+	}
 }
 
 /* A new agent process keeps the learned speed, which belongs to the worker. */
@@ -402,19 +409,19 @@
 		*best = p;
 }
 
-/* Best of @size random workers, or of all if there are not more. */
+/* Best of @size random connected workers, or of all if there are not more. */
 static struct candidate
 best_in_sample(
     struct fl *f, const struct fl_requirements *req, unsigned size, bool all)
 {
 	struct candidate best = {0};
 	uint64_t now_us = ck_mono_us(f->clock);
-	guint i, n = f->workers->len;
+	guint i, n = f->connected->len;
 
 	for (i = 0; i < MIN(size, n); i++)
 		consider(f, req,
-		    f->workers->pdata[size < n ? rn_below(f->rng, n) : i], all,
-		    now_us, &best);
+		    f->connected->pdata[size < n ? rn_below(f->rng, n) : i],
+		    all, now_us, &best);
 	return (best);
 }
 
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -413,6 +413,32 @@
 	assert_int_equal(2, f->nstarts);
 }
 
+/* Guards against a choice among a few workers only because most of those that
+ * the entry has seen are not connected any more. */
+static void
+test_disconnected_not_sampled(void **state)
+{
+	struct fixture *f = *state;
+	struct fl_worker *fast;
+	char name[16];
+	unsigned i;
+
+	for (i = 1; i <= 200; i++) {
+		g_snprintf(name, sizeof(name), "w%u", i);
+		attach(f, name, i);
+		if (i > 10)
+			fl_detach(f->fleet, i);
+	}
+	fast = attach(f, "w7", 7);
+	set_run_ratio(f, fast, 0.1);
+	for (i = 0; i < 10; i++) {
+		g_snprintf(name, sizeof(name), "job%u", i);
+		submit_job(f, name, 7, 1, 400, 1);
+		assert_int_equal(i + 1, f->nstarts);
+		assert_ptr_equal(fast, f->start_workers[i]);
+	}
+}
+
 /* Guards against a task that waits at a full worker though its entry expected
  * it to start at once; one that is expected to wait may wait. */
 static void
@@ -804,6 +830,7 @@
 	    T(test_wrong_speed_from_agent),
 	    T(test_ejected_by_agent),
 	    T(test_queue_limit),
+	    T(test_disconnected_not_sampled),
 	    T(test_wait_for_agents),
 	    T(test_wait_after_freeze),
 	    T(test_retry_on_other_worker),
