Share what the runner, the fleet and the links computed twice

- The hash of a list of addresses stood in gossip.c and links.c and must be the same in both: ac_list_hash().
- The time of the next probe was computed in five places: wh_schedule_probe().
- The learned speed was added to each sum of the load, several times for each grant, though only reports need it: ru_sum_load() leaves it out.
- The load for an entry that is left was adjusted in three ways: load_for().
- The reason of an ended job is not needed to repeat its answer.
- go_exchange_now() had no caller but go_new(), and contacted no longer all.

--- a/agent/links.c
+++ b/agent/links.c
@@ -1,6 +1,5 @@
 #include <glib.h>
 #include <string.h>
-#include <xxhash.h>
 
 #include "clock.h"
 #include "conn.h"
@@ -134,20 +133,22 @@
 	xdr_free((xdrproc_t)xdr_pd_cancel, (char *)&list);
 }
 
-/* An entry that the agent is about to leave must not grant any more. */
-static bool
-accepts_grants(const struct link *l, const struct pd_load *load)
+/* The load as it is reported to one entry: one that the agent is about to leave
+ * must not grant any more. */
+static struct pd_load
+load_for(const struct link *l, struct pd_load load)
 {
-	return (load->accepting && l->unneeded_ms == 0);
+	load.accepting = load.accepting && l->unneeded_ms == 0;
+	return (load);
 }
 
-static void
-fill_load(struct lk *k, struct pd_ended *e)
+static struct pd_load
+current_load(struct lk *k)
 {
 	struct pd_attach a = {0};
 
 	k->ops->fill_attach(k->arg, &a);
-	e->load = a.load;
+	return (a.load);
 }
 
 static void
@@ -167,8 +168,7 @@
 		reply.list.list_val[i].state =
 		    k->ops->state(k->arg, l->entry, &list.list.list_val[i]);
 	}
-	fill_load(k, &reply);
-	reply.load.accepting = accepts_grants(l, &reply.load);
+	reply.load = load_for(l, current_load(k));
 	cn_reply(l->conn, xid, (xdrproc_t)xdr_pd_ended, &reply);
 	g_free(reply.list.list_val);
 	xdr_free((xdrproc_t)xdr_pd_cancel, (char *)&list);
@@ -247,19 +247,15 @@
 static void
 add_announced(struct link *from, const struct pd_attached *a)
 {
+	const char *const *list = (const char *const *)a->entries.entries_val;
+	unsigned n = a->entries.entries_len, i;
 	struct lk *k = from->links;
-	uint32_t hash = 0;
-	pd_name address;
-	unsigned i;
 
-	for (i = 0; i < a->entries.entries_len; i++) {
-		address = a->entries.entries_val[i];
-		hash += (uint32_t)XXH3_64bits(address, strlen(address));
-		link_add(k, address, false)->announced_ms =
+	for (i = 0; i < n; i++)
+		link_add(k, list[i], false)->announced_ms =
 		    ck_mono_ms(k->clock);
-	}
-	if (a->entries.entries_len > 0)
-		from->list_hash = hash;
+	if (n > 0)
+		from->list_hash = ac_list_hash(list, n);
 }
 
 static void
@@ -313,7 +309,7 @@
 	a.cell = k->cell;
 	a.clock_ms = ck_mono_ms(k->clock);
 	a.entries_hash = known_list(l);
-	a.load.accepting = accepts_grants(l, &a.load);
+	a.load = load_for(l, a.load);
 	l->heartbeat_pending = true;
 	l->heartbeat_sent_ms = a.clock_ms;
 	cn_call(l->conn, PD_ATTACH, (xdrproc_t)xdr_pd_attach, &a,
@@ -445,19 +441,17 @@
 	uint64_t now = ck_mono_ms(k->clock);
 	struct pd_ended e = {0};
 	GHashTableIter it;
-	bool accepting;
+	struct pd_load load = current_load(k);
 	struct link *l;
 
 	(void)fd;
 	(void)what;
-	fill_load(k, &e);
-	accepting = e.load.accepting;
 	g_hash_table_iter_init(&it, k->table);
 	while (g_hash_table_iter_next(&it, NULL, (void **)&l)) {
 		if (l->unsent_ends->len == 0 && !is_load_report_due(l, now))
 			continue;
 		l->load_sent_ms = now;
-		e.load.accepting = accepting && l->unneeded_ms == 0;
+		e.load = load_for(l, load);
 		e.list.list_val = (struct pd_end *)l->unsent_ends->data;
 		e.list.list_len = MIN(l->unsent_ends->len, PD_BATCH_MAX);
 		if (l->open)
--- a/entry/gossip.c
+++ b/entry/gossip.c
@@ -1,8 +1,8 @@
 #include <glib.h>
 #include <string.h>
-#include <xxhash.h>
 
 #include "clock.h"
+#include "contacts.h"
 #include "gossip.h"
 #include "log.h"
 #include "rng.h"
@@ -156,8 +156,7 @@
 	uint64_t now = ck_mono_ms(g->clock);
 	GHashTableIter it;
 	struct peer *p;
-	uint32_t sum = 0;
-	guint i;
+	const char *const *list;
 
 	g_ptr_array_set_size(g->addresses, 0);
 	g_ptr_array_add(g->addresses, (char *)(uintptr_t)g->self.address);
@@ -167,13 +166,10 @@
 		    now - p->last_heard_ms < ADVERTISE_MS &&
 		    g->addresses->len < PD_ENTRIES_MAX)
 			g_ptr_array_add(g->addresses, p->address);
-	/* A sum does not depend on the order of the list. */
-	for (i = 0; i < g->addresses->len; i++)
-		sum += (uint32_t)XXH3_64bits(
-		    g->addresses->pdata[i], strlen(g->addresses->pdata[i]));
+	list = (const char *const *)g->addresses->pdata;
 	*n = g->addresses->len;
-	*hash = sum;
-	return ((const char *const *)g->addresses->pdata);
+	*hash = ac_list_hash(list, *n);
+	return (list);
 }
 
 /* Fills a message to an entry that has the configuration @revision and a list
@@ -347,12 +343,6 @@
 	peer_add(g, address, true);
 }
 
-void
-go_exchange_now(struct go *g)
-{
-	on_timer(-1, 0, g);
-}
-
 struct go *
 go_new(struct event_base *base, const struct ck *clock, const struct cf *config,
     const struct go_identity *self, const struct go_ops *ops, void *arg)
@@ -374,7 +364,7 @@
 	for (i = 0; i < self->nseeds; i++)
 		peer_add(g, self->seeds[i], true);
 	g->timer = evtimer_new(base, on_timer, g);
-	go_exchange_now(g);
+	on_timer(-1, 0, g);
 	return (g);
 }
 
--- a/entry/gossip.h
+++ b/entry/gossip.h
@@ -55,10 +55,6 @@
 /** go_add_seed() - add a seed unless its address is known; copied */
 void go_add_seed(struct go *g, const char *address);
 
-/** go_exchange_now() - contact all other entries now instead of at the end of
- * the period */
-void go_exchange_now(struct go *g);
-
 /** go_waiting_count() - number of waiting jobs of a queue at the other
  * entries */
 unsigned go_waiting_count(const struct go *g, const char *queue);
--- a/sched/contacts.c
+++ b/sched/contacts.c
@@ -48,6 +48,18 @@
 	    address, strlen(address), XXH3_64bits(agent, strlen(agent))));
 }
 
+uint32_t
+ac_list_hash(const char *const *addresses, unsigned n)
+{
+	uint32_t sum = 0;
+	unsigned i;
+
+	for (i = 0; i < n; i++)
+		sum +=
+		    (uint32_t)XXH3_64bits(addresses[i], strlen(addresses[i]));
+	return (sum);
+}
+
 void
 ac_observe(struct ac *c, unsigned service_workers, unsigned label_workers)
 {
--- a/sched/contacts.h
+++ b/sched/contacts.h
@@ -36,6 +36,10 @@
 /** ac_rank() - preference of an agent for an entry: the lowest come first */
 uint64_t ac_rank(const char *agent, const char *address);
 
+/** ac_list_hash() - hash of a list of addresses that does not depend on its
+ * order */
+uint32_t ac_list_hash(const char *const *addresses, unsigned n);
+
 /**
  * ac_observe() - note how many workers an entry knows
  * @service_workers: workers of the same service as this one
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -202,8 +202,7 @@
     struct fl *f, struct fl_worker *w, const struct pd_speed *s)
 {
 	if (s->ejected && !w->reported.ejected)
-		w->own.next_probe_ms =
-		    ck_mono_ms(f->clock) + WH_PROBE_INTERVAL_MS;
+		wh_schedule_probe(&w->own, ck_mono_ms(f->clock));
 	w->reported.ejected = s->ejected;
 	if (s->samples > 0 && s->ratio_permille > 0)
 		w->reported = *s;
@@ -461,9 +460,7 @@
 void
 fl_reserve(struct fl *f, struct fl_worker *w, unsigned cpu)
 {
-	if (w->own.ejected || w->reported.ejected)
-		w->own.next_probe_ms =
-		    ck_mono_ms(f->clock) + WH_PROBE_INTERVAL_MS;
+	wh_schedule_probe(&w->own, ck_mono_ms(f->clock));
 	w->cpu_own += cpu;
 }
 
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -71,8 +71,7 @@
 }
 
 void
-jb_remember_ended(
-    struct jb *j, const char *id, enum jb_status status, enum jb_reason reason)
+jb_remember_ended(struct jb *j, const char *id, enum jb_status status)
 {
 	struct jb_ended_job *e;
 
@@ -83,7 +82,6 @@
 	e = g_new0(struct jb_ended_job, 1);
 	e->id = g_strdup(id);
 	e->status = status;
-	e->reason = reason;
 	e->ended_ms = ck_mono_ms(j->clock);
 	g_hash_table_insert(j->ended, e->id, e);
 	g_queue_push_tail(&j->ended_order, e);
@@ -445,7 +443,6 @@
 	if (e == NULL)
 		return (false);
 	a.status = e->status;
-	a.reason = e->reason;
 	ct_increment(j->counters, "pd_answers_repeated_total",
 	    "Jobs submitted again after their end, answered without running",
 	    "status", jb_status_name(a.status));
--- a/sched/jobs_impl.h
+++ b/sched/jobs_impl.h
@@ -104,7 +104,6 @@
 struct jb_ended_job {
 	char *id;
 	enum jb_status status;
-	enum jb_reason reason;
 	uint64_t ended_ms;
 };
 
@@ -192,8 +191,7 @@
 
 /** jb_remember_ended() - keep the answer of a job that has run, in case its
  * client submits it again; @id is copied */
-void jb_remember_ended(
-    struct jb *j, const char *id, enum jb_status status, enum jb_reason reason);
+void jb_remember_ended(struct jb *j, const char *id, enum jb_status status);
 
 /** jb_job_free() - free a job */
 void jb_job_free(void *job);
--- a/sched/jobs_outcome.c
+++ b/sched/jobs_outcome.c
@@ -113,7 +113,7 @@
 		    j->arg, g_array_index(job->waiters, uint64_t, i), &a);
 	j->ops->ended(j->arg, &a);
 	if (status == JB_COMPLETED || status == JB_FAILED)
-		jb_remember_ended(j, job->id, status, reason);
+		jb_remember_ended(j, job->id, status);
 	g_hash_table_remove(j->by_id, job->id);
 	g_hash_table_remove(j->by_number, &job->number);
 }
--- a/sched/runner.c
+++ b/sched/runner.c
@@ -92,29 +92,13 @@
 	    e != NULL && ck_mono_ms(r->clock) <= e->echo_ms + LE_CONTACT_MS);
 }
 
-static struct pd_speed
-reported_speed(const struct ru *r)
-{
-	const struct po_speed *s = &r->health.speed;
-	double ratio = po_run_ratio(s, ck_mono_us(r->clock));
-	struct pd_speed p = {.ejected = r->health.ejected};
-
-	if (s->samples == 0)
-		return (p);
-	p.samples = (unsigned)MIN(s->samples, UINT32_MAX);
-	p.ratio_permille = (unsigned)(ratio * PERMILLE);
-	p.mean_ms = (unsigned)(s->mean_ms * ratio / s->run_ratio);
-	return (p);
-}
-
 struct ru_load
-ru_load(const struct ru *r)
+ru_sum_load(const struct ru *r)
 {
 	struct ru_load l = {.cpu = r->endpoint_known ? r->cpu : 0,
 	    .mem_mb = r->mem_mb,
 	    .reported.accepting = r->endpoint_known && r->accepting &&
 		!r->draining && r->unanswered < RU_UNANSWERED_MAX,
-	    .reported.speed = reported_speed(r),
 	    .old_runs_ended = r->old_runs_ended};
 	const struct ru_task *t;
 	guint i;
@@ -132,6 +116,30 @@
 	return (l);
 }
 
+static struct pd_speed
+reported_speed(const struct ru *r)
+{
+	const struct po_speed *s = &r->health.speed;
+	double ratio = po_run_ratio(s, ck_mono_us(r->clock));
+	struct pd_speed p = {.ejected = r->health.ejected};
+
+	if (s->samples == 0)
+		return (p);
+	p.samples = (unsigned)MIN(s->samples, UINT32_MAX);
+	p.ratio_permille = (unsigned)(ratio * PERMILLE);
+	p.mean_ms = (unsigned)(s->mean_ms * ratio / s->run_ratio);
+	return (p);
+}
+
+struct ru_load
+ru_load(const struct ru *r)
+{
+	struct ru_load l = ru_sum_load(r);
+
+	l.reported.speed = reported_speed(r);
+	return (l);
+}
+
 static unsigned
 mem_used(const struct ru *r)
 {
@@ -290,7 +298,7 @@
 	    r->unanswered >= RU_UNANSWERED_MAX || now < r->full_until_ms)
 		return;
 	for (;;) {
-		l = ru_load(r);
+		l = ru_sum_load(r);
 		mem = mem_used(r);
 		t = next_task(r,
 		    l.cpu > l.reported.cpu_used ? l.cpu - l.reported.cpu_used
@@ -362,7 +370,7 @@
 void
 ru_grant(struct ru *r, uint64_t entry, const struct pd_start *s)
 {
-	struct ru_load l = ru_load(r);
+	struct ru_load l = ru_sum_load(r);
 	struct ru_task *t = task_new(r, entry, s);
 	uint64_t now = ck_mono_ms(r->clock);
 	bool full;
@@ -377,7 +385,7 @@
 		ru_end(r, t, PD_END_RETURNED);
 		return;
 	}
-	wh_probe_sent(&r->health, now);
+	wh_schedule_probe(&r->health, now);
 	ru_start_queued(r);
 }
 
--- a/sched/runner_endpoint.c
+++ b/sched/runner_endpoint.c
@@ -37,7 +37,7 @@
 	/* Do not keep runs of an earlier agent process alive, nor those at a
 	 * silent endpoint, whose end would stay unknown. */
 	if (!r->old_runs_ended || r->unanswered >= RU_UNANSWERED_MAX ||
-	    ru_load(r).active == 0)
+	    ru_sum_load(r).active == 0)
 		return (0);
 	return (ru_extend_lease(r));
 }
--- a/sched/runner_impl.h
+++ b/sched/runner_impl.h
@@ -89,6 +89,10 @@
 	uint64_t full_until_ms;  /* no starts before this */
 };
 
+/** ru_sum_load() - as ru_load(), without the learned speed, which no decision
+ * of the runner needs */
+struct ru_load ru_sum_load(const struct ru *r);
+
 /** ru_start_queued() - start queued tasks that fit, the most urgent first */
 void ru_start_queued(struct ru *r);
 
--- a/sched/worker_health.c
+++ b/sched/worker_health.c
@@ -27,7 +27,7 @@
 wh_task_failed(struct wh *h, uint64_t job, uint64_t now_ms)
 {
 	if (h->ejected)
-		h->next_probe_ms = now_ms + WH_PROBE_INTERVAL_MS;
+		wh_schedule_probe(h, now_ms);
 	if (h->failures > 0 && h->failed_job == job)
 		return (false);
 	h->failures++;
@@ -35,13 +35,6 @@
 	if (h->failures < WH_EJECT_FAILURES || h->ejected)
 		return (false);
 	h->ejected = true;
-	h->next_probe_ms = now_ms + WH_PROBE_INTERVAL_MS;
+	wh_schedule_probe(h, now_ms);
 	return (true);
 }
-
-void
-wh_probe_sent(struct wh *h, uint64_t now_ms)
-{
-	if (h->ejected)
-		h->next_probe_ms = now_ms + WH_PROBE_INTERVAL_MS;
-}
--- a/sched/worker_health.h
+++ b/sched/worker_health.h
@@ -60,9 +60,13 @@
  */
 bool wh_task_failed(struct wh *h, uint64_t job, uint64_t now_ms);
 
-/** wh_probe_sent() - note that a task goes to the worker, which is the probe of
- * this interval if it is ejected */
-void wh_probe_sent(struct wh *h, uint64_t now_ms);
+/** wh_schedule_probe() - allow the next probe after an interval; no effect
+ * unless the worker is ejected */
+static inline void
+wh_schedule_probe(struct wh *h, uint64_t now_ms)
+{
+	h->next_probe_ms = now_ms + WH_PROBE_INTERVAL_MS;
+}
 
 /** wh_accepts() - whether the worker may get a task now */
 static inline bool
