--- a/tests/test_conn.c
+++ b/tests/test_conn.c
@@ -13,6 +13,7 @@
 
 #include "conn.h"
 #include "pd.h"
+#include "support_net.h"
 
 /* Both ends of a connection, on one event loop. */
 struct connection_pair {
@@ -97,15 +98,6 @@
 	cn_set_ops(c, &server_ops, p);
 }
 
-static void
-run_loop(struct connection_pair *p, int ms)
-{
-	struct timeval tv = {ms / 1000, (ms % 1000) * 1000};
-
-	event_base_loopexit(p->base, &tv);
-	event_base_dispatch(p->base);
-}
-
 static int
 setup(void **state)
 {
@@ -122,7 +114,7 @@
 	    cn_listener_port(p.listener));
 	p.client = cn_connect(p.base, address, &client_ops, &p, &error);
 	assert_non_null(p.client);
-	run_loop(&p, 30);
+	sn_run_loop(p.base, 30);
 	assert_int_equal(1, p.opened);
 	*state = &p;
 	return (0);
@@ -135,7 +127,7 @@
 
 	if (p->client != NULL)
 		cn_close(p->client);
-	run_loop(p, 20);
+	sn_run_loop(p->base, 20);
 	if (p->server != NULL)
 		cn_close(p->server);
 	cn_listener_free(p->listener);
@@ -178,7 +170,7 @@
 	struct outcome o = {0};
 
 	call(p, 41, 1000, &o);
-	run_loop(p, 30);
+	sn_run_loop(p->base, 30);
 	assert_int_equal(1, o.count);
 	assert_int_equal(CN_OK, o.error);
 	assert_int_equal(42, o.revision);
@@ -195,7 +187,7 @@
 
 	cn_set_ops(p->server, &no_call_ops, p);
 	call(p, 41, 1000, &o);
-	run_loop(p, 30);
+	sn_run_loop(p->base, 30);
 	assert_int_equal(1, o.count);
 	assert_int_equal(CN_REJECTED, o.error);
 	assert_int_equal(0, p->calls);
@@ -213,13 +205,13 @@
 	p->answer_now = false;
 	call(p, 1, 0, &a);
 	call(p, 2, 0, &b);
-	run_loop(p, 30);
+	sn_run_loop(p->base, 30);
 	assert_int_equal(2, p->calls);
 	held.revision = 22;
 	cn_reply(p->server, p->xids[1], (xdrproc_t)xdr_pd_held, &held);
 	held.revision = 11;
 	cn_reply(p->server, p->xids[0], (xdrproc_t)xdr_pd_held, &held);
-	run_loop(p, 30);
+	sn_run_loop(p->base, 30);
 	assert_int_equal(11, a.revision);
 	assert_int_equal(22, b.revision);
 }
@@ -234,11 +226,11 @@
 
 	p->answer_now = false;
 	call(p, 1, 20, &o);
-	run_loop(p, 60);
+	sn_run_loop(p->base, 60);
 	assert_int_equal(1, o.count);
 	assert_int_equal(CN_TIMEOUT, o.error);
 	cn_reply(p->server, p->xids[0], (xdrproc_t)xdr_pd_held, &held);
-	run_loop(p, 30);
+	sn_run_loop(p->base, 30);
 	assert_int_equal(1, o.count);
 	assert_non_null(p->client);
 }
@@ -252,9 +244,9 @@
 
 	p->answer_now = false;
 	call(p, 1, 0, &o);
-	run_loop(p, 30);
+	sn_run_loop(p->base, 30);
 	cn_close(p->server);
-	run_loop(p, 30);
+	sn_run_loop(p->base, 30);
 	assert_int_equal(1, o.count);
 	assert_int_equal(CN_CLOSED, o.error);
 	assert_int_equal(1, p->client_closed);
@@ -267,7 +259,7 @@
 	struct connection_pair *p = *state;
 
 	cn_set_idle(p->client, 40);
-	run_loop(p, 120);
+	sn_run_loop(p->base, 120);
 	assert_int_equal(1, p->client_closed);
 	assert_int_equal(CN_IDLE, p->client_why);
 }
@@ -281,7 +273,7 @@
 
 	cn_call(p->client, 99, (xdrproc_t)xdr_pd_changes_from, &from,
 	    (xdrproc_t)xdr_pd_held, sizeof(struct pd_held), 0, call_done, &o);
-	run_loop(p, 30);
+	sn_run_loop(p->base, 30);
 	assert_int_equal(CN_REJECTED, o.error);
 }
 
@@ -329,10 +321,10 @@
 
 		p->server_closed = 0;
 		fd = connect_raw(p);
-		run_loop(p, 20);
+		sn_run_loop(p->base, 20);
 		assert_true(write(fd, cases[i].bytes, cases[i].len) ==
 		    (ssize_t)cases[i].len);
-		run_loop(p, 20);
+		sn_run_loop(p->base, 20);
 		assert_int_equal(1, p->server_closed);
 		assert_int_equal(CN_MALFORMED, p->server_why);
 		close(fd);
--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -10,6 +10,7 @@
 #include "clock.h"
 #include "gossip.h"
 #include "log.h"
+#include "support_net.h"
 
 /* Tests the gossip of many entries on one event loop, over real connections. */
 
@@ -29,7 +30,7 @@
 struct entry {
 	struct fixture *fixture;
 	struct cn_listener *listener;
-	char address[32];
+	char address[SN_ADDRESS_SIZE];
 	struct cf *config;
 	struct go *gossip;
 	GPtrArray *conns; /* accepted and still open */
@@ -100,15 +101,6 @@
     .cancel = cancel,
 };
 
-static void
-run_loop(struct fixture *f, unsigned ms)
-{
-	struct timeval tv = {ms / 1000, (ms % 1000) * 1000};
-
-	event_base_loopexit(f->base, &tv);
-	event_base_dispatch(f->base);
-}
-
 static void
 start_entry(struct fixture *f, struct entry *e, unsigned number)
 {
@@ -138,7 +130,6 @@
 set_up(void **state)
 {
 	struct fixture *f = g_new0(struct fixture, 1);
-	enum cn_error error;
 	struct entry *e;
 	unsigned i;
 
@@ -149,17 +140,13 @@
 		e = &f->entries[i];
 		e->fixture = f;
 		e->conns = g_ptr_array_new();
-		e->listener =
-		    cn_listen(f->base, "127.0.0.1:0", on_accept, e, &error);
-		assert_non_null(e->listener);
-		snprintf(e->address, sizeof(e->address), "127.0.0.1:%u",
-		    cn_listener_port(e->listener));
+		e->listener = sn_listen(f->base, on_accept, e, e->address);
 	}
 	for (i = 0; i < SEEDS; i++)
 		f->seeds[i] = f->entries[i].address;
 	for (i = 0; i < ENTRIES; i++)
 		start_entry(f, &f->entries[i], i);
-	run_loop(f, SETTLE_MS);
+	sn_run_loop(f->base, SETTLE_MS);
 	*state = f;
 	return (0);
 }
@@ -214,10 +201,10 @@
 		stop_entry(&f->entries[i]);
 	assert_true(cf_apply(f->entries[AWAY].config, &config));
 	for (ms = 0; ms < CONVERGE_MS && !all_have(f, AWAY, 7); ms += STEP_MS)
-		run_loop(f, STEP_MS);
+		sn_run_loop(f->base, STEP_MS);
 	assert_true(all_have(f, AWAY, 7));
 	/* After a round, the count of waiting jobs includes each entry. */
-	run_loop(f, SETTLE_MS);
+	sn_run_loop(f->base, SETTLE_MS);
 	assert_in_range(go_waiting_count(f->entries[AWAY].gossip, "q"),
 	    ENTRIES - AWAY - 1, ENTRIES - 1);
 }
--- a/tests/test_links.c
+++ b/tests/test_links.c
@@ -13,6 +13,7 @@
 #include "contacts.h"
 #include "links.h"
 #include "log.h"
+#include "support_net.h"
 
 /* Tests the connections of an agent to more entries than it needs, with
  * entries that only answer heartbeats, on one event loop. */
@@ -31,10 +32,9 @@
 	struct fixture *fixture;
 	unsigned number;
 	struct cn_listener *listener;
-	char address[32];
+	char address[SN_ADDRESS_SIZE];
 	struct cn *conn;
-	bool accepting;    /* in the last heartbeat */
-	bool was_attached; /* has received a heartbeat */
+	bool accepting; /* in the last heartbeat */
 };
 
 struct fixture {
@@ -59,7 +59,6 @@
 	assert_int_equal(PD_ATTACH, proc);
 	assert_true(cn_decode(c, args, (xdrproc_t)xdr_pd_attach, &a));
 	e->accepting = a.load.accepting;
-	e->was_attached = true;
 	reply.clock_ms = a.clock_ms;
 	reply.entries.entries_val = (pd_name *)(uintptr_t)e->fixture->addresses;
 	reply.entries.entries_len = ENTRIES;
@@ -127,20 +126,10 @@
     .gone = on_gone,
     .has_grants = has_grants};
 
-static void
-run_loop(struct fixture *f, unsigned ms)
-{
-	struct timeval tv = {ms / 1000, (ms % 1000) * 1000};
-
-	event_base_loopexit(f->base, &tv);
-	event_base_dispatch(f->base);
-}
-
 static int
 set_up(void **state)
 {
 	struct fixture *f = g_new0(struct fixture, 1);
-	enum cn_error error;
 	struct entry *e;
 	unsigned i;
 
@@ -151,11 +140,7 @@
 		e = &f->entries[i];
 		e->fixture = f;
 		e->number = i;
-		e->listener =
-		    cn_listen(f->base, "127.0.0.1:0", on_accept, e, &error);
-		assert_non_null(e->listener);
-		snprintf(e->address, sizeof(e->address), "127.0.0.1:%u",
-		    cn_listener_port(e->listener));
+		e->listener = sn_listen(f->base, on_accept, e, e->address);
 		f->addresses[i] = e->address;
 	}
 	*state = f;
@@ -240,7 +225,7 @@
 	unsigned i;
 
 	start_links(f);
-	run_loop(f, SETTLE_MS);
+	sn_run_loop(f->base, SETTLE_MS);
 	assert_int_equal(AC_CONTACTS_MIN, connected(f));
 	for (i = 0; i < ENTRIES; i++) {
 		assert_int_equal(
@@ -253,7 +238,7 @@
 	cn_listener_free(f->entries[i].listener);
 	f->entries[i].listener = NULL;
 	cn_close(f->entries[i].conn);
-	run_loop(f, RECONNECT_MS);
+	sn_run_loop(f->base, RECONNECT_MS);
 	assert_null(f->entries[i].conn);
 	assert_int_equal(AC_CONTACTS_MIN, connected(f));
 }
@@ -268,12 +253,12 @@
 
 	f->busy_entry = seed->number + 1;
 	start_links(f);
-	run_loop(f, SETTLE_MS);
+	sn_run_loop(f->base, SETTLE_MS);
 	assert_non_null(seed->conn);
 	assert_false(seed->accepting);
 	assert_int_equal(AC_CONTACTS_MIN + 1, connected(f));
 	f->busy_entry = 0;
-	run_loop(f, RECONNECT_MS);
+	sn_run_loop(f->base, RECONNECT_MS);
 	assert_null(seed->conn);
 }
 
--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -115,15 +115,6 @@
     .unreachable = ignore,
     .superseded = on_superseded};
 
-static void
-run_loop(struct fixture *f, unsigned ms)
-{
-	struct timeval tv = {0, (long)ms * 1000};
-
-	event_base_loopexit(f->base, &tv);
-	event_base_dispatch(f->base);
-}
-
 static int
 set_up(void **state)
 {
@@ -147,7 +138,7 @@
 	f->orders = od_new(f->base, f->clock, f->heartbeat_address,
 	    f->endpoint_address, &ops, f);
 	assert_non_null(f->orders);
-	run_loop(f, 100);
+	sn_run_loop(f->base, 100);
 }
 
 static int
@@ -190,11 +181,11 @@
 	start_orders(f);
 	assert_true(f->polls > 0);
 	f->highest_token = WALL_MS + 1000;
-	run_loop(f, 800);
+	sn_run_loop(f->base, 800);
 	assert_int_equal(1, f->superseded);
 	assert_int_equal(WALL_MS + 1000, f->highest_token);
 	polls = f->polls;
-	run_loop(f, 800);
+	sn_run_loop(f->base, 800);
 	assert_int_equal(polls, f->polls);
 	assert_int_equal(1, f->superseded);
 }
@@ -217,7 +208,7 @@
 
 	evbuffer_add_printf(evhttp_request_get_output_buffer(req), "%s", text);
 	evhttp_make_request(c, req, EVHTTP_REQ_PUT, "/v1/instances/i");
-	run_loop(f, 50);
+	sn_run_loop(f->base, 50);
 	assert_int_equal(200, status);
 	evhttp_connection_free(c);
 }
