--- a/tests/support_world.c
+++ b/tests/support_world.c
@@ -6,104 +6,12 @@
 #include "partition.h"
 #include "policy.h"
 #include "pool.h"
-#include "support_world.h"
+#include "support_world_impl.h"
 
 #define TICK_INTERVAL_US 10000
 #define HEARTBEAT_INTERVAL_US 500000
 #define FAULT_INTERVAL_US 100000
-#define REPORT_DELAY_MAX_US 300000
 #define RECONNECT_MAX_US 50000
-#define SENT_REPORTS_MAX 16
-
-struct agent;
-
-/* Start record of a key at an agent. */
-struct record {
-	char *key_text;
-	char id[64];
-	struct pd_key key;
-	pd_task_state state;
-	pd_reason reason;
-	unsigned ntasks;
-	unsigned entry;
-	uint64_t started_us;
-	uint32_t run_ms;
-	struct sw_body body;
-};
-
-enum event_kind {
-	TICK,
-	WAKE,
-	HEARTBEAT,
-	FAULTS,
-	GRANT,   /* arrives at an agent */
-	CANCEL,  /* arrives at an agent */
-	RESOLVE, /* arrives at an agent */
-	REPORT,  /* arrives at an entry */
-	LOAD,    /* arrives at an entry */
-	FINISH,  /* a slot is free */
-	CONNECT,
-};
-
-struct event {
-	struct hp_node node;
-	enum event_kind kind;
-	uint64_t serial; /* number of the event */
-	unsigned entry;
-	struct agent *agent;
-	uint64_t incarnation; /* of the agent when the event was created */
-	uint64_t session;     /* connection that carries it */
-	uint64_t argument;
-	char id[64];
-	struct pd_key key;
-	struct sw_body body;
-	unsigned ntasks;
-	pd_task_state state;
-	pd_reason reason;
-	uint32_t run_ms;
-	unsigned running;
-	unsigned queued;
-};
-
-struct agent {
-	char name[16];
-	unsigned index;
-	uint64_t incarnation;
-	double speed;
-	GHashTable *records; /* key text -> struct record */
-	GQueue queue;        /* struct record, borrowed */
-	unsigned running;
-	uint64_t starts;
-	struct record
-	    sent[SENT_REPORTS_MAX]; /* ring of the reports sent last */
-	unsigned nsent;
-	dp_agent *sessions;    /* per entry, PL_NONE when down */
-	uint64_t *connections; /* per entry, number of the connection */
-};
-
-struct entry {
-	struct sw *world;
-	unsigned index;
-	struct dp *dp;
-};
-
-struct sw {
-	struct sw_settings settings;
-	const struct sw_ops *ops;
-	void *arg;
-	struct ck *clock;
-	struct ct *counters;
-	struct cs *state;
-	struct rn *rng;
-	struct hp events;
-	uint64_t serial;
-	struct entry *entries;
-	struct agent *agents;
-	GHashTable *starts; /* "id/task" -> number */
-	GHashTable *keys;   /* set of started key texts */
-	struct sw_counts counts;
-	uint64_t timer_start_ns;
-};
 
 static uint64_t
 thread_cpu_ns(void)
@@ -127,8 +35,8 @@
 	    (double)(thread_cpu_ns() - w->timer_start_ns) / 1e9;
 }
 
-static bool
-chance(struct sw *w, double p)
+bool
+sw_chance(struct sw *w, double p)
 {
 	return (p > 0 && rn_unit(w->rng) < p);
 }
@@ -139,8 +47,8 @@
 	return (ck_mono_us(w->clock));
 }
 
-static struct event *
-event_new(struct sw *w, enum event_kind kind, uint64_t at_us)
+struct event *
+sw_event_new(struct sw *w, enum event_kind kind, uint64_t at_us)
 {
 	struct event *e;
 
@@ -151,13 +59,13 @@
 	return (e);
 }
 
-static struct event *
-send_message(struct sw *w, enum event_kind kind, unsigned entry,
+struct event *
+sw_send_message(struct sw *w, enum event_kind kind, unsigned entry,
     struct agent *a, uint64_t extra_us)
 {
 	struct event *e;
 
-	e = event_new(w, kind, sw_now(w) + w->settings.delay_us + extra_us);
+	e = sw_event_new(w, kind, sw_now(w) + w->settings.delay_us + extra_us);
 	e->entry = entry;
 	e->agent = a;
 	e->incarnation = a->incarnation;
@@ -165,29 +73,14 @@
 	return (e);
 }
 
-static void
-set_key(struct event *e, const struct pd_key *k)
+void
+sw_set_key(struct event *e, const struct pd_key *k)
 {
 	g_strlcpy(e->id, k->sub.id, sizeof(e->id));
 	e->key = *k;
 	e->key.sub.id = e->id;
 }
 
-static char *
-key_text(const struct pd_key *k)
-{
-	return (g_strdup_printf("%s/%u/%u", k->sub.id, k->task, k->attempt));
-}
-
-static void
-record_free(gpointer p)
-{
-	struct record *r = p;
-
-	g_free(r->key_text);
-	g_free(r);
-}
-
 static struct agent *
 find_agent(struct sw *w, unsigned entry, dp_agent session)
 {
@@ -209,8 +102,8 @@
 
 	a = find_agent(w, entry->index, session);
 	w->counts.grants++;
-	e = send_message(w, GRANT, entry->index, a, 0);
-	set_key(e, &g->key);
+	e = sw_send_message(w, GRANT, entry->index, a, 0);
+	sw_set_key(e, &g->key);
 	e->incarnation = g->incarnation;
 	e->ntasks = g->ntasks;
 	memcpy(&e->body, g->body.body_val, sizeof(e->body));
@@ -223,8 +116,8 @@
 	struct sw *w = entry->world;
 
 	w->counts.other_messages++;
-	set_key(send_message(w, CANCEL, entry->index,
-		    find_agent(w, entry->index, session), 0),
+	sw_set_key(sw_send_message(w, CANCEL, entry->index,
+		       find_agent(w, entry->index, session), 0),
 	    k);
 }
 
@@ -239,7 +132,8 @@
 	a = find_agent(w, entry->index, session);
 	w->counts.other_messages += 2;
 	for (i = 0; i < n; i++)
-		set_key(send_message(w, RESOLVE, entry->index, a, 0), &keys[i]);
+		sw_set_key(
+		    sw_send_message(w, RESOLVE, entry->index, a, 0), &keys[i]);
 }
 
 static void
@@ -254,171 +148,6 @@
 static const struct dp_ops outputs = {
     on_grant, on_cancel, on_resolve, on_answer};
 
-static void
-send_load(struct sw *w, struct agent *a, unsigned entry)
-{
-	struct event *e;
-
-	e = send_message(w, LOAD, entry, a, 0);
-	e->running = a->running;
-	e->queued = a->queue.length;
-}
-
-static struct event *
-send_state(struct sw *w, struct agent *a, const struct record *r,
-    unsigned entry, uint64_t extra_us)
-{
-	struct event *e;
-
-	e = send_message(w, REPORT, entry, a, extra_us);
-	set_key(e, &r->key);
-	e->body = r->body;
-	e->ntasks = r->ntasks;
-	e->state = r->state;
-	e->reason = r->reason;
-	e->run_ms = r->run_ms;
-	return (e);
-}
-
-/* Sends a report and the load, with faults delayed or duplicated. */
-static void
-send_report(struct sw *w, struct agent *a, const struct record *r)
-{
-	uint64_t late;
-
-	w->counts.reports++;
-	a->sent[a->nsent++ % SENT_REPORTS_MAX] = *r;
-	late = 0;
-	if (chance(w, w->settings.faults.report_delayed))
-		late = rn_below(w->rng, REPORT_DELAY_MAX_US);
-	(void)send_state(w, a, r, r->entry, late);
-	if (chance(w, w->settings.faults.report_duplicated))
-		(void)send_state(w, a, r, r->entry,
-		    late + rn_below(w->rng, REPORT_DELAY_MAX_US));
-	send_load(w, a, r->entry);
-}
-
-static struct record *
-record_new(struct agent *a, const struct event *e, pd_task_state state)
-{
-	struct record *r;
-
-	r = g_new0(struct record, 1);
-	g_strlcpy(r->id, e->id, sizeof(r->id));
-	r->key = e->key;
-	r->key.sub.id = r->id;
-	r->key_text = key_text(&r->key);
-	r->state = state;
-	r->ntasks = e->ntasks;
-	r->entry = e->entry;
-	r->body = e->body;
-	g_hash_table_insert(a->records, r->key_text, r);
-	return (r);
-}
-
-static struct record *
-record_find(const struct agent *a, const struct pd_key *k)
-{
-	g_autofree char *key = key_text(k);
-
-	return (g_hash_table_lookup(a->records, key));
-}
-
-static void
-count_start(struct sw *w, const struct record *r)
-{
-	char *task;
-	gpointer n;
-
-	w->counts.starts++;
-	if (!g_hash_table_add(w->keys, g_strdup(r->key_text)))
-		w->counts.duplicate_starts++;
-	task = g_strdup_printf("%s/%u", r->id, r->key.task);
-	n = g_hash_table_lookup(w->starts, task);
-	g_hash_table_insert(
-	    w->starts, task, GUINT_TO_POINTER(GPOINTER_TO_UINT(n) + 1));
-}
-
-static void
-start_queued(struct sw *w, struct agent *a)
-{
-	struct record *r;
-	struct event *e;
-
-	while (a->running < w->settings.slots &&
-	    (r = g_queue_pop_head(&a->queue)) != NULL) {
-		r->state = PD_RUNNING;
-		r->started_us = sw_now(w);
-		a->running++;
-		a->starts++;
-		count_start(w, r);
-		e = event_new(w, FINISH,
-		    sw_now(w) + (uint64_t)(r->body.work_us / a->speed));
-		e->agent = a;
-		e->incarnation = a->incarnation;
-		set_key(e, &r->key);
-	}
-}
-
-/* Returns a grant to its entry; the agent keeps no record of it. */
-static void
-return_grant(struct sw *w, struct agent *a, struct record *r, pd_reason reason)
-{
-	r->state = PD_NOT_STARTED;
-	r->reason = reason;
-	send_report(w, a, r);
-	g_hash_table_remove(a->records, r->key_text);
-}
-
-static void
-grant_arrives(struct sw *w, const struct event *e)
-{
-	struct agent *a = e->agent;
-	struct record *r;
-
-	r = record_find(a, &e->key);
-	if (r != NULL) {
-		(void)send_state(w, a, r, e->entry, 0);
-		return;
-	}
-	r = record_new(a, e, PD_QUEUED);
-	if (e->incarnation != a->incarnation)
-		return_grant(w, a, r, PD_R_WRONG_INCARNATION);
-	else if (a->queue.length + (a->running >= w->settings.slots) >
-		w->settings.queue_max ||
-	    chance(w, w->settings.faults.grant_returned))
-		return_grant(w, a, r, PD_R_QUEUE_FULL);
-	else {
-		g_queue_push_tail(&a->queue, r);
-		start_queued(w, a);
-	}
-}
-
-static void
-cancel_arrives(struct sw *w, const struct event *e)
-{
-	struct record *r;
-
-	r = record_find(e->agent, &e->key);
-	if (r == NULL || r->state != PD_QUEUED)
-		return;
-	g_queue_remove(&e->agent->queue, r);
-	return_grant(w, e->agent, r, PD_R_CANCELLED);
-}
-
-static void
-resolve_arrives(struct sw *w, const struct event *e)
-{
-	struct record *r;
-
-	r = record_find(e->agent, &e->key);
-	if (r == NULL) {
-		r = record_new(e->agent, e, PD_NOT_STARTED);
-		r->reason = PD_R_VOIDED;
-	}
-	(void)send_state(w, e->agent, r, e->entry, 0);
-}
-
 static void
 report_arrives(struct sw *w, struct event *e)
 {
@@ -448,29 +177,6 @@
 	timer_stop(w);
 }
 
-static void
-finish_task(struct sw *w, const struct event *e)
-{
-	struct agent *a = e->agent;
-	struct record *r;
-
-	if (a->incarnation != e->incarnation)
-		return;
-	r = record_find(a, &e->key);
-	a->running--;
-	r->run_ms = (uint32_t)((sw_now(w) - r->started_us) / 1000);
-	r->state = PD_DONE;
-	if (r->body.flags & SW_FAILS) {
-		r->state = PD_FAILED;
-		r->reason = PD_R_ENDPOINT_ERROR;
-	} else if (r->body.flags & SW_LOST) {
-		r->state = PD_OUTCOME_UNKNOWN;
-		r->reason = PD_R_ENDPOINT_TIMEOUT;
-	}
-	start_queued(w, a);
-	send_report(w, a, r);
-}
-
 static void
 connect_agent(struct sw *w, struct agent *a, unsigned entry)
 {
@@ -507,7 +213,7 @@
 {
 	struct event *e;
 
-	e = event_new(
+	e = sw_event_new(
 	    w, CONNECT, sw_now(w) + rn_below(w->rng, RECONNECT_MAX_US));
 	e->agent = a;
 	e->entry = entry;
@@ -529,17 +235,6 @@
 	}
 }
 
-/* Repeats an old report, possibly of an earlier session. */
-static void
-send_stale_report(struct sw *w, struct agent *a)
-{
-	struct record r;
-
-	r = a->sent[rn_below(w->rng, MIN(a->nsent, SENT_REPORTS_MAX))];
-	r.key.sub.id = r.id;
-	(void)send_state(w, a, &r, r.entry, 0);
-}
-
 static void
 inject_faults(struct sw *w)
 {
@@ -548,17 +243,18 @@
 
 	for (i = 0; i < w->settings.endpoints; i++) {
 		a = &w->agents[i];
-		if (a->nsent > 0 && chance(w, w->settings.faults.report_stale))
-			send_stale_report(w, a);
-		if (chance(w, w->settings.faults.agent_restarted))
+		if (a->nsent > 0 &&
+		    sw_chance(w, w->settings.faults.report_stale))
+			sw_send_stale_report(w, a);
+		if (sw_chance(w, w->settings.faults.agent_restarted))
 			restart_agent(w, a);
 		for (k = 0; k < w->settings.entries; k++)
-			if (chance(w, w->settings.faults.session_dropped)) {
+			if (sw_chance(w, w->settings.faults.session_dropped)) {
 				disconnect(w, a, k);
 				reconnect_later(w, a, k);
 			}
 	}
-	(void)event_new(w, FAULTS, sw_now(w) + FAULT_INTERVAL_US);
+	(void)sw_event_new(w, FAULTS, sw_now(w) + FAULT_INTERVAL_US);
 }
 
 static void
@@ -570,7 +266,7 @@
 	for (i = 0; i < w->settings.entries; i++)
 		dp_tick(w->entries[i].dp);
 	timer_stop(w);
-	(void)event_new(w, TICK, sw_now(w) + TICK_INTERVAL_US);
+	(void)sw_event_new(w, TICK, sw_now(w) + TICK_INTERVAL_US);
 }
 
 static void
@@ -579,8 +275,9 @@
 	unsigned i;
 
 	for (i = 0; i < w->settings.entries; i++)
-		send_load(w, a, i);
-	event_new(w, HEARTBEAT, sw_now(w) + HEARTBEAT_INTERVAL_US)->agent = a;
+		sw_send_load(w, a, i);
+	sw_event_new(w, HEARTBEAT, sw_now(w) + HEARTBEAT_INTERVAL_US)->agent =
+	    a;
 }
 
 /* Whether the connection on which a message was sent still exists. */
@@ -598,13 +295,13 @@
 		return;
 	switch (e->kind) {
 	case GRANT:
-		grant_arrives(w, e);
+		sw_grant_arrives(w, e);
 		break;
 	case CANCEL:
-		cancel_arrives(w, e);
+		sw_cancel_arrives(w, e);
 		break;
 	case RESOLVE:
-		resolve_arrives(w, e);
+		sw_resolve_arrives(w, e);
 		break;
 	case REPORT:
 		report_arrives(w, e);
@@ -632,7 +329,7 @@
 		inject_faults(w);
 		break;
 	case FINISH:
-		finish_task(w, e);
+		sw_finish_task(w, e);
 		break;
 	case CONNECT:
 		connect_agent(w, e->agent, e->entry);
@@ -657,13 +354,13 @@
 	if (s->endpoints > 1)
 		a->speed *= pow(s->speed_max / s->speed_min,
 		    (double)i / (s->endpoints - 1));
-	a->records =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, record_free);
+	a->records = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, NULL, sw_record_free);
 	g_queue_init(&a->queue);
 	a->sessions = g_new0(dp_agent, s->entries);
 	a->connections = g_new0(uint64_t, s->entries);
 	ss_put_endpoint(w->state, a->name, "finistere", "order-desk", s->slots);
-	event_new(
+	sw_event_new(
 	    w, HEARTBEAT, sw_now(w) + rn_below(w->rng, HEARTBEAT_INTERVAL_US))
 	    ->agent = a;
 }
@@ -719,8 +416,8 @@
 	for (i = 0; i < settings->endpoints; i++)
 		for (k = 0; k < settings->entries; k++)
 			connect_agent(w, &w->agents[i], k);
-	(void)event_new(w, TICK, sw_now(w) + TICK_INTERVAL_US);
-	(void)event_new(w, FAULTS, sw_now(w) + FAULT_INTERVAL_US);
+	(void)sw_event_new(w, TICK, sw_now(w) + TICK_INTERVAL_US);
+	(void)sw_event_new(w, FAULTS, sw_now(w) + FAULT_INTERVAL_US);
 	return (w);
 }
 
@@ -802,7 +499,7 @@
 void
 sw_schedule(struct sw *w, uint64_t at_us, uint64_t argument)
 {
-	event_new(w, WAKE, at_us)->argument = argument;
+	sw_event_new(w, WAKE, at_us)->argument = argument;
 }
 
 void
