Ask connected workers only, and drop a member that nothing uses

The fastest and the number of the usable workers were sought among all workers that an entry has seen, though only connected ones are usable. jb_job.over was never read or written. test_many_entries checks all kinds that a load may have.

--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -505,10 +505,10 @@
 	double best = 0, ratio;
 	guint i;
 
-	for (i = 0; i < f->workers->len; i++) {
-		if (!is_usable(f, f->workers->pdata[i], now))
+	for (i = 0; i < f->connected->len; i++) {
+		if (!is_usable(f, f->connected->pdata[i], now))
 			continue;
-		ratio = fl_run_ratio(f, f->workers->pdata[i]);
+		ratio = fl_run_ratio(f, f->connected->pdata[i]);
 		if (best == 0 || ratio < best)
 			best = ratio;
 	}
@@ -522,8 +522,8 @@
 	unsigned n = 0;
 	guint i;
 
-	for (i = 0; i < f->workers->len; i++)
-		n += is_usable(f, f->workers->pdata[i], now);
+	for (i = 0; i < f->connected->len; i++)
+		n += is_usable(f, f->connected->pdata[i], now);
 	return (n);
 }
 
--- a/sched/jobs_impl.h
+++ b/sched/jobs_impl.h
@@ -96,7 +96,6 @@
 	GArray *trace;    /* struct tr_event */
 	bool any_granted; /* a task was granted */
 	bool any_started; /* a task has or may have started */
-	bool over;
 };
 
 /** struct jb_ended_job - job that has ended, kept for its client's resubmission
--- a/tests/test_load.c
+++ b/tests/test_load.c
@@ -153,7 +153,7 @@
 	many = replay_large(0);
 	assert_true(md_in_time_share(&many->all) >=
 	    md_in_time_share(&few->all) - SHARE_LOST_TO_ENTRIES_MAX);
-	for (i = 0; i < 3; i++)
+	for (i = 0; i < MD_KINDS_MAX; i++)
 		assert_true(md_in_time_share(&many->kinds[i]) >=
 		    SHARE_MANY_ENTRIES_MIN);
 	assert_int_equal(0, many->duplicate_runs);
