--- a/tests/test_conn.c
+++ b/tests/test_conn.c
@@ -9,6 +9,7 @@
 
 #include <arpa/inet.h>
 #include <cmocka.h>
+#include <glib.h>
 #include <sys/socket.h>
 
 #include "conn.h"
@@ -193,6 +194,30 @@
 	assert_int_equal(0, p->calls);
 }
 
+/* Guards against a connection that is lost with a message that cannot be
+ * encoded. */
+static void
+test_message_beyond_limits(void **state)
+{
+	struct connection_pair *p = *state;
+	char *id = g_strnfill(PD_ID_MAX + 1, 'x');
+	struct pd_id too_long = {.id = id};
+	struct outcome o = {0};
+
+	cn_send(p->client, PD_CANCEL, (xdrproc_t)xdr_pd_id, &too_long);
+	cn_call(p->client, PD_ABANDON, (xdrproc_t)xdr_pd_id, &too_long,
+	    (xdrproc_t)xdr_pd_held, sizeof(struct pd_held), 1000, call_done,
+	    &o);
+	assert_int_equal(1, o.count);
+	assert_int_equal(CN_MALFORMED, o.error);
+	call(p, 41, 1000, &o);
+	sn_run_loop(p->base, 30);
+	assert_int_equal(2, o.count);
+	assert_int_equal(CN_OK, o.error);
+	assert_int_equal(1, p->calls);
+	g_free(id);
+}
+
 /* Guards against replies that are matched with the wrong call if they arrive in
  * another order. */
 static void
@@ -340,6 +365,8 @@
 		test_call_and_reply, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		test_call_without_handler_is_rejected, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		test_message_beyond_limits, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		test_replies_out_of_order, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
--- a/wire/conn.c
+++ b/wire/conn.c
@@ -12,6 +12,7 @@
 #include <string.h>
 
 #include "conn.h"
+#include "log.h"
 #include "pd.h"
 
 /* Record marking of RFC 5531: length of the fragment in 31 bits; the top bit
@@ -255,8 +256,13 @@
 
 	call_header(&msg, xid, proc);
 	buf = encode(&msg, xdr_callmsg, xargs, args, &len);
-	if (buf == NULL)
+	if (buf == NULL) {
+		lg_write(LOG_ERR, "conn",
+		    "dropping a call of procedure %u that exceeds the limits "
+		    "of its message",
+		    proc);
 		return (false);
+	}
 	conn_write(c, buf, len);
 	return (true);
 }
@@ -339,6 +345,9 @@
 	buf = encode(&msg, xdr_replymsg, xresult, result, &len);
 	if (buf != NULL)
 		conn_write(c, buf, len);
+	else
+		lg_write(LOG_ERR, "conn",
+		    "dropping a reply that exceeds the limits of its message");
 }
 
 void
--- a/wire/conn.h
+++ b/wire/conn.h
@@ -137,7 +137,8 @@
     xdrproc_t xresult, size_t result_size, unsigned timeout_ms,
     cn_reply_fn done, void *arg);
 
-/** cn_send() - batched call, which has no reply */
+/** cn_send() - batched call, which has no reply; logged and dropped if it
+ * exceeds the limits of its message */
 void cn_send(struct cn *c, uint32_t proc, xdrproc_t xargs, const void *args);
 
 /**
