Place long tasks where they are safe from their deadline

Cause: the operators' time limit of a queue can be shorter than the time in which a job is in time. Declared run times are up to 40% too short.

Change: workers where a task meets its deadline even if it takes 1.67 times as long as expected come first, and the larger sample is searched for one. Where no worker is safe, the one counts where the task ends first.

--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -38,6 +38,11 @@
  * move to slow workers too early. */
 #define DELAY_WEIGHT 3.0
 
+/* A task is safe from its deadline where it would end in time even if it took
+ * this multiple of its expected run time: declared run times are up to 40% too
+ * short. */
+#define SAFE_RUN_FACTOR 1.67
+
 /* Own run times contradict the agent's report when they are this many times
  * longer, in at least this many tasks. */
 #define CONTRADICTION_FACTOR 2.5
@@ -351,39 +356,51 @@
 	return (load > 1 ? wait + (load - 1) * mean : wait);
 }
 
-static bool
-has_room(const struct fl_worker *w, const struct fl_requirements *req)
+bool
+fl_has_room(const struct fl_worker *w, const struct fl_requirements *req)
 {
 	return (cpu_ahead(w, req->priority) + req->cpu <= w->cpu);
 }
 
+/**
+ * enum prospect - prospects of a task at a worker
+ * @PR_LATE: it is expected to end too late
+ * @PR_RISKY: it is expected in time, but misses its deadline if it takes much
+ *     longer than expected
+ * @PR_SAFE: it is expected in time, and meets its deadline even then
+ */
+enum prospect {
+	PR_LATE = 0,
+	PR_RISKY,
+	PR_SAFE,
+};
+
 /* A possible worker for a task. @finish_ms: expected time until the task ends.
  * @cost_ms: the same plus the weighted delay of other tasks. */
 struct candidate {
 	struct fl_worker *worker;
+	enum prospect prospect;
 	double finish_ms;
 	double cost_ms;
 };
 
 /*
- * Whether candidate @a is better than @b. A task prefers a slow worker with
- * free capacity to a fast one with a queue, even if it would end a little
- * sooner on the fast one: waiting there delays other tasks too, and long tasks
- * may end in time on the few fast workers only. Workers where the task would
- * end in time come first.
+ * Whether candidate @a is better than @b. Workers with better prospects come
+ * first, so a long task whose run time is uncertain is not left to a slow
+ * worker. Among those where it is safe, a task prefers a slow worker with free
+ * capacity to a fast one with a queue, even if it would end a little sooner on
+ * the fast one: waiting there delays other tasks too, and long tasks may end in
+ * time on the few fast workers only.
  */
 static bool
 is_better(const struct fl_requirements *req, const struct candidate *a,
     const struct candidate *b)
 {
-	bool a_in_time = a->finish_ms <= req->left_ms;
-	bool b_in_time = b->finish_ms <= req->left_ms;
-
 	if (b->worker == NULL)
 		return (true);
-	if (a_in_time != b_in_time)
-		return (a_in_time);
-	if (!a_in_time && req->left_ms > 0)
+	if (a->prospect != b->prospect)
+		return (a->prospect > b->prospect);
+	if (a->prospect != PR_SAFE && req->left_ms > 0)
 		return (a->finish_ms < b->finish_ms);
 	return (a->cost_ms < b->cost_ms);
 }
@@ -395,15 +412,20 @@
     struct fl_worker *w, bool all, uint64_t now_us, struct candidate *best)
 {
 	struct candidate p = {.worker = w};
-	double mean, ratio, wait;
+	double mean, run, wait;
 
 	if (!is_usable(f, w, now_us / US_PER_MS) || !is_suitable(w, req) ||
 	    (!all && is_avoided(w, req)))
 		return;
-	ratio = speed_of(w, now_us, &mean);
+	run = req->size_ms * speed_of(w, now_us, &mean);
 	wait = wait_ms(w, req, mean);
-	p.finish_ms = wait + req->size_ms * ratio;
+	p.finish_ms = wait + run;
 	p.cost_ms = p.finish_ms + wait * DELAY_WEIGHT;
+	if (p.finish_ms <= req->left_ms)
+		p.prospect =
+		    wait + run * SAFE_RUN_FACTOR <= req->deadline_left_ms
+		    ? PR_SAFE
+		    : PR_RISKY;
 	if (is_better(req, &p, best))
 		*best = p;
 }
@@ -427,15 +449,15 @@
 /*
  * With the same old reports, all entries would choose the same best worker.
  * Each considers a random sample instead, and more workers only when the sample
- * has no free capacity or none where the task would be in time.
+ * has no free capacity or none where the task is safely in time.
  */
 struct fl_worker *
 fl_choose(struct fl *f, const struct fl_requirements *req, double *finish_ms)
 {
 	struct candidate best = best_in_sample(f, req, SAMPLE_SIZE, false);
 
-	if (best.worker == NULL || !has_room(best.worker, req) ||
-	    best.finish_ms > req->left_ms)
+	if (best.worker == NULL || !fl_has_room(best.worker, req) ||
+	    best.prospect != PR_SAFE)
 		best = best_in_sample(f, req, LARGE_SAMPLE_SIZE, false);
 	if (best.worker == NULL)
 		best = best_in_sample(f, req, UINT_MAX, false);
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -72,6 +72,7 @@
  * @priority: of its queue, 0 is the most urgent
  * @size_ms: run time on a worker of ratio 1
  * @left_ms: time in which it should end; 0 or less: already late
+ * @deadline_left_ms: time after which its end is useless
  * @avoid: workers that this task has failed on, or NULL
  * @navoid: number of @avoid
  */
@@ -83,6 +84,7 @@
 	unsigned priority;
 	double size_ms;
 	double left_ms;
+	double deadline_left_ms;
 	struct fl_worker *const *avoid;
 	unsigned navoid;
 };
@@ -145,6 +147,10 @@
 unsigned fl_queue_limit(
     const struct fl_worker *w, unsigned cpu, unsigned priority);
 
+/** fl_has_room() - whether a task would start at a worker without waiting for
+ * the end of another one */
+bool fl_has_room(const struct fl_worker *w, const struct fl_requirements *req);
+
 /** fl_any_suitable() - whether any worker, usable now or not, meets the
  * requirements */
 bool fl_any_suitable(const struct fl *f, const struct fl_requirements *req);
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -146,6 +146,7 @@
     const struct jb *j, const struct jb_job *job, const struct jb_task *t)
 {
 	const struct jb_step *s = &job->steps[t->step];
+	double now = (double)ck_mono_ms(j->clock);
 	struct fl_requirements req = {
 	    .service = job->service,
 	    .label = s->label,
@@ -153,8 +154,9 @@
 	    .mem_mb = s->mem_mb,
 	    .priority = job->priority,
 	    .size_ms = s->size_ms,
-	    .left_ms = (double)MIN(job->target_at_ms, job->deadline_ms) -
-		(double)ck_mono_ms(j->clock),
+	    .left_ms =
+		(double)MIN(job->target_at_ms, job->deadline_ms) - now,
+	    .deadline_left_ms = (double)job->deadline_ms - now,
 	    .avoid = t->avoid,
 	    .navoid = t->navoid,
 	};
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -110,6 +110,28 @@
 	assert_int_equal(2, f->nstarts);
 }
 
+/* Guards against a long task that is left to a slow worker, where it misses its
+ * deadline if it takes longer than declared: of 43 jobs that ended at their
+ * deadline, 14 lacked one task on a worker of half the speed. */
+static void
+test_uncertain_task_on_fast_worker(void **state)
+{
+	struct fixture *f = *state;
+	struct fl_worker *fast, *slow;
+
+	fast = attach_agent(f, "fast", "z1", 1, 1, WORKER_CPU * 32 / 10);
+	slow = attach(f, "slow", 2);
+	set_run_ratio(f, fast, 0.8);
+	set_run_ratio(f, slow, 1.5);
+	/* A task that is safe on the slow worker does not wait. */
+	submit_job(f, "short", 7, 1, 300, 1);
+	assert_int_equal(1, f->nstarts);
+	assert_ptr_equal(slow, f->start_workers[0]);
+	submit_job(f, "long", 7, 1, 900, 1);
+	assert_int_equal(2, f->nstarts);
+	assert_ptr_equal(fast, f->start_workers[1]);
+}
+
 /* Guards against a choice among a few workers only because most of those that
  * the entry has seen are not connected any more. */
 static void
@@ -254,6 +276,7 @@
 	    T(test_wrong_speed_from_agent),
 	    T(test_ejected_by_agent),
 	    T(test_queue_limit),
+	    T(test_uncertain_task_on_fast_worker),
 	    T(test_disconnected_not_sampled),
 	    T(test_evacuated),
 	    T(test_failing_worker),
