Decide again on jobs that waited for agents

Change: a job without grants is decided on like a new one when there are workers, the most urgent first and those that are late last. Late jobs are accepted where there is free capacity. A refused job whose task runs longer than its client waits gets no Retry-After. The model of a cell can start the agents after the first arrivals; the load file replays the restart.

--- a/bench/load.c
+++ b/bench/load.c
@@ -16,6 +16,7 @@
 	int64_t seconds;
 	int64_t entries;
 	int64_t net_ms;
+	int64_t agents_ms;
 	int64_t estimate_off_percent;
 	int64_t uneven_percent;
 	int64_t error_permille;
@@ -33,6 +34,8 @@
 	"number of entries"},
     {"net_ms", ST_INTEGER, FILE_FIELD(net_ms), 0, 1000, "1", NULL,
 	"network delay of a message, milliseconds"},
+    {"agents_ms", ST_INTEGER, FILE_FIELD(agents_ms), 0, 10000, "0", NULL,
+	"time within which agents connect, milliseconds; 0: before arrivals"},
     {"estimate_off_percent", ST_INTEGER, FILE_FIELD(estimate_off_percent), 0,
 	99, "40", NULL, "greatest relative error of declared run times"},
     {"uneven_percent", ST_INTEGER, FILE_FIELD(uneven_percent), 0, 99, "15",
@@ -205,6 +208,7 @@
 	load->seconds = (unsigned)f.seconds;
 	load->entries = (unsigned)f.entries;
 	load->net_ms = (unsigned)f.net_ms;
+	load->agents_ms = (unsigned)f.agents_ms;
 	load->estimate_error = (double)f.estimate_off_percent / PERCENT;
 	load->task_variation = (double)f.uneven_percent / PERCENT;
 	load->error_share = (double)f.error_permille / PERMILLE;
--- a/bench/model.c
+++ b/bench/model.c
@@ -362,7 +362,9 @@
 	unsigned i, drain_ms = 0;
 
 	lg_open("model", LOG_CRIT);
-	m.clock = ck_new_manual(START_MS - AGENT_WAIT_MS, START_MS);
+	m.clock = ck_new_manual(
+	    load->agents_ms > 0 ? START_MS : START_MS - AGENT_WAIT_MS,
+	    START_MS);
 	m.counters = ct_new();
 	m.arrival_rng = rn_new(load->seed);
 	m.run_rng = rn_new(load->seed);
--- a/bench/model.h
+++ b/bench/model.h
@@ -95,6 +95,8 @@
  * @seconds: time for which jobs arrive
  * @entries: number of entries; each arrival goes to a random one
  * @net_ms: network delay of a message
+ * @agents_ms: agents connect in the second half of this time after the first
+ *     arrivals, as after a power loss of all hosts; 0: before them
  * @estimate_error: greatest relative error of declared run times
  * @task_variation: greatest relative deviation of run times within a job
  * @error_share: share of the runs that fail
@@ -104,6 +106,7 @@
 	unsigned seconds;
 	unsigned entries;
 	unsigned net_ms;
+	unsigned agents_ms;
 	double estimate_error;
 	double task_variation;
 	double error_share;
--- a/bench/model_worker.c
+++ b/bench/model_worker.c
@@ -13,6 +13,8 @@
 /* Period of load reports to entries that get no other report. */
 #define REPORT_PERIOD_US 40000
 #define MEM_MB 100000
+/* Has no divisor in common with usual numbers of workers. */
+#define WORKER_ORDER_STEP 7919
 
 struct grant {
 	struct pd_start start;
@@ -511,6 +513,28 @@
 		w->contacts[order[i]] = true;
 }
 
+static void
+on_worker_start(struct md *m, struct md_event *e)
+{
+	md_worker_start(&m->workers[e->a]);
+}
+
+/* Starts a worker before the first arrivals, or in the second half of the time
+ * that agents need, in an order that mixes the groups. */
+static void
+schedule_worker_start(struct md_worker *w)
+{
+	struct md *m = w->model;
+	uint64_t half_us = (uint64_t)m->load->agents_ms * US_PER_MS / 2;
+	unsigned place = w->number * WORKER_ORDER_STEP % m->nworkers;
+
+	if (half_us == 0)
+		md_worker_start(w);
+	else
+		md_schedule(m, half_us + half_us * place / m->nworkers,
+		    on_worker_start, w->number, 0, NULL);
+}
+
 static void
 worker_new(struct md *m, unsigned number, const struct md_worker_group *g)
 {
@@ -529,7 +553,7 @@
 	w->reported_us = g_new0(uint64_t, m->load->entries);
 	for (i = 0; i < m->load->entries; i++)
 		w->ended[i] = g_array_new(FALSE, TRUE, sizeof(struct pd_end));
-	md_worker_start(w);
+	schedule_worker_start(w);
 }
 
 void
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -154,8 +154,7 @@
 	    .mem_mb = s->mem_mb,
 	    .priority = job->priority,
 	    .size_ms = s->size_ms,
-	    .left_ms =
-		(double)MIN(job->target_at_ms, job->deadline_ms) - now,
+	    .left_ms = (double)MIN(job->target_at_ms, job->deadline_ms) - now,
 	    .deadline_left_ms = (double)job->deadline_ms - now,
 	    .avoid = t->avoid,
 	    .navoid = t->navoid,
@@ -326,23 +325,6 @@
 	return ((double)job->deadline_ms - (double)ck_mono_ms(j->clock));
 }
 
-/*
- * Share of the time until its target in which a job must be expected to end; if
- * not, it is refused on arrival. After a burst or the loss of workers at high
- * load, accepting it would build a backlog that makes all later answers late,
- * and a late answer is worth little to a caller.
- */
-#define TARGET_SHARE 1.0
-
-static bool
-can_meet_target(const struct jb *j, const struct jb_job *job, double finish_ms)
-{
-	uint64_t now = ck_mono_ms(j->clock);
-	double left = (double)job->target_at_ms - (double)now;
-
-	return (finish_ms <= left * TARGET_SHARE);
-}
-
 /* Whether a task that is expected to end on @w in @finish_ms may end by the
  * deadline if its run time is shorter than declared. */
 static bool
@@ -357,6 +339,25 @@
 	    (double)job->deadline_ms);
 }
 
+/*
+ * Whether to accept a job whose task is expected to end on @w in @finish_ms.
+ * After a burst or the loss of workers at high load, accepting a job that has
+ * to wait too long would build a backlog that makes all later answers late, and
+ * a late answer is worth little to a caller. On a worker with free capacity it
+ * delays no other.
+ */
+static bool
+is_worth_accepting(const struct jb *j, const struct jb_job *job,
+    const struct fl_requirements *req, const struct fl_worker *w,
+    double finish_ms)
+{
+	double target_left_ms =
+	    (double)job->target_at_ms - (double)ck_mono_ms(j->clock);
+
+	return (can_meet_deadline(j, job, req, w, finish_ms) &&
+	    (finish_ms <= target_left_ms || fl_has_room(w, req)));
+}
+
 bool
 jb_place(struct jb *j, struct jb_job *job)
 {
@@ -387,6 +388,30 @@
 	return (true);
 }
 
+/* Checks one task for check_admission(). On success its worker is reserved. */
+static enum jb_reason
+check_task(struct jb *j, struct jb_job *job, struct jb_task *t)
+{
+	struct fl_requirements req = jb_requirements(j, job, t);
+	struct fl_worker *w;
+	double finish = 0;
+
+	w = fl_choose(j->fleet, &req, &finish);
+	if (w == NULL) {
+		jb_trace(j, job, t, TR_NO_WORKER, NULL, 0, 0);
+		return (fl_any_suitable(j->fleet, &req) ? JB_R_NO_WORKER
+							: JB_R_NO_ROOM);
+	}
+	if (!is_worth_accepting(j, job, &req, w, finish)) {
+		jb_trace(
+		    j, job, t, TR_TOO_LATE, w, finish, time_left_ms(j, job));
+		return (JB_R_OVERLOAD);
+	}
+	w->cpu_own += req.cpu;
+	t->worker = w;
+	return (JB_R_NONE);
+}
+
 /*
  * Decides whether to accept a job. Under overload, a job whose last task is not
  * expected to end in time is refused on arrival, since it would only delay jobs
@@ -398,41 +423,48 @@
 check_admission(struct jb *j, struct jb_job *job)
 {
 	enum jb_reason reason = JB_R_NONE;
-	struct fl_worker *w;
-	struct fl_requirements req;
-	double finish = 0;
 	unsigned i;
 
 	if (jb_delays_urgent(j, job))
 		return (JB_R_OVERLOAD);
-	for (i = 0; i < job->ntasks && reason == JB_R_NONE; i++) {
-		if (job->tasks[i].state != JB_READY)
-			continue;
-		req = jb_requirements(j, job, &job->tasks[i]);
-		w = fl_choose(j->fleet, &req, &finish);
-		if (w == NULL) {
-			if (fl_is_warming_up(j->fleet))
-				continue;
-			reason = fl_any_suitable(j->fleet, &req)
-			    ? JB_R_NO_WORKER
-			    : JB_R_NO_ROOM;
-			jb_trace(
-			    j, job, &job->tasks[i], TR_NO_WORKER, NULL, 0, 0);
-		} else if (!can_meet_deadline(j, job, &req, w, finish) ||
-		    !can_meet_target(j, job, finish)) {
-			reason = JB_R_OVERLOAD;
-			jb_trace(j, job, &job->tasks[i], TR_TOO_LATE, w, finish,
-			    time_left_ms(j, job));
-		} else {
-			w->cpu_own += req.cpu;
-			job->tasks[i].worker = w;
-		}
-	}
+	for (i = 0; i < job->ntasks && reason == JB_R_NONE; i++)
+		if (job->tasks[i].state == JB_READY)
+			reason = check_task(j, job, &job->tasks[i]);
 	for (i = 0; i < job->ntasks; i++)
 		jb_release_worker(job, &job->tasks[i]);
 	return (reason);
 }
 
+/* Whether a job may wait for the agents of an entry that has just started. */
+static bool
+may_wait(const struct jb *j, const struct jb_job *job, enum jb_reason reason)
+{
+	if (reason != JB_R_NO_WORKER && reason != JB_R_NO_ROOM)
+		return (false);
+	return (fl_is_warming_up(j->fleet) &&
+	    time_left_ms(j, job) >
+		(double)jb_critical_path_ms(job) * JB_MIN_SIZE_FACTOR);
+}
+
+/*
+ * After a power loss of all hosts, agents connect while clients come back, and
+ * the jobs that wait for agents are more than these can run in time. Each is
+ * decided on like a new one when there are workers: those that would be late in
+ * a queue are refused in favor of those that can be in time.
+ */
+bool
+jb_admit(struct jb *j, struct jb_job *job)
+{
+	enum jb_reason reason = check_admission(j, job);
+
+	if (may_wait(j, job, reason))
+		return (true);
+	if (reason == JB_R_NONE && jb_place(j, job))
+		return (true);
+	jb_give_up(j, job, reason == JB_R_NONE ? JB_R_OVERLOAD : reason);
+	return (false);
+}
+
 /* Answers a job that was submitted again after it had ended. */
 static bool
 answer_ended(struct jb *j, const char *id, uint64_t waiter)
@@ -474,11 +506,7 @@
 	    (double)job->target_at_ms - (double)job->arrived_ms,
 	    time_left_ms(j, job));
 	jb_unblock_tasks(job);
-	refusal.reason = check_admission(j, job);
-	if (refusal.reason != JB_R_NONE)
-		jb_finish(j, job, JB_REFUSED, refusal.reason);
-	else if (!jb_place(j, job))
-		jb_give_up(j, job, JB_R_OVERLOAD);
+	jb_admit(j, job);
 }
 
 void
--- a/sched/jobs_impl.h
+++ b/sched/jobs_impl.h
@@ -160,6 +160,10 @@
 struct fl_requirements jb_requirements(
     const struct jb *j, const struct jb_job *job, const struct jb_task *t);
 
+/** jb_admit() - accept, refuse or keep waiting a job without grants. Return:
+ * false if it was refused; @job is consumed then */
+bool jb_admit(struct jb *j, struct jb_job *job);
+
 /** jb_place() - grant the ready tasks of a job. Return: false if a task is not
  * expected to end by the deadline */
 bool jb_place(struct jb *j, struct jb_job *job);
--- a/sched/jobs_outcome.c
+++ b/sched/jobs_outcome.c
@@ -42,15 +42,19 @@
 }
 
 /* Time after which a refused job may be accepted: by how much its first task is
- * expected to miss the deadline; 0 if unknown. */
+ * expected to miss the deadline; 0 if unknown, or if waiting does not help
+ * since the task runs too long. */
 static unsigned
 retry_ms(struct jb *j, const struct jb_job *job)
 {
 	struct fl_requirements req = jb_requirements(j, job, &job->tasks[0]);
 	double left = (double)(job->deadline_ms - job->arrived_ms);
+	struct fl_worker *w;
 	double finish;
 
-	if (fl_choose(j->fleet, &req, &finish) == NULL || finish < left)
+	w = fl_choose(j->fleet, &req, &finish);
+	if (w == NULL || finish < left ||
+	    req.size_ms * fl_run_ratio(j->fleet, w) > left)
 		return (0);
 	return ((unsigned)(finish - left));
 }
@@ -429,19 +433,49 @@
 	return (!ready || jb_place(j, job));
 }
 
+/* Time by which a waiting job must start to be in time. */
+static uint64_t
+start_by_ms(const struct jb_job *job)
+{
+	return (job->target_at_ms -
+	    MIN(jb_critical_path_ms(job), job->target_at_ms));
+}
+
+/* The most urgent job first, those that are late already last. */
+static gint
+compare_waiting(gconstpointer a, gconstpointer b, gpointer now_ms)
+{
+	const struct jb_job *x = *(struct jb_job *const *)a;
+	const struct jb_job *y = *(struct jb_job *const *)b;
+	uint64_t now = *(uint64_t *)now_ms;
+	uint64_t x_by = start_by_ms(x), y_by = start_by_ms(y);
+
+	if ((x_by < now) != (y_by < now))
+		return (x_by < now ? 1 : -1);
+	return ((x_by > y_by) - (x_by < y_by));
+}
+
 void
 jb_tick(struct jb *j)
 {
+	GPtrArray *waiting = g_ptr_array_new();
 	GList *jobs = g_hash_table_get_values(j->by_number), *l;
 	uint64_t now = ck_mono_ms(j->clock);
 	struct jb_job *job;
+	guint i;
 
 	fl_tick(j->fleet);
 	j->best_run_ratio = 0;
 	for (l = jobs; l != NULL; l = l->next) {
 		job = l->data;
-		if (now >= job->deadline_ms || !check_tasks(j, job, now))
+		if (now < job->deadline_ms && !job->any_granted)
+			g_ptr_array_add(waiting, job);
+		else if (now >= job->deadline_ms || !check_tasks(j, job, now))
 			jb_give_up(j, job, JB_R_DEADLINE);
 	}
 	g_list_free(jobs);
+	g_ptr_array_sort_with_data(waiting, compare_waiting, &now);
+	for (i = 0; i < waiting->len; i++)
+		jb_admit(j, waiting->pdata[i]);
+	g_ptr_array_free(waiting, TRUE);
 }
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -82,6 +82,39 @@
 	assert_int_equal(0, f->nstarts);
 }
 
+/* Guards against refusing a job for an overload though a worker is idle: it is
+ * late on a slow worker, but no other job waits for it. */
+static void
+test_slow_idle_worker(void **state)
+{
+	struct fixture *f = *state;
+	struct fl_worker *w = attach(f, "w1", 1);
+
+	set_run_ratio(f, w, 3);
+	submit_job(f, "a", 7, 1, 60, 1);
+	assert_int_equal(1, f->nstarts);
+	attach_agent(f, "w1", "z1", 1, 1, WORKER_CPU * 2);
+	submit_job(f, "b", 7, 1, 60, 1);
+	assert_int_equal(1, f->nstarts);
+	assert_int_equal(JB_REFUSED, f->answers[0].status);
+	assert_int_equal(JB_R_OVERLOAD, f->answers[0].reason);
+}
+
+/* Guards against asking a client to come back with a job that takes too long
+ * even without waiting. */
+static void
+test_no_retry_after_for_long_job(void **state)
+{
+	struct fixture *f = *state;
+	struct fl_worker *w = attach(f, "w1", 1);
+
+	set_run_ratio(f, w, 3);
+	submit_job(f, "a", 7, 1, 900, 1);
+	assert_int_equal(0, f->nstarts);
+	assert_int_equal(JB_REFUSED, f->answers[0].status);
+	assert_int_equal(0, f->answers[0].retry_ms);
+}
+
 /* Guards against refusing all jobs just after the start of an entry, whose
  * agents connect within a second (was: 503 for 100 ms after each power
  * loss). */
@@ -104,6 +137,34 @@
 	assert_int_equal(JB_COMPLETED, f->answers[0].status);
 }
 
+/* Guards against late answers for all jobs that waited for the agents of an
+ * entry: the first agent gets only those that can be in time or start at once,
+ * the most urgent first, and the others are told that they have not run. */
+static void
+test_waiting_jobs_decided_again(void **state)
+{
+	struct fixture *f = *state;
+	unsigned i;
+
+	fl_free(f->fleet);
+	jb_free(f->jobs);
+	f->fleet = fl_new(f->clock, f->counters, f->config, 1);
+	f->jobs = jb_new(f->clock, f->counters, f->fleet, &ops, f);
+	/* Together 20 tasks, half of which fit on the worker. */
+	submit_job(f, "late", 7, 10, 60, 1);
+	ck_advance_ms(f->clock, 200);
+	submit_job(f, "in time", 8, 10, 60, 1);
+	assert_int_equal(0, f->nanswers);
+	attach_agent(f, "w1", "z1", 1, 1, 0);
+	jb_tick(f->jobs);
+	assert_int_equal(10, f->nstarts);
+	for (i = 0; i < f->nstarts; i++)
+		assert_string_equal("in time", f->starts[i].sub.id);
+	assert_int_equal(1, f->nanswers);
+	assert_int_equal(JB_REFUSED, f->answers[0].status);
+	assert_int_equal(7, f->waiters[0]);
+}
+
 /* Guards against refusals just after an entry was frozen. It has received no
  * heartbeats for seconds, though all its agents are alive. */
 static void
@@ -360,7 +421,10 @@
 	    T(test_answer_lost),
 	    T(test_steps),
 	    T(test_refuse_at_once),
+	    T(test_slow_idle_worker),
+	    T(test_no_retry_after_for_long_job),
 	    T(test_wait_for_agents),
+	    T(test_waiting_jobs_decided_again),
 	    T(test_wait_after_freeze),
 	    T(test_retry_on_other_worker),
 	    T(test_stale_report),
--- a/tests/test_load.c
+++ b/tests/test_load.c
@@ -27,6 +27,9 @@
 #define SHARE_MANY_ENTRIES_MIN 0.9
 #define SHARE_LOST_TO_ENTRIES_MAX 0.02
 #define FEW_ENTRIES 3
+/* Target: share of the jobs that learn only at their deadline that they cannot
+ * be served, while clients come back after a power loss. */
+#define SHARE_GAVE_UP_MAX 0.005
 
 struct totals {
 	struct md_outcomes all;
@@ -161,6 +164,21 @@
 	md_result_free(many);
 }
 
+/* Guards against jobs that wait for agents after a power loss, are then all
+ * placed on the first ones and end at their deadline in queues. 1.7% of all
+ * jobs did. */
+static void
+test_power_loss(void **state)
+{
+	struct totals s;
+
+	(void)state;
+	s = replay(LOADS_DIR "order-desk-power-loss.toml", 1);
+	assert_true(s.all.gave_up <= s.all.submitted * SHARE_GAVE_UP_MAX);
+	assert_true(md_in_time_share(&s.all) >= SHARE_MANY_ENTRIES_MIN);
+	assert_int_equal(0, s.duplicate_runs);
+}
+
 /* Guards against results that depend on anything but the load. */
 static void
 test_same_seed_same_result(void **state)
@@ -204,6 +222,7 @@
 	    cmocka_unit_test(test_overload_served_evenly),
 	    cmocka_unit_test(test_refusals_are_quick),
 	    cmocka_unit_test(test_many_entries),
+	    cmocka_unit_test(test_power_loss),
 	    cmocka_unit_test(test_same_seed_same_result),
 	    cmocka_unit_test(test_no_concurrent_runs_of_task),
 	};
