Limit the load reports of an agent to all its entries together

Cause: an agent reported its load to each of its entries up to every 40 ms, so its reports grow with its contacts: 400 a second with 16. They are most of the messages between zones.

Change: the period grows with the contacts, so that an agent sends at most 200 reports a second; with 8 entries or fewer it stays at 40 ms. The model of a cell uses the same rule.

Ruled out: 80 ms for all cells.

--- a/agent/links.c
+++ b/agent/links.c
@@ -34,8 +34,6 @@
 /* A connection that is not needed any more is closed after the entry has been
  * told for this time to grant nothing. */
 #define RELEASE_MS 1000
-/* Minimum time between load reports to an entry without ended tasks. */
-#define LOAD_REPORT_MS 40
 #define US_PER_MS 1000
 
 struct link {
@@ -480,10 +478,10 @@
  * to entries without ended tasks. They are limited in rate, since an entry
  * without work here needs no more than the heartbeats. */
 static bool
-is_load_report_due(const struct link *l, uint64_t now)
+is_load_report_due(const struct link *l, uint64_t now, unsigned period_ms)
 {
 	return (l->open && l->entry != 0 && l->unneeded_ms == 0 &&
-	    now - l->load_sent_ms >= LOAD_REPORT_MS);
+	    now - l->load_sent_ms >= period_ms);
 }
 
 static void
@@ -494,13 +492,15 @@
 	struct pd_ended e = {0};
 	GHashTableIter it;
 	struct pd_load load = current_load(k);
+	unsigned period_ms = ac_report_period_ms(lk_connected(k));
 	struct link *l;
 
 	(void)fd;
 	(void)what;
 	g_hash_table_iter_init(&it, k->table);
 	while (g_hash_table_iter_next(&it, NULL, (void **)&l)) {
-		if (l->unsent_ends->len == 0 && !is_load_report_due(l, now))
+		if (l->unsent_ends->len == 0 &&
+		    !is_load_report_due(l, now, period_ms))
 			continue;
 		l->load_sent_ms = now;
 		e.load = load_for(l, load);
--- a/bench/model_worker.c
+++ b/bench/model_worker.c
@@ -10,8 +10,6 @@
 #define LOCAL_DELAY_US 500
 /* Time that an endpoint needs to stop a run. */
 #define STOP_DELAY_US 20000
-/* Period of load reports to entries that get no other report. */
-#define REPORT_PERIOD_US 40000
 #define MEM_MB 100000
 /* Has no divisor in common with usual numbers of workers. */
 #define WORKER_ORDER_STEP 7919
@@ -298,16 +296,19 @@
 on_flush(struct md *m, struct md_event *e)
 {
 	struct md_worker *w = &m->workers[e->a];
-	unsigned i;
+	unsigned i, contacts = 0;
+	uint64_t period_us;
 
 	w->flush_pending = false;
 	if (!w->up)
 		return;
+	for (i = 0; i < m->load->entries; i++)
+		contacts += w->contacts[i];
+	period_us = (uint64_t)ac_report_period_ms(contacts) * US_PER_MS;
 	for (i = 0; i < m->load->entries; i++)
 		if (w->contacts[i] &&
 		    (w->ended[i]->len > 0 ||
-			ck_mono_us(m->clock) - w->reported_us[i] >=
-			    REPORT_PERIOD_US))
+			ck_mono_us(m->clock) - w->reported_us[i] >= period_us))
 			send_report(w, i);
 }
 
--- a/sched/contacts.c
+++ b/sched/contacts.c
@@ -14,6 +14,7 @@
 /* The count at most doubles at a time, since entries that have just started
  * know few workers for a moment. */
 #define GROWTH_MAX 2.0
+#define MS_PER_S 1000
 
 struct ac {
 	const struct ck *clock;
@@ -98,3 +99,10 @@
 	}
 	return (MIN(c->count, entries));
 }
+
+unsigned
+ac_report_period_ms(unsigned contacts)
+{
+	return (
+	    MAX(AC_REPORT_PERIOD_MS, contacts * MS_PER_S / AC_REPORTS_PER_S));
+}
--- a/sched/contacts.h
+++ b/sched/contacts.h
@@ -27,6 +27,13 @@
  * if there are as many */
 #define AC_LABEL_WORKERS_MIN 4
 
+/** AC_REPORT_PERIOD_MS - minimum period of load reports to an entry. With a few
+ * entries, a longer one makes each of them grant on older loads */
+#define AC_REPORT_PERIOD_MS 40
+
+/** AC_REPORTS_PER_S - load reports that an agent sends in a second */
+#define AC_REPORTS_PER_S 200
+
 /** ac_new() - create contacts of an agent; owned */
 struct ac *ac_new(const struct ck *clock);
 
@@ -56,4 +63,13 @@
  */
 unsigned ac_count(struct ac *c, unsigned entries);
 
+/**
+ * ac_report_period_ms() - minimum time between load reports to an entry that
+ * has no other message to come
+ * @contacts: connected entries
+ *
+ * The agent sends at most AC_REPORTS_PER_S of them to all entries together.
+ */
+unsigned ac_report_period_ms(unsigned contacts);
+
 #endif
--- a/tests/test_links.c
+++ b/tests/test_links.c
@@ -25,6 +25,8 @@
 #define SETTLE_MS 1800
 #define RECONNECT_MS 800
 #define MANY_WORKERS 1000
+/* Time between ends of tasks. */
+#define REPORT_END_MS 10
 /* Target: agents are connected within 100 ms of the announcement of entries. */
 #define DISCOVER_MS 100
 
@@ -37,6 +39,7 @@
 	char address[SN_ADDRESS_SIZE];
 	struct cn *conn;
 	bool accepting; /* in the last heartbeat */
+	unsigned loads; /* reports without ended tasks */
 };
 
 struct fixture {
@@ -49,6 +52,16 @@
 	uint64_t busy_entry; /* has grants at the agent */
 };
 
+static void
+on_report(struct entry *e, struct cn *c, XDR *args)
+{
+	struct pd_ended ended = {0};
+
+	assert_true(cn_decode(c, args, (xdrproc_t)xdr_pd_ended, &ended));
+	e->loads += ended.list.list_len == 0;
+	xdr_free((xdrproc_t)xdr_pd_ended, (char *)&ended);
+}
+
 static void
 on_call(void *arg, struct cn *c, uint32_t proc, uint32_t xid, XDR *args)
 {
@@ -59,6 +72,10 @@
 	    .service_workers = MANY_WORKERS,
 	    .label_workers = MANY_WORKERS};
 
+	if (proc == PD_ENDED) {
+		on_report(e, c, args);
+		return;
+	}
 	assert_int_equal(PD_ATTACH, proc);
 	assert_true(cn_decode(c, args, (xdrproc_t)xdr_pd_attach, &a));
 	e->accepting = a.load.accepting;
@@ -266,6 +283,34 @@
 	assert_null(seed->conn);
 }
 
+/* Guards against load reports that grow with the number of entries. */
+static void
+test_load_report_rate(void **state)
+{
+	struct pd_end end = {.key.sub.id = (char *)(uintptr_t) "a"};
+	struct fixture *f = *state;
+	uint64_t started_ms, elapsed_ms;
+	unsigned i, loads = 0;
+	struct entry *busy;
+
+	start_links(f);
+	sn_run_loop(f->base, SETTLE_MS);
+	for (i = 0; f->entries[i].conn == NULL; i++)
+		;
+	busy = &f->entries[i];
+	for (i = 0; i < ENTRIES; i++)
+		f->entries[i].loads = 0;
+	started_ms = ck_mono_ms(f->clock);
+	do {
+		lk_report_end(f->links, busy->number + 1, &end);
+		sn_run_loop(f->base, REPORT_END_MS);
+		elapsed_ms = ck_mono_ms(f->clock) - started_ms;
+	} while (elapsed_ms < 1000);
+	for (i = 0; i < ENTRIES; i++)
+		loads += f->entries[i].loads;
+	assert_in_range(loads * 1000 / elapsed_ms, 1, AC_REPORTS_PER_S);
+}
+
 /* Guards against agents that hear of entries up to 200 ms after the seeds, in a
  * heartbeat, while jobs wait after a power loss. */
 static void
@@ -289,6 +334,7 @@
 	const struct CMUnitTest tests[] = {
 	    T(test_subset),
 	    T(test_leave_when_idle),
+	    T(test_load_report_rate),
 	    T(test_entries_announced_later),
 	};
 
