Refuse to serve where clients come back before runs have ended

Cause: the limits after which a lost entry's runs have ended are constants that fit clients that submit a job again 1,300 ms after their connection broke. Where they come back sooner, the job could run twice at a time, and nothing said so.

A setting that is missing counts as 1,300 ms.

--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -16,6 +16,7 @@
 #include "front.h"
 #include "gossip.h"
 #include "jobs.h"
+#include "lease.h"
 #include "log.h"
 #include "process.h"
 #include "rng.h"
@@ -35,6 +36,8 @@
 #define DRAIN_MAX_MS 5500
 /* One in so many jobs that complete in time is logged with all its events. */
 #define LOG_SAMPLE_INTERVAL 32
+/* Limit of clients.resubmit_ms. */
+#define RESUBMIT_MAX_MS 600000
 #define FIELD(field) offsetof(struct settings, field)
 
 struct settings {
@@ -50,6 +53,7 @@
 	struct st_strings seeds;
 	char *store;
 	char *log_level;
+	int64_t resubmit_ms;
 };
 
 static const struct st_key keys[] = {
@@ -65,6 +69,10 @@
 	"IP:port for the balancer's probes"},
     {"listen.rpc", ST_STRING, FIELD(rpc), 9, 21, NULL, NULL,
 	"IP:port for agents and other entries"},
+    {"clients.resubmit_ms", ST_INTEGER, FIELD(resubmit_ms), LE_UNREACHABLE_MS,
+	RESUBMIT_MAX_MS, "1300", NULL,
+	"time after which clients submit a job again whose connection broke, "
+	"milliseconds: no run of it may be left then"},
     {"listen.advertised", ST_STRING, FIELD(advertised), 0, 21, "", NULL,
 	"IP:port by which agents and entries reach listen.rpc; empty for it"},
     {"listen.metrics", ST_STRING, FIELD(metrics), 0, 21, "", NULL,
--- a/sched/jobs_outcome.c
+++ b/sched/jobs_outcome.c
@@ -3,11 +3,6 @@
 #include "jobs_impl.h"
 #include "lease.h"
 
-/* Longest time that a run at an unreachable agent goes on after the last reply
- * to its heartbeats: until the agent has noticed the loss of contact, and then
- * the lease of the endpoint, timed by its clock, has ended. */
-#define UNREACHABLE_RUN_MAX_MS                                                 \
-	(LE_CONTACT_MS + LE_RUN_MS + LE_RUN_MS * LE_DRIFT_PERMILLE / 1000)
 /* An agent reconnects within 100 ms after a connection reset; one that has
  * restarted reports within this time that it does not know the run. */
 #define RECONNECT_MS 300
@@ -327,8 +322,7 @@
 	    (double)ck_mono_ms(j->clock) - (double)t->worker->heartbeat_ms, 0);
 	t->state = JB_UNREACHABLE;
 	t->unreachable_since_ms = ck_mono_ms(j->clock);
-	t->latest_end_ms =
-	    t->worker->heartbeat_reply_ms + UNREACHABLE_RUN_MAX_MS;
+	t->latest_end_ms = t->worker->heartbeat_reply_ms + LE_UNREACHABLE_MS;
 }
 
 static void
@@ -412,8 +406,7 @@
 		t = &job->tasks[i];
 		/* A silent agent is treated like a disconnected one. */
 		if (t->state == JB_GRANTED &&
-		    now >
-			t->worker->heartbeat_reply_ms + UNREACHABLE_RUN_MAX_MS)
+		    now > t->worker->heartbeat_reply_ms + LE_UNREACHABLE_MS)
 			mark_unreachable(j, job, t);
 		if (t->state == JB_UNREACHABLE &&
 		    cannot_be_replaced(j, job, t)) {
--- a/sched/lease.h
+++ b/sched/lease.h
@@ -24,4 +24,10 @@
 /** LE_DRIFT_PERMILLE - by how much an endpoint's clock may be slow */
 #define LE_DRIFT_PERMILLE 20
 
+/** LE_UNREACHABLE_MS - longest time that a run goes on after the last reply to
+ * the heartbeats of its agent: until the agent has noticed the loss of contact,
+ * and then the lease of the endpoint, timed by its clock, has ended */
+#define LE_UNREACHABLE_MS                                                      \
+	(LE_CONTACT_MS + LE_RUN_MS + LE_RUN_MS * LE_DRIFT_PERMILLE / 1000)
+
 #endif
--- a/tests/proc_command.c
+++ b/tests/proc_command.c
@@ -110,6 +110,25 @@
 	check_settings("name = [\n", 2, "settings.toml:");
 }
 
+/* Guards against serving where clients submit a job again while a run of it may
+ * be left at an agent that has lost its entry: it would run twice at a time. */
+static void
+test_dispatch_settings(void **state)
+{
+	const char *const args[] = {
+	    "dispatch", "--settings", settings_path, NULL};
+	char *out, *err;
+
+	(void)state;
+	assert_true(g_file_set_contents(
+	    settings_path, "[clients]\nresubmit_ms = 1000\n", -1, NULL));
+	assert_int_equal(2, run(args, &out, &err));
+	assert_non_null(
+	    strstr(err, "clients.resubmit_ms: value 1000 is out of range"));
+	g_free(out);
+	g_free(err);
+}
+
 /* Guards against an entry that starts to serve before its settings have been
  * validated. */
 static void
@@ -227,6 +246,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_settings),
+	    cmocka_unit_test(test_dispatch_settings),
 	    cmocka_unit_test(test_serve_rejects_settings),
 	    cmocka_unit_test(test_usage_errors),
 	    cmocka_unit_test(test_help),
