--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -48,6 +48,8 @@
 	unsigned unanswered; /* of the next polls that wait for an end */
 	unsigned delay_ms;   /* between the list and the answer of a poll */
 	unsigned ends;       /* that the agent has seen */
+	unsigned lists;      /* that the agent has used */
+	unsigned long long started_ms; /* of the endpoint, in its answers */
 };
 
 /* --- endpoint --- */
@@ -58,7 +60,9 @@
 answer_hold(struct fixture *f, struct evhttp_request *req)
 {
 	evbuffer_add_printf(evhttp_request_get_output_buffer(req),
-	    "{\"clock_ms\":1,\"running\":[%s],\"ended\":[%s]}",
+	    "{\"clock_ms\":1,\"born\":%llu,\"running\":[%s],"
+	    "\"ended\":[%s]}",
+	    f->started_ms,
 	    f->run_started && !f->run_ended ? "[" TASK ",\"\",0]" : "",
 	    f->run_ended ? "[1," TASK ",\"done\",\"\"]" : "");
 }
@@ -191,6 +195,7 @@
 	struct fixture *f = arg;
 
 	f->ends += poll->nended;
+	f->lists++;
 }
 
 static void
@@ -425,6 +430,33 @@
 	assert_int_equal(1, f->ends);
 }
 
+/* Guards against taking the list of an earlier process of the endpoint, which
+ * arrives late, for a restart: the runs would count as ended. */
+static void
+test_list_of_earlier_process(void **state)
+{
+	struct fixture *f = *state;
+
+	use_real_clock(f);
+	f->delay_ms = 30;
+	f->started_ms = WALL_MS - 1;
+	f->heartbeat_port = sn_free_port();
+	sn_address(f->heartbeat_address, f->heartbeat_port);
+	f->orders = od_new(f->base, f->clock, f->heartbeat_address,
+	    f->endpoint_address, &ops, f);
+	sn_run_loop(f->base, 10);
+	assert_int_equal(1, f->polls);
+	f->delay_ms = 0;
+	f->started_ms = WALL_MS;
+	send_names(f, "desk", "a");
+	sn_run_loop(f->base, 60);
+	assert_int_equal(0, f->lists);
+	send_names(f, "desk", "a");
+	start_run(f);
+	sn_run_loop(f->base, HOLD_MS + 20);
+	assert_true(f->lists > 0);
+}
+
 int
 main(void)
 {
@@ -435,6 +467,7 @@
 	    T(test_malformed_heartbeat),
 	    T(test_end_seen_beside_unanswered_poll),
 	    T(test_end_seen_after_list_without_run),
+	    T(test_list_of_earlier_process),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
