--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -246,14 +246,20 @@
 }
 
 static void
-start_orders(struct fixture *f)
+start_orders_for(struct fixture *f, unsigned ms)
 {
 	f->heartbeat_port = sn_free_port();
 	sn_address(f->heartbeat_address, f->heartbeat_port);
 	f->orders = od_new(f->base, f->clock, f->heartbeat_address,
 	    f->endpoint_address, &ops, f);
 	assert_non_null(f->orders);
-	sn_run_loop(f->base, 100);
+	sn_run_loop(f->base, ms);
+}
+
+static void
+start_orders(struct fixture *f)
+{
+	start_orders_for(f, 100);
 }
 
 static int
@@ -416,11 +422,7 @@
 
 	use_real_clock(f);
 	f->delay_ms = 30;
-	f->heartbeat_port = sn_free_port();
-	sn_address(f->heartbeat_address, f->heartbeat_port);
-	f->orders = od_new(f->base, f->clock, f->heartbeat_address,
-	    f->endpoint_address, &ops, f);
-	sn_run_loop(f->base, 10);
+	start_orders_for(f, 10);
 	assert_int_equal(1, f->polls);
 	start_run(f);
 	sn_run_loop(f->base, 60);
@@ -440,11 +442,7 @@
 	use_real_clock(f);
 	f->delay_ms = 30;
 	f->started_ms = WALL_MS - 1;
-	f->heartbeat_port = sn_free_port();
-	sn_address(f->heartbeat_address, f->heartbeat_port);
-	f->orders = od_new(f->base, f->clock, f->heartbeat_address,
-	    f->endpoint_address, &ops, f);
-	sn_run_loop(f->base, 10);
+	start_orders_for(f, 10);
 	assert_int_equal(1, f->polls);
 	f->delay_ms = 0;
 	f->started_ms = WALL_MS;
