Tell the clients of jobs refused for an overload when to come back

Cause: Retry-After was the time by which a job would miss its deadline, so those that were refused because they would be late, or for the sake of more urgent queues, got none.

Change: it is the time by which the job would be late, 200 ms at least, unless it takes too long even without waiting.

--- a/sched/jobs_outcome.c
+++ b/sched/jobs_outcome.c
@@ -16,6 +16,10 @@
 	return (r < JB_R_MAX ? names[r] : "invalid");
 }
 
+/* Least time after which a job that was refused for an overload is worth a new
+ * try: about the run time of the tasks that fill the workers. */
+#define RETRY_MIN_MS 200
+
 static struct pd_key
 grant_key(const struct jb_job *job, const struct jb_task *t)
 {
@@ -37,21 +41,22 @@
 }
 
 /* Time after which a refused job may be accepted: by how much its first task is
- * expected to miss the deadline; 0 if unknown, or if waiting does not help
- * since the task runs too long. */
+ * expected to end later than it would have to, while the queues go on; 0 if
+ * unknown, or if waiting does not help since the task runs too long. */
 static unsigned
 retry_ms(struct jb *j, const struct jb_job *job)
 {
 	struct fl_requirements req = jb_requirements(j, job, &job->tasks[0]);
-	double left = (double)(job->deadline_ms - job->arrived_ms);
 	struct fl_worker *w;
-	double finish;
+	double finish, excess;
 
 	w = fl_choose(j->fleet, &req, &finish);
-	if (w == NULL || finish < left ||
-	    req.size_ms * fl_run_ratio(j->fleet, w) > left)
+	if (w == NULL ||
+	    req.size_ms * fl_run_ratio(j->fleet, w) >
+		(double)(job->deadline_ms - job->arrived_ms))
 		return (0);
-	return ((unsigned)(finish - left));
+	excess = finish - req.left_ms;
+	return (excess < RETRY_MIN_MS ? RETRY_MIN_MS : (unsigned)excess);
 }
 
 const char *
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -98,6 +98,8 @@
 	assert_int_equal(1, f->nstarts);
 	assert_int_equal(JB_REFUSED, f->answers[0].status);
 	assert_int_equal(JB_R_OVERLOAD, f->answers[0].reason);
+	/* It is told when to come back, though it would end by its deadline. */
+	assert_true(f->answers[0].retry_ms > 0);
 }
 
 /* Guards against asking a client to come back with a job that takes too long
