--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -3,7 +3,6 @@
 #include <stddef.h>
 #include <netinet/in.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -241,7 +240,8 @@
 	int on = 1;
 	size_t i;
 
-	to.sin_port = htons((uint16_t)atoi(strchr(address, ':') + 1));
+	to.sin_port = htons(
+	    (uint16_t)g_ascii_strtoull(strchr(address, ':') + 1, NULL, 10));
 	to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	setsockopt(h.listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
 	assert_int_equal(
@@ -249,7 +249,8 @@
 	assert_int_equal(0, listen(h.listener, 0));
 	for (i = 0; i < G_N_ELEMENTS(h.fillers); i++) {
 		h.fillers[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-		connect(h.fillers[i], (struct sockaddr *)&to, sizeof(to));
+		/* In progress, or waiting for a retransmission. */
+		(void)connect(h.fillers[i], (struct sockaddr *)&to, sizeof(to));
 	}
 	return (h);
 }
