--- a/sched/jobs_outcome.c
+++ b/sched/jobs_outcome.c
@@ -6,6 +6,9 @@
 /* An agent reconnects within 100 ms after a connection reset; one that has
  * restarted reports within this time that it does not know the run. */
 #define RECONNECT_MS 300
+/* Least time after which a job that was refused for an overload is worth a new
+ * try: about the run time of the tasks that fill the workers. */
+#define RETRY_MIN_MS 200
 
 const char *
 jb_reason_name(enum jb_reason r)
@@ -16,10 +19,6 @@
 	return (r < JB_R_MAX ? names[r] : "invalid");
 }
 
-/* Least time after which a job that was refused for an overload is worth a new
- * try: about the run time of the tasks that fill the workers. */
-#define RETRY_MIN_MS 200
-
 static struct pd_key
 grant_key(const struct jb_job *job, const struct jb_task *t)
 {
