--- a/agent/links.c
+++ b/agent/links.c
@@ -24,12 +24,13 @@
 /* Period at which the complete list of entries is requested, to notice which
  * ones are no longer announced. */
 #define REFRESH_LIST_MS 10000
-/* An agent that has just started asks a seed for new entries at each retry, as
- * long as one was announced within the first time, at most for the second. */
+/* An agent that has just started asks a seed for new entries every RETRY_MS
+ * until none was announced for DISCOVERY_IDLE_MS, at most for DISCOVERY_MAX_MS:
+ * after a power loss entries start at the same time as agents. */
 #define DISCOVERY_IDLE_MS 300
 #define DISCOVERY_MAX_MS 1500
-/* Timeout of a connection attempt in this time, when other hosts may still have
- * no power. It is more than a round trip between regions, 40 ms. */
+/* Timeout of a connection attempt during DISCOVERY_MAX_MS, when other hosts may
+ * still have no power. It is more than a round trip between regions, 40 ms. */
 #define DISCOVERY_CONNECT_MS 75
 /* A connection that is not needed any more is closed after the entry has been
  * told for this time to grant nothing. */
--- a/entry/gossip.c
+++ b/entry/gossip.c
@@ -10,9 +10,9 @@
 /* Period of exchanges with some of the other entries. A configuration reaches
  * an entry within two or three periods and has to be in force after 2 s. */
 #define EXCHANGE_PERIOD_MS 300
-/* Period at which an entry that has just started tries the seeds that it has
- * not heard from, and for how long: they may start at the same time, and agents
- * learn from them which entries there are. */
+/* An entry that has just started tries the seeds that it has not heard from
+ * every SEED_RETRY_MS, at most for SEED_RETRY_MAX_MS: they may start at the
+ * same time, and agents learn from them which entries there are. */
 #define SEED_RETRY_MS 50
 #define SEED_RETRY_MAX_MS 2000
 /* Timeout of these attempts: the SYN to a host that has no power yet is lost.
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -453,9 +453,9 @@
 
 /*
  * After a power loss of all hosts, agents connect while clients come back, and
- * the jobs that wait for agents are more than these can run in time. Each is
- * decided on like a new one when there are workers: those that would be late in
- * a queue are refused in favor of those that can be in time.
+ * more jobs wait for agents than these can run in time. Once there are workers,
+ * each waiting job is decided on like a new one: those that would be late in a
+ * queue are refused in favor of those that can be in time.
  */
 bool
 jb_admit(struct jb *j, struct jb_job *job)
