--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -227,8 +227,18 @@
 front_find_queue(void *arg, const char *host, const char *path)
 {
 	struct di *d = arg;
-
-	return (cf_match(d->config, host, path));
+	const struct pd_queue *q = cf_match(d->config, host, path);
+
+	if (q != NULL || !front_has_config(d))
+		return (q);
+	ct_add(
+	    ct_get(d->counters, CT_COUNTER, "pd_requests_without_queue_total",
+		"Requests that match no queue of the configuration", ""),
+	    1);
+	ev_write_detail("front", "no_queue", "{s:s,s:s,s:I,s:i}", "host", host,
+	    "path", path, "config", (json_int_t)cf_revision(d->config),
+	    "queues", (int)cf_current(d->config)->queues.queues_len);
+	return (NULL);
 }
 
 static void
@@ -414,6 +424,9 @@
 	ct_set(ct_get(d->counters, CT_GAUGE, "pd_config_revision",
 		   "Configuration in force", ""),
 	    (int64_t)cf_revision(d->config));
+	ct_set(ct_get(d->counters, CT_GAUGE, "pd_config_queues",
+		   "Queues of the configuration in force", ""),
+	    cf_current(d->config)->queues.queues_len);
 }
 
 static void
