--- a/tests/harness_fleet.c
+++ b/tests/harness_fleet.c
@@ -174,17 +174,31 @@
 	g_free(text);
 }
 
+static json_t *
+queue_json(const char *name, const char *prefix)
+{
+	return (json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:f,s:i}", "name", name,
+	    "host", "127.0.0.1", "path_prefix", prefix, "service", "desk",
+	    "timeout_ms", DEADLINE_MS, "target_latency_ms", 60, "max_attempts",
+	    3, "stretch", 1.6, "priority", 0));
+}
+
 void
-hf_set_timeout(struct hf *f, unsigned version, unsigned timeout_ms)
+hf_set_queues(struct hf *f, unsigned version, unsigned added)
 {
-	json_t *o = json_pack(
-	    "{s:i,s:[{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:f,s:i}],s:[],s:{}}",
-	    "version", (int)version, "routes", "name", "q", "host", "127.0.0.1",
-	    "path_prefix", PATH_PREFIX, "service", "desk", "timeout_ms",
-	    (int)timeout_ms, "target_latency_ms", 60, "max_attempts", 3,
-	    "stretch", 1.6, "priority", 0, "services", "limits");
-	char *text = json_dumps(o, JSON_COMPACT);
+	json_t *routes = json_array(), *o;
+	char name[32], prefix[32], *text;
+	unsigned i;
 
+	for (i = 0; i < added; i++) {
+		snprintf(name, sizeof(name), "added%u", i);
+		snprintf(prefix, sizeof(prefix), "/added%u/", i);
+		json_array_append_new(routes, queue_json(name, prefix));
+	}
+	json_array_append_new(routes, queue_json("q", PATH_PREFIX));
+	o = json_pack("{s:i,s:o,s:[],s:{}}", "version", (int)version, "routes",
+	    routes, "services", "limits");
+	text = json_dumps(o, JSON_COMPACT);
 	store_put(f, "config", text, false);
 	free(text);
 	json_decref(o);
@@ -270,7 +284,7 @@
 	hn_wait_ready(f->store, &f->store_port, 1);
 	f->store_relay_port =
 	    start_relay(f, f->store_port, &f->store_relay_control_port);
-	hf_set_timeout(f, 1, DEADLINE_MS);
+	hf_set_queues(f, 1, 0);
 	for (i = 0; i < entries; i++) {
 		f->entries[i].clients_port = hn_port(h);
 		f->entries[i].probes_port = hn_port(h);
--- a/tests/harness_fleet.h
+++ b/tests/harness_fleet.h
@@ -50,9 +50,10 @@
 /** hf_free() - stop the load; consumed. The processes run until hn_free() */
 void hf_free(struct hf *f);
 
-/** hf_set_timeout() - write a configuration of one queue with this timeout to
- * the store, as the operator does */
-void hf_set_timeout(struct hf *f, unsigned version, unsigned timeout_ms);
+/** hf_set_queues() - write a configuration of @added queues "/added0/",
+ * "/added1/", ... and then the queue of the load to the store, as the operator
+ * does */
+void hf_set_queues(struct hf *f, unsigned version, unsigned added);
 
 /** hf_evacuate() - take an availability zone out, or bring it back, as the
  * operator does */
--- /dev/null
+++ b/tests/proc_config.c
@@ -0,0 +1,114 @@
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+
+#include <cmocka.h>
+#include <glib.h>
+
+#include "harness_fleet.h"
+
+/* Tests large configurations with the real dispatchers and agents. */
+
+#define ENTRIES 3
+#define WORKERS 3
+#define PER_S 20
+/* A configuration has to be in force 2 s after the store accepted it. */
+#define CONFIG_MS 2000
+/* The operators add so many queues at a time, three times. */
+#define ADDED 1400
+#define CHANGES 3
+/* One in so many queues is asked for. */
+#define SAMPLE_INTERVAL 35
+
+struct fixture {
+	struct hn *hn;
+	struct hf *fleet;
+};
+
+static int
+set_up(void **state)
+{
+	struct fixture *f = g_new0(struct fixture, 1);
+
+	f->hn = hn_new();
+	f->fleet = hf_new(f->hn, ENTRIES, WORKERS);
+	*state = f;
+	return (0);
+}
+
+static int
+tear_down(void **state)
+{
+	struct fixture *f = *state;
+
+	hf_free(f->fleet);
+	hn_free(f->hn);
+	g_free(f);
+	return (0);
+}
+
+static int
+queue_status(struct fixture *f, unsigned entry, const char *path)
+{
+	return (hn_http(
+	    "GET", hf_clients_port(f->fleet, entry), path, NULL, NULL, NULL));
+}
+
+/* Number of the queues asked for that an entry does not serve. */
+static unsigned
+unserved_queues(struct fixture *f, unsigned entry, unsigned added)
+{
+	unsigned i, n = queue_status(f, entry, "/q/") != 200;
+	char path[32];
+
+	for (i = 0; i < added; i += SAMPLE_INTERVAL) {
+		snprintf(path, sizeof(path), "/added%u/", i);
+		n += queue_status(f, entry, path) != 200;
+	}
+	return (n);
+}
+
+static void
+assert_all_queues_served(struct fixture *f, unsigned added)
+{
+	unsigned i;
+
+	for (i = 0; i < ENTRIES; i++)
+		assert_int_equal(0, unserved_queues(f, i, added));
+}
+
+/* Guards against queues that are answered with 404 once the configuration has
+ * more than 1,024 of them. */
+static void
+test_queues_beyond_1024_not_served(void **state)
+{
+	struct fixture *f = *state;
+	const struct hf_job *jobs;
+	unsigned i, n;
+
+	hf_start_load(f->fleet, PER_S);
+	for (i = 1; i <= CHANGES; i++) {
+		hf_set_queues(f->fleet, 1 + i, i * ADDED);
+		hn_sleep_ms(CONFIG_MS);
+		assert_all_queues_served(f, i * ADDED);
+	}
+	hf_restart_entry(f->fleet, 0, SIGTERM);
+	hn_sleep_ms(CONFIG_MS);
+	assert_all_queues_served(f, CHANGES * ADDED);
+	jobs = hf_stop_load(f->fleet, &n);
+	for (i = 0; i < n; i++)
+		assert_true(jobs[i].completed);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test_setup_teardown(
+		test_queues_beyond_1024_not_served, set_up, tear_down),
+	};
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
