Apply a configuration as a whole, or not at all

Callers got 404 for queues that were in the operators' configuration, among them queues that had been served before. An entry took only the first 1,024 queues of a configuration, the limit of a list in wire/pd.x, and dropped the rest without an error: after 1,400 more had been added, page-proof was gone; after the second change book-render, cover-thumb and the queue of the finding. Texts were cut to their limits in the same way, and the list of zones that are out.

Ruled out: an older revision taken after a newer one (the revision never falls and no entry restarts), and routes that the operators removed.

An entry now reads the configuration without limits, and applies it only if all of it fits in a message to other entries, else the one before stays and pd_configs_rejected_total counts it.

--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -341,6 +341,16 @@
 	apply_config(arg, c, "the store");
 }
 
+static void
+feed_config_rejected(void *arg)
+{
+	struct di *d = arg;
+
+	ct_add(ct_get(d->counters, CT_COUNTER, "pd_configs_rejected_total",
+		   "Configurations that exceed a limit", ""),
+	    1);
+}
+
 static void
 feed_store_reachable(void *arg, bool reachable)
 {
@@ -353,6 +363,7 @@
 
 static const struct fe_ops feed_ops = {
     .config = feed_config,
+    .config_rejected = feed_config_rejected,
     .store_reachable = feed_store_reachable,
 };
 
--- a/sched/config.c
+++ b/sched/config.c
@@ -69,6 +69,13 @@
 	return (true);
 }
 
+bool
+cf_fits(const struct pd_config *config)
+{
+	return (xdr_sizeof(
+		    (xdrproc_t)xdr_pd_config, (void *)(uintptr_t)config) != 0);
+}
+
 uint64_t
 cf_revision(const struct cf *c)
 {
--- a/sched/config.h
+++ b/sched/config.h
@@ -27,6 +27,12 @@
  */
 bool cf_apply(struct cf *c, const struct pd_config *config);
 
+/**
+ * cf_fits() - whether a configuration keeps the limits of wire/pd.x, so that it
+ * can be sent to other entries
+ */
+bool cf_fits(const struct pd_config *config);
+
 /** cf_revision() - revision of the configuration, 0 for none */
 uint64_t cf_revision(const struct cf *c);
 
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -325,6 +325,22 @@
 		fail_msg("%s is not ready", p->name);
 }
 
+unsigned
+hn_peak_memory_kb(const struct hn_proc *p)
+{
+	char path[64], *text, *line;
+	unsigned kb;
+
+	snprintf(path, sizeof(path), "/proc/%d/status", (int)p->pid);
+	assert_true(g_file_get_contents(path, &text, NULL, NULL));
+	line = strstr(text, "VmHWM:");
+	assert_non_null(line);
+	kb = (unsigned)g_ascii_strtoull(
+	    line + strcspn(line, "0123456789"), NULL, 10);
+	g_free(text);
+	return (kb);
+}
+
 void
 hn_signal(struct hn_proc *p, int sig)
 {
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -87,6 +87,9 @@
 /** hn_error_output() - standard error so far, released with g_free() */
 char *hn_error_output(const struct hn_proc *p);
 
+/** hn_peak_memory_kb() - most memory that a process has had so far */
+unsigned hn_peak_memory_kb(const struct hn_proc *p);
+
 /**
  * hn_run() - run a program to its end
  * @h: harness
--- a/tests/proc_config.c
+++ b/tests/proc_config.c
@@ -8,6 +8,7 @@
 #include <glib.h>
 
 #include "harness_fleet.h"
+#include "pd.h"
 
 /* Tests large configurations with the real dispatchers and agents. */
 
@@ -21,6 +22,8 @@
 #define CHANGES 3
 /* One in so many queues is asked for. */
 #define SAMPLE_INTERVAL 35
+/* Target: control takes at most 128 MB of a host. */
+#define MEMORY_KB (128 * 1024)
 
 struct fixture {
 	struct hn *hn;
@@ -102,12 +105,33 @@
 		assert_true(jobs[i].completed);
 }
 
+/* Guards against a limit on queues that is more than an entry can hold: the
+ * process would end while it reads them. */
+static void
+test_memory_of_most_queues(void **state)
+{
+	struct fixture *f = *state;
+	unsigned i;
+
+	hf_set_queues(f->fleet, 2, PD_QUEUES_MAX - 2);
+	hn_sleep_ms(CONFIG_MS);
+	hf_set_queues(f->fleet, 3, PD_QUEUES_MAX - 1);
+	hn_sleep_ms(CONFIG_MS);
+	for (i = 0; i < ENTRIES; i++) {
+		assert_int_equal(200, queue_status(f, i, "/q/"));
+		assert_in_range(
+		    hn_peak_memory_kb(hf_entry(f->fleet, i)), 1, MEMORY_KB);
+	}
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test_setup_teardown(
 		test_queues_beyond_1024_not_served, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_memory_of_most_queues, set_up, tear_down),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
--- /dev/null
+++ b/tests/test_feed.c
@@ -0,0 +1,232 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <glib.h>
+#include <jansson.h>
+
+#include "config.h"
+#include "feed.h"
+#include "log.h"
+#include "support_net.h"
+
+/* Tests the feed of the operator's table against a stub of the store. */
+
+/* Time for the requests of a test on a busy machine. */
+#define SETTLE_MS 500
+/* What the operators had after three changes of 1,400 queues each. */
+#define MANY_QUEUES 4200
+
+/* The feed under test, and a store that gives each answer of a list once and
+ * then leaves requests open. */
+struct fixture {
+	struct event_base *base;
+	struct evhttp *http;
+	char address[SN_ADDRESS_SIZE];
+	GQueue answers;  /* char *, owned; NULL for 410 */
+	GPtrArray *urls; /* of the requests, owned */
+	GPtrArray *open; /* requests without an answer */
+	struct fe *feed;
+	struct cf *config;
+	unsigned rejected;
+};
+
+static void
+on_request(struct evhttp_request *req, void *arg)
+{
+	struct fixture *f = arg;
+	struct evbuffer *body;
+	char *answer;
+
+	g_ptr_array_add(f->urls, g_strdup(evhttp_request_get_uri(req)));
+	if (g_queue_is_empty(&f->answers)) {
+		g_ptr_array_add(f->open, req);
+		return;
+	}
+	answer = g_queue_pop_head(&f->answers);
+	body = evbuffer_new();
+	evbuffer_add(body, answer, strlen(answer));
+	evhttp_send_reply(req, 200, NULL, body);
+	evbuffer_free(body);
+	free(answer);
+}
+
+static void
+on_config(void *arg, const struct pd_config *c)
+{
+	struct fixture *f = arg;
+
+	cf_apply(f->config, c);
+}
+
+static void
+on_rejected(void *arg)
+{
+	struct fixture *f = arg;
+
+	f->rejected++;
+}
+
+static void
+on_store_reachable(void *arg, bool reachable)
+{
+	(void)arg;
+	(void)reachable;
+}
+
+static const struct fe_ops feed_ops = {
+    .config = on_config,
+    .config_rejected = on_rejected,
+    .store_reachable = on_store_reachable,
+};
+
+static int
+set_up(void **state)
+{
+	struct fixture *f = g_new0(struct fixture, 1);
+	unsigned port = sn_free_port();
+
+	lg_open("test", LOG_CRIT);
+	f->base = event_base_new();
+	f->http = evhttp_new(f->base);
+	assert_int_equal(
+	    0, evhttp_bind_socket(f->http, "127.0.0.1", (unsigned short)port));
+	evhttp_set_gencb(f->http, on_request, f);
+	sn_address(f->address, port);
+	f->urls = g_ptr_array_new_with_free_func(g_free);
+	f->open = g_ptr_array_new();
+	f->config = cf_new();
+	*state = f;
+	return (0);
+}
+
+static int
+tear_down(void **state)
+{
+	struct fixture *f = *state;
+
+	fe_free(f->feed);
+	evhttp_free(f->http);
+	event_base_loop(f->base, EVLOOP_NONBLOCK);
+	event_base_free(f->base);
+	cf_free(f->config);
+	g_queue_clear_full(&f->answers, free);
+	g_ptr_array_free(f->open, TRUE);
+	g_ptr_array_free(f->urls, TRUE);
+	g_free(f);
+	return (0);
+}
+
+static json_t *
+row(const char *key, const char *value)
+{
+	char *text = g_base64_encode((const guchar *)value, strlen(value));
+	json_t *o = json_pack("{s:s,s:s}", "key", key, "value", text);
+
+	g_free(text);
+	return (o);
+}
+
+/* Row of a configuration of @n queues; the host of the first one has
+ * @host_bytes bytes. */
+static json_t *
+config_row(unsigned n, size_t host_bytes)
+{
+	json_t *routes = json_array(), *doc, *o;
+	char name[32], prefix[32], *host, *text;
+	unsigned i;
+
+	for (i = 0; i < n; i++) {
+		snprintf(name, sizeof(name), "q%u", i);
+		snprintf(prefix, sizeof(prefix), "/q%u/", i);
+		host = g_strnfill(i == 0 ? host_bytes : 1, 'h');
+		json_array_append_new(routes,
+		    json_pack("{s:s,s:s,s:s,s:s}", "name", name, "host", host,
+			"path_prefix", prefix, "service", "desk"));
+		g_free(host);
+	}
+	doc = json_pack("{s:i,s:o}", "version", 5, "routes", routes);
+	text = json_dumps(doc, JSON_COMPACT);
+	o = row("config", text);
+	free(text);
+	json_decref(doc);
+	return (o);
+}
+
+/* Adds an answer of the store; rows are consumed. */
+static void
+add_answer(struct fixture *f, unsigned version, bool more, json_t *rows)
+{
+	json_t *o = json_pack("{s:o,s:b,s:i}", "rows", rows, "has_more", more,
+	    "ver", (int)version);
+
+	g_queue_push_tail(&f->answers, json_dumps(o, JSON_COMPACT));
+	json_decref(o);
+}
+
+static void
+follow(struct fixture *f)
+{
+	f->feed = fe_new(f->base, f->address, &feed_ops, f);
+	sn_run_loop(f->base, SETTLE_MS);
+	assert_true(g_queue_is_empty(&f->answers));
+}
+
+/* Guards against queues beyond 1,024 that are dropped without an error. */
+static void
+test_queues_beyond_1024_dropped(void **state)
+{
+	struct fixture *f = *state;
+	char path[32];
+	unsigned i;
+
+	add_answer(f, 3, false, json_pack("[o]", config_row(MANY_QUEUES, 1)));
+	follow(f);
+	assert_int_equal(3, cf_revision(f->config));
+	for (i = 0; i < MANY_QUEUES; i++) {
+		snprintf(path, sizeof(path), "/q%u/id", i);
+		assert_non_null(cf_match(f->config, "h", path));
+	}
+}
+
+/* Guards against a configuration of which a part is in force: one that exceeds
+ * a limit changes nothing, and the next one is applied. */
+static void
+test_part_of_configuration_in_force(void **state)
+{
+	struct fixture *f = *state;
+
+	add_answer(f, 3, false, json_pack("[o]", config_row(2, 1)));
+	add_answer(
+	    f, 4, false, json_pack("[o]", config_row(3, PD_TEXT_MAX + 1)));
+	follow(f);
+	assert_int_equal(3, cf_revision(f->config));
+	assert_int_equal(2, cf_current(f->config)->queues.queues_len);
+	assert_int_equal(1, f->rejected);
+	fe_free(f->feed);
+	add_answer(
+	    f, 4, false, json_pack("[o]", config_row(PD_QUEUES_MAX + 1, 1)));
+	add_answer(f, 5, false, json_pack("[o]", config_row(4, 1)));
+	follow(f);
+	assert_int_equal(5, cf_revision(f->config));
+	assert_int_equal(2, f->rejected);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test_setup_teardown(
+		test_queues_beyond_1024_dropped, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_part_of_configuration_in_force, set_up, tear_down),
+	};
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
--- a/wire/pd.h
+++ b/wire/pd.h
@@ -315,7 +315,7 @@
 typedef struct pd_lookup pd_lookup;
 #define PD_ENTRIES_MAX 512
 #define PD_LABELS_MAX 16
-#define PD_QUEUES_MAX 1024
+#define PD_QUEUES_MAX 16384
 #define PD_AZS_MAX 64
 
 typedef char *pd_name;
--- a/wire/pd.x
+++ b/wire/pd.x
@@ -235,7 +235,7 @@
  */
 const PD_ENTRIES_MAX = 512;
 const PD_LABELS_MAX = 16;
-const PD_QUEUES_MAX = 1024;
+const PD_QUEUES_MAX = 16384;	/* a process of 128 MB can read them */
 const PD_AZS_MAX = 64;
 
 typedef string pd_name<PD_NAME_MAX>;
@@ -319,7 +319,7 @@
 
 /* Configuration of the transient jobs. */
 struct pd_queue {
-	string name<PD_NAME_MAX>;
+	string name<PD_TEXT_MAX>;
 	string host<PD_TEXT_MAX>;
 	string prefix<PD_TEXT_MAX>;
 	string service<PD_NAME_MAX>;
@@ -339,7 +339,7 @@
 };
 
 struct pd_waiting {
-	string queue<PD_NAME_MAX>;
+	string queue<PD_TEXT_MAX>;
 	unsigned int jobs;
 };
 
--- a/wire/pd_xdr.c
+++ b/wire/pd_xdr.c
@@ -914,7 +914,7 @@
 
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_string (xdrs, &objp->name, PD_NAME_MAX))
+		 if (!xdr_string (xdrs, &objp->name, PD_TEXT_MAX))
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->host, PD_TEXT_MAX))
 			 return FALSE;
@@ -943,7 +943,7 @@
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_string (xdrs, &objp->name, PD_NAME_MAX))
+		 if (!xdr_string (xdrs, &objp->name, PD_TEXT_MAX))
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->host, PD_TEXT_MAX))
 			 return FALSE;
@@ -973,7 +973,7 @@
 	 return TRUE;
 	}
 
-	 if (!xdr_string (xdrs, &objp->name, PD_NAME_MAX))
+	 if (!xdr_string (xdrs, &objp->name, PD_TEXT_MAX))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->host, PD_TEXT_MAX))
 		 return FALSE;
@@ -1019,7 +1019,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_string (xdrs, &objp->queue, PD_NAME_MAX))
+	 if (!xdr_string (xdrs, &objp->queue, PD_TEXT_MAX))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->jobs))
 		 return FALSE;
