--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -373,12 +373,12 @@
 	apply_config(arg, c, "another entry");
 }
 
-static unsigned
-gossip_waiting_count(void *arg, const char *queue)
+static GHashTable *
+gossip_waiting_counts(void *arg)
 {
 	struct di *d = arg;
 
-	return (jb_waiting_count(d->jobs, queue));
+	return (jb_waiting_counts(d->jobs));
 }
 
 static bool
@@ -391,7 +391,7 @@
 
 static const struct go_ops gossip_ops = {
     .config_received = gossip_config_received,
-    .waiting_count = gossip_waiting_count,
+    .waiting_counts = gossip_waiting_counts,
     .cancel = gossip_cancel,
 };
 
--- a/entry/gossip.c
+++ b/entry/gossip.c
@@ -182,6 +182,27 @@
 	return (list);
 }
 
+/* Lists the queues with waiting jobs. Their names are borrowed; the caller
+ * frees m->waiting.waiting_val. */
+static void
+fill_waiting(struct go *g, struct pd_gossip *m)
+{
+	GHashTable *counts = g->ops->waiting_counts(g->arg);
+	struct pd_waiting *w;
+	GHashTableIter it;
+	void *queue, *n;
+
+	m->waiting.waiting_val =
+	    g_new0(struct pd_waiting, g_hash_table_size(counts) + 1);
+	g_hash_table_iter_init(&it, counts);
+	while (g_hash_table_iter_next(&it, &queue, &n)) {
+		w = &m->waiting.waiting_val[m->waiting.waiting_len++];
+		w->queue = queue;
+		w->jobs = GPOINTER_TO_UINT(n);
+	}
+	g_hash_table_destroy(counts);
+}
+
 /* Fills a message to an entry that has the configuration @revision and a list
  * of entries with @list_hash. The caller frees m->waiting.waiting_val; all else
  * is borrowed. */
@@ -192,7 +213,7 @@
 	const struct pd_config *c = cf_current(g->config);
 	const char *const *entries;
 	uint32_t hash;
-	unsigned i, n;
+	unsigned n;
 
 	m->cell = (char *)(uintptr_t)g->self.cell;
 	m->name = (char *)(uintptr_t)g->self.name;
@@ -207,16 +228,7 @@
 		m->entries.entries_val = (pd_name *)(uintptr_t)entries;
 		m->entries.entries_len = n;
 	}
-	m->waiting.waiting_val =
-	    g_new0(struct pd_waiting, c->queues.queues_len + 1);
-	for (i = 0; i < c->queues.queues_len; i++) {
-		n = g->ops->waiting_count(g->arg, c->queues.queues_val[i].name);
-		if (n == 0)
-			continue;
-		m->waiting.waiting_val[m->waiting.waiting_len].queue =
-		    c->queues.queues_val[i].name;
-		m->waiting.waiting_val[m->waiting.waiting_len++].jobs = n;
-	}
+	fill_waiting(g, m);
 }
 
 struct exchange {
--- a/entry/gossip.h
+++ b/entry/gossip.h
@@ -1,6 +1,8 @@
 #ifndef GOSSIP_H
 #define GOSSIP_H
 
+#include <glib.h>
+
 #include "config.h"
 #include "conn.h"
 
@@ -31,12 +33,13 @@
 /**
  * struct go_ops - callbacks
  * @config_received: another entry sent a newer configuration
- * @waiting_count: number of waiting jobs of a queue at this entry
+ * @waiting_counts: queues with waiting jobs at this entry and the numbers of
+ *     these jobs, as jb_waiting_counts() returns them
  * @cancel: cancel a job for another entry. Return: whether it was active here
  */
 struct go_ops {
 	void (*config_received)(void *arg, const struct pd_config *config);
-	unsigned (*waiting_count)(void *arg, const char *queue);
+	GHashTable *(*waiting_counts)(void *arg);
 	bool (*cancel)(void *arg, const char *id);
 };
 
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -562,3 +562,22 @@
 		n += !job->any_granted && strcmp(job->queue, queue) == 0;
 	return (n);
 }
+
+GHashTable *
+jb_waiting_counts(const struct jb *j)
+{
+	GHashTable *counts = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTableIter it;
+	struct jb_job *job;
+	unsigned n;
+
+	g_hash_table_iter_init(&it, j->by_number);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&job)) {
+		if (job->any_granted)
+			continue;
+		n = GPOINTER_TO_UINT(g_hash_table_lookup(counts, job->queue));
+		g_hash_table_insert(
+		    counts, job->queue, GUINT_TO_POINTER(n + 1));
+	}
+	return (counts);
+}
--- a/sched/jobs.h
+++ b/sched/jobs.h
@@ -1,6 +1,7 @@
 #ifndef JOBS_H
 #define JOBS_H
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -190,4 +191,12 @@
 /** jb_waiting_count() - number of jobs of a queue without any granted task */
 unsigned jb_waiting_count(const struct jb *j, const char *queue);
 
+/**
+ * jb_waiting_counts() - jb_waiting_count() of each queue that has such jobs
+ *
+ * Return: table of queue names, borrowed until a job ends, to numbers of jobs
+ * as GUINT_TO_POINTER(); released with g_hash_table_destroy().
+ */
+GHashTable *jb_waiting_counts(const struct jb *j);
+
 #endif
--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -86,12 +86,15 @@
 	cf_apply(e->config, config);
 }
 
-static unsigned
-waiting_count(void *arg, const char *queue)
+static GHashTable *
+waiting_counts(void *arg)
 {
+	GHashTable *counts = g_hash_table_new(g_str_hash, g_str_equal);
+
 	(void)arg;
-	(void)queue;
-	return (1);
+	g_hash_table_insert(
+	    counts, (char *)(uintptr_t) "q", GUINT_TO_POINTER(1));
+	return (counts);
 }
 
 static bool
@@ -104,7 +107,7 @@
 
 static const struct go_ops gossip_ops = {
     .config_received = config_received,
-    .waiting_count = waiting_count,
+    .waiting_counts = waiting_counts,
     .cancel = cancel,
 };
 
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -139,6 +139,31 @@
 	assert_int_equal(JB_COMPLETED, f->answers[0].status);
 }
 
+/* Guards against counts of waiting jobs that other entries get and that are not
+ * those of this entry. */
+static void
+test_waiting_counts(void **state)
+{
+	struct fixture *f = *state;
+	GHashTable *counts;
+
+	fl_free(f->fleet);
+	jb_free(f->jobs);
+	f->fleet = fl_new(f->clock, f->counters, f->config, 1);
+	f->jobs = jb_new(f->clock, f->counters, f->fleet, &ops, f);
+	submit(f, "a", 1);
+	submit(f, "b", 1);
+	counts = jb_waiting_counts(f->jobs);
+	assert_int_equal(1, g_hash_table_size(counts));
+	assert_int_equal(2, GPOINTER_TO_UINT(g_hash_table_lookup(counts, "q")));
+	g_hash_table_destroy(counts);
+	attach(f, "w1", 1);
+	jb_tick(f->jobs);
+	counts = jb_waiting_counts(f->jobs);
+	assert_int_equal(0, g_hash_table_size(counts));
+	g_hash_table_destroy(counts);
+}
+
 /* Guards against late answers for all jobs that waited for the agents of an
  * entry: the first agent gets only those that can be in time or start at once,
  * the most urgent first, and the others are told that they have not run. */
@@ -426,6 +451,7 @@
 	    T(test_slow_idle_worker),
 	    T(test_no_retry_after_for_long_job),
 	    T(test_wait_for_agents),
+	    T(test_waiting_counts),
 	    T(test_waiting_jobs_decided_again),
 	    T(test_wait_after_freeze),
 	    T(test_retry_on_other_worker),
