Send the configuration to another entry only on request

Cause: an entry sent its whole configuration to each entry it contacted until a message of that entry said that it had it. So each entry got many copies, which shared its link with jobs; calls took longer than their 600 ms, their connections were closed, and the next ones sent the configuration again.

An entry that learns of a newer configuration now asks one entry for it, and another one only after 600 ms. While the store answers it, it asks only 600 ms after it learned of it, since the store sends it as well.

--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -105,7 +105,8 @@
 	const char *path;      /* of the settings file */
 	GPtrArray *seeds;      /* RPC addresses, owned */
 	uint64_t jobs_in_time; /* jobs that completed in time */
-	uint64_t stopping_ms;  /* when the stop signal arrived, 0 before */
+	bool store_reachable;
+	uint64_t stopping_ms; /* when the stop signal arrived, 0 before */
 };
 
 /* --- callbacks of the jobs --- */
@@ -356,6 +357,7 @@
 {
 	struct di *d = arg;
 
+	d->store_reachable = reachable;
 	ct_set(ct_get(d->counters, CT_GAUGE, "pd_store_answers",
 		   "1 while the platform's store answers", ""),
 	    reachable);
@@ -373,6 +375,14 @@
 	apply_config(arg, c, "another entry");
 }
 
+static bool
+gossip_store_reachable(void *arg)
+{
+	struct di *d = arg;
+
+	return (d->store_reachable);
+}
+
 static GHashTable *
 gossip_waiting_counts(void *arg)
 {
@@ -391,6 +401,7 @@
 
 static const struct go_ops gossip_ops = {
     .config_received = gossip_config_received,
+    .store_reachable = gossip_store_reachable,
     .waiting_counts = gossip_waiting_counts,
     .cancel = gossip_cancel,
 };
--- a/entry/gossip.c
+++ b/entry/gossip.c
@@ -23,6 +23,13 @@
 /* Each entry is contacted at least once in so many periods. */
 #define EXCHANGE_ROUND_PERIODS 6
 #define CALL_TIMEOUT_MS 600
+/* Timeout of a call for the configuration, which may have megabytes. */
+#define FETCH_TIMEOUT_MS 3000
+/* An entry that has got no configuration by then asks another entry as well. */
+#define FETCH_RETRY_MS 600
+/* An entry that the store answers gives it this time to send the
+ * configuration. */
+#define STORE_DELAY_MS 600
 /* A host without power does not refuse connections. Once it is back, a new
  * attempt succeeds sooner than the next SYN retransmission of the old one. */
 #define CONNECT_TIMEOUT_MS 250
@@ -68,6 +75,10 @@
 	struct event *timer;
 	struct event *seed_timer;
 	uint64_t started_ms;
+	uint64_t behind_since_ms; /* another entry has a newer configuration; 0:
+				     none */
+	uint64_t fetch_sent_ms;   /* last call for it */
+	unsigned fetches;         /* calls for it without a reply */
 	bool closing;
 };
 
@@ -134,6 +145,51 @@
 	return (p);
 }
 
+static bool
+is_newer(const struct go *g, const struct peer *p)
+{
+	return (p->revision > cf_revision(g->config));
+}
+
+/* Whether to ask a peer for the configuration: one peer at a time, and none
+ * while the store is expected to send it. */
+static bool
+should_fetch(const struct go *g, const struct peer *p)
+{
+	uint64_t now = ck_mono_ms(g->clock);
+
+	if (g->fetches > 0 && now - g->fetch_sent_ms < FETCH_RETRY_MS)
+		return (false);
+	if (cf_revision(g->config) == 0)
+		return (true);
+	return (is_newer(g, p) &&
+	    (!g->ops->store_reachable(g->arg) ||
+		now - g->behind_since_ms >= STORE_DELAY_MS));
+}
+
+static void contact_peer(struct go *g, struct peer *p);
+
+static void
+update_revision(struct go *g, struct peer *p, uint64_t revision)
+{
+	p->revision = revision;
+	if (!is_newer(g, p))
+		return;
+	if (g->behind_since_ms == 0)
+		g->behind_since_ms = ck_mono_ms(g->clock);
+	if (should_fetch(g, p))
+		contact_peer(g, p);
+}
+
+static void
+receive_config(struct go *g, const struct pd_config *c)
+{
+	if (c->revision <= cf_revision(g->config))
+		return;
+	g->ops->config_received(g->arg, c);
+	g->behind_since_ms = 0;
+}
+
 /* Handles a message or reply of another entry. */
 static void
 handle_message(struct go *g, const struct pd_gossip *m)
@@ -147,7 +203,6 @@
 		lg_write(LOG_NOTICE, "gossip", "entry %s is at %s", m->name,
 		    m->address);
 	p->last_heard_ms = ck_mono_ms(g->clock);
-	p->revision = m->revision;
 	p->list_hash = m->entries_hash;
 	g_hash_table_remove_all(p->waiting);
 	for (i = 0; i < m->waiting.waiting_len; i++)
@@ -156,8 +211,9 @@
 		    GUINT_TO_POINTER(m->waiting.waiting_val[i].jobs));
 	for (i = 0; i < m->entries.entries_len; i++)
 		peer_add(g, m->entries.entries_val[i], false);
-	if (m->config != NULL && m->config->revision > cf_revision(g->config))
-		g->ops->config_received(g->arg, m->config);
+	if (m->config != NULL)
+		receive_config(g, m->config);
+	update_revision(g, p, m->revision);
 }
 
 const char *const *
@@ -203,14 +259,12 @@
 	g_hash_table_destroy(counts);
 }
 
-/* Fills a message to an entry that has the configuration @revision and a list
- * of entries with @list_hash. The caller frees m->waiting.waiting_val; all else
- * is borrowed. */
+/* Fills a message, without a configuration, to an entry that has a list of
+ * entries with @list_hash. The caller frees m->waiting.waiting_val; all else is
+ * borrowed. */
 static void
-fill_message(
-    struct go *g, struct pd_gossip *m, uint64_t revision, uint32_t list_hash)
+fill_message(struct go *g, struct pd_gossip *m, uint32_t list_hash)
 {
-	const struct pd_config *c = cf_current(g->config);
 	const char *const *entries;
 	uint32_t hash;
 	unsigned n;
@@ -219,9 +273,7 @@
 	m->name = (char *)(uintptr_t)g->self.name;
 	m->address = (char *)(uintptr_t)g->self.address;
 	m->incarnation = g->self.incarnation;
-	m->revision = c->revision;
-	if (c->revision > revision)
-		m->config = (struct pd_config *)(uintptr_t)c;
+	m->revision = cf_revision(g->config);
 	entries = go_addresses(g, &n, &hash);
 	m->entries_hash = hash;
 	if (hash != list_hash) {
@@ -234,6 +286,7 @@
 struct exchange {
 	struct go *gossip;
 	char *address;
+	bool fetch;
 };
 
 static void
@@ -242,6 +295,8 @@
 	struct exchange *x = arg;
 	struct peer *p = NULL;
 
+	if (x->fetch)
+		x->gossip->fetches--;
 	/* go_free() ends pending calls while it destroys the table. */
 	if (!x->gossip->closing)
 		p = g_hash_table_lookup(x->gossip->peers, x->address);
@@ -261,14 +316,20 @@
 	struct pd_gossip m = {0};
 	struct exchange *x;
 
-	fill_message(g, &m, p->revision, p->list_hash);
+	fill_message(g, &m, p->list_hash);
 	x = g_new0(struct exchange, 1);
 	x->gossip = g;
 	x->address = g_strdup(p->address);
+	x->fetch = should_fetch(g, p);
+	if (x->fetch) {
+		m.wants_config = true;
+		g->fetch_sent_ms = ck_mono_ms(g->clock);
+		g->fetches++;
+	}
 	p->call_pending = true;
 	cn_call(p->conn, PD_GOSSIP, (xdrproc_t)xdr_pd_gossip, &m,
-	    (xdrproc_t)xdr_pd_gossip, sizeof(struct pd_gossip), CALL_TIMEOUT_MS,
-	    on_gossip_reply, x);
+	    (xdrproc_t)xdr_pd_gossip, sizeof(struct pd_gossip),
+	    x->fetch ? FETCH_TIMEOUT_MS : CALL_TIMEOUT_MS, on_gossip_reply, x);
 	g_free(m.waiting.waiting_val);
 }
 
@@ -442,12 +503,15 @@
 on_gossip(struct go *g, struct cn *c, uint32_t xid, XDR *args)
 {
 	struct pd_gossip m = {0}, reply = {0};
+	const struct pd_config *current = cf_current(g->config);
 
 	if (!cn_decode(c, args, (xdrproc_t)xdr_pd_gossip, &m))
 		return;
 	cn_set_idle(c, IDLE_ROUND_MS);
 	handle_message(g, &m);
-	fill_message(g, &reply, m.revision, m.entries_hash);
+	fill_message(g, &reply, m.entries_hash);
+	if (m.wants_config && current->revision > m.revision)
+		reply.config = (struct pd_config *)(uintptr_t)current;
 	cn_reply(c, xid, (xdrproc_t)xdr_pd_gossip, &reply);
 	g_free(reply.waiting.waiting_val);
 	xdr_free((xdrproc_t)xdr_pd_gossip, (char *)&m);
--- a/entry/gossip.h
+++ b/entry/gossip.h
@@ -11,7 +11,7 @@
  * and the number of waiting jobs per queue
  *
  * An entry whose requests the platform's store refuses gets the configuration
- * from the other entries.
+ * from the other entries: it asks one of those that have a newer one.
  */
 struct go;
 
@@ -33,12 +33,15 @@
 /**
  * struct go_ops - callbacks
  * @config_received: another entry sent a newer configuration
+ * @store_reachable: whether the store is expected to send this entry each
+ *     configuration
  * @waiting_counts: queues with waiting jobs at this entry and the numbers of
  *     these jobs, as jb_waiting_counts() returns them
  * @cancel: cancel a job for another entry. Return: whether it was active here
  */
 struct go_ops {
 	void (*config_received)(void *arg, const struct pd_config *config);
+	bool (*store_reachable)(void *arg);
 	GHashTable *(*waiting_counts)(void *arg);
 	bool (*cancel)(void *arg, const char *id);
 };
--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -3,6 +3,7 @@
 #include <stddef.h>
 #include <netinet/in.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -27,6 +28,11 @@
  * at entries that the store does not answer. */
 #define CONVERGE_MS 1000
 #define STEP_MS 50
+/* Queues of a large configuration. */
+#define QUEUES 1500
+/* Target: each entry gets a configuration once. The same again is allowed for
+ * all other messages. */
+#define COPIES_MAX 2
 /* Target: entries are known within 100 ms of the start of the last one. The
  * same again is allowed for a machine that is busy with other tests. */
 #define START_MS 100
@@ -86,6 +92,13 @@
 	cf_apply(e->config, config);
 }
 
+static bool
+store_reachable(void *arg)
+{
+	(void)arg;
+	return (false);
+}
+
 static GHashTable *
 waiting_counts(void *arg)
 {
@@ -107,6 +120,7 @@
 
 static const struct go_ops gossip_ops = {
     .config_received = config_received,
+    .store_reachable = store_reachable,
     .waiting_counts = waiting_counts,
     .cancel = cancel,
 };
@@ -230,6 +244,48 @@
 	    ENTRIES - AWAY - 1, ENTRIES - 1);
 }
 
+/* Configuration of @n queues; released with xdr_free(). */
+static struct pd_config
+many_queues(unsigned n, uint64_t revision)
+{
+	struct pd_config c = {.revision = revision};
+	struct pd_queue *q;
+	unsigned i;
+
+	c.queues.queues_len = n;
+	c.queues.queues_val = calloc(n, sizeof(struct pd_queue));
+	for (i = 0; i < n; i++) {
+		q = &c.queues.queues_val[i];
+		q->name = strdup("queue");
+		q->host = strdup("order-desk.example");
+		q->prefix = strdup("/prefix/");
+		q->service = strdup("order-desk");
+	}
+	return (c);
+}
+
+/* Guards against a large configuration that each entry sends to all others it
+ * contacts until it hears that they have it: links are busy with copies, calls
+ * time out, and the connections of entries are closed and opened again. */
+static void
+test_config_sent_many_times(void **state)
+{
+	struct fixture *f = *state;
+	struct pd_config config = many_queues(QUEUES, 7);
+	uint64_t size = xdr_sizeof((xdrproc_t)xdr_pd_config, &config);
+	uint64_t sent = cn_stats_get().sent_bytes;
+	unsigned ms;
+
+	assert_true(cf_apply(f->entries[0].config, &config));
+	for (ms = 0; ms < CONVERGE_MS && !all_have(f, 0, 7); ms += STEP_MS)
+		sn_run_loop(f->base, STEP_MS);
+	assert_true(all_have(f, 0, 7));
+	sn_run_loop(f->base, CONVERGE_MS);
+	assert_in_range(
+	    cn_stats_get().sent_bytes - sent, 0, COPIES_MAX * ENTRIES * size);
+	xdr_free((xdrproc_t)xdr_pd_config, (char *)&config);
+}
+
 /* Sockets on an address where SYNs are lost, as on a host without power: the
  * queue of the listener is full. */
 struct black_hole {
@@ -312,6 +368,8 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test_setup_teardown(
 		test_config_spreads, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_config_sent_many_times, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
 		test_seeds_start_last, set_up_stopped, tear_down),
 	};
--- a/wire/pd.h
+++ b/wire/pd.h
@@ -454,6 +454,7 @@
 	u_quad_t incarnation;
 	char *address;
 	u_quad_t revision;
+	bool_t wants_config;
 	pd_config *config;
 	u_int entries_hash;
 	struct {
--- a/wire/pd.x
+++ b/wire/pd.x
@@ -349,7 +349,8 @@
 	unsigned hyper incarnation;
 	string address<PD_NAME_MAX>;
 	unsigned hyper revision;
-	pd_config *config;	/* if newer than that of the other end */
+	bool wants_config;	/* send it in the reply if it is newer */
+	pd_config *config;
 	unsigned int entries_hash;	/* of the list of the sender */
 	pd_name entries<PD_ENTRIES_MAX>; /* empty if the other end has the same */
 	pd_waiting waiting<PD_QUEUES_MAX>;
--- a/wire/pd_xdr.c
+++ b/wire/pd_xdr.c
@@ -1041,6 +1041,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->wants_config))
+		 return FALSE;
 	 if (!xdr_pointer (xdrs, (char **)&objp->config, sizeof (pd_config), (xdrproc_t) xdr_pd_config))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->entries_hash))
