--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -238,6 +238,22 @@
 	    "/v1/rows-feed?table=op&after=3&wait_ms=1000", f->urls->pdata[2]);
 }
 
+/* Guards against a configuration that cannot be read and yet gives the one
+ * before its revision, so that the entry refuses the readable one of others. */
+static void
+test_old_configuration_under_new_revision(void **state)
+{
+	struct fixture *f = *state;
+
+	add_answer(f, 3, false, json_pack("[o]", config_row(2, 1)));
+	add_answer(
+	    f, 4, false, json_pack("[o]", row("config", "{\"routes\":[")));
+	follow(f);
+	assert_int_equal(3, cf_revision(f->config));
+	assert_int_equal(2, cf_current(f->config)->queues.queues_len);
+	assert_int_equal(1, f->rejected);
+}
+
 int
 main(void)
 {
@@ -248,6 +264,8 @@
 		test_part_of_configuration_in_force, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
 		test_second_page_ignored, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_old_configuration_under_new_revision, set_up, tear_down),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
