Keep the revision of an unchanged configuration up to date

The revision of a configuration is the version of the store, which rises with changes of any table. An entry that starts reads the same configuration under a higher revision than the others, which would then ask it for a configuration that they have. The feed now tells up to which revision the configuration has not changed, unless one was rejected since.

An entry that the store answers waits 1,200 ms, not 600, before it asks another entry: an answer of the store comes at least every second.

test_same_configuration_newer and test_rejected_configuration_confirmed.

--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -342,6 +342,14 @@
 	apply_config(arg, c, "the store");
 }
 
+static void
+feed_config_unchanged(void *arg, uint64_t revision)
+{
+	struct di *d = arg;
+
+	cf_confirm(d->config, revision);
+}
+
 static void
 feed_config_rejected(void *arg)
 {
@@ -365,6 +373,7 @@
 
 static const struct fe_ops feed_ops = {
     .config = feed_config,
+    .config_unchanged = feed_config_unchanged,
     .config_rejected = feed_config_rejected,
     .store_reachable = feed_store_reachable,
 };
--- a/entry/gossip.c
+++ b/entry/gossip.c
@@ -27,9 +27,9 @@
 #define FETCH_TIMEOUT_MS 3000
 /* An entry that has got no configuration by then asks another entry as well. */
 #define FETCH_RETRY_MS 600
-/* An entry that the store answers gives it this time to send the
- * configuration. */
-#define STORE_DELAY_MS 600
+/* An entry that the store answers gives it this time to send the configuration,
+ * or to say that it has not changed: both come within a second. */
+#define STORE_DELAY_MS 1200
 /* A host without power does not refuse connections. Once it is back, a new
  * attempt succeeds sooner than the next SYN retransmission of the old one. */
 #define CONNECT_TIMEOUT_MS 250
@@ -75,8 +75,8 @@
 	struct event *timer;
 	struct event *seed_timer;
 	uint64_t started_ms;
-	uint64_t behind_since_ms; /* another entry has a newer configuration; 0:
-				     none */
+	uint64_t behind_since_ms; /* some entry has a newer configuration */
+	uint64_t behind_revision; /* own revision at behind_since_ms */
 	uint64_t fetch_sent_ms;   /* last call for it */
 	unsigned fetches;         /* calls for it without a reply */
 	bool closing;
@@ -175,21 +175,15 @@
 	p->revision = revision;
 	if (!is_newer(g, p))
 		return;
-	if (g->behind_since_ms == 0)
+	if (g->behind_since_ms == 0 ||
+	    g->behind_revision != cf_revision(g->config)) {
 		g->behind_since_ms = ck_mono_ms(g->clock);
+		g->behind_revision = cf_revision(g->config);
+	}
 	if (should_fetch(g, p))
 		contact_peer(g, p);
 }
 
-static void
-receive_config(struct go *g, const struct pd_config *c)
-{
-	if (c->revision <= cf_revision(g->config))
-		return;
-	g->ops->config_received(g->arg, c);
-	g->behind_since_ms = 0;
-}
-
 /* Handles a message or reply of another entry. */
 static void
 handle_message(struct go *g, const struct pd_gossip *m)
@@ -211,8 +205,8 @@
 		    GUINT_TO_POINTER(m->waiting.waiting_val[i].jobs));
 	for (i = 0; i < m->entries.entries_len; i++)
 		peer_add(g, m->entries.entries_val[i], false);
-	if (m->config != NULL)
-		receive_config(g, m->config);
+	if (m->config != NULL && m->config->revision > cf_revision(g->config))
+		g->ops->config_received(g->arg, m->config);
 	update_revision(g, p, m->revision);
 }
 
--- a/sched/config.c
+++ b/sched/config.c
@@ -69,6 +69,13 @@
 	return (true);
 }
 
+void
+cf_confirm(struct cf *c, uint64_t revision)
+{
+	if (c->current.revision != 0 && revision > c->current.revision)
+		c->current.revision = revision;
+}
+
 bool
 cf_fits(const struct pd_config *config)
 {
--- a/sched/config.h
+++ b/sched/config.h
@@ -27,6 +27,9 @@
  */
 bool cf_apply(struct cf *c, const struct pd_config *config);
 
+/** cf_confirm() - the configuration has not changed up to a revision */
+void cf_confirm(struct cf *c, uint64_t revision);
+
 /**
  * cf_fits() - whether a configuration keeps the limits of wire/pd.x, so that it
  * can be sent to other entries
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -65,6 +65,14 @@
 	cf_apply(f->config, c);
 }
 
+static void
+on_unchanged(void *arg, uint64_t revision)
+{
+	struct fixture *f = arg;
+
+	cf_confirm(f->config, revision);
+}
+
 static void
 on_rejected(void *arg)
 {
@@ -82,6 +90,7 @@
 
 static const struct fe_ops feed_ops = {
     .config = on_config,
+    .config_unchanged = on_unchanged,
     .config_rejected = on_rejected,
     .store_reachable = on_store_reachable,
 };
@@ -254,6 +263,34 @@
 	assert_int_equal(1, f->rejected);
 }
 
+/* Guards against entries that get a configuration that they have from one that
+ * has just started: other tables have changed since, so that it knows the same
+ * configuration by a higher revision. */
+static void
+test_same_configuration_newer(void **state)
+{
+	struct fixture *f = *state;
+
+	add_answer(f, 3, false, json_pack("[o]", config_row(2, 1)));
+	add_answer(f, 9, false, json_array());
+	follow(f);
+	assert_int_equal(9, cf_revision(f->config));
+	assert_int_equal(2, cf_current(f->config)->queues.queues_len);
+}
+
+/* Guards against confirming a configuration after a newer one was rejected. */
+static void
+test_rejected_configuration_confirmed(void **state)
+{
+	struct fixture *f = *state;
+
+	add_answer(f, 3, false, json_pack("[o]", config_row(2, 1)));
+	add_answer(f, 4, false, json_pack("[o]", row("config", "[")));
+	add_answer(f, 9, false, json_array());
+	follow(f);
+	assert_int_equal(3, cf_revision(f->config));
+}
+
 int
 main(void)
 {
@@ -266,6 +303,10 @@
 		test_second_page_ignored, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
 		test_old_configuration_under_new_revision, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_same_configuration_newer, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_rejected_configuration_confirmed, set_up, tear_down),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
