--- a/sched/config.c
+++ b/sched/config.c
@@ -1,17 +1,22 @@
 #include <glib.h>
 #include <string.h>
-#include <strings.h>
 
 #include "config.h"
 
 struct cf {
 	struct pd_config current;
+	GHashTable *index; /* key of host and prefix -> struct pd_queue */
+	GArray *lengths;   /* size_t, lengths of the prefixes, longest first */
 };
 
 struct cf *
 cf_new(void)
 {
-	return (g_new0(struct cf, 1));
+	struct cf *c = g_new0(struct cf, 1);
+
+	c->index = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	c->lengths = g_array_new(FALSE, FALSE, sizeof(size_t));
+	return (c);
 }
 
 static void
@@ -26,6 +31,8 @@
 {
 	if (c == NULL)
 		return;
+	g_hash_table_destroy(c->index);
+	g_array_free(c->lengths, TRUE);
 	free_contents(&c->current);
 	g_free(c);
 }
@@ -59,6 +66,57 @@
 		    strdup(from->evacuated.evacuated_val[i]);
 }
 
+/* Host names are not case-sensitive, and have no blanks. */
+static char *
+index_key(const char *host, size_t host_len, const char *path, size_t path_len)
+{
+	char *key = g_malloc(host_len + 1 + path_len + 1);
+	size_t i;
+
+	for (i = 0; i < host_len; i++)
+		key[i] = g_ascii_tolower(host[i]);
+	key[host_len] = ' ';
+	memcpy(key + host_len + 1, path, path_len);
+	key[host_len + 1 + path_len] = '\0';
+	return (key);
+}
+
+static void
+add_length(GArray *lengths, size_t len)
+{
+	guint i;
+
+	for (i = 0; i < lengths->len; i++)
+		if (g_array_index(lengths, size_t, i) <= len)
+			break;
+	if (i == lengths->len || g_array_index(lengths, size_t, i) != len)
+		g_array_insert_val(lengths, i, len);
+}
+
+/* Of queues with the same host and prefix, the first one counts. */
+static void
+index_queues(struct cf *c)
+{
+	struct pd_queue *q;
+	size_t len;
+	unsigned i;
+	char *key;
+
+	g_hash_table_remove_all(c->index);
+	g_array_set_size(c->lengths, 0);
+	for (i = 0; i < c->current.queues.queues_len; i++) {
+		q = &c->current.queues.queues_val[i];
+		len = strlen(q->prefix);
+		key = index_key(q->host, strlen(q->host), q->prefix, len);
+		if (g_hash_table_contains(c->index, key)) {
+			g_free(key);
+			continue;
+		}
+		g_hash_table_insert(c->index, key, q);
+		add_length(c->lengths, len);
+	}
+}
+
 bool
 cf_apply(struct cf *c, const struct pd_config *config)
 {
@@ -66,6 +124,7 @@
 		return (false);
 	free_contents(&c->current);
 	cf_copy(config, &c->current);
+	index_queues(c);
 	return (true);
 }
 
@@ -95,33 +154,24 @@
 	return (&c->current);
 }
 
-static bool
-host_matches(const struct pd_queue *q, const char *host)
-{
-	size_t len = strcspn(host, ":");
-
-	return (strlen(q->host) == len && strncasecmp(q->host, host, len) == 0);
-}
-
 const struct pd_queue *
 cf_match(const struct cf *c, const char *host, const char *path)
 {
-	const struct pd_queue *q, *best = NULL;
-	size_t len, longest = 0;
-	unsigned i;
-
-	for (i = 0; i < c->current.queues.queues_len; i++) {
-		q = &c->current.queues.queues_val[i];
-		len = strlen(q->prefix);
-		if (!host_matches(q, host) ||
-		    strncmp(path, q->prefix, len) != 0)
+	size_t host_len = strcspn(host, ":"), path_len = strlen(path), len;
+	const struct pd_queue *q = NULL;
+	char *key = index_key(host, host_len, path, path_len);
+	guint i;
+
+	/* Shortens the key to each length of a prefix in turn. */
+	for (i = 0; i < c->lengths->len && q == NULL; i++) {
+		len = g_array_index(c->lengths, size_t, i);
+		if (len > path_len)
 			continue;
-		if (best == NULL || len > longest) {
-			best = q;
-			longest = len;
-		}
+		key[host_len + 1 + len] = '\0';
+		q = g_hash_table_lookup(c->index, key);
 	}
-	return (best);
+	g_free(key);
+	return (q);
 }
 
 bool
