--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -22,6 +22,14 @@
 #define SETTLE_MS 500
 /* What the operators had after three changes of 1,400 queues each. */
 #define MANY_QUEUES 4200
+/* Takes half a second and more to decode. */
+#define NOTE_BYTES 20000000
+#define DECODE_STEPS 40
+#define STOP_STEPS 10
+#define STOP_STEP_MS 10
+#define TICK_US 5000
+/* Agents send a heartbeat each 200 ms. */
+#define HEARTBEAT_US 200000
 
 /* The feed under test, and a store that gives each answer of a list once and
  * then leaves requests open. */
@@ -35,6 +43,8 @@
 	struct fe *feed;
 	struct cf *config;
 	unsigned rejected;
+	gint64 tick_us;  /* when the event loop ran last */
+	gint64 pause_us; /* longest time that it did not run */
 };
 
 static void
@@ -63,6 +73,17 @@
 	struct fixture *f = arg;
 
 	cf_apply(f->config, c);
+	f->pause_us = MAX(f->pause_us, g_get_monotonic_time() - f->tick_us);
+}
+
+static void
+on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	struct fixture *f = arg;
+
+	(void)fd;
+	(void)what;
+	f->tick_us = g_get_monotonic_time();
 }
 
 static void
@@ -142,25 +163,28 @@
 	return (o);
 }
 
-/* Row of a configuration of @n queues; the host of the first one has
- * @host_bytes bytes. */
+/* Row of a configuration of @n queues with hosts of @host_bytes bytes, and a
+ * text of @note_bytes that is of no use to the entry. */
 static json_t *
-config_row(unsigned n, size_t host_bytes)
+noted_config_row(unsigned n, size_t host_bytes, size_t note_bytes)
 {
 	json_t *routes = json_array(), *doc, *o;
-	char name[32], prefix[32], *host, *text;
+	char name[32], prefix[32], *fill, *text;
 	unsigned i;
 
 	for (i = 0; i < n; i++) {
 		snprintf(name, sizeof(name), "q%u", i);
 		snprintf(prefix, sizeof(prefix), "/q%u/", i);
-		host = g_strnfill(i == 0 ? host_bytes : 1, 'h');
+		fill = g_strnfill(host_bytes, 'h');
 		json_array_append_new(routes,
-		    json_pack("{s:s,s:s,s:s,s:s}", "name", name, "host", host,
+		    json_pack("{s:s,s:s,s:s,s:s}", "name", name, "host", fill,
 			"path_prefix", prefix, "service", "desk"));
-		g_free(host);
+		g_free(fill);
 	}
-	doc = json_pack("{s:i,s:o}", "version", 5, "routes", routes);
+	fill = g_strnfill(note_bytes, 'n');
+	doc = json_pack(
+	    "{s:i,s:o,s:s}", "version", 5, "routes", routes, "note", fill);
+	g_free(fill);
 	text = json_dumps(doc, JSON_COMPACT);
 	o = row("config", text);
 	free(text);
@@ -168,6 +192,12 @@
 	return (o);
 }
 
+static json_t *
+config_row(unsigned n, size_t host_bytes)
+{
+	return (noted_config_row(n, host_bytes, 0));
+}
+
 /* Adds an answer of the store; rows are consumed. */
 static void
 add_answer(struct fixture *f, unsigned version, bool more, json_t *rows)
@@ -291,6 +321,48 @@
 	assert_int_equal(3, cf_revision(f->config));
 }
 
+/* Guards against an entry that misses heartbeats of its agents, so that they
+ * stop its tasks, while it decodes a large configuration. */
+static void
+test_event_loop_stands_still(void **state)
+{
+	struct fixture *f = *state;
+	struct timeval period = {0, TICK_US};
+	struct event *tick = event_new(f->base, -1, EV_PERSIST, on_tick, f);
+	unsigned i;
+
+	add_answer(
+	    f, 3, false, json_pack("[o]", noted_config_row(2, 1, NOTE_BYTES)));
+	event_add(tick, &period);
+	f->tick_us = g_get_monotonic_time();
+	f->feed = fe_new(f->base, f->address, &feed_ops, f);
+	for (i = 0; i < DECODE_STEPS && cf_revision(f->config) == 0; i++)
+		sn_run_loop(f->base, SETTLE_MS);
+	assert_int_equal(3, cf_revision(f->config));
+	print_message("paused for %lld us\n", (long long)f->pause_us);
+	assert_in_range(f->pause_us, 0, HEARTBEAT_US);
+	event_free(tick);
+}
+
+/* Guards against the end of the process when it stops while it decodes. */
+static void
+test_stop_while_decoding(void **state)
+{
+	struct fixture *f = *state;
+	unsigned i;
+
+	add_answer(
+	    f, 3, false, json_pack("[o]", noted_config_row(2, 1, NOTE_BYTES)));
+	f->feed = fe_new(f->base, f->address, &feed_ops, f);
+	for (i = 0; i < STOP_STEPS; i++)
+		sn_run_loop(f->base, STOP_STEP_MS);
+	fe_free(f->feed);
+	f->feed = NULL;
+	assert_true(g_queue_is_empty(&f->answers));
+	sn_run_loop(f->base, SETTLE_MS);
+	assert_int_equal(0, cf_revision(f->config));
+}
+
 int
 main(void)
 {
@@ -307,6 +379,10 @@
 		test_same_configuration_newer, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
 		test_rejected_configuration_confirmed, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_event_loop_stands_still, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_stop_while_decoding, set_up, tear_down),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
