Send all ends of tasks, also if they fill more than one message

An agent sent the first 1,024 ends that it had for an entry and forgot the rest, so that their jobs would have waited until their deadline. An entry asked a reconnected agent only for its first 1,024 grants; the others would have counted as unreachable until their leases ended. Neither has been seen. The batches of grants have no test of their own.

--- a/agent/links.c
+++ b/agent/links.c
@@ -485,12 +485,26 @@
 	    now - l->load_sent_ms >= period_ms);
 }
 
+/* Sends the load and all ends that are not sent yet. */
+static void
+send_ends(struct link *l, struct pd_load load)
+{
+	struct pd_ended e = {.load = load};
+	guint sent = 0;
+
+	do {
+		e.list.list_val = (struct pd_end *)l->unsent_ends->data + sent;
+		e.list.list_len = MIN(l->unsent_ends->len - sent, PD_BATCH_MAX);
+		cn_send(l->conn, PD_ENDED, (xdrproc_t)xdr_pd_ended, &e);
+		sent += e.list.list_len;
+	} while (sent < l->unsent_ends->len);
+}
+
 static void
 on_flush(evutil_socket_t fd, short what, void *arg)
 {
 	struct lk *k = arg;
 	uint64_t now = ck_mono_ms(k->clock);
-	struct pd_ended e = {0};
 	GHashTableIter it;
 	struct pd_load load = current_load(k);
 	unsigned period_ms = ac_report_period_ms(lk_connected(k));
@@ -504,11 +518,8 @@
 		    !is_load_report_due(l, now, period_ms))
 			continue;
 		l->load_sent_ms = now;
-		e.load = load_for(l, load);
-		e.list.list_val = (struct pd_end *)l->unsent_ends->data;
-		e.list.list_len = MIN(l->unsent_ends->len, PD_BATCH_MAX);
 		if (l->open)
-			cn_send(l->conn, PD_ENDED, (xdrproc_t)xdr_pd_ended, &e);
+			send_ends(l, load_for(l, load));
 		clear_unsent_ends(l);
 	}
 }
--- a/entry/workers.c
+++ b/entry/workers.c
@@ -250,17 +250,21 @@
 wo_reconcile(struct wo *w, const struct fl_worker *to,
     const struct pd_key *keys, unsigned n)
 {
-	struct pd_cancel list = {.list = {.list_len = MIN(n, PD_BATCH_MAX),
-				     .list_val = (pd_key *)(uintptr_t)keys}};
 	struct cn *c = conn_of(w, to);
 	struct reconcile_call *k;
+	struct pd_cancel list;
+	unsigned i;
 
 	if (c == NULL)
 		return;
-	k = g_new0(struct reconcile_call, 1);
-	k->workers = w;
-	k->session = to->session;
-	cn_call(c, PD_RECONCILE, (xdrproc_t)xdr_pd_cancel, &list,
-	    (xdrproc_t)xdr_pd_ended, sizeof(struct pd_ended),
-	    RECONCILE_TIMEOUT_MS, on_reconciled, k);
+	for (i = 0; i < n; i += PD_BATCH_MAX) {
+		list.list.list_val = (pd_key *)(uintptr_t)keys + i;
+		list.list.list_len = MIN(n - i, PD_BATCH_MAX);
+		k = g_new0(struct reconcile_call, 1);
+		k->workers = w;
+		k->session = to->session;
+		cn_call(c, PD_RECONCILE, (xdrproc_t)xdr_pd_cancel, &list,
+		    (xdrproc_t)xdr_pd_ended, sizeof(struct pd_ended),
+		    RECONCILE_TIMEOUT_MS, on_reconciled, k);
+	}
 }
--- a/tests/test_links.c
+++ b/tests/test_links.c
@@ -27,6 +27,8 @@
 #define MANY_WORKERS 1000
 /* Time between ends of tasks. */
 #define REPORT_END_MS 10
+/* Two full messages and one more end. */
+#define MANY_ENDS (2 * PD_BATCH_MAX + 1)
 /* Target: agents are connected within 100 ms of the announcement of entries.
  * Half as much again is allowed for a machine that is busy with other tests. */
 #define DISCOVER_MS 100
@@ -42,6 +44,7 @@
 	struct cn *conn;
 	bool accepting; /* in the last heartbeat */
 	unsigned loads; /* reports without ended tasks */
+	unsigned ends;  /* ended tasks of all reports */
 };
 
 struct fixture {
@@ -61,6 +64,7 @@
 
 	assert_true(cn_decode(c, args, (xdrproc_t)xdr_pd_ended, &ended));
 	e->loads += ended.list.list_len == 0;
+	e->ends += ended.list.list_len;
 	xdr_free((xdrproc_t)xdr_pd_ended, (char *)&ended);
 }
 
@@ -313,6 +317,25 @@
 	assert_in_range(loads * 1000 / elapsed_ms, 1, AC_REPORTS_PER_S);
 }
 
+/* Guards against ends of tasks that the entry does not hear of, because they
+ * are more than a message holds: their jobs would wait until their deadline. */
+static void
+test_ends_beyond_one_message(void **state)
+{
+	struct pd_end end = {.key.sub.id = (char *)(uintptr_t) "a"};
+	struct fixture *f = *state;
+	unsigned i, n;
+
+	start_links(f);
+	sn_run_loop(f->base, SETTLE_MS);
+	for (i = 0; f->entries[i].conn == NULL; i++)
+		;
+	for (n = 0; n < MANY_ENDS; n++)
+		lk_report_end(f->links, f->entries[i].number + 1, &end);
+	sn_run_loop(f->base, BUSY_MS);
+	assert_int_equal(MANY_ENDS, f->entries[i].ends);
+}
+
 /* Guards against agents that hear of entries up to 200 ms after the seeds, in a
  * heartbeat, while jobs wait after a power loss. */
 static void
@@ -336,6 +359,7 @@
 	const struct CMUnitTest tests[] = {
 	    T(test_subset),
 	    T(test_leave_when_idle),
+	    T(test_ends_beyond_one_message),
 	    T(test_load_report_rate),
 	    T(test_entries_announced_later),
 	};
