Send messages up to the limit of a record

The buffer for a message grew by factors of four, from 16 MB to 64 MB, so that messages of more than 16 MB were dropped although the limit is 48 MB.

--- a/tests/test_conn.c
+++ b/tests/test_conn.c
@@ -17,6 +17,10 @@
 #include "support_net.h"
 
 /* Both ends of a connection, on one event loop. */
+/* Less than the limit of 48 MB, more than its fourth. */
+#define LARGE_MB 40
+#define LARGE_TIMEOUT_MS 5000
+
 struct connection_pair {
 	struct event_base *base;
 	struct cn_listener *listener;
@@ -218,6 +222,35 @@
 	g_free(id);
 }
 
+/* Guards against messages within the limit of a record that are dropped, since
+ * the buffer for them grows beyond it. */
+static void
+test_large_message_dropped(void **state)
+{
+	struct connection_pair *p = *state;
+	char *json = g_malloc0(PD_CHANGE_MAX);
+	struct pd_change list[LARGE_MB];
+	struct pd_changes changes = {0};
+	struct outcome o = {0};
+	unsigned i;
+
+	memset(list, 0, sizeof(list));
+	for (i = 0; i < LARGE_MB; i++) {
+		list[i].json.json_val = json;
+		list[i].json.json_len = PD_CHANGE_MAX;
+	}
+	changes.list.list_val = list;
+	changes.list.list_len = LARGE_MB;
+	cn_call(p->client, PD_PUSH, (xdrproc_t)xdr_pd_changes, &changes,
+	    (xdrproc_t)xdr_pd_held, sizeof(struct pd_held), LARGE_TIMEOUT_MS,
+	    call_done, &o);
+	for (i = 0; i < LARGE_TIMEOUT_MS && o.count == 0; i += 50)
+		sn_run_loop(p->base, 50);
+	/* It arrives: the other end does not know the procedure. */
+	assert_int_equal(CN_REJECTED, o.error);
+	g_free(json);
+}
+
 /* Guards against replies that are matched with the wrong call if they arrive in
  * another order. */
 static void
@@ -367,6 +400,8 @@
 		test_call_without_handler_is_rejected, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		test_message_beyond_limits, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		test_large_message_dropped, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		test_replies_out_of_order, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
--- a/wire/conn.c
+++ b/wire/conn.c
@@ -201,12 +201,10 @@
 		    (xbody == NULL || xbody(&xdr, (void *)(uintptr_t)body, 0));
 		if (ok)
 			break;
-		size *= 4;
-		if (size > RECORD_MAX_BYTES) {
-			g_free(buf);
-			return (NULL);
-		}
 		g_free(buf);
+		if (size == MARK_BYTES + RECORD_MAX_BYTES)
+			return (NULL);
+		size = MIN(size * 4, MARK_BYTES + RECORD_MAX_BYTES);
 		buf = g_malloc(size);
 	}
 	*len = xdr_getpos(&xdr) + MARK_BYTES;
