Run the soak with 2,800 more queues in the configuration

The queue of the load is the last of the configuration, so that an entry that drops a part of it, or returns to none of it, answers jobs with 404; the soak counts these as failures.

--- a/tests/soak_dispatch.c
+++ b/tests/soak_dispatch.c
@@ -26,6 +26,9 @@
 /* Time after the end of the faults until which everything works again. */
 #define RECOVERY_MS 4000
 #define FINAL_JOBS 20U
+/* Added to the configuration before the faults. */
+#define ADDED_QUEUES 2800
+#define STATUS_NOT_FOUND 404
 /* Pauses between two faults, short enough that most of them overlap. */
 #define PAUSE_MIN_MS 100
 #define PAUSE_RANGE_MS 900
@@ -227,10 +230,12 @@
 	const struct hf_job *jobs;
 	const struct fault *f;
 	struct hf_runs runs;
-	unsigned i, n, done = 0, unserved;
+	unsigned i, n, done = 0, no_queue = 0, unserved;
 	uint64_t end;
 
 	s.fleet = hf_new_relayed(s.hn, ENTRIES, WORKERS);
+	/* The queue of the load is the last one. */
+	hf_set_queues(s.fleet, 2, ADDED_QUEUES);
 	hf_start_load(s.fleet, PER_S);
 	end = hn_mono_ms() + (uint64_t)seconds * 1000;
 	while (hn_mono_ms() < end) {
@@ -245,19 +250,22 @@
 	hn_sleep_ms(RECOVERY_MS);
 	unserved = count_unserved(&s);
 	jobs = hf_stop_load(s.fleet, &n);
-	for (i = 0; i < n; i++)
+	for (i = 0; i < n; i++) {
 		done += jobs[i].completed;
+		no_queue += jobs[i].status == STATUS_NOT_FOUND;
+	}
 	runs = hf_check_runs(s.fleet, jobs, n);
 	printf(
 	    "seed %u: %u jobs, %u done, %u starts, %u lapsed, %u double, "
-	    "%u refused and started, %u of %u not served at the end\n",
+	    "%u refused and started, %u without a queue, %u of %u not served "
+	    "at the end\n",
 	    seed, n, done, runs.starts, runs.expired, runs.concurrent,
-	    runs.refused_started, unserved, FINAL_JOBS);
+	    runs.refused_started, no_queue, unserved, FINAL_JOBS);
 	hf_free(s.fleet);
 	hn_free(s.hn);
 	rn_free(s.rng);
-	return (
-	    runs.concurrent == 0 && runs.refused_started == 0 && unserved == 0);
+	return (runs.concurrent == 0 && runs.refused_started == 0 &&
+	    no_queue == 0 && unserved == 0);
 }
 
 int
