--- a/sched/config.c
+++ b/sched/config.c
@@ -37,17 +37,28 @@
 	g_free(c);
 }
 
+/* Memory is from malloc(), since xdr_free() releases it with free(). Ends the
+ * process when there is none, as g_malloc() does. */
+static char *
+copy_text(const char *text)
+{
+	char *copy = strdup(text);
+
+	if (copy == NULL)
+		g_error("out of memory");
+	return (copy);
+}
+
 static void
 copy_queue(const struct pd_queue *from, struct pd_queue *to)
 {
 	*to = *from;
-	to->name = strdup(from->name);
-	to->host = strdup(from->host);
-	to->prefix = strdup(from->prefix);
-	to->service = strdup(from->service);
+	to->name = copy_text(from->name);
+	to->host = copy_text(from->host);
+	to->prefix = copy_text(from->prefix);
+	to->service = copy_text(from->service);
 }
 
-/* Memory is from malloc(), since xdr_free() releases it with free(). */
 void
 cf_copy(const struct pd_config *from, struct pd_config *to)
 {
@@ -63,7 +74,7 @@
 		    &from->queues.queues_val[i], &to->queues.queues_val[i]);
 	for (i = 0; i < from->evacuated.evacuated_len; i++)
 		to->evacuated.evacuated_val[i] =
-		    strdup(from->evacuated.evacuated_val[i]);
+		    copy_text(from->evacuated.evacuated_val[i]);
 }
 
 /* Host names are not case-sensitive, and have no blanks. */
--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -244,24 +244,22 @@
 	    ENTRIES - AWAY - 1, ENTRIES - 1);
 }
 
-/* Configuration of @n queues; released with xdr_free(). */
-static struct pd_config
-many_queues(unsigned n, uint64_t revision)
+/* Adds @n queues to an empty configuration; released with xdr_free(). */
+static void
+add_queues(struct pd_config *c, unsigned n)
 {
-	struct pd_config c = {.revision = revision};
 	struct pd_queue *q;
 	unsigned i;
 
-	c.queues.queues_len = n;
-	c.queues.queues_val = calloc(n, sizeof(struct pd_queue));
+	c->queues.queues_len = n;
+	c->queues.queues_val = calloc(n, sizeof(struct pd_queue));
 	for (i = 0; i < n; i++) {
-		q = &c.queues.queues_val[i];
+		q = &c->queues.queues_val[i];
 		q->name = strdup("queue");
 		q->host = strdup("order-desk.example");
 		q->prefix = strdup("/prefix/");
 		q->service = strdup("order-desk");
 	}
-	return (c);
 }
 
 /* Guards against a large configuration that each entry sends to all others it
@@ -271,11 +269,12 @@
 test_config_sent_many_times(void **state)
 {
 	struct fixture *f = *state;
-	struct pd_config config = many_queues(QUEUES, 7);
-	uint64_t size = xdr_sizeof((xdrproc_t)xdr_pd_config, &config);
-	uint64_t sent = cn_stats_get().sent_bytes;
+	struct pd_config config = {.revision = 7};
+	uint64_t size, sent = cn_stats_get().sent_bytes;
 	unsigned ms;
 
+	add_queues(&config, QUEUES);
+	size = xdr_sizeof((xdrproc_t)xdr_pd_config, &config);
 	assert_true(cf_apply(f->entries[0].config, &config));
 	for (ms = 0; ms < CONVERGE_MS && !all_have(f, 0, 7); ms += STEP_MS)
 		sn_run_loop(f->base, STEP_MS);
