--- a/sched/config.c
+++ b/sched/config.c
@@ -37,28 +37,17 @@
 	g_free(c);
 }
 
-/* Memory is from malloc(), since xdr_free() releases it with free(). Ends the
- * process when there is none, as g_malloc() does. */
-static char *
-copy_text(const char *text)
-{
-	char *copy = strdup(text);
-
-	if (copy == NULL)
-		g_error("out of memory");
-	return (copy);
-}
-
 static void
 copy_queue(const struct pd_queue *from, struct pd_queue *to)
 {
 	*to = *from;
-	to->name = copy_text(from->name);
-	to->host = copy_text(from->host);
-	to->prefix = copy_text(from->prefix);
-	to->service = copy_text(from->service);
+	to->name = strdup(from->name);
+	to->host = strdup(from->host);
+	to->prefix = strdup(from->prefix);
+	to->service = strdup(from->service);
 }
 
+/* Memory is from malloc(), since xdr_free() releases it with free(). */
 void
 cf_copy(const struct pd_config *from, struct pd_config *to)
 {
@@ -74,7 +63,7 @@
 		    &from->queues.queues_val[i], &to->queues.queues_val[i]);
 	for (i = 0; i < from->evacuated.evacuated_len; i++)
 		to->evacuated.evacuated_val[i] =
-		    copy_text(from->evacuated.evacuated_val[i]);
+		    strdup(from->evacuated.evacuated_val[i]);
 }
 
 /* Host names are not case-sensitive, and have no blanks. */
@@ -104,26 +93,28 @@
 		g_array_insert_val(lengths, i, len);
 }
 
-/* Of queues with the same host and prefix, the first one counts. */
+/* Indexes the queues of the current configuration, which is a copy of @config.
+ * Of queues with the same host and prefix, the first one counts. */
 static void
-index_queues(struct cf *c)
+index_queues(struct cf *c, const struct pd_config *config)
 {
-	struct pd_queue *q;
+	const struct pd_queue *q;
 	size_t len;
 	unsigned i;
 	char *key;
 
 	g_hash_table_remove_all(c->index);
 	g_array_set_size(c->lengths, 0);
-	for (i = 0; i < c->current.queues.queues_len; i++) {
-		q = &c->current.queues.queues_val[i];
+	for (i = 0; i < config->queues.queues_len; i++) {
+		q = &config->queues.queues_val[i];
 		len = strlen(q->prefix);
 		key = index_key(q->host, strlen(q->host), q->prefix, len);
 		if (g_hash_table_contains(c->index, key)) {
 			g_free(key);
 			continue;
 		}
-		g_hash_table_insert(c->index, key, q);
+		g_hash_table_insert(
+		    c->index, key, &c->current.queues.queues_val[i]);
 		add_length(c->lengths, len);
 	}
 }
@@ -135,7 +126,7 @@
 		return (false);
 	free_contents(&c->current);
 	cf_copy(config, &c->current);
-	index_queues(c);
+	index_queues(c, config);
 	return (true);
 }
 
