--- a/tests/harness_fleet.c
+++ b/tests/harness_fleet.c
@@ -325,6 +325,28 @@
 	return (fleet_new(h, entries, workers, true));
 }
 
+int
+hf_test_set_up(void **state, unsigned entries, unsigned workers)
+{
+	struct hf_test *t = g_new0(struct hf_test, 1);
+
+	t->hn = hn_new();
+	t->fleet = hf_new(t->hn, entries, workers);
+	*state = t;
+	return (0);
+}
+
+int
+hf_test_tear_down(void **state)
+{
+	struct hf_test *t = *state;
+
+	hf_free(t->fleet);
+	hn_free(t->hn);
+	g_free(t);
+	return (0);
+}
+
 struct hn_proc *
 hf_entry(struct hf *f, unsigned i)
 {
--- a/tests/harness_fleet.h
+++ b/tests/harness_fleet.h
@@ -47,6 +47,18 @@
 void hf_control_relay(
     struct hf *f, enum hf_relay_target target, unsigned i, const char *control);
 
+/** struct hf_test - state of a test with a fleet of its own */
+struct hf_test {
+	struct hn *hn;
+	struct hf *fleet;
+};
+
+/** hf_test_set_up() - start a fleet as by hf_new() for a test */
+int hf_test_set_up(void **state, unsigned entries, unsigned workers);
+
+/** hf_test_tear_down() - end the fleet of a test */
+int hf_test_tear_down(void **state);
+
 /** hf_free() - stop the load; consumed. The processes run until hn_free() */
 void hf_free(struct hf *f);
 
--- a/tests/proc_config.c
+++ b/tests/proc_config.c
@@ -27,35 +27,14 @@
 /* Target: control takes at most 128 MB of a host. */
 #define MEMORY_KB (128 * 1024)
 
-struct fixture {
-	struct hn *hn;
-	struct hf *fleet;
-};
-
 static int
 set_up(void **state)
 {
-	struct fixture *f = g_new0(struct fixture, 1);
-
-	f->hn = hn_new();
-	f->fleet = hf_new(f->hn, ENTRIES, WORKERS);
-	*state = f;
-	return (0);
-}
-
-static int
-tear_down(void **state)
-{
-	struct fixture *f = *state;
-
-	hf_free(f->fleet);
-	hn_free(f->hn);
-	g_free(f);
-	return (0);
+	return (hf_test_set_up(state, ENTRIES, WORKERS));
 }
 
 static int
-queue_status(struct fixture *f, unsigned entry, const char *path)
+queue_status(struct hf_test *f, unsigned entry, const char *path)
 {
 	return (hn_http(
 	    "GET", hf_clients_port(f->fleet, entry), path, NULL, NULL, NULL));
@@ -63,7 +42,7 @@
 
 /* Number of the queues asked for that an entry does not serve. */
 static unsigned
-unserved_queues(struct fixture *f, unsigned entry, unsigned added)
+unserved_queues(struct hf_test *f, unsigned entry, unsigned added)
 {
 	unsigned i, n = queue_status(f, entry, "/q/") != 200;
 	char path[32];
@@ -76,7 +55,7 @@
 }
 
 static void
-assert_all_queues_served(struct fixture *f, unsigned added)
+assert_all_queues_served(struct hf_test *f, unsigned added)
 {
 	unsigned i;
 
@@ -89,7 +68,7 @@
 static void
 test_queues_beyond_1024_not_served(void **state)
 {
-	struct fixture *f = *state;
+	struct hf_test *f = *state;
 	const struct hf_job *jobs;
 	unsigned i, n;
 
@@ -112,7 +91,7 @@
 static void
 test_zone_out_on_second_page(void **state)
 {
-	struct fixture *f = *state;
+	struct hf_test *f = *state;
 	const struct hf_job *jobs;
 	unsigned i, n;
 
@@ -138,7 +117,7 @@
 static void
 test_memory_of_most_queues(void **state)
 {
-	struct fixture *f = *state;
+	struct hf_test *f = *state;
 	unsigned i;
 
 	hf_set_queues(f->fleet, 2, PD_QUEUES_MAX - 2);
@@ -157,11 +136,11 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test_setup_teardown(
-		test_queues_beyond_1024_not_served, set_up, tear_down),
+		test_queues_beyond_1024_not_served, set_up, hf_test_tear_down),
 	    cmocka_unit_test_setup_teardown(
-		test_zone_out_on_second_page, set_up, tear_down),
+		test_zone_out_on_second_page, set_up, hf_test_tear_down),
 	    cmocka_unit_test_setup_teardown(
-		test_memory_of_most_queues, set_up, tear_down),
+		test_memory_of_most_queues, set_up, hf_test_tear_down),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
--- a/tests/proc_dispatch.c
+++ b/tests/proc_dispatch.c
@@ -19,37 +19,16 @@
 /* A configuration has to be in force 2 s after the store accepted it. */
 #define CONFIG_MS 2000
 
-struct fixture {
-	struct hn *hn;
-	struct hf *fleet;
-};
-
 static int
 set_up(void **state)
 {
-	struct fixture *f = g_new0(struct fixture, 1);
-
-	f->hn = hn_new();
-	f->fleet = hf_new(f->hn, ENTRIES, WORKERS);
-	*state = f;
-	return (0);
-}
-
-static int
-tear_down(void **state)
-{
-	struct fixture *f = *state;
-
-	hf_free(f->fleet);
-	hn_free(f->hn);
-	g_free(f);
-	return (0);
+	return (hf_test_set_up(state, ENTRIES, WORKERS));
 }
 
 /* Stops the load and checks that no task ran twice at the same time and no
  * refused job started. Return: percentage of jobs that completed. */
 static unsigned
-stop_load_and_check(struct fixture *f)
+stop_load_and_check(struct hf_test *f)
 {
 	const struct hf_job *jobs;
 	struct hf_runs runs;
@@ -76,7 +55,7 @@
 static void
 test_no_faults(void **state)
 {
-	struct fixture *f = *state;
+	struct hf_test *f = *state;
 
 	hf_start_load(f->fleet, PER_S);
 	hn_sleep_ms(1500);
@@ -95,7 +74,7 @@
 static void
 test_entry_faults(void **state)
 {
-	struct fixture *f = *state;
+	struct hf_test *f = *state;
 
 	hf_start_load(f->fleet, PER_S);
 	hn_sleep_ms(1000);
@@ -116,7 +95,7 @@
 static void
 test_worker_faults(void **state)
 {
-	struct fixture *f = *state;
+	struct hf_test *f = *state;
 	json_t *counts = NULL;
 
 	hf_start_load(f->fleet, PER_S);
@@ -144,7 +123,7 @@
 static void
 test_endpoint_faults(void **state)
 {
-	struct fixture *f = *state;
+	struct hf_test *f = *state;
 
 	hf_start_load(f->fleet, PER_S);
 	hn_sleep_ms(500);
@@ -165,7 +144,7 @@
 static void
 test_store_faults(void **state)
 {
-	struct fixture *f = *state;
+	struct hf_test *f = *state;
 	json_t *answer = NULL;
 
 	hf_start_load(f->fleet, PER_S);
@@ -221,7 +200,7 @@
 	    {"GET", "/nowhere/", NULL, 404},
 	    {"POST", "/nowhere/00000000000000f8", "{}", 404},
 	};
-	struct fixture *f = *state;
+	struct hf_test *f = *state;
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(cases); i++)
@@ -233,7 +212,7 @@
 int
 main(void)
 {
-#define T(fn) cmocka_unit_test_setup_teardown(fn, set_up, tear_down)
+#define T(fn) cmocka_unit_test_setup_teardown(fn, set_up, hf_test_tear_down)
 	const struct CMUnitTest tests[] = {
 	    T(test_no_faults),
 	    T(test_entry_faults),
