--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -356,7 +356,7 @@
 	struct di *d = arg;
 
 	ct_add(ct_get(d->counters, CT_COUNTER, "pd_configs_rejected_total",
-		   "Configurations that exceed a limit", ""),
+		   "Configurations that cannot be read or exceed a limit", ""),
 	    1);
 }
 
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -166,7 +166,7 @@
 /* Row of a configuration of @n queues with hosts of @host_bytes bytes, and a
  * text of @note_bytes that is of no use to the entry. */
 static json_t *
-noted_config_row(unsigned n, size_t host_bytes, size_t note_bytes)
+config_row_with_note(unsigned n, size_t host_bytes, size_t note_bytes)
 {
 	json_t *routes = json_array(), *doc, *o;
 	char name[32], prefix[32], *fill, *text;
@@ -195,7 +195,7 @@
 static json_t *
 config_row(unsigned n, size_t host_bytes)
 {
-	return (noted_config_row(n, host_bytes, 0));
+	return (config_row_with_note(n, host_bytes, 0));
 }
 
 /* Adds an answer of the store; rows are consumed. */
@@ -331,8 +331,8 @@
 	struct event *tick = event_new(f->base, -1, EV_PERSIST, on_tick, f);
 	unsigned i;
 
-	add_answer(
-	    f, 3, false, json_pack("[o]", noted_config_row(2, 1, NOTE_BYTES)));
+	add_answer(f, 3, false,
+	    json_pack("[o]", config_row_with_note(2, 1, NOTE_BYTES)));
 	event_add(tick, &period);
 	f->tick_us = g_get_monotonic_time();
 	f->feed = fe_new(f->base, f->address, &feed_ops, f);
@@ -351,8 +351,8 @@
 	struct fixture *f = *state;
 	unsigned i;
 
-	add_answer(
-	    f, 3, false, json_pack("[o]", noted_config_row(2, 1, NOTE_BYTES)));
+	add_answer(f, 3, false,
+	    json_pack("[o]", config_row_with_note(2, 1, NOTE_BYTES)));
 	f->feed = fe_new(f->base, f->address, &feed_ops, f);
 	for (i = 0; i < STOP_STEPS; i++)
 		sn_run_loop(f->base, STOP_STEP_MS);
