--- a/sched/runner.c
+++ b/sched/runner.c
@@ -164,6 +164,15 @@
 	return (names[s]);
 }
 
+static const char *
+cause_name(enum ru_cause c)
+{
+	static const char *const names[] = {"listed", "not_listed", "stopped",
+	    "lease_over", "restarted", "deregistered", "not_started"};
+
+	return (names[c]);
+}
+
 /* Learns from the end of a run. Its job is identified by its id, since each
  * entry counts its jobs by itself. */
 static void
@@ -194,7 +203,8 @@
 }
 
 void
-ru_end(struct ru *r, struct ru_task *t, enum pd_end_state state)
+ru_end(struct ru *r, struct ru_task *t, enum pd_end_state state,
+    enum ru_cause cause)
 {
 	uint64_t now = ck_mono_ms(r->clock);
 	struct pd_end e = {
@@ -209,12 +219,15 @@
 
 	ct_increment(r->counters, "pd_runs_ended_total",
 	    "Granted tasks that ended", "state", end_name(state));
+	if (state == PD_END_LOST)
+		ct_increment(r->counters, "pd_runs_lost_total",
+		    "Runs reported as lost", "cause", cause_name(cause));
 	if (state != PD_END_DONE && state != PD_END_RETURNED)
 		lg_write(LOG_NOTICE, "runner",
 		    "job %s task %u attempt %u: run %s, %u ms waiting, %u ms "
-		    "running",
+		    "running, cause %s",
 		    t->id, t->task, t->attempt, end_name(state), e.queue_ms,
-		    e.run_ms);
+		    e.run_ms, cause_name(cause));
 	if (t->started_ms != 0)
 		learn_from_end(r, t, state, e.run_ms);
 	r->ops->ended(r->arg, t->entry, &e);
@@ -382,7 +395,7 @@
 	if (full || !l.reported.accepting || l.queued >= QUEUE_MAX ||
 	    s->cpu > l.cpu || now >= s->expires_ms ||
 	    !wh_accepts(&r->health, now)) {
-		ru_end(r, t, PD_END_RETURNED);
+		ru_end(r, t, PD_END_RETURNED, RU_C_NOT_STARTED);
 		return;
 	}
 	wh_schedule_probe(&r->health, now);
@@ -395,7 +408,7 @@
 	struct ru_run run = ru_run_of(t);
 
 	if (t->phase == RU_QUEUED) {
-		ru_end(r, t, PD_END_RETURNED);
+		ru_end(r, t, PD_END_RETURNED, RU_C_NOT_STARTED);
 		return;
 	}
 	if (t->phase == RU_STOPPING)
@@ -473,7 +486,7 @@
 	for (i = r->tasks->len; i-- > 0;) {
 		t = r->tasks->pdata[i];
 		if (t->phase == RU_QUEUED)
-			ru_end(r, t, PD_END_RETURNED);
+			ru_end(r, t, PD_END_RETURNED, RU_C_NOT_STARTED);
 	}
 }
 
@@ -516,7 +529,7 @@
 		else if (t->phase == RU_QUEUED && t->returnable &&
 		    now > t->start_by_ms)
 			/* It will be late here; another worker may be free. */
-			ru_end(r, t, PD_END_RETURNED);
+			ru_end(r, t, PD_END_RETURNED, RU_C_NOT_STARTED);
 		else if (t->phase == RU_RUNNING && t->limit_ms > 0 &&
 		    now > t->started_ms + t->limit_ms) {
 			t->limit_hit = true;
--- a/sched/runner_endpoint.c
+++ b/sched/runner_endpoint.c
@@ -41,7 +41,7 @@
 
 /* Ends all tasks at the endpoint, of which none runs any more. */
 static void
-report_runs_lost(struct ru *r)
+report_runs_lost(struct ru *r, enum ru_cause cause)
 {
 	struct ru_task *t;
 	guint i;
@@ -49,7 +49,7 @@
 	for (i = r->tasks->len; i-- > 0;) {
 		t = r->tasks->pdata[i];
 		if (t->phase != RU_QUEUED)
-			ru_end(r, t, PD_END_LOST);
+			ru_end(r, t, PD_END_LOST, cause);
 	}
 }
 
@@ -59,8 +59,13 @@
 	if (r->endpoint_incarnation == incarnation)
 		return;
 	if (r->endpoint_incarnation != 0) {
-		lg_write(LOG_NOTICE, "runner", "the endpoint has restarted");
-		report_runs_lost(r);
+		lg_write(LOG_NOTICE, "runner",
+		    "the endpoint has restarted, at %llu instead of %llu, "
+		    "with %u runs",
+		    (unsigned long long)incarnation,
+		    (unsigned long long)r->endpoint_incarnation,
+		    ru_sum_load(r).active);
+		report_runs_lost(r, RU_C_RESTARTED);
 		r->old_runs_ended = true;
 		r->lease_until_ms = 0;
 	}
@@ -91,12 +96,16 @@
 	guint i;
 
 	if (r->endpoint_known)
-		lg_write(LOG_NOTICE, "runner", "the endpoint has stopped");
+		lg_write(LOG_NOTICE, "runner",
+		    "the endpoint has stopped, with %u runs",
+		    ru_sum_load(r).active);
 	r->endpoint_known = false;
 	for (i = r->tasks->len; i-- > 0;) {
 		t = r->tasks->pdata[i];
 		ru_end(r, t,
-		    t->phase == RU_QUEUED ? PD_END_RETURNED : PD_END_LOST);
+		    t->phase == RU_QUEUED ? PD_END_RETURNED : PD_END_LOST,
+		    t->phase == RU_QUEUED ? RU_C_NOT_STARTED
+					  : RU_C_DEREGISTERED);
 	}
 }
 
@@ -200,13 +209,16 @@
 		t = find_run(r, poll->ended[i].id, poll->ended[i].step,
 		    poll->ended[i].index, poll->ended[i].run);
 		if (t != NULL)
-			ru_end(r, t, end_state(t, poll->ended[i].outcome));
+			ru_end(r, t, end_state(t, poll->ended[i].outcome),
+			    RU_C_LISTED);
 	}
 	for (k = r->tasks->len; k-- > 0;) {
 		t = r->tasks->pdata[k];
 		if (run_is_gone(poll, t))
 			ru_end(r, t,
-			    t->phase == RU_STOPPING ? t->end : PD_END_LOST);
+			    t->phase == RU_STOPPING ? t->end : PD_END_LOST,
+			    t->phase == RU_STOPPING ? RU_C_STOPPED
+						    : RU_C_NOT_LISTED);
 	}
 	stop_unknown_runs(r, poll);
 	if (!r->old_runs_ended && poll->nrunning == 0)
@@ -264,7 +276,7 @@
 	if (answer == RU_NO_ANSWER) {
 		ru_stop_task(r, t, PD_END_LOST);
 	} else if (t->phase == RU_STOPPING || answer == RU_REJECTED) {
-		ru_end(r, t, PD_END_RETURNED);
+		ru_end(r, t, PD_END_RETURNED, RU_C_NOT_STARTED);
 	} else {
 		if (answer == RU_OLD_RUN)
 			t->run += RUN_NUMBER_STEP;
@@ -296,7 +308,7 @@
 
 	/* Every start order carries the lease, so nothing runs any more. */
 	if (r->lease_until_ms != 0 && now > r->lease_until_ms) {
-		report_runs_lost(r);
+		report_runs_lost(r, RU_C_LEASE);
 		r->old_runs_ended = true;
 		r->lease_until_ms = 0;
 	}
--- a/sched/runner_impl.h
+++ b/sched/runner_impl.h
@@ -96,8 +96,29 @@
 /** ru_start_queued() - start queued tasks that fit, the most urgent first */
 void ru_start_queued(struct ru *r);
 
+/**
+ * enum ru_cause - why a task counts as ended
+ * @RU_C_LISTED: the endpoint listed the end of the run
+ * @RU_C_NOT_LISTED: the endpoint's list no longer has the run
+ * @RU_C_STOPPED: a stop was confirmed, and the list does not have the run
+ * @RU_C_LEASE: the lease is over
+ * @RU_C_RESTARTED: the endpoint has restarted
+ * @RU_C_DEREGISTERED: the endpoint has deregistered
+ * @RU_C_NOT_STARTED: no start was sent, or it was refused
+ */
+enum ru_cause {
+	RU_C_LISTED = 0,
+	RU_C_NOT_LISTED,
+	RU_C_STOPPED,
+	RU_C_LEASE,
+	RU_C_RESTARTED,
+	RU_C_DEREGISTERED,
+	RU_C_NOT_STARTED,
+};
+
 /** ru_end() - report the end of a task and remove it; @t is consumed */
-void ru_end(struct ru *r, struct ru_task *t, enum pd_end_state state);
+void ru_end(struct ru *r, struct ru_task *t, enum pd_end_state state,
+    enum ru_cause cause);
 
 /** ru_return_queued() - return all queued tasks to their entries */
 void ru_return_queued(struct ru *r);
