--- a/fakes/fake_minion.c
+++ b/fakes/fake_minion.c
@@ -19,10 +19,14 @@
  * and end is a line in the log: wall clock in ms, "start" or the outcome, name
  * of the endpoint, its process id, task and run, separated by tabs.
  *
- * `PUT /control?speed=X&fail=0|1&hang=0|1&drop=N&late=N&late_ms=N&drain=0|1`
- * changes the behaviour. With drop=N the connections of the next N requests are
- * closed without an answer. With late=N the next N start or stop commands get
- * no answer and are executed late_ms later. `GET /control` returns the counts.
+ * `PUT /control?speed=X&fail=0|1&hang=0|1&drop=N&late=N&late_ms=N&drain=0|1&
+ * no_lists=N&leave=0|1&replace=0|1` changes the behaviour. With drop=N the
+ * connections of the next N requests are closed without an answer. With late=N
+ * the next N start or stop commands get no answer and are executed late_ms
+ * later. With no_lists=N the next N polls are answered without lists of runs.
+ * With leave=1 the endpoint closes its port, deregisters and ends once its runs
+ * have ended; with replace=1 it does the same without deregistering, so that a
+ * new process can take its port and name. `GET /control` returns the counts.
  */
 
 #define US_PER_MS 1000
@@ -30,6 +34,7 @@
 #define WAIT_MAX_MS 2000
 #define HEARTBEAT_MS 1500
 #define STATUS_CONFLICT 409
+#define LEAVE_DELAY_US 5000
 
 struct run {
 	struct minion *minion;
@@ -64,9 +69,11 @@
 
 struct minion {
 	struct event_base *base;
+	struct evhttp *http;
 	struct evhttp_connection *agent;
 	struct event *heartbeat_timer;
 	struct event *lease_timer;
+	struct event *leave_timer;
 	char *name;
 	char *service;
 	char *az;
@@ -77,6 +84,9 @@
 	bool fail;
 	bool hang;
 	bool draining;
+	bool leaving;
+	bool deregisters;        /* when it leaves */
+	unsigned omit_lists;     /* number of polls still to answer so */
 	unsigned drop_requests;  /* number of requests still to drop */
 	unsigned delay_commands; /* number of commands still to delay */
 	unsigned command_delay_ms;
@@ -180,6 +190,13 @@
 	g_free(l);
 }
 
+static void
+end_if_left(struct minion *m)
+{
+	if (m->leaving && m->runs->len == 0)
+		event_base_loopbreak(m->base);
+}
+
 static void
 poll_timed_out(evutil_socket_t fd, short what, void *arg)
 {
@@ -210,6 +227,7 @@
 	polls = m->polls;
 	m->polls = NULL;
 	g_list_free_full(polls, poll_answer);
+	end_if_left(m);
 }
 
 static void
@@ -358,6 +376,11 @@
 	struct pending_poll *l;
 
 	renew_lease(m, body);
+	if (m->omit_lists > 0) {
+		m->omit_lists--;
+		reply(m, req, 200, json_object());
+		return;
+	}
 	while (m->run_ends->len > 0 &&
 	    ((struct run_end *)m->run_ends->pdata[0])->sequence <= seen)
 		g_ptr_array_remove_index(m->run_ends, 0);
@@ -473,6 +496,47 @@
 	wb_start_timer(m->heartbeat_timer, (uint64_t)HEARTBEAT_MS * US_PER_MS);
 }
 
+static void
+deregister(struct minion *m)
+{
+	struct evhttp_request *req = evhttp_request_new(heartbeat_done, m);
+	char *path = g_strdup_printf("/v1/instances/%s", m->name);
+
+	evhttp_add_header(
+	    evhttp_request_get_output_headers(req), "Host", "agent");
+	evhttp_make_request(m->agent, req, EVHTTP_REQ_DELETE, path);
+	g_free(path);
+}
+
+static void
+poll_abandon(void *arg)
+{
+	struct pending_poll *l = arg;
+
+	event_free(l->timer);
+	g_free(l);
+}
+
+/* Closes the port and its connections. The runs go on until they end or their
+ * lease is over. */
+static void
+leave(evutil_socket_t fd, short what, void *arg)
+{
+	struct minion *m = arg;
+
+	(void)fd;
+	(void)what;
+	event_del(m->heartbeat_timer);
+	g_list_free_full(m->polls, poll_abandon);
+	m->polls = NULL;
+	evhttp_free(m->http);
+	m->http = NULL;
+	m->leaving = true;
+	if (m->deregisters)
+		deregister(m);
+	end_if_left(m);
+}
+
 static void
 control(struct minion *m, struct evhttp_request *req)
 {
@@ -490,6 +554,12 @@
 	    (unsigned)wb_query_number(&q, "late", m->delay_commands);
 	m->command_delay_ms =
 	    (unsigned)wb_query_number(&q, "late_ms", m->command_delay_ms);
+	m->omit_lists =
+	    (unsigned)wb_query_number(&q, "no_lists", m->omit_lists);
+	m->deregisters = wb_query_number(&q, "leave", 0) > 0;
+	/* After the answer to this request. */
+	if (m->deregisters || wb_query_number(&q, "replace", 0) > 0)
+		wb_start_timer(m->leave_timer, LEAVE_DELAY_US);
 	wb_query_release(&q);
 	if (m->draining != draining)
 		send_heartbeat(m);
@@ -564,7 +634,6 @@
 main(int argc, char **argv)
 {
 	struct minion m = {.speed = 1, .incarnation = wb_wall_ms()};
-	struct evhttp *http;
 	unsigned agent;
 
 	parse_options(argc, argv, &m, &agent);
@@ -575,17 +644,20 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	m.lease_timer = evtimer_new(m.base, lease_expired, &m);
 	m.heartbeat_timer = evtimer_new(m.base, on_heartbeat, &m);
+	m.leave_timer = evtimer_new(m.base, leave, &m);
 	m.agent = evhttp_connection_base_new(
 	    m.base, NULL, "127.0.0.1", (unsigned short)agent);
 	evhttp_connection_set_timeout(m.agent, 1);
-	http = wb_listen(m.base, m.port, on_request, &m, &m.port);
+	m.http = wb_listen(m.base, m.port, on_request, &m, &m.port);
 	wb_start_timer(m.heartbeat_timer, 0);
 	wb_print_ready(&m.port, 1);
 	wb_run(m.base);
-	evhttp_free(http);
+	if (m.http != NULL)
+		evhttp_free(m.http);
 	evhttp_connection_free(m.agent);
 	event_free(m.heartbeat_timer);
 	event_free(m.lease_timer);
+	event_free(m.leave_timer);
 	g_ptr_array_free(m.runs, TRUE);
 	g_ptr_array_free(m.run_ends, TRUE);
 	g_hash_table_destroy(m.highest_ended);
--- a/tests/harness_fleet.c
+++ b/tests/harness_fleet.c
@@ -403,6 +403,49 @@
 	start_minion(f, i);
 }
 
+void
+hf_start_minion(struct hf *f, unsigned i)
+{
+	start_minion(f, i);
+}
+
+static bool
+refuses_connections(void *arg)
+{
+	const unsigned *port = arg;
+
+	return (hn_http("GET", *port, "/control", NULL, NULL, NULL) == 0);
+}
+
+void
+hf_replace_minion(struct hf *f, unsigned i)
+{
+	hn_control(f->workers[i].orders_port, "replace=1");
+	assert_true(hn_wait_until(
+	    refuses_connections, &f->workers[i].orders_port, 1000));
+	start_minion(f, i);
+}
+
+unsigned
+hf_heartbeats_port(const struct hf *f, unsigned i)
+{
+	return (f->workers[i].heartbeats_port);
+}
+
+unsigned
+hf_running(const struct hf *f, unsigned i)
+{
+	json_t *counts = NULL;
+	unsigned n;
+
+	assert_int_equal(200,
+	    hn_http("GET", f->workers[i].orders_port, "/control", NULL, NULL,
+		&counts));
+	n = (unsigned)json_integer_value(json_object_get(counts, "running"));
+	json_decref(counts);
+	return (n);
+}
+
 unsigned
 hf_clients_port(const struct hf *f, unsigned i)
 {
--- a/tests/harness_fleet.h
+++ b/tests/harness_fleet.h
@@ -104,6 +104,20 @@
 /** hf_restart_minion() - kill an endpoint and start it again */
 void hf_restart_minion(struct hf *f, unsigned i);
 
+/** hf_replace_minion() - start another process of an endpoint, as a process
+ * that takes the port and the name of an earlier one, which finishes its runs
+ */
+void hf_replace_minion(struct hf *f, unsigned i);
+
+/** hf_start_minion() - start an endpoint that has left */
+void hf_start_minion(struct hf *f, unsigned i);
+
+/** hf_heartbeats_port() - port of an agent for heartbeats of its endpoint */
+unsigned hf_heartbeats_port(const struct hf *f, unsigned i);
+
+/** hf_running() - number of runs at an endpoint */
+unsigned hf_running(const struct hf *f, unsigned i);
+
 /** hf_clients_port() - port of an entry for clients */
 unsigned hf_clients_port(const struct hf *f, unsigned i);
 
