Keep runs until their endpoint lists their end or their lease is over

Cause: the agent took messages about the registration of its endpoint as proof that no run exists there. A heartbeat or an answer of a process with a later start, and a deregistration, ended all runs at once. Real processes overlap: one that leaves closes its port, deregisters and finishes its runs, while its successor registers. A heartbeat can also come from another process; one with a later start made the agent ignore its endpoint from then on.

Only the endpoint's own lists and the lease end a run now. The process that answers polls is the endpoint: a heartbeat of a later process is used once it has answered one.

In test_orders the lists now have the start of the process, as its heartbeats do.

Ruled out: an order to stop that was taken for done (the record has none), and the end of the lease (the youngest run was 60 ms old).

--- a/agent/executor.c
+++ b/agent/executor.c
@@ -118,14 +118,24 @@
 
 /* --- the endpoint --- */
 
+/* Entries must learn at once that an endpoint joins or leaves. */
+static void
+send_heartbeats_if_changed(struct ex *e, const struct ru_load *before)
+{
+	struct ru_load after = ru_load(e->runner);
+
+	if (before->reported.accepting != after.reported.accepting ||
+	    before->cpu != after.cpu)
+		lk_send_heartbeats(e->links);
+}
+
 static void
 on_heartbeat(void *arg, const struct od_heartbeat *a)
 {
-	struct ru_load before, after;
 	struct ex *e = arg;
+	struct ru_load before = ru_load(e->runner);
 	unsigned i;
 
-	before = ru_load(e->runner);
 	g_free(e->service);
 	e->service = g_strdup(a->service);
 	g_ptr_array_set_size(e->labels, 0);
@@ -133,11 +143,7 @@
 		g_ptr_array_add(e->labels, g_strdup(a->labels[i]));
 	ru_update_endpoint(
 	    e->runner, a->started_ms, a->cpu, a->mem_mb, a->accepting);
-	after = ru_load(e->runner);
-	/* Entries must learn at once that an endpoint joins or leaves. */
-	if (before.reported.accepting != after.reported.accepting ||
-	    before.cpu != after.cpu)
-		lk_send_heartbeats(e->links);
+	send_heartbeats_if_changed(e, &before);
 }
 
 static void
@@ -152,22 +158,21 @@
 static void
 on_connection_refused(void *arg)
 {
-	bool before, after;
 	struct ex *e = arg;
+	struct ru_load before = ru_load(e->runner);
 
-	before = ru_load(e->runner).reported.accepting;
 	ru_connection_refused(e->runner);
-	after = ru_load(e->runner).reported.accepting;
-	if (before != after)
-		lk_send_heartbeats(e->links);
+	send_heartbeats_if_changed(e, &before);
 }
 
 static void
 on_polled(void *arg, const struct ru_poll_result *poll)
 {
 	struct ex *e = arg;
+	struct ru_load before = ru_load(e->runner);
 
 	ru_polled(e->runner, poll);
+	send_heartbeats_if_changed(e, &before);
 }
 
 static unsigned
--- a/sched/lease.h
+++ b/sched/lease.h
@@ -21,6 +21,9 @@
  * time after which a client submits again */
 #define LE_RUN_MS 600
 
+/** LE_ENDPOINT_MAX_MS - longest lease that an endpoint gives to a run */
+#define LE_ENDPOINT_MAX_MS 1000
+
 /** LE_DRIFT_PERMILLE - by how much an endpoint's clock may be slow */
 #define LE_DRIFT_PERMILLE 20
 
--- a/sched/runner.c
+++ b/sched/runner.c
@@ -98,7 +98,8 @@
 	struct ru_load l = {.cpu = r->endpoint_known ? r->cpu : 0,
 	    .mem_mb = r->mem_mb,
 	    .reported.accepting = r->endpoint_known && r->accepting &&
-		!r->draining && r->unanswered < RU_UNANSWERED_MAX,
+		!r->draining && !r->replaced &&
+		r->unanswered < RU_UNANSWERED_MAX,
 	    .old_runs_ended = r->old_runs_ended};
 	const struct ru_task *t;
 	guint i;
@@ -167,8 +168,8 @@
 static const char *
 cause_name(enum ru_cause c)
 {
-	static const char *const names[] = {"listed", "not_listed", "stopped",
-	    "lease_over", "restarted", "deregistered", "not_started"};
+	static const char *const names[] = {
+	    "listed", "not_listed", "stopped", "lease_over", "not_started"};
 
 	return (names[c]);
 }
@@ -308,7 +309,8 @@
 	unsigned mem;
 
 	if (!r->endpoint_known || !r->accepting || !r->old_runs_ended ||
-	    r->unanswered >= RU_UNANSWERED_MAX || now < r->full_until_ms)
+	    r->replaced || r->unanswered >= RU_UNANSWERED_MAX ||
+	    now < r->full_until_ms)
 		return;
 	for (;;) {
 		l = ru_sum_load(r);
@@ -321,6 +323,7 @@
 			return;
 		t->phase = RU_STARTING;
 		t->started_ms = now;
+		t->incarnation = r->endpoint_incarnation;
 		run = ru_run_of(t);
 		run.lease_ms = ru_extend_lease(r);
 		r->ops->start(r->arg, &run);
--- a/sched/runner.h
+++ b/sched/runner.h
@@ -101,14 +101,20 @@
 
 /**
  * ru_update_endpoint() - handle a heartbeat of the endpoint
- * @incarnation: number that differs for each start of it
+ * @incarnation: number that differs for each start of it; as in polls, since
+ *     anyone can send a heartbeat
  * @cpu: its capacity, thousandths of a core
  * @accepting: it accepts new tasks
  */
 void ru_update_endpoint(struct ru *r, uint64_t incarnation, unsigned cpu,
     unsigned mem_mb, bool accepting);
 
-/** ru_endpoint_gone() - handle the end of the endpoint: nothing runs there */
+/**
+ * ru_endpoint_gone() - handle that the endpoint takes no more tasks
+ *
+ * Its runs count until it lists their ends or their lease is over: a process
+ * that has deregistered may finish them.
+ */
 void ru_endpoint_gone(struct ru *r);
 
 /** ru_polled() - handle the answer to a poll */
--- a/sched/runner_endpoint.c
+++ b/sched/runner_endpoint.c
@@ -18,30 +18,38 @@
 #define RUN_NUMBER_STEP 1
 #define PERMILLE 1000
 
-unsigned
-ru_extend_lease(struct ru *r)
+/* Notes that the endpoint may have runs under a lease of @ms from now. */
+static void
+note_lease(struct ru *r, unsigned ms)
 {
-	uint64_t end = ck_mono_ms(r->clock) + LE_RUN_MS +
-	    LE_RUN_MS * LE_DRIFT_PERMILLE / PERMILLE + CLOCK_ERROR_MS;
+	uint64_t end = ck_mono_ms(r->clock) + ms +
+	    ms * LE_DRIFT_PERMILLE / PERMILLE + CLOCK_ERROR_MS;
 
 	r->lease_until_ms = MAX(r->lease_until_ms, end);
+}
+
+unsigned
+ru_extend_lease(struct ru *r)
+{
+	note_lease(r, LE_RUN_MS);
 	return (LE_RUN_MS);
 }
 
 unsigned
 ru_renew_lease(struct ru *r)
 {
-	/* Do not keep runs of an earlier agent process alive, nor those at a
-	 * silent endpoint, whose end would stay unknown. */
-	if (!r->old_runs_ended || r->unanswered >= RU_UNANSWERED_MAX ||
-	    ru_sum_load(r).active == 0)
+	/* Do not keep runs of an earlier process of the agent or the endpoint
+	 * alive, nor those at a silent endpoint, whose end would stay
+	 * unknown. */
+	if (!r->old_runs_ended || r->replaced ||
+	    r->unanswered >= RU_UNANSWERED_MAX || ru_sum_load(r).active == 0)
 		return (0);
 	return (ru_extend_lease(r));
 }
 
-/* Ends all tasks at the endpoint, of which none runs any more. */
+/* Ends all tasks at the endpoint once the lease is over. */
 static void
-report_runs_lost(struct ru *r, enum ru_cause cause)
+report_runs_lost(struct ru *r)
 {
 	struct ru_task *t;
 	guint i;
@@ -49,10 +57,15 @@
 	for (i = r->tasks->len; i-- > 0;) {
 		t = r->tasks->pdata[i];
 		if (t->phase != RU_QUEUED)
-			ru_end(r, t, PD_END_LOST, cause);
+			ru_end(r, t, PD_END_LOST, RU_C_LEASE);
 	}
 }
 
+/*
+ * A new process does not prove that the earlier one has ended: it may have
+ * closed its port and finish its runs. Nothing is started, and no lease is
+ * renewed, until the lease of these runs is over.
+ */
 static void
 set_incarnation(struct ru *r, uint64_t incarnation)
 {
@@ -65,9 +78,10 @@
 		    (unsigned long long)incarnation,
 		    (unsigned long long)r->endpoint_incarnation,
 		    ru_sum_load(r).active);
-		report_runs_lost(r, RU_C_RESTARTED);
-		r->old_runs_ended = true;
-		r->lease_until_ms = 0;
+		r->replaced = r->replaced || !r->old_runs_ended ||
+		    ru_sum_load(r).active > 0;
+		if (r->replaced)
+			ru_return_queued(r);
 	}
 	r->endpoint_incarnation = incarnation;
 }
@@ -92,21 +106,12 @@
 void
 ru_endpoint_gone(struct ru *r)
 {
-	struct ru_task *t;
-	guint i;
-
 	if (r->endpoint_known)
 		lg_write(LOG_NOTICE, "runner",
 		    "the endpoint has stopped, with %u runs",
 		    ru_sum_load(r).active);
 	r->endpoint_known = false;
-	for (i = r->tasks->len; i-- > 0;) {
-		t = r->tasks->pdata[i];
-		ru_end(r, t,
-		    t->phase == RU_QUEUED ? PD_END_RETURNED : PD_END_LOST,
-		    t->phase == RU_QUEUED ? RU_C_NOT_STARTED
-					  : RU_C_DEREGISTERED);
-	}
+	ru_return_queued(r);
 }
 
 static struct ru_task *
@@ -183,10 +188,13 @@
 
 /* Whether the answer to a poll proves that the run of @t does not exist. A run
  * that is being stopped is listed until it has ended, and one that had not
- * started before its stop was confirmed never starts. */
+ * started before its stop was confirmed never starts. A process of the endpoint
+ * lists only its own runs. */
 static bool
 run_is_gone(const struct ru_poll_result *poll, const struct ru_task *t)
 {
+	if (t->incarnation != poll->incarnation)
+		return (false);
 	if (t->phase == RU_RUNNING)
 		return (poll->sent_ms > t->confirmed_ms + START_SETTLE_MS &&
 		    !is_listed(poll, t));
@@ -196,6 +204,41 @@
 	return (false);
 }
 
+/*
+ * Whether the listed end @info is that of the run of @t. A process that did not
+ * get the start can list a stop of it only, which says nothing about the run at
+ * the other process.
+ */
+static bool
+proves_end(const struct ru_poll_result *poll, const struct ru_run_info *info,
+    const struct ru_task *t)
+{
+	return (t->incarnation == poll->incarnation ||
+	    info->outcome == RU_DONE || info->outcome == RU_FAILED);
+}
+
+/* Stops runs whose start went to a new process of the endpoint before the agent
+ * knew of it: the clock of the new process is another one, so their lease may
+ * be longer than intended. */
+static void
+stop_moved_runs(struct ru *r, const struct ru_poll_result *poll)
+{
+	const struct ru_run_info *info;
+	struct ru_task *t;
+	unsigned i;
+
+	for (i = 0; i < poll->nrunning; i++) {
+		info = &poll->running[i];
+		t = find_run(r, info->id, info->step, info->index, info->run);
+		if (t == NULL || t->incarnation == poll->incarnation)
+			continue;
+		t->incarnation = poll->incarnation;
+		t->stopped_ms = 0;
+		note_lease(r, LE_ENDPOINT_MAX_MS);
+		ru_stop_task(r, t, PD_END_LOST);
+	}
+}
+
 void
 ru_polled(struct ru *r, const struct ru_poll_result *poll)
 {
@@ -205,10 +248,11 @@
 
 	set_incarnation(r, poll->incarnation);
 	r->unanswered = 0;
+	stop_moved_runs(r, poll);
 	for (i = 0; i < poll->nended; i++) {
 		t = find_run(r, poll->ended[i].id, poll->ended[i].step,
 		    poll->ended[i].index, poll->ended[i].run);
-		if (t != NULL)
+		if (t != NULL && proves_end(poll, &poll->ended[i], t))
 			ru_end(r, t, end_state(t, poll->ended[i].outcome),
 			    RU_C_LISTED);
 	}
@@ -221,7 +265,7 @@
 						    : RU_C_NOT_LISTED);
 	}
 	stop_unknown_runs(r, poll);
-	if (!r->old_runs_ended && poll->nrunning == 0)
+	if (!r->old_runs_ended && !r->replaced && poll->nrunning == 0)
 		r->old_runs_ended = true;
 	ru_start_queued(r);
 }
@@ -308,8 +352,9 @@
 
 	/* Every start order carries the lease, so nothing runs any more. */
 	if (r->lease_until_ms != 0 && now > r->lease_until_ms) {
-		report_runs_lost(r, RU_C_LEASE);
+		report_runs_lost(r);
 		r->old_runs_ended = true;
+		r->replaced = false;
 		r->lease_until_ms = 0;
 	}
 	for (i = 0; i < r->tasks->len; i++) {
--- a/sched/runner_impl.h
+++ b/sched/runner_impl.h
@@ -56,7 +56,8 @@
 	uint64_t started_ms;   /* when the start was sent; 0: not yet */
 	uint64_t confirmed_ms; /* when the endpoint confirmed the start */
 	uint64_t stop_sent_ms;
-	uint64_t stopped_ms; /* when the stop was confirmed; 0: not yet */
+	uint64_t stopped_ms;  /* when the stop was confirmed; 0: not yet */
+	uint64_t incarnation; /* process of the endpoint that got the start */
 	enum ru_phase phase;
 	bool limit_hit;        /* is being stopped at its run time limit */
 	bool returnable;       /* its entry may choose another worker */
@@ -84,7 +85,8 @@
 	bool endpoint_known;
 	bool accepting;
 	bool draining;
-	bool old_runs_ended;
+	bool old_runs_ended; /* of an earlier process of the agent */
+	bool replaced; /* an earlier process of the endpoint may have runs */
 	uint64_t lease_until_ms; /* no run can exist after this */
 	uint64_t full_until_ms;  /* no starts before this */
 };
@@ -102,8 +104,6 @@
  * @RU_C_NOT_LISTED: the endpoint's list no longer has the run
  * @RU_C_STOPPED: a stop was confirmed, and the list does not have the run
  * @RU_C_LEASE: the lease is over
- * @RU_C_RESTARTED: the endpoint has restarted
- * @RU_C_DEREGISTERED: the endpoint has deregistered
  * @RU_C_NOT_STARTED: no start was sent, or it was refused
  */
 enum ru_cause {
@@ -111,8 +111,6 @@
 	RU_C_NOT_LISTED,
 	RU_C_STOPPED,
 	RU_C_LEASE,
-	RU_C_RESTARTED,
-	RU_C_DEREGISTERED,
 	RU_C_NOT_STARTED,
 };
 
--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -240,6 +240,7 @@
 	f->base = event_base_new();
 	f->clock = ck_new_manual(1000, WALL_MS);
 	f->hold_ms = HOLD_MS;
+	f->started_ms = WALL_MS;
 	sn_address(f->endpoint_address, sn_free_port());
 	f->endpoint = sc_listen(f->base, f->endpoint_address, on_order, f);
 	assert_non_null(f->endpoint);
@@ -337,15 +338,22 @@
 }
 
 static void
-send_names(struct fixture *f, const char *service, const char *label)
+send_heartbeat_of(struct fixture *f, const char *service, const char *label,
+    unsigned long long started_ms)
 {
-	char *text = g_strdup_printf(HEARTBEAT, service, label, ++f->sequence,
-	    (unsigned long long)WALL_MS);
+	char *text = g_strdup_printf(
+	    HEARTBEAT, service, label, ++f->sequence, started_ms);
 
 	send_heartbeat(f, text);
 	g_free(text);
 }
 
+static void
+send_names(struct fixture *f, const char *service, const char *label)
+{
+	send_heartbeat_of(f, service, label, WALL_MS);
+}
+
 /* Guards against a heartbeat that ends the process or makes the agent unable to
  * send its own: a name of more than 64 bytes does not fit in a message, so the
  * entries lost contact and the runs were stopped. */
@@ -470,6 +478,30 @@
 	assert_true(f->lists > lists);
 }
 
+/* Guards against an agent that ignores its endpoint because of a heartbeat of
+ * another process with a later start, and against one that ignores the
+ * heartbeat of an endpoint that has restarted. */
+static void
+test_heartbeat_of_unconfirmed_process(void **state)
+{
+	struct fixture *f = *state;
+	unsigned lists;
+
+	use_real_clock(f);
+	start_orders(f);
+	send_names(f, "desk", "a");
+	assert_int_equal(1, f->heartbeats);
+	lists = f->lists;
+	send_heartbeat_of(f, "desk", "a", WALL_MS + 5);
+	assert_int_equal(1, f->heartbeats);
+	assert_true(f->lists > lists);
+	send_names(f, "desk", "a");
+	assert_int_equal(2, f->heartbeats);
+	f->started_ms = WALL_MS + 5;
+	send_heartbeat_of(f, "desk", "a", WALL_MS + 5);
+	assert_int_equal(3, f->heartbeats);
+}
+
 int
 main(void)
 {
@@ -481,6 +513,7 @@
 	    T(test_end_seen_beside_unanswered_poll),
 	    T(test_end_seen_after_list_without_run),
 	    T(test_list_of_earlier_process),
+	    T(test_heartbeat_of_unconfirmed_process),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -39,7 +39,8 @@
 	struct pd_end ends[ORDERS_MAX];
 	char end_ids[ORDERS_MAX][32];
 	unsigned nends;
-	unsigned priority; /* of the tasks that are granted */
+	unsigned priority;    /* of the tasks that are granted */
+	uint64_t incarnation; /* of the process that answers polls */
 };
 
 static void
@@ -84,7 +85,7 @@
     const struct ru_run_info *ended, unsigned nended)
 {
 	struct ru_poll_result poll = {.sent_ms = sent_ms,
-	    .incarnation = 1,
+	    .incarnation = f->incarnation,
 	    .running = running,
 	    .nrunning = nrunning,
 	    .ended = ended,
@@ -115,6 +116,7 @@
 
 	f->clock = ck_new_manual(START_MS, START_MS);
 	f->counters = ct_new();
+	f->incarnation = 1;
 	f->runner = ru_new(f->clock, f->counters, &ops, f);
 	answer_empty_poll(f);
 	ru_update_endpoint(f->runner, 1, ENDPOINT_CPU, 1000, true);
@@ -588,19 +590,144 @@
 	assert_int_equal(4, f->norders);
 }
 
-/* Guards against waiting for tasks whose endpoint has restarted. */
 static void
-test_endpoint_restarts(void **state)
+restart_endpoint(struct fixture *f)
+{
+	f->incarnation = 2;
+	answer_empty_poll(f);
+	ru_update_endpoint(f->runner, 2, ENDPOINT_CPU, 1000, true);
+}
+
+/* Guards against two runs of a task whose endpoint was replaced by another
+ * process while the earlier one finished its runs, against keeping its tasks
+ * longer than the lease, and against a worker that stays unused after that. */
+static void
+test_runs_lost_before_lease_after_restart(void **state)
 {
 	struct fixture *f = *state;
 
 	grant(f, ENTRY_1, "a");
 	answer_start(f, "a", RU_STARTED);
-	ru_update_endpoint(f->runner, 2, ENDPOINT_CPU, 1000, true);
+	restart_endpoint(f);
+	assert_false(ru_load(f->runner).reported.accepting);
+	assert_int_equal(0, ru_renew_lease(f->runner));
+	grant(f, ENTRY_1, "b");
+	assert_int_equal(1, f->norders);
+	assert_int_equal(1, f->nends);
+	assert_string_equal("b", f->end_ids[0]);
+	assert_int_equal(PD_END_RETURNED, f->ends[0].state);
+	pass(f, LE_RUN_MS, ENTRY_1);
+	answer_empty_poll(f);
+	assert_int_equal(1, f->nends);
+	pass(f, 80, ENTRY_1);
+	assert_int_equal(2, f->nends);
+	assert_int_equal(PD_END_LOST, f->ends[1].state);
+	assert_true(ru_load(f->runner).reported.accepting);
+	grant(f, ENTRY_1, "c");
+	assert_int_equal(2, f->norders);
+}
+
+/* Guards against pausing an endpoint that had no runs when it restarted. */
+static void
+test_idle_endpoint_restarts(void **state)
+{
+	struct fixture *f = *state;
+
+	grant(f, ENTRY_1, "a");
+	answer_start(f, "a", RU_STARTED);
+	report_run_end(f, "a", 1, RU_DONE);
+	restart_endpoint(f);
+	grant(f, ENTRY_1, "b");
+	assert_int_equal(2, f->norders);
+}
+
+/* Guards against a new agent process that takes the runs of its predecessor for
+ * ended because the endpoint has restarted and lists none. */
+static void
+test_runs_of_predecessor_after_restart(void **state)
+{
+	struct ru_run_info old = {.id = "old", .run = 3};
+	struct fixture *f = *state;
+
+	ru_free(f->runner);
+	f->runner = ru_new(f->clock, f->counters, &ops, f);
+	answer_poll(f, ck_mono_ms(f->clock), &old, 1, NULL, 0);
+	restart_endpoint(f);
+	answer_empty_poll(f);
+	assert_false(ru_load(f->runner).old_runs_ended);
+	pass(f, LE_RUN_MS + 80, 0);
+	assert_true(ru_load(f->runner).old_runs_ended);
+}
+
+/* Guards against two runs of a task whose start went to a new process of the
+ * endpoint that the agent did not know yet: it is stopped there, and ends only
+ * when that process no longer lists it. */
+static void
+test_start_at_new_process(void **state)
+{
+	struct ru_run_info a = {.id = "a", .run = 1};
+	struct fixture *f = *state;
+
+	grant(f, ENTRY_1, "a");
+	answer_start(f, "a", RU_STARTED);
+	f->incarnation = 2;
+	answer_poll(f, ck_mono_ms(f->clock), &a, 1, NULL, 0);
+	assert_int_equal(2, f->norders);
+	assert_true(f->orders[1].stop);
+	pass(f, LE_RUN_MS + 80, ENTRY_1);
+	assert_int_equal(0, f->nends);
+	confirm_stop(f, "a");
+	pass(f, 10, ENTRY_1);
+	answer_empty_poll(f);
 	assert_int_equal(1, f->nends);
 	assert_int_equal(PD_END_LOST, f->ends[0].state);
 }
 
+/* Guards against two runs of a task because a new process of the endpoint lists
+ * the stop of a run that it never had. */
+static void
+test_stop_listed_by_new_process(void **state)
+{
+	struct fixture *f = *state;
+
+	grant(f, ENTRY_1, "a");
+	answer_start(f, "a", RU_STARTED);
+	ru_entry_gone(f->runner, ENTRY_1);
+	confirm_stop(f, "a");
+	f->incarnation = 2;
+	report_run_end(f, "a", 1, RU_STOPPED);
+	pass(f, 10, 0);
+	answer_empty_poll(f);
+	assert_int_equal(0, f->nends);
+	pass(f, LE_RUN_MS + 80, 0);
+	assert_int_equal(1, f->nends);
+}
+
+/* Guards against two runs of a task whose endpoint has deregistered and goes on
+ * to run it, and against starting tasks there. */
+static void
+test_runs_of_deregistered_endpoint(void **state)
+{
+	struct fixture *f = *state;
+
+	grant(f, ENTRY_1, "a");
+	grant(f, ENTRY_1, "b");
+	answer_start(f, "a", RU_STARTED);
+	answer_start(f, "b", RU_STARTED);
+	ru_endpoint_gone(f->runner);
+	assert_int_equal(0, f->nends);
+	assert_false(ru_load(f->runner).reported.accepting);
+	report_run_end(f, "a", 1, RU_DONE);
+	assert_int_equal(PD_END_DONE, f->ends[0].state);
+	assert_int_equal(1, f->nends);
+	ru_connection_refused(f->runner);
+	pass(f, LE_RUN_MS, ENTRY_1);
+	assert_int_equal(1, f->nends);
+	pass(f, 80, ENTRY_1);
+	assert_int_equal(2, f->nends);
+	assert_int_equal(PD_END_LOST, f->ends[1].state);
+}
+
 /* Guards against runs that go on after their expiry or beyond their run time
  * limit. */
 static void
@@ -706,7 +833,12 @@
 	    T(test_used_run_number),
 	    T(test_drain),
 	    T(test_endpoint_leaves),
-	    T(test_endpoint_restarts),
+	    T(test_runs_lost_before_lease_after_restart),
+	    T(test_idle_endpoint_restarts),
+	    T(test_runs_of_predecessor_after_restart),
+	    T(test_start_at_new_process),
+	    T(test_stop_listed_by_new_process),
+	    T(test_runs_of_deregistered_endpoint),
 	    T(test_expiry_and_limit),
 	    T(test_learns_from_all_entries),
 	    T(test_failing_endpoint),
