Take no run for lost by an answer that does not list all runs

Callers would see a task run twice: an answer to a poll without its lists, or with a row that cannot be read, ended the runs that it did not name. Cause: what was missing or unreadable counted as absent, without a line in the log.

An answer without its lists counts as no answer; one with an unreadable row, or with as many ends as the endpoint lists at a time, proves the end of no run that it does not name. Rows of other jobs are no reason. An end with a cursor out of range is not acknowledged.

--- a/sched/runner.h
+++ b/sched/runner.h
@@ -70,6 +70,7 @@
  * @incarnation: number that differs for each start of the endpoint
  * @running: runs that go on
  * @ended: runs that have ended and are not acknowledged yet
+ * @partial: there may be runs and ends that are not in the lists
  */
 struct ru_poll_result {
 	uint64_t sent_ms;
@@ -78,6 +79,7 @@
 	unsigned nrunning;
 	const struct ru_run_info *ended;
 	unsigned nended;
+	bool partial;
 };
 
 /**
--- a/sched/runner_endpoint.c
+++ b/sched/runner_endpoint.c
@@ -193,7 +193,7 @@
 static bool
 run_is_gone(const struct ru_poll_result *poll, const struct ru_task *t)
 {
-	if (t->incarnation != poll->incarnation)
+	if (poll->partial || t->incarnation != poll->incarnation)
 		return (false);
 	if (t->phase == RU_RUNNING)
 		return (poll->sent_ms > t->confirmed_ms + START_SETTLE_MS &&
@@ -265,7 +265,8 @@
 						    : RU_C_NOT_LISTED);
 	}
 	stop_unknown_runs(r, poll);
-	if (!r->old_runs_ended && !r->replaced && poll->nrunning == 0)
+	if (!r->old_runs_ended && !r->replaced && !poll->partial &&
+	    poll->nrunning == 0)
 		r->old_runs_ended = true;
 	ru_start_queued(r);
 }
--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -46,10 +46,13 @@
 	unsigned hold_ms; /* time after which they are answered */
 	bool run_started;
 	bool run_ended;
-	unsigned unanswered; /* of the next polls that wait for an end */
-	unsigned delay_ms;   /* between the list and the answer of a poll */
-	unsigned ends;       /* that the agent has seen */
-	unsigned lists;      /* that the agent has used */
+	unsigned unanswered;  /* of the next polls that wait for an end */
+	unsigned delay_ms;    /* between the list and the answer of a poll */
+	unsigned ends;        /* that the agent has seen */
+	unsigned lists;       /* that the agent has used */
+	unsigned partial;     /* of these */
+	unsigned unreachable; /* polls without a usable answer */
+	const char *answer;   /* of polls, instead of the lists */
 	unsigned long long started_ms; /* of the endpoint, in its answers */
 };
 
@@ -60,6 +63,11 @@
 static void
 answer_hold(struct fixture *f, struct evhttp_request *req)
 {
+	if (f->answer != NULL) {
+		evbuffer_add_printf(
+		    evhttp_request_get_output_buffer(req), "%s", f->answer);
+		return;
+	}
 	evbuffer_add_printf(evhttp_request_get_output_buffer(req),
 	    "{\"clock_ms\":1,\"born\":%llu,\"running\":[%s],"
 	    "\"ended\":[%s]}",
@@ -197,6 +205,15 @@
 
 	f->ends += poll->nended;
 	f->lists++;
+	f->partial += poll->partial;
+}
+
+static void
+on_unreachable(void *arg)
+{
+	struct fixture *f = arg;
+
+	f->unreachable++;
 }
 
 static void
@@ -227,7 +244,7 @@
     .connection_refused = ignore,
     .polled = on_polled,
     .lease_renewal_ms = no_renewal,
-    .unreachable = ignore,
+    .unreachable = on_unreachable,
     .started = on_started,
     .superseded = on_superseded};
 
@@ -502,6 +519,75 @@
 	assert_int_equal(3, f->heartbeats);
 }
 
+/* Guards against taking a run for lost because an answer to a poll does not
+ * have the lists of runs. */
+static void
+test_answer_without_lists(void **state)
+{
+	static const char *const answers[] = {"{}", "{\"clock_ms\":1}",
+	    "{\"born\":1767225600000}",
+	    "{\"born\":1767225600000,\"running\":[]}",
+	    "{\"born\":1767225600000,\"running\":{},\"ended\":[]}",
+	    "{\"running\":[],\"ended\":[]}",
+	    "{\"born\":\"1767225600000\",\"running\":[],\"ended\":[]}"};
+	struct fixture *f = *state;
+	unsigned lists;
+	size_t i;
+
+	use_real_clock(f);
+	start_orders(f);
+	lists = f->lists;
+	for (i = 0; i < G_N_ELEMENTS(answers); i++) {
+		f->answer = answers[i];
+		f->unreachable = 0;
+		start_run(f);
+		sn_run_loop(f->base, 100);
+		assert_int_equal(lists, f->lists);
+		assert_true(f->unreachable > 0);
+	}
+}
+
+/* Guards against taking a run for lost because its row cannot be read, and
+ * against ends that are never seen after one with a cursor out of range. */
+static void
+test_unreadable_rows(void **state)
+{
+#define LISTS(running, ended)                                                  \
+	"{\"clock_ms\":1,\"born\":1767225600000,\"running\":[" running         \
+	"],\"ended\":[" ended "]}"
+	static const struct {
+		const char *answer;
+		bool partial;
+	} cases[] = {
+	    {LISTS("7", ""), true},
+	    {LISTS("[7,1]", ""), true},
+	    {LISTS("[\"0123456789abcdef.0.0.0\",0]", ""), true},
+	    {LISTS("[\"0123456789abcdef.0.0.0\",4294967296]", ""), true},
+	    {LISTS("", "[-1,7,1,\"done\",\"\"]"), true},
+	    {LISTS("[\"0123456789abcdef.1.0.0\",1]", ""), false},
+	    {LISTS("[\"other\",1]", ""), false},
+	};
+	struct fixture *f = *state;
+	size_t i;
+
+	use_real_clock(f);
+	start_orders(f);
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		f->answer = cases[i].answer;
+		f->lists = f->partial = 0;
+		start_run(f);
+		sn_run_loop(f->base, 100);
+		assert_true(f->lists > 0);
+		assert_int_equal(cases[i].partial ? f->lists : 0, f->partial);
+	}
+	f->answer = NULL;
+	start_run(f);
+	sn_run_loop(f->base, 100);
+	end_run(f);
+	sn_run_loop(f->base, 100);
+	assert_int_equal(1, f->ends);
+}
+
 int
 main(void)
 {
@@ -514,6 +600,8 @@
 	    T(test_end_seen_after_list_without_run),
 	    T(test_list_of_earlier_process),
 	    T(test_heartbeat_of_unconfirmed_process),
+	    T(test_answer_without_lists),
+	    T(test_unreadable_rows),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -41,6 +41,7 @@
 	unsigned nends;
 	unsigned priority;    /* of the tasks that are granted */
 	uint64_t incarnation; /* of the process that answers polls */
+	bool partial;         /* its lists are */
 };
 
 static void
@@ -89,7 +90,8 @@
 	    .running = running,
 	    .nrunning = nrunning,
 	    .ended = ended,
-	    .nended = nended};
+	    .nended = nended,
+	    .partial = f->partial};
 
 	ru_polled(f->runner, &poll);
 }
@@ -230,6 +232,25 @@
 	assert_int_equal(PD_END_LOST, f->ends[0].state);
 }
 
+/* Guards against two runs of a task that is missing in a list of which a part
+ * could not be read, or which has as many ends as fit. */
+static void
+test_partial_list(void **state)
+{
+	struct fixture *f = *state;
+
+	grant(f, ENTRY_1, "a");
+	answer_start(f, "a", RU_STARTED);
+	pass(f, 50, ENTRY_1);
+	f->partial = true;
+	answer_empty_poll(f);
+	assert_int_equal(0, f->nends);
+	ru_free(f->runner);
+	f->runner = ru_new(f->clock, f->counters, &ops, f);
+	answer_empty_poll(f);
+	assert_false(ru_load(f->runner).old_runs_ended);
+}
+
 /* Guards against runs that go on after contact to their entry is lost: the
  * client submits the job to another entry after 1,300 ms. */
 static void
@@ -817,6 +838,7 @@
 #define T(fn) cmocka_unit_test_setup_teardown(fn, set_up, tear_down)
 	const struct CMUnitTest tests[] = {
 	    T(test_list_older_than_start),
+	    T(test_partial_list),
 	    T(test_lost_contact_stops_runs),
 	    T(test_entry_gone_stops_runs),
 	    T(test_unanswered_start),
