Bound the lease of runs by the last contact to their entry

Callers would see a task run twice: an entry starts the tasks of an agent that it no longer hears elsewhere, 1,262 ms after the last contact, when their lease must be over. The agent renewed the lease up to 20 ms too late, until its next check of the contacts, or right after a pause of its process; and while the endpoint left a stop unconfirmed, the lease that other tasks share was renewed for as long as that.

A lease now ends at the latest 1,250 ms after the last contact to the entry of any run, and with the lease in force when a stop was requested. If a stop stays unconfirmed for that long, the other runs of this endpoint end with it. Nothing is started on less than half a lease.

Evidence: test_lease_renewed_after_lost_contact and test_lease_renewed_beside_unconfirmed_stop fail before.

--- a/sched/runner.c
+++ b/sched/runner.c
@@ -19,6 +19,9 @@
  * still be in time: about the run time of a medium task. */
 #define LATE_DELAY_MS 200
 
+/* A run that starts with a shorter lease would probably end with it. */
+#define START_LEASE_MIN_MS (LE_RUN_MS / 2)
+
 #define PERMILLE 1000
 
 static void
@@ -83,13 +86,19 @@
 	e->echo_ms = MAX(e->echo_ms, clock_ms);
 }
 
-static bool
-in_contact(const struct ru *r, uint64_t entry)
+uint64_t
+ru_entry_echo_ms(const struct ru *r, uint64_t entry)
 {
 	const struct ru_entry *e = find_entry(r, entry);
 
-	return (
-	    e != NULL && ck_mono_ms(r->clock) <= e->echo_ms + LE_CONTACT_MS);
+	return (e == NULL ? 0 : e->echo_ms);
+}
+
+static bool
+in_contact(const struct ru *r, uint64_t entry)
+{
+	return (find_entry(r, entry) != NULL &&
+	    ck_mono_ms(r->clock) <= ru_entry_echo_ms(r, entry) + LE_CONTACT_MS);
 }
 
 struct ru_load
@@ -310,7 +319,7 @@
 
 	if (!r->endpoint_known || !r->accepting || !r->old_runs_ended ||
 	    r->replaced || r->unanswered >= RU_UNANSWERED_MAX ||
-	    now < r->full_until_ms)
+	    now < r->full_until_ms || ru_lease_ms(r) < START_LEASE_MIN_MS)
 		return;
 	for (;;) {
 		l = ru_sum_load(r);
@@ -418,7 +427,8 @@
 		return;
 	t->phase = RU_STOPPING;
 	t->end = end;
-	t->stop_sent_ms = ck_mono_ms(r->clock);
+	t->stop_requested_ms = ck_mono_ms(r->clock);
+	t->stop_sent_ms = t->stop_requested_ms;
 	r->ops->stop(r->arg, &run);
 }
 
--- a/sched/runner_endpoint.c
+++ b/sched/runner_endpoint.c
@@ -28,11 +28,43 @@
 	r->lease_until_ms = MAX(r->lease_until_ms, end);
 }
 
+/* Time until which the lease of a run may last. Its entry starts the task
+ * elsewhere LE_UNREACHABLE_MS after the last contact; a run that is stopped
+ * ends with the lease that it had, also if the endpoint does not confirm the
+ * stop. */
+static uint64_t
+lease_limit_ms(const struct ru *r, const struct ru_task *t)
+{
+	if (t->phase == RU_STOPPING)
+		return (t->stop_requested_ms + LE_RUN_MS);
+	return (ru_entry_echo_ms(r, t->entry) + LE_CONTACT_MS + LE_RUN_MS);
+}
+
+unsigned
+ru_lease_ms(const struct ru *r)
+{
+	uint64_t now = ck_mono_ms(r->clock);
+	uint64_t until = now + LE_RUN_MS;
+	const struct ru_task *t;
+	guint i;
+
+	/* All runs of an endpoint share one lease. */
+	for (i = 0; i < r->tasks->len; i++) {
+		t = r->tasks->pdata[i];
+		if (t->phase != RU_QUEUED)
+			until = MIN(until, lease_limit_ms(r, t));
+	}
+	return (until > now ? (unsigned)(until - now) : 0);
+}
+
 unsigned
 ru_extend_lease(struct ru *r)
 {
-	note_lease(r, LE_RUN_MS);
-	return (LE_RUN_MS);
+	unsigned ms = ru_lease_ms(r);
+
+	if (ms > 0)
+		note_lease(r, ms);
+	return (ms);
 }
 
 unsigned
--- a/sched/runner_impl.h
+++ b/sched/runner_impl.h
@@ -55,9 +55,10 @@
 	    expected_start_ms; /* of a queued task, by ru_expect_starts() */
 	uint64_t started_ms;   /* when the start was sent; 0: not yet */
 	uint64_t confirmed_ms; /* when the endpoint confirmed the start */
-	uint64_t stop_sent_ms;
-	uint64_t stopped_ms;  /* when the stop was confirmed; 0: not yet */
-	uint64_t incarnation; /* process of the endpoint that got the start */
+	uint64_t stop_requested_ms;
+	uint64_t stop_sent_ms; /* when the stop was last repeated */
+	uint64_t stopped_ms;   /* when the stop was confirmed; 0: not yet */
+	uint64_t incarnation;  /* process of the endpoint that got the start */
 	enum ru_phase phase;
 	bool limit_hit;        /* is being stopped at its run time limit */
 	bool returnable;       /* its entry may choose another worker */
@@ -129,6 +130,13 @@
  * from @t */
 struct ru_run ru_run_of(const struct ru_task *t);
 
+/** ru_entry_echo_ms() - latest reading of our clock that an entry echoed; 0 if
+ * it is not known */
+uint64_t ru_entry_echo_ms(const struct ru *r, uint64_t entry);
+
+/** ru_lease_ms() - longest lease that may be ordered now, 0 for none */
+unsigned ru_lease_ms(const struct ru *r);
+
 /** ru_extend_lease() - note that the lease is renewed now. Return: its
  * duration, milliseconds */
 unsigned ru_extend_lease(struct ru *r);
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -270,6 +270,51 @@
 	assert_string_equal("a", f->orders[2].id);
 }
 
+/* Guards against two runs of a task whose entry has lost the agent: a lease
+ * that is renewed before the agent notices, or after a pause of its process,
+ * lasts longer than the entry waits until it starts the task elsewhere. */
+static void
+test_lease_renewed_after_lost_contact(void **state)
+{
+	struct fixture *f = *state;
+
+	grant(f, ENTRY_1, "a");
+	answer_start(f, "a", RU_STARTED);
+	ck_advance_ms(f->clock, LE_CONTACT_MS);
+	assert_int_equal(LE_RUN_MS, ru_renew_lease(f->runner));
+	ck_advance_ms(f->clock, 19);
+	assert_int_equal(LE_RUN_MS - 19, ru_renew_lease(f->runner));
+	ck_advance_ms(f->clock, 5000);
+	assert_int_equal(0, ru_renew_lease(f->runner));
+}
+
+/* Guards against two runs of a task whose stop the endpoint does not confirm:
+ * the lease was renewed for other tasks, so the run went on after its entry had
+ * started it elsewhere. */
+static void
+test_lease_renewed_beside_unconfirmed_stop(void **state)
+{
+	struct fixture *f = *state;
+
+	grant(f, ENTRY_1, "a");
+	grant(f, ENTRY_2, "b");
+	answer_start(f, "a", RU_STARTED);
+	answer_start(f, "b", RU_STARTED);
+	ru_entry_gone(f->runner, ENTRY_1);
+	assert_int_equal(LE_RUN_MS, ru_renew_lease(f->runner));
+	pass(f, 400, ENTRY_2);
+	assert_int_equal(LE_RUN_MS - 400, ru_renew_lease(f->runner));
+	/* A start would renew the lease too. */
+	grant(f, ENTRY_2, "c");
+	assert_true(f->orders[f->norders - 1].stop);
+	pass(f, LE_RUN_MS - 400, ENTRY_2);
+	assert_int_equal(0, ru_renew_lease(f->runner));
+	pass(f, 80, ENTRY_2);
+	assert_true(f->nends >= 2);
+	assert_int_equal(PD_END_LOST, f->ends[0].state);
+	assert_int_equal(PD_END_LOST, f->ends[1].state);
+}
+
 /* Guards against runs that go on after their entry process was replaced. */
 static void
 test_entry_gone_stops_runs(void **state)
@@ -840,6 +885,8 @@
 	    T(test_list_older_than_start),
 	    T(test_partial_list),
 	    T(test_lost_contact_stops_runs),
+	    T(test_lease_renewed_after_lost_contact),
+	    T(test_lease_renewed_beside_unconfirmed_stop),
 	    T(test_entry_gone_stops_runs),
 	    T(test_unanswered_start),
 	    T(test_unanswered_start_runs),
