Take a start for refused only by the answers that say so

Callers would see a task run twice, or 'not run' for one that ran: any status but 200, 400 and 409, and a 409 with any reason, counted as a start that was not carried out. A gateway or a failing endpoint may answer 500, 502 or 504 after it has begun.

--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -53,7 +53,11 @@
 	unsigned partial;     /* of these */
 	unsigned unreachable; /* polls without a usable answer */
 	const char *answer;   /* of polls, instead of the lists */
-	unsigned long long started_ms; /* of the endpoint, in its answers */
+	int start_status;     /* of answers to starts; 0 for 200 */
+	const char *start_answer; /* instead of the clock */
+	unsigned starts;          /* answers that the agent has handled */
+	enum ru_start_result start_result; /* of the last one */
+	unsigned long long started_ms;     /* of the endpoint, in its answers */
 };
 
 /* --- endpoint --- */
@@ -115,9 +119,10 @@
 	struct fixture *f = arg;
 
 	f->run_started = true;
-	evbuffer_add_printf(
-	    evhttp_request_get_output_buffer(req), "{\"clock_ms\":1}");
-	evhttp_send_reply(req, 200, NULL, NULL);
+	evbuffer_add_printf(evhttp_request_get_output_buffer(req), "%s",
+	    f->start_answer != NULL ? f->start_answer : "{\"clock_ms\":1}");
+	evhttp_send_reply(
+	    req, f->start_status != 0 ? f->start_status : 200, NULL, NULL);
 }
 
 /* Answers a poll: at once, after a delay, when a run ends, or not at all. */
@@ -219,9 +224,13 @@
 static void
 on_started(void *arg, const struct ru_run *run, enum ru_start_result answer)
 {
-	(void)arg;
+	struct fixture *f = arg;
+
 	(void)run;
-	assert_int_equal(RU_STARTED, answer);
+	if (f->start_status == 0)
+		assert_int_equal(RU_STARTED, answer);
+	f->starts++;
+	f->start_result = answer;
 }
 
 static unsigned
@@ -588,6 +597,51 @@
 	assert_int_equal(1, f->ends);
 }
 
+/* Guards against starting a task elsewhere although its start may have been
+ * carried out: only some answers say that it was not. */
+static void
+test_answer_to_start(void **state)
+{
+	static const struct {
+		int status;
+		const char *answer;
+		enum ru_start_result result;
+	} cases[] = {
+	    {200, "{\"clock_ms\":1}", RU_STARTED},
+	    {400, "{}", RU_REJECTED},
+	    {409, "{\"reason\":\"room\"}", RU_NO_ROOM},
+	    {409, "{\"reason\":\"ticket\"}", RU_NO_ROOM},
+	    {409, "{\"reason\":\"fence\"}", RU_NO_ROOM},
+	    {409, "{\"reason\":\"old\"}", RU_OLD_RUN},
+	    {409, "{\"reason\":\"late\"}", RU_TOO_LATE},
+	    {421, "{}", RU_NO_ROOM},
+	    {429, "{}", RU_NO_ROOM},
+	    {503, "", RU_NO_ROOM},
+	    {409, "{\"reason\":\"other\"}", RU_NO_ANSWER},
+	    {409, "{", RU_NO_ANSWER},
+	    {201, "{}", RU_NO_ANSWER},
+	    {302, "{}", RU_NO_ANSWER},
+	    {404, "{}", RU_NO_ANSWER},
+	    {408, "{}", RU_NO_ANSWER},
+	    {500, "{}", RU_NO_ANSWER},
+	    {502, "{}", RU_NO_ANSWER},
+	    {504, "{}", RU_NO_ANSWER},
+	};
+	struct fixture *f = *state;
+	size_t i;
+
+	use_real_clock(f);
+	start_orders(f);
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		f->start_status = cases[i].status;
+		f->start_answer = cases[i].answer;
+		start_run(f);
+		sn_run_loop(f->base, 20);
+		assert_int_equal(i + 1, f->starts);
+		assert_int_equal(cases[i].result, f->start_result);
+	}
+}
+
 int
 main(void)
 {
@@ -602,6 +656,7 @@
 	    T(test_heartbeat_of_unconfirmed_process),
 	    T(test_answer_without_lists),
 	    T(test_unreadable_rows),
+	    T(test_answer_to_start),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
