--- a/sched/runner_endpoint.c
+++ b/sched/runner_endpoint.c
@@ -10,7 +10,7 @@
  * which order is not kept. */
 #define START_SETTLE_MS 20
 /* Pause of starts after the endpoint reported to be full though it should not
- * be. */
+ * be, or that the lease is over, which the next poll corrects. */
 #define FULL_PAUSE_MS 20
 /* The reading of the endpoint's clock may be too high by this much. */
 #define CLOCK_ERROR_MS 30
@@ -357,7 +357,7 @@
 	} else {
 		if (answer == RU_OLD_RUN)
 			t->run += RUN_NUMBER_STEP;
-		if (answer == RU_NO_ROOM)
+		if (answer == RU_NO_ROOM || answer == RU_TOO_LATE)
 			r->full_until_ms = ck_mono_ms(r->clock) + FULL_PAUSE_MS;
 		t->phase = RU_QUEUED;
 		t->started_ms = 0;
--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -56,8 +56,9 @@
 	int start_status;     /* of answers to starts; 0 for 200 */
 	const char *start_answer; /* instead of the clock */
 	unsigned starts;          /* answers that the agent has handled */
-	enum ru_start_result start_result; /* of the last one */
-	unsigned long long started_ms;     /* of the endpoint, in its answers */
+	unsigned long long start_deadline_ms; /* of the last start */
+	enum ru_start_result start_result;    /* of the last one */
+	unsigned long long started_ms; /* of the endpoint, in its answers */
 };
 
 /* --- endpoint --- */
@@ -113,11 +114,25 @@
 	answer_waiting_holds(f);
 }
 
+static char *
+body_of(struct evhttp_request *req)
+{
+	struct evbuffer *in = evhttp_request_get_input_buffer(req);
+
+	return (g_strndup(
+	    (char *)evbuffer_pullup(in, -1), evbuffer_get_length(in)));
+}
+
 static void
 on_run_start(struct evhttp_request *req, void *arg)
 {
 	struct fixture *f = arg;
+	char *body = body_of(req);
+	const char *at = strstr(body, "\"deadline_ms\":");
 
+	f->start_deadline_ms =
+	    at == NULL ? 0 : strtoull(strchr(at, ':') + 1, NULL, 10);
+	g_free(body);
 	f->run_started = true;
 	evbuffer_add_printf(evhttp_request_get_output_buffer(req), "%s",
 	    f->start_answer != NULL ? f->start_answer : "{\"clock_ms\":1}");
@@ -156,12 +171,10 @@
 static void
 on_hold(struct evhttp_request *req, void *arg)
 {
-	struct evbuffer *in = evhttp_request_get_input_buffer(req);
 	struct evbuffer *out = evhttp_request_get_output_buffer(req);
 	struct fixture *f = arg;
 	unsigned long long token = 0;
-	char *body =
-	    g_strndup((char *)evbuffer_pullup(in, -1), evbuffer_get_length(in));
+	char *body = body_of(req);
 	const char *at = strstr(body, "\"fencing_token\":");
 
 	if (at != NULL)
@@ -642,6 +655,26 @@
 	}
 }
 
+/* Guards against runs that go on beyond their lease because the clock was read
+ * from the answer of an earlier process of the endpoint: the answer to a start
+ * does not say which process it is from, and the clock starts anew with each.
+ */
+static void
+test_clock_of_earlier_process(void **state)
+{
+	struct fixture *f = *state;
+
+	f->hold_ms = 200;
+	start_orders(f);
+	f->start_answer = "{\"clock_ms\":1000000000}";
+	start_run(f);
+	sn_run_loop(f->base, 20);
+	start_run(f);
+	sn_run_loop(f->base, 20);
+	assert_int_equal(2, f->starts);
+	assert_in_range(f->start_deadline_ms, 1, 10000);
+}
+
 int
 main(void)
 {
@@ -657,6 +690,7 @@
 	    T(test_answer_without_lists),
 	    T(test_unreadable_rows),
 	    T(test_answer_to_start),
+	    T(test_clock_of_earlier_process),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -617,6 +617,21 @@
 	assert_int_equal(2, f->orders[1].run);
 }
 
+/* Guards against ordering a start again and again before the clock of the
+ * endpoint has been read. */
+static void
+test_late_start_repeated_at_once(void **state)
+{
+	struct fixture *f = *state;
+
+	grant(f, ENTRY_1, "a");
+	answer_start(f, "a", RU_TOO_LATE);
+	assert_int_equal(1, f->norders);
+	pass(f, 30, ENTRY_1);
+	assert_int_equal(2, f->norders);
+	assert_false(f->orders[1].stop);
+}
+
 /* Guards against a shutdown of the agent that stops runs or keeps queued
  * tasks. */
 static void
@@ -900,6 +915,7 @@
 	    T(test_late_task_not_starved),
 	    T(test_same_task_of_two_entries),
 	    T(test_used_run_number),
+	    T(test_late_start_repeated_at_once),
 	    T(test_drain),
 	    T(test_endpoint_leaves),
 	    T(test_runs_lost_before_lease_after_restart),
