--- a/tests/harness.c
+++ b/tests/harness.c
@@ -341,6 +341,12 @@
 	return (kb);
 }
 
+int
+hn_pid(const struct hn_proc *p)
+{
+	return ((int)p->pid);
+}
+
 void
 hn_signal(struct hn_proc *p, int sig)
 {
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -66,6 +66,9 @@
  */
 void hn_wait_ready(struct hn_proc *p, unsigned *ports, size_t n);
 
+/** hn_pid() - id of a process */
+int hn_pid(const struct hn_proc *p);
+
 /** hn_signal() - send a signal */
 void hn_signal(struct hn_proc *p, int sig);
 
