Give queues and zones a revision each

What callers saw: a zone that was taken out after a configuration beyond a limit stayed in use. After a configuration that cannot be read, the old queues got its revision as soon as a zone changed, so that an entry did not ask others for the queues of that revision. The same happened when the whole table was read again after a 410, and an entry that started beside such a configuration knew no zones.

Cause: queues and zones had one revision. The feed replaced its queues before it knew whether they fit, and every change of zones was published together with them: with those that do not fit it was rejected, with older ones it raised their revision.

The feed checks queues when it reads them and passes on only those that fit, with the zones after the last page. Zones are passed on by themselves. Both have a revision, in the configuration and in the gossip, and an entry asks another one for the part that is newer there. An entry serves once it knows both. The feed does not keep a copy of the queues any more.

Ruled out: to publish zones under the revision of the old queues, since other entries that have this revision would not take them; and to raise the revision of the queues with the zones, which is the fault.

--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -213,7 +213,7 @@
 {
 	struct di *d = arg;
 
-	return (cf_revision(d->config) != 0);
+	return (cf_complete(d->config));
 }
 
 static bool
@@ -326,14 +326,20 @@
 static void
 apply_config(struct di *d, const struct pd_config *c, const char *source)
 {
+	const struct pd_config *current;
+
 	if (!cf_apply(d->config, c))
 		return;
+	current = cf_current(d->config);
 	lg_write(LOG_NOTICE, "config",
-	    "revision %llu from %s: %u queues, %u availability zones out",
-	    (unsigned long long)c->revision, source, c->queues.queues_len,
-	    c->evacuated.evacuated_len);
-	fr_set_limits(d->front, c->header_bytes, c->body_bytes);
-	fr_resume_waiting(d->front);
+	    "from %s: revision %llu, %u queues; zones of revision %llu, %u out",
+	    source, (unsigned long long)current->revision,
+	    current->queues.queues_len,
+	    (unsigned long long)current->zones_revision,
+	    current->evacuated.evacuated_len);
+	fr_set_limits(d->front, current->header_bytes, current->body_bytes);
+	if (cf_complete(d->config))
+		fr_resume_waiting(d->front);
 }
 
 static void
@@ -343,11 +349,11 @@
 }
 
 static void
-feed_config_unchanged(void *arg, uint64_t revision)
+feed_config_unchanged(void *arg, uint64_t revision, uint64_t zones_revision)
 {
 	struct di *d = arg;
 
-	cf_confirm(d->config, revision);
+	cf_confirm(d->config, revision, zones_revision);
 }
 
 static void
@@ -356,7 +362,7 @@
 	struct di *d = arg;
 
 	ct_add(ct_get(d->counters, CT_COUNTER, "pd_configs_rejected_total",
-		   "Configurations that cannot be read or exceed a limit", ""),
+		   "Queues or zones that cannot be read or exceed a limit", ""),
 	    1);
 }
 
@@ -455,6 +461,9 @@
 	ct_set(ct_get(d->counters, CT_GAUGE, "pd_config_revision",
 		   "Configuration in force", ""),
 	    (int64_t)cf_revision(d->config));
+	ct_set(ct_get(d->counters, CT_GAUGE, "pd_zones_revision",
+		   "Availability zones out in force", ""),
+	    (int64_t)cf_zones_revision(d->config));
 	ct_set(ct_get(d->counters, CT_GAUGE, "pd_config_queues",
 		   "Queues of the configuration in force", ""),
 	    cf_current(d->config)->queues.queues_len);
--- a/entry/gossip.c
+++ b/entry/gossip.c
@@ -56,9 +56,16 @@
 	bool silent; /* the last message got no reply */
 	uint64_t added_ms;
 	uint64_t last_heard_ms; /* 0: never */
-	uint64_t revision;      /* of the configuration that it has */
-	uint32_t list_hash;     /* of the entries that it lists */
-	GHashTable *waiting;    /* queue -> number of waiting jobs */
+	uint64_t revision;      /* of the queues that it has */
+	uint64_t zones_revision;
+	uint32_t list_hash;  /* of the entries that it lists */
+	GHashTable *waiting; /* queue -> number of waiting jobs */
+};
+
+/* How long some entry has had a newer part of the configuration. */
+struct lag {
+	uint64_t since_ms; /* 0: not yet */
+	uint64_t revision; /* own revision at since_ms */
 };
 
 struct go {
@@ -75,10 +82,10 @@
 	struct event *timer;
 	struct event *seed_timer;
 	uint64_t started_ms;
-	uint64_t behind_since_ms; /* some entry has a newer configuration */
-	uint64_t behind_revision; /* own revision at behind_since_ms */
-	uint64_t fetch_sent_ms;   /* last call for it */
-	unsigned fetches;         /* calls for it without a reply */
+	struct lag queues_lag;
+	struct lag zones_lag;
+	uint64_t fetch_sent_ms; /* last call for the configuration */
+	unsigned fetches;       /* calls for it without a reply */
 	bool closing;
 };
 
@@ -145,12 +152,6 @@
 	return (p);
 }
 
-static bool
-is_newer(const struct go *g, const struct peer *p)
-{
-	return (p->revision > cf_revision(g->config));
-}
-
 /* Whether to ask a peer for the configuration: one peer at a time, and none
  * while the store is expected to send it. */
 static bool
@@ -160,27 +161,44 @@
 
 	if (g->fetches > 0 && now - g->fetch_sent_ms < FETCH_RETRY_MS)
 		return (false);
-	if (cf_revision(g->config) == 0)
+	if (!cf_complete(g->config))
 		return (true);
-	return (is_newer(g, p) &&
-	    (!g->ops->store_reachable(g->arg) ||
-		now - g->behind_since_ms >= STORE_DELAY_MS));
+	if (!g->ops->store_reachable(g->arg))
+		return (p->revision > cf_revision(g->config) ||
+		    p->zones_revision > cf_zones_revision(g->config));
+	return ((p->revision > cf_revision(g->config) &&
+		    now - g->queues_lag.since_ms >= STORE_DELAY_MS) ||
+	    (p->zones_revision > cf_zones_revision(g->config) &&
+		now - g->zones_lag.since_ms >= STORE_DELAY_MS));
 }
 
 static void contact_peer(struct go *g, struct peer *p);
 
-static void
-update_revision(struct go *g, struct peer *p, uint64_t revision)
+/* Return: whether a peer has a newer revision than @own. */
+static bool
+update_lag(const struct go *g, struct lag *l, uint64_t own, uint64_t peers)
 {
-	p->revision = revision;
-	if (!is_newer(g, p))
-		return;
-	if (g->behind_since_ms == 0 ||
-	    g->behind_revision != cf_revision(g->config)) {
-		g->behind_since_ms = ck_mono_ms(g->clock);
-		g->behind_revision = cf_revision(g->config);
+	if (peers <= own)
+		return (false);
+	if (l->since_ms == 0 || l->revision != own) {
+		l->since_ms = ck_mono_ms(g->clock);
+		l->revision = own;
 	}
-	if (should_fetch(g, p))
+	return (true);
+}
+
+static void
+update_revisions(struct go *g, struct peer *p, const struct pd_gossip *m)
+{
+	bool queues, zones;
+
+	p->revision = m->revision;
+	p->zones_revision = m->zones_revision;
+	queues =
+	    update_lag(g, &g->queues_lag, cf_revision(g->config), p->revision);
+	zones = update_lag(
+	    g, &g->zones_lag, cf_zones_revision(g->config), p->zones_revision);
+	if ((queues || zones) && should_fetch(g, p))
 		contact_peer(g, p);
 }
 
@@ -205,9 +223,9 @@
 		    GUINT_TO_POINTER(m->waiting.waiting_val[i].jobs));
 	for (i = 0; i < m->entries.entries_len; i++)
 		peer_add(g, m->entries.entries_val[i], false);
-	if (m->config != NULL && m->config->revision > cf_revision(g->config))
+	if (m->config != NULL)
 		g->ops->config_received(g->arg, m->config);
-	update_revision(g, p, m->revision);
+	update_revisions(g, p, m);
 }
 
 const char *const *
@@ -268,6 +286,7 @@
 	m->address = (char *)(uintptr_t)g->self.address;
 	m->incarnation = g->self.incarnation;
 	m->revision = cf_revision(g->config);
+	m->zones_revision = cf_zones_revision(g->config);
 	entries = go_addresses(g, &n, &hash);
 	m->entries_hash = hash;
 	if (hash != list_hash) {
@@ -493,19 +512,39 @@
 	g_free(g);
 }
 
+/* Return: the parts of the configuration that are newer than those of the
+ * sender of @m, borrowed; revision 0 for a part that is not. */
+static struct pd_config
+newer_parts(const struct go *g, const struct pd_gossip *m)
+{
+	struct pd_config c = *cf_current(g->config);
+
+	if (c.revision <= m->revision) {
+		c.revision = 0;
+		c.queues.queues_len = 0;
+	}
+	if (c.zones_revision <= m->zones_revision) {
+		c.zones_revision = 0;
+		c.evacuated.evacuated_len = 0;
+	}
+	return (c);
+}
+
 static void
 on_gossip(struct go *g, struct cn *c, uint32_t xid, XDR *args)
 {
 	struct pd_gossip m = {0}, reply = {0};
-	const struct pd_config *current = cf_current(g->config);
+	struct pd_config newer;
 
 	if (!cn_decode(c, args, (xdrproc_t)xdr_pd_gossip, &m))
 		return;
 	cn_set_idle(c, IDLE_ROUND_MS);
 	handle_message(g, &m);
 	fill_message(g, &reply, m.entries_hash);
-	if (m.wants_config && current->revision > m.revision)
-		reply.config = (struct pd_config *)(uintptr_t)current;
+	newer = newer_parts(g, &m);
+	if (m.wants_config &&
+	    (newer.revision != 0 || newer.zones_revision != 0))
+		reply.config = &newer;
 	cn_reply(c, xid, (xdrproc_t)xdr_pd_gossip, &reply);
 	g_free(reply.waiting.waiting_val);
 	xdr_free((xdrproc_t)xdr_pd_gossip, (char *)&m);
--- a/entry/gossip.h
+++ b/entry/gossip.h
@@ -32,7 +32,8 @@
 
 /**
  * struct go_ops - callbacks
- * @config_received: another entry sent a newer configuration
+ * @config_received: another entry sent queues, zones or both; those of lower
+ *     revisions are to be ignored
  * @store_reachable: whether the store is expected to send this entry each
  *     configuration
  * @waiting_counts: queues with waiting jobs at this entry and the numbers of
--- a/sched/config.c
+++ b/sched/config.c
@@ -19,13 +19,6 @@
 	return (c);
 }
 
-static void
-free_contents(struct pd_config *c)
-{
-	xdr_free((xdrproc_t)xdr_pd_config, (char *)c);
-	memset(c, 0, sizeof(*c));
-}
-
 void
 cf_free(struct cf *c)
 {
@@ -33,7 +26,7 @@
 		return;
 	g_hash_table_destroy(c->index);
 	g_array_free(c->lengths, TRUE);
-	free_contents(&c->current);
+	xdr_free((xdrproc_t)xdr_pd_config, (char *)&c->current);
 	g_free(c);
 }
 
@@ -48,24 +41,54 @@
 }
 
 /* Memory is from malloc(), since xdr_free() releases it with free(). */
-void
-cf_copy(const struct pd_config *from, struct pd_config *to)
+static void
+copy_queues(const struct pd_config *from, struct pd_config *to)
 {
 	unsigned i;
 
-	*to = *from;
+	to->revision = from->revision;
+	to->header_bytes = from->header_bytes;
+	to->body_bytes = from->body_bytes;
+	to->queues.queues_len = from->queues.queues_len;
 	to->queues.queues_val =
 	    calloc(from->queues.queues_len + 1, sizeof(struct pd_queue));
-	to->evacuated.evacuated_val =
-	    calloc(from->evacuated.evacuated_len + 1, sizeof(pd_name));
 	for (i = 0; i < from->queues.queues_len; i++)
 		copy_queue(
 		    &from->queues.queues_val[i], &to->queues.queues_val[i]);
+}
+
+static void
+copy_zones(const struct pd_config *from, struct pd_config *to)
+{
+	unsigned i;
+
+	to->zones_revision = from->zones_revision;
+	to->evacuated.evacuated_len = from->evacuated.evacuated_len;
+	to->evacuated.evacuated_val =
+	    calloc(from->evacuated.evacuated_len + 1, sizeof(pd_name));
 	for (i = 0; i < from->evacuated.evacuated_len; i++)
 		to->evacuated.evacuated_val[i] =
 		    strdup(from->evacuated.evacuated_val[i]);
 }
 
+static void
+free_queues(struct pd_config *c)
+{
+	struct pd_config queues = {.queues = c->queues};
+
+	xdr_free((xdrproc_t)xdr_pd_config, (char *)&queues);
+	memset(&c->queues, 0, sizeof(c->queues));
+}
+
+static void
+free_zones(struct pd_config *c)
+{
+	struct pd_config zones = {.evacuated = c->evacuated};
+
+	xdr_free((xdrproc_t)xdr_pd_config, (char *)&zones);
+	memset(&c->evacuated, 0, sizeof(c->evacuated));
+}
+
 /* Host names are not case-sensitive, and have no blanks. */
 static char *
 index_key(const char *host, size_t host_len, const char *path, size_t path_len)
@@ -122,19 +145,34 @@
 bool
 cf_apply(struct cf *c, const struct pd_config *config)
 {
-	if (config->revision <= c->current.revision)
-		return (false);
-	free_contents(&c->current);
-	cf_copy(config, &c->current);
-	index_queues(c, config);
-	return (true);
+	bool queues = config->revision > c->current.revision;
+	bool zones = config->zones_revision > c->current.zones_revision;
+
+	if (queues) {
+		free_queues(&c->current);
+		copy_queues(config, &c->current);
+		index_queues(c, config);
+	}
+	if (zones) {
+		free_zones(&c->current);
+		copy_zones(config, &c->current);
+	}
+	return (queues || zones);
+}
+
+/* Raises a revision, unless it is 0: the part is not known. */
+static void
+raise_revision(u_quad_t *revision, uint64_t to)
+{
+	if (*revision != 0 && to > *revision)
+		*revision = to;
 }
 
 void
-cf_confirm(struct cf *c, uint64_t revision)
+cf_confirm(struct cf *c, uint64_t revision, uint64_t zones_revision)
 {
-	if (c->current.revision != 0 && revision > c->current.revision)
-		c->current.revision = revision;
+	raise_revision(&c->current.revision, revision);
+	raise_revision(&c->current.zones_revision, zones_revision);
 }
 
 bool
@@ -150,6 +188,18 @@
 	return (c->current.revision);
 }
 
+uint64_t
+cf_zones_revision(const struct cf *c)
+{
+	return (c->current.zones_revision);
+}
+
+bool
+cf_complete(const struct cf *c)
+{
+	return (c->current.revision != 0 && c->current.zones_revision != 0);
+}
+
 const struct pd_config *
 cf_current(const struct cf *c)
 {
--- a/sched/config.h
+++ b/sched/config.h
@@ -9,7 +9,8 @@
 /**
  * DOC: cf - configuration of the queues that is in force at this entry
  *
- * It is only replaced by one of a higher revision.
+ * Its queues and its availability zones that are out have a revision each, and
+ * are only replaced by those of a higher one.
  */
 struct cf;
 
@@ -20,15 +21,20 @@
 void cf_free(struct cf *c);
 
 /**
- * cf_apply() - replace the configuration if @config is newer
+ * cf_apply() - replace those parts of the configuration that are newer in
+ * @config
  * @config: copied
  *
- * Return: whether @config was newer.
+ * Return: whether any part was newer.
  */
 bool cf_apply(struct cf *c, const struct pd_config *config);
 
-/** cf_confirm() - the configuration has not changed up to a revision */
-void cf_confirm(struct cf *c, uint64_t revision);
+/**
+ * cf_confirm() - parts of the configuration have not changed up to a revision
+ * @revision: for the queues; 0 if they are not confirmed
+ * @zones_revision: the same for the availability zones that are out
+ */
+void cf_confirm(struct cf *c, uint64_t revision, uint64_t zones_revision);
 
 /**
  * cf_fits() - whether a configuration keeps the limits of wire/pd.x, so that it
@@ -36,9 +42,16 @@
  */
 bool cf_fits(const struct pd_config *config);
 
-/** cf_revision() - revision of the configuration, 0 for none */
+/** cf_revision() - revision of the queues, 0 for none */
 uint64_t cf_revision(const struct cf *c);
 
+/** cf_zones_revision() - revision of the availability zones that are out, 0 if
+ * they are not known */
+uint64_t cf_zones_revision(const struct cf *c);
+
+/** cf_complete() - whether the queues and the zones that are out are known */
+bool cf_complete(const struct cf *c);
+
 /** cf_current() - the configuration, borrowed until the next cf_apply() */
 const struct pd_config *cf_current(const struct cf *c);
 
@@ -56,7 +69,4 @@
  * no tasks */
 bool cf_evacuated(const struct cf *c, const char *az);
 
-/** cf_copy() - deep copy of a configuration; release with xdr_free() */
-void cf_copy(const struct pd_config *from, struct pd_config *to);
-
 #endif
--- a/tests/feed_fixture.h
+++ b/tests/feed_fixture.h
@@ -25,13 +25,15 @@
 
 /* Time for the requests of a test on a busy machine. */
 #define SETTLE_MS 500
+#define STATUS_OK 200
+#define STATUS_GONE 410
 /* The feed under test, and a store that gives each answer of a list once and
  * then leaves requests open. */
 struct fixture {
 	struct event_base *base;
 	struct evhttp *http;
 	char address[SN_ADDRESS_SIZE];
-	GQueue answers;  /* char *, owned */
+	GQueue answers;  /* char *, owned; "": the history is discarded */
 	GPtrArray *urls; /* of the requests, owned */
 	GPtrArray *open; /* requests without an answer */
 	struct fe *feed;
@@ -54,10 +56,14 @@
 		return;
 	}
 	answer = g_queue_pop_head(&f->answers);
-	body = evbuffer_new();
-	evbuffer_add(body, answer, strlen(answer));
-	evhttp_send_reply(req, 200, NULL, body);
-	evbuffer_free(body);
+	if (answer[0] == '\0') {
+		evhttp_send_reply(req, STATUS_GONE, NULL, NULL);
+	} else {
+		body = evbuffer_new();
+		evbuffer_add(body, answer, strlen(answer));
+		evhttp_send_reply(req, STATUS_OK, NULL, body);
+		evbuffer_free(body);
+	}
 	free(answer);
 }
 
@@ -81,11 +87,11 @@
 }
 
 static inline void
-on_unchanged(void *arg, uint64_t revision)
+on_unchanged(void *arg, uint64_t revision, uint64_t zones_revision)
 {
 	struct fixture *f = arg;
 
-	cf_confirm(f->config, revision);
+	cf_confirm(f->config, revision, zones_revision);
 }
 
 static inline void
@@ -203,6 +209,14 @@
 	json_decref(o);
 }
 
+/* Adds the answer of a store that has discarded its history, after which the
+ * whole table is read. */
+static inline void
+add_gone(struct fixture *f)
+{
+	g_queue_push_tail(&f->answers, strdup(""));
+}
+
 static inline void
 follow(struct fixture *f)
 {
--- a/tests/proc_config.c
+++ b/tests/proc_config.c
@@ -112,6 +112,33 @@
 	    0, hf_starts_in_zone(f->fleet, "z0", hn_wall_ms() - CONFIG_MS));
 }
 
+/* Guards against tasks in a zone that is taken out after a configuration that
+ * is rejected, also at an entry that starts then and has its queues from
+ * others. */
+static void
+test_zone_out_after_rejected_configuration(void **state)
+{
+	struct hf_test *f = *state;
+	const struct hf_job *jobs;
+	unsigned i, n;
+
+	hf_set_queues(f->fleet, 2, PD_QUEUES_MAX + 1);
+	hn_sleep_ms(CONFIG_MS);
+	hf_evacuate(f->fleet, "z0", true);
+	hn_sleep_ms(CONFIG_MS);
+	hf_restart_entry(f->fleet, 0, SIGTERM);
+	hn_sleep_ms(CONFIG_MS);
+	for (i = 0; i < ENTRIES; i++)
+		assert_int_equal(200, queue_status(f, i, "/q/"));
+	hf_start_load(f->fleet, PER_S);
+	hn_sleep_ms(CONFIG_MS);
+	jobs = hf_stop_load(f->fleet, &n);
+	for (i = 0; i < n; i++)
+		assert_true(jobs[i].completed);
+	assert_int_equal(
+	    0, hf_starts_in_zone(f->fleet, "z0", hn_wall_ms() - CONFIG_MS));
+}
+
 /* Guards against a limit on queues that is more than an entry can hold: the
  * process would end while it reads them. */
 static void
@@ -139,6 +166,9 @@
 		test_queues_beyond_1024_not_served, set_up, hf_test_tear_down),
 	    cmocka_unit_test_setup_teardown(
 		test_zone_out_on_second_page, set_up, hf_test_tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_zone_out_after_rejected_configuration, set_up,
+		hf_test_tear_down),
 	    cmocka_unit_test_setup_teardown(
 		test_memory_of_most_queues, set_up, hf_test_tear_down),
 	};
--- a/tests/test_feed_rejected.c
+++ b/tests/test_feed_rejected.c
@@ -34,6 +34,99 @@
 	assert_int_equal(3, cf_revision(f->config));
 }
 
+/* Guards against the same when the whole table is read again: queues and zones
+ * of before the rejected configuration, or old queues under its revision. */
+static void
+test_table_read_again(void **state)
+{
+	struct fixture *f = *state;
+
+	add_answer(f, 3, false,
+	    json_pack("[o,o]", config_row(2, 1), row("evacuate/teal", "{}")));
+	add_gone(f);
+	add_answer(f, 6, false,
+	    json_pack(
+		"[o,o]", row("config", "["), row("evacuate/armor", "{}")));
+	add_answer(f, 7, false, json_array());
+	follow(f);
+	assert_true(cf_evacuated(f->config, "armor"));
+	assert_false(cf_evacuated(f->config, "teal"));
+	assert_int_equal(2, cf_current(f->config)->queues.queues_len);
+	assert_int_equal(3, cf_revision(f->config));
+}
+
+/* The same with a configuration that exceeds a limit, and pages. */
+static void
+test_pages_read_again(void **state)
+{
+	struct fixture *f = *state;
+
+	add_answer(f, 3, false, json_pack("[o]", config_row(2, 1)));
+	add_gone(f);
+	add_answer(
+	    f, 6, true, json_pack("[o]", config_row(3, PD_TEXT_MAX + 1)));
+	add_answer(f, 8, false, json_pack("[o]", row("evacuate/armor", "{}")));
+	add_answer(f, 9, false, json_pack("[o]", row("evacuate/teal", "{}")));
+	follow(f);
+	assert_true(cf_evacuated(f->config, "armor"));
+	assert_true(cf_evacuated(f->config, "teal"));
+	assert_int_equal(2, cf_current(f->config)->queues.queues_len);
+	assert_int_equal(3, cf_revision(f->config));
+	/* The next configuration within the limits is applied. */
+	fe_free(f->feed);
+	add_answer(f, 10, false,
+	    json_pack("[o,o]", config_row(4, 1), row("evacuate/teal", "{}")));
+	follow(f);
+	assert_int_equal(4, cf_current(f->config)->queues.queues_len);
+	assert_int_equal(10, cf_revision(f->config));
+	assert_false(cf_evacuated(f->config, "armor"));
+}
+
+/* Guards against zones that are out and get tasks at an entry that starts when
+ * the configuration is rejected, and has its queues from another entry. */
+static void
+test_start_beside_rejected_configuration(void **state)
+{
+	struct pd_queue queue = {.name = (char *)(uintptr_t) "q",
+	    .host = (char *)(uintptr_t) "h",
+	    .prefix = (char *)(uintptr_t) "/",
+	    .service = (char *)(uintptr_t) "s"};
+	struct pd_config peers = {
+	    .revision = 3, .queues = {.queues_len = 1, .queues_val = &queue}};
+	struct fixture *f = *state;
+
+	add_answer(f, 6, false,
+	    json_pack("[o,o]", config_row(3, PD_TEXT_MAX + 1),
+		row("evacuate/armor", "{}")));
+	add_answer(f, 9, false, json_array());
+	follow(f);
+	assert_int_equal(0, cf_revision(f->config));
+	cf_apply(f->config, &peers);
+	assert_int_equal(3, cf_revision(f->config));
+	assert_true(cf_evacuated(f->config, "armor"));
+}
+
+/* Guards against a feed that has restarted and gives its revision to queues of
+ * before a rejected configuration, or loses the zones. */
+static void
+test_feed_restarts_beside_rejected_configuration(void **state)
+{
+	struct fixture *f = *state;
+
+	add_answer(f, 3, false, json_pack("[o]", config_row(2, 1)));
+	add_answer(f, 4, false, json_pack("[o]", row("config", "[")));
+	follow(f);
+	fe_free(f->feed);
+	add_answer(f, 5, false,
+	    json_pack(
+		"[o,o]", row("config", "["), row("evacuate/armor", "{}")));
+	add_answer(f, 9, false, json_array());
+	follow(f);
+	assert_true(cf_evacuated(f->config, "armor"));
+	assert_int_equal(2, cf_current(f->config)->queues.queues_len);
+	assert_int_equal(3, cf_revision(f->config));
+}
+
 int
 main(void)
 {
@@ -42,6 +135,15 @@
 		test_zone_after_rejected_configuration, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
 		test_zone_beside_unreadable_configuration, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_table_read_again, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_pages_read_again, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_start_beside_rejected_configuration, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_feed_restarts_beside_rejected_configuration, set_up,
+		tear_down),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -200,8 +200,9 @@
 {
 	pd_name out[] = {(char *)(uintptr_t) "z1"};
 	struct pd_config c = {.revision = 5,
+	    .zones_revision = 5,
 	    .evacuated = {.evacuated_len = 1, .evacuated_val = out}};
-	struct pd_config older = {.revision = 4};
+	struct pd_config older = {.revision = 4, .zones_revision = 4};
 	struct fixture *f = *state;
 
 	attach_agent(f, "w1", "z1", 1, 1, 0);
--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -210,7 +210,8 @@
 	unsigned i;
 
 	for (i = first; i < ENTRIES; i++)
-		if (cf_revision(f->entries[i].config) != revision)
+		if (cf_revision(f->entries[i].config) != revision ||
+		    cf_zones_revision(f->entries[i].config) != revision)
 			return (false);
 	return (true);
 }
@@ -224,8 +225,9 @@
 	    .host = (char *)(uintptr_t) "h",
 	    .prefix = (char *)(uintptr_t) "/",
 	    .service = (char *)(uintptr_t) "s"};
-	struct pd_config config = {
-	    .revision = 7, .queues = {.queues_len = 1, .queues_val = &queue}};
+	struct pd_config config = {.revision = 7,
+	    .queues = {.queues_len = 1, .queues_val = &queue},
+	    .zones_revision = 7};
 	struct fixture *f = *state;
 	unsigned i, n, ms;
 	uint32_t hash;
@@ -269,7 +271,7 @@
 test_config_sent_many_times(void **state)
 {
 	struct fixture *f = *state;
-	struct pd_config config = {.revision = 7};
+	struct pd_config config = {.revision = 7, .zones_revision = 7};
 	uint64_t size, sent = cn_stats_get().sent_bytes;
 	unsigned ms;
 
@@ -285,6 +287,35 @@
 	xdr_free((xdrproc_t)xdr_pd_config, (char *)&config);
 }
 
+/* Guards against zones that are out and stay in use at an entry that the store
+ * refuses, because the zones came after queues that it has, and against its
+ * queues getting the revision of the zones. */
+static void
+test_zones_spread_without_queues(void **state)
+{
+	pd_name out[] = {(char *)(uintptr_t) "armor"};
+	struct pd_config zones = {.zones_revision = 9,
+	    .evacuated = {.evacuated_len = 1, .evacuated_val = out}};
+	struct pd_config config = {.revision = 7, .zones_revision = 7};
+	struct fixture *f = *state;
+	const struct cf *c;
+	unsigned i;
+
+	add_queues(&config, 2);
+	for (i = 0; i < ENTRIES; i++)
+		assert_true(cf_apply(f->entries[i].config, &config));
+	assert_true(cf_apply(f->entries[0].config, &zones));
+	sn_run_loop(f->base, CONVERGE_MS);
+	for (i = 0; i < ENTRIES; i++) {
+		c = f->entries[i].config;
+		assert_true(cf_evacuated(c, "armor"));
+		assert_int_equal(9, cf_zones_revision(c));
+		assert_int_equal(7, cf_revision(c));
+		assert_int_equal(2, cf_current(c)->queues.queues_len);
+	}
+	xdr_free((xdrproc_t)xdr_pd_config, (char *)&config);
+}
+
 /* Sockets on an address where SYNs are lost, as on a host without power: the
  * queue of the listener is full. */
 struct black_hole {
@@ -369,6 +400,8 @@
 		test_config_spreads, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
 		test_config_sent_many_times, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_zones_spread_without_queues, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
 		test_seeds_start_last, set_up_stopped, tear_down),
 	};
--- a/wire/pd.h
+++ b/wire/pd.h
@@ -435,6 +435,7 @@
 		u_int queues_len;
 		pd_queue *queues_val;
 	} queues;
+	u_quad_t zones_revision;
 	struct {
 		u_int evacuated_len;
 		pd_name *evacuated_val;
@@ -454,6 +455,7 @@
 	u_quad_t incarnation;
 	char *address;
 	u_quad_t revision;
+	u_quad_t zones_revision;
 	bool_t wants_config;
 	pd_config *config;
 	u_int entries_hash;
--- a/wire/pd.x
+++ b/wire/pd.x
@@ -330,11 +330,13 @@
 	unsigned int stretch_permille;
 };
 
+/* A part whose revision is 0 is not known, or not included. */
 struct pd_config {
-	unsigned hyper revision;	/* of the store; 0 if none is known */
+	unsigned hyper revision;	/* of the store, for queues and sizes */
 	unsigned int header_bytes;
 	unsigned int body_bytes;
 	pd_queue queues<PD_QUEUES_MAX>;
+	unsigned hyper zones_revision;	/* of the store, for evacuated */
 	pd_name evacuated<PD_AZS_MAX>;
 };
 
@@ -349,7 +351,8 @@
 	unsigned hyper incarnation;
 	string address<PD_NAME_MAX>;
 	unsigned hyper revision;
-	bool wants_config;	/* send it in the reply if it is newer */
+	unsigned hyper zones_revision;
+	bool wants_config;	/* send what is newer in the reply */
 	pd_config *config;
 	unsigned int entries_hash;	/* of the list of the sender */
 	pd_name entries<PD_ENTRIES_MAX>; /* empty if the other end has the same */
--- a/wire/pd_xdr.c
+++ b/wire/pd_xdr.c
@@ -1008,6 +1008,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->queues.queues_val, (u_int *) &objp->queues.queues_len, PD_QUEUES_MAX,
 		sizeof (pd_queue), (xdrproc_t) xdr_pd_queue))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->zones_revision))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->evacuated.evacuated_val, (u_int *) &objp->evacuated.evacuated_len, PD_AZS_MAX,
 		sizeof (pd_name), (xdrproc_t) xdr_pd_name))
 		 return FALSE;
@@ -1041,6 +1043,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->zones_revision))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->wants_config))
 		 return FALSE;
 	 if (!xdr_pointer (xdrs, (char **)&objp->config, sizeof (pd_config), (xdrproc_t) xdr_pd_config))
