--- a/tests/test_feed_rejected.c
+++ b/tests/test_feed_rejected.c
@@ -127,6 +127,69 @@
 	assert_int_equal(3, cf_revision(f->config));
 }
 
+/* Guards against zones that stay in use because the name of another one is too
+ * long for the messages between entries. */
+static void
+test_zone_name_too_long(void **state)
+{
+	struct fixture *f = *state;
+	char *key = g_strnfill(PD_NAME_MAX + 1, 'a'),
+	     *path = g_strconcat("evacuate/", key, NULL);
+
+	add_answer(
+	    f, 3, false, json_pack("[o,o]", config_row(2, 1), row(path, "{}")));
+	add_answer(f, 4, false, json_pack("[o]", row("evacuate/armor", "{}")));
+	follow(f);
+	assert_int_equal(4, cf_revision(f->config));
+	assert_int_equal(4, cf_zones_revision(f->config));
+	assert_true(cf_evacuated(f->config, "armor"));
+	g_free(path);
+	g_free(key);
+}
+
+/* Guards against queues that stay old because more zones are out than the
+ * messages between entries can hold. */
+static void
+test_queues_beside_too_many_zones(void **state)
+{
+	struct fixture *f = *state;
+	json_t *rows = json_pack("[o]", config_row(4, 1));
+	char path[32];
+	unsigned i;
+
+	for (i = 0; i < PD_AZS_MAX + 1; i++) {
+		snprintf(path, sizeof(path), "evacuate/z%u", i);
+		json_array_append_new(rows, row(path, "{}"));
+	}
+	add_answer(f, 3, false,
+	    json_pack("[o,o]", config_row(2, 1), row("evacuate/z1", "{}")));
+	add_answer(f, 4, false, rows);
+	add_answer(f, 5, false, json_array());
+	follow(f);
+	assert_int_equal(4, cf_current(f->config)->queues.queues_len);
+	assert_int_equal(5, cf_revision(f->config));
+	assert_int_equal(3, cf_zones_revision(f->config));
+	assert_true(cf_evacuated(f->config, "z1"));
+	assert_int_equal(1, f->rejected);
+}
+
+/* Guards against queues under the revision of a configuration that cannot be
+ * read, when the same answer has a readable one before it. */
+static void
+test_unreadable_configuration_after_readable(void **state)
+{
+	struct fixture *f = *state;
+
+	add_answer(f, 3, false, json_pack("[o]", config_row(2, 1)));
+	add_answer(f, 5, false,
+	    json_pack("[o,o]", config_row(4, 1), row("config", "[")));
+	add_answer(f, 9, false, json_array());
+	follow(f);
+	assert_int_equal(3, cf_revision(f->config));
+	assert_int_equal(2, cf_current(f->config)->queues.queues_len);
+	assert_int_equal(1, f->rejected);
+}
+
 int
 main(void)
 {
@@ -144,6 +207,13 @@
 	    cmocka_unit_test_setup_teardown(
 		test_feed_restarts_beside_rejected_configuration, set_up,
 		tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_zone_name_too_long, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_queues_beside_too_many_zones, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_unreadable_configuration_after_readable, set_up,
+		tear_down),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
