Release a configuration that exceeds a limit

What operators would see: an entry grows with each configuration that it rejects because of a text that is too long, up to its limit of memory.

Cause: xdr_free() stops at the first text that exceeds its limit in wire/pd.x, and leaves it and all that follows allocated.

cf_release() frees the contents without regard to limits.

Ruled out: too many queues, which xdr_free() does release.

--- a/sched/config.c
+++ b/sched/config.c
@@ -1,4 +1,5 @@
 #include <glib.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "config.h"
@@ -26,7 +27,7 @@
 		return;
 	g_hash_table_destroy(c->index);
 	g_array_free(c->lengths, TRUE);
-	xdr_free((xdrproc_t)xdr_pd_config, (char *)&c->current);
+	cf_release(&c->current);
 	g_free(c);
 }
 
@@ -74,21 +75,40 @@
 static void
 free_queues(struct pd_config *c)
 {
-	struct pd_config queues = {.queues = c->queues};
+	struct pd_queue *q;
+	unsigned i;
 
-	xdr_free((xdrproc_t)xdr_pd_config, (char *)&queues);
+	for (i = 0; i < c->queues.queues_len; i++) {
+		q = &c->queues.queues_val[i];
+		free(q->name);
+		free(q->host);
+		free(q->prefix);
+		free(q->service);
+	}
+	free(c->queues.queues_val);
 	memset(&c->queues, 0, sizeof(c->queues));
 }
 
 static void
 free_zones(struct pd_config *c)
 {
-	struct pd_config zones = {.evacuated = c->evacuated};
+	unsigned i;
 
-	xdr_free((xdrproc_t)xdr_pd_config, (char *)&zones);
+	for (i = 0; i < c->evacuated.evacuated_len; i++)
+		free(c->evacuated.evacuated_val[i]);
+	free(c->evacuated.evacuated_val);
 	memset(&c->evacuated, 0, sizeof(c->evacuated));
 }
 
+/* xdr_free() stops at a text that exceeds its limit. */
+void
+cf_release(struct pd_config *config)
+{
+	free_queues(config);
+	free_zones(config);
+	memset(config, 0, sizeof(*config));
+}
+
 /* Host names are not case-sensitive, and have no blanks. */
 static char *
 index_key(const char *host, size_t host_len, const char *path, size_t path_len)
--- a/sched/config.h
+++ b/sched/config.h
@@ -42,6 +42,10 @@
  */
 bool cf_fits(const struct pd_config *config);
 
+/** cf_release() - release the contents of a configuration, which may exceed
+ * limits, and clear it */
+void cf_release(struct pd_config *config);
+
 /** cf_revision() - revision of the queues, 0 for none */
 uint64_t cf_revision(const struct cf *c);
 
--- a/tests/test_feed_rejected.c
+++ b/tests/test_feed_rejected.c
@@ -1,5 +1,11 @@
+#include <malloc.h>
+
+#include "answer.h"
 #include "feed_fixture.h"
 
+#define REJECTIONS 3
+#define REJECTED_QUEUES 1000
+
 /* Tests changes of zones beside a configuration that is rejected. */
 
 /* Guards against tasks in a zone that is taken out after a configuration that
@@ -190,6 +196,26 @@
 	assert_int_equal(1, f->rejected);
 }
 
+/* Guards against a process that grows with each configuration that it rejects,
+ * until it is killed. */
+static void
+test_memory_of_rejected_configurations(void **state)
+{
+	json_t *o = json_pack("{s:[o],s:i}", "rows",
+	    config_row(REJECTED_QUEUES, PD_TEXT_MAX + 1), "ver", 4);
+	char *body = json_dumps(o, JSON_COMPACT);
+	size_t used = mallinfo2().uordblks;
+	unsigned i;
+
+	(void)state;
+	for (i = 0; i < REJECTIONS; i++)
+		an_free(an_decode(body, strlen(body)));
+	/* Less than a byte for each queue. */
+	assert_in_range(mallinfo2().uordblks, 0, used + REJECTED_QUEUES);
+	free(body);
+	json_decref(o);
+}
+
 int
 main(void)
 {
@@ -214,6 +240,7 @@
 	    cmocka_unit_test_setup_teardown(
 		test_unreadable_configuration_after_readable, set_up,
 		tear_down),
+	    cmocka_unit_test(test_memory_of_rejected_configurations),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
