--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -204,6 +204,12 @@
 	return (set_up_connections(state, 1));
 }
 
+static int
+set_up_two(void **state)
+{
+	return (set_up_connections(state, 2));
+}
+
 static int
 tear_down(void **state)
 {
@@ -507,6 +513,27 @@
 
 /* --- tests: several calls --- */
 
+/* Guards against the answer of a call that has timed out, or its failure, being
+ * taken for that of the call that waits for the same connection. */
+static void
+test_call_queued_behind_timeout(void **state)
+{
+	struct fixture *f = *state;
+	int first, second;
+
+	call(f, 1, TIMEOUT_MS);
+	call(f, 2, LONG_TIMEOUT_MS);
+	first = accept_connection(f);
+	assert_int_equal(1, read_request(f, first));
+	assert_status(f, 1, HC_NO_ANSWER);
+	(void)send(first, ANSWER_ONE, strlen(ANSWER_ONE), MSG_NOSIGNAL);
+	second = accept_connection(f);
+	answer_next(f, second, 2, ANSWER_TWO);
+	assert_status(f, 2, STATUS_OK);
+	assert_body(f, 2, "two");
+	assert_int_equal(1, f->results[1].calls);
+}
+
 /* The same when the next call comes after the late answer. */
 static void
 test_answer_after_timeout(void **state)
@@ -545,6 +572,63 @@
 	assert_body(f, 2, "two");
 }
 
+/* Guards against the timeout of a call that applies to the one before it on the
+ * same connection. */
+static void
+test_timeout_of_queued_call(void **state)
+{
+	struct fixture *f = *state;
+	int s;
+
+	call(f, 1, LONG_TIMEOUT_MS);
+	call(f, 2, TIMEOUT_MS);
+	s = accept_connection(f);
+	assert_int_equal(1, read_request(f, s));
+	sn_run_loop(f->base, 2 * TIMEOUT_MS);
+	assert_int_equal(0, f->results[1].calls);
+	send_text(s, ANSWER_ONE);
+	assert_status(f, 1, STATUS_OK);
+	answer_next(f, s, 2, ANSWER_TWO);
+	assert_status(f, 2, STATUS_OK);
+	assert_body(f, 2, "two");
+}
+
+/* The same with a longer timeout. */
+static void
+test_longer_timeout_of_queued_call(void **state)
+{
+	struct fixture *f = *state;
+
+	call(f, 1, TIMEOUT_MS);
+	call(f, 2, LONG_TIMEOUT_MS);
+	assert_int_equal(1, read_request(f, accept_connection(f)));
+	assert_status(f, 1, HC_NO_ANSWER);
+}
+
+/* Guards against a call that waits behind an unanswered one while another
+ * connection is free. */
+static void
+test_unanswered_call_delays_no_other(void **state)
+{
+	struct fixture *f = *state;
+	int first, second;
+
+	call(f, 1, LONG_TIMEOUT_MS);
+	call(f, 2, LONG_TIMEOUT_MS);
+	call(f, 3, LONG_TIMEOUT_MS);
+	first = accept_connection(f);
+	assert_int_equal(1, read_request(f, first));
+	second = accept_connection(f);
+	answer_next(f, second, 2, ANSWER_TWO);
+	assert_status(f, 2, STATUS_OK);
+	answer_next(f, second, 3, ANSWER("5", "three"));
+	assert_status(f, 3, STATUS_OK);
+	assert_body(f, 3, "three");
+	send_text(first, ANSWER_ONE);
+	assert_status(f, 1, STATUS_OK);
+	assert_body(f, 1, "one");
+}
+
 /* Guards against callbacks that come before hc_call() returns, or not at all,
  * when a callback makes the next call. */
 static void
@@ -613,8 +697,12 @@
 	    CASE(test_continue_before_answer, set_up),
 	    CASE(test_only_continue, set_up),
 	    CASE(test_invalid_status, set_up),
+	    CASE(test_call_queued_behind_timeout, set_up),
 	    CASE(test_answer_after_timeout, set_up),
 	    CASE(test_final_after_interim_answer, set_up),
+	    CASE(test_timeout_of_queued_call, set_up),
+	    CASE(test_longer_timeout_of_queued_call, set_up),
+	    CASE(test_unanswered_call_delays_no_other, set_up_two),
 	    CASE(test_call_in_callback, set_up),
 	    CASE(test_free_with_calls, set_up),
 	};
