--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -513,6 +513,38 @@
 
 /* --- tests: several calls --- */
 
+/* Guards against the failure of a call whose connection the server has closed
+ * while it was idle: the request is sent on a new one. */
+static void
+assert_idle_connection_closed(struct fixture *f, bool with_reset)
+{
+	int s;
+
+	call(f, 1, LONG_TIMEOUT_MS);
+	s = accept_connection(f);
+	answer_next(f, s, 1, ANSWER_ONE);
+	assert_status(f, 1, STATUS_OK);
+	end_connection(f, s, with_reset);
+	/* No event is handled in between. */
+	call(f, 2, LONG_TIMEOUT_MS);
+	s = accept_connection(f);
+	answer_next(f, s, 2, ANSWER_TWO);
+	assert_status(f, 2, STATUS_OK);
+	assert_body(f, 2, "two");
+}
+
+static void
+test_idle_connection_closed(void **state)
+{
+	assert_idle_connection_closed(*state, false);
+}
+
+static void
+test_idle_connection_reset(void **state)
+{
+	assert_idle_connection_closed(*state, true);
+}
+
 /* Guards against the answer of a call that has timed out, or its failure, being
  * taken for that of the call that waits for the same connection. */
 static void
@@ -553,6 +585,33 @@
 	assert_body(f, 2, "two");
 }
 
+/* Guards against a second answer to one request that is taken for the answer of
+ * the next call: in the same segment, and while the connection is idle. */
+static void
+test_two_answers(void **state)
+{
+	struct fixture *f = *state;
+	int s;
+
+	call(f, 1, LONG_TIMEOUT_MS);
+	call(f, 2, LONG_TIMEOUT_MS);
+	s = accept_connection(f);
+	answer_next(f, s, 1, ANSWER_ONE ANSWER_ONE);
+	assert_status(f, 1, STATUS_OK);
+	assert_int_equal(0, f->results[2].calls);
+	s = accept_connection(f);
+	answer_next(f, s, 2, ANSWER_TWO);
+	assert_status(f, 2, STATUS_OK);
+	assert_body(f, 2, "two");
+	send_text(s, ANSWER_TWO);
+	/* No event is handled in between. */
+	call(f, 3, LONG_TIMEOUT_MS);
+	s = accept_connection(f);
+	answer_next(f, s, 3, ANSWER("5", "three"));
+	assert_status(f, 3, STATUS_OK);
+	assert_body(f, 3, "three");
+}
+
 /* The same with an interim answer that is not followed up. */
 static void
 test_final_after_interim_answer(void **state)
@@ -697,8 +756,11 @@
 	    CASE(test_continue_before_answer, set_up),
 	    CASE(test_only_continue, set_up),
 	    CASE(test_invalid_status, set_up),
+	    CASE(test_idle_connection_closed, set_up),
+	    CASE(test_idle_connection_reset, set_up),
 	    CASE(test_call_queued_behind_timeout, set_up),
 	    CASE(test_answer_after_timeout, set_up),
+	    CASE(test_two_answers, set_up),
 	    CASE(test_final_after_interim_answer, set_up),
 	    CASE(test_timeout_of_queued_call, set_up),
 	    CASE(test_longer_timeout_of_queued_call, set_up),
