--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -416,6 +416,37 @@
 	assert_body(f, 1, "one");
 }
 
+/* Guards against a call that a server keeps open for any time with a byte now
+ * and then. */
+static void
+test_answer_byte_by_byte(void **state)
+{
+	const char *text =
+	    "HTTP/1.1 200 OK\r\nX: aaaaaaaaaaaaaaaaaaaaaaaaaaaaa";
+	gint64 began = g_get_monotonic_time();
+	struct fixture *f = *state;
+	int s;
+
+	call(f, 1, TIMEOUT_MS / 5);
+	s = accept_connection(f);
+	read_request(f, s);
+	for (; *text != '\0' && f->results[1].calls == 0; text++) {
+		(void)send(s, text, 1, MSG_NOSIGNAL);
+		sn_run_loop(f->base, TIMEOUT_MS / 15);
+	}
+	assert_int_equal(1, f->results[1].calls);
+	assert_int_equal(HC_NO_ANSWER, f->results[1].status);
+	assert_in_range((f->results[1].ended_us - began) / 1000, 0,
+	    TIMEOUT_MS / 5 * HC_LIMIT_FACTOR + WAIT_MS);
+	/* The connection is not used again. */
+	call(f, 2, LONG_TIMEOUT_MS);
+	s = accept_connection(f);
+	assert_int_equal(2, read_request(f, s));
+	send_text(s, ANSWER_TWO);
+	assert_status(f, 2, STATUS_OK);
+	assert_body(f, 2, "two");
+}
+
 /* --- tests: answers that are whole --- */
 
 static void
@@ -751,6 +782,7 @@
 	    CASE(test_closed_without_answer, set_up),
 	    CASE(test_answer_cut, set_up),
 	    CASE(test_answer_without_length, set_up),
+	    CASE(test_answer_byte_by_byte, set_up),
 	    CASE(test_empty_body, set_up),
 	    CASE(test_chunked_answer, set_up),
 	    CASE(test_continue_before_answer, set_up),
