Return grants that an agent reads without contact to their entry

Callers would see a task run twice at the same time. An agent that is stopped (SIGSTOP) finds a START in its socket when it goes on. Its entry has granted the task elsewhere by then, LE_UNREACHABLE_MS after its last reply. The runner does not start the task without contact, but kept it in its queue: the check of contact only visits entries that the agent still counts as connected, and that one was removed in the same pass, before the socket was read. The next reply to a heartbeat renewed the contact, and the task was started.

Cause: contact that is made after a grant was read says nothing on the age of the grant. Contact when it is read does, since the reply came before it on the same connection: the entry cannot have given the grant up yet. So the link returns a grant that it reads without contact, also one read before the first reply on its connection, which was dropped without a report.

Evidence: test_links (test_grant_read_after_silence) failed before: the grant was taken.

Ruled out: a grant that was read in contact and is queued while the agent is stopped. The timer that checks contact is due in the first pass, before a reply to a new heartbeat can be read.

--- a/agent/links.c
+++ b/agent/links.c
@@ -48,9 +48,10 @@
 	uint64_t rank;              /* order of preference, lowest first */
 	uint64_t entry;             /* incarnation, 0 while unknown */
 	uint64_t heartbeat_sent_ms; /* clock in the last heartbeat */
-	uint64_t announced_ms;      /* when it answered or was announced last */
-	uint64_t unneeded_ms;       /* since when it is not needed; 0: it is */
-	uint32_t list_hash;         /* of the entries that it announced last */
+	uint64_t echo_ms; /* latest clock echoed on this connection; 0: none */
+	uint64_t announced_ms; /* when it answered or was announced last */
+	uint64_t unneeded_ms;  /* since when it is not needed; 0: it is */
+	uint32_t list_hash;    /* of the entries that it announced last */
 	uint64_t load_sent_ms; /* when a report with the load was sent last */
 	GArray *unsent_ends;   /* struct pd_end with owned ids, to be sent */
 };
@@ -96,6 +97,7 @@
 		    l->address, cn_error_name(why));
 	l->conn = NULL;
 	l->open = false;
+	l->echo_ms = 0;
 	l->failed = true;
 	l->heartbeat_pending = false;
 	/* The entry asks about its grants once it is connected again. */
@@ -115,6 +117,40 @@
 		send_attach(l);
 }
 
+/* Queues the report of an end, which is sent after this loop pass. */
+static void
+add_unsent_end(struct link *l, const struct pd_end *e)
+{
+	struct pd_end copy = *e;
+
+	copy.key.sub.id = g_strdup(e->key.sub.id);
+	g_array_append_val(l->unsent_ends, copy);
+	event_active(l->links->flush_event, EV_TIMEOUT, 0);
+}
+
+static bool
+in_contact(const struct link *l)
+{
+	return (l->echo_ms != 0 &&
+	    ck_mono_ms(l->links->clock) <= l->echo_ms + LE_CONTACT_MS);
+}
+
+static void
+return_grant(struct link *l, const struct pd_start *s)
+{
+	struct pd_end e = {.key = s->key, .state = PD_END_RETURNED};
+
+	lg_write(LOG_NOTICE, "links",
+	    "job %s task %u attempt %u: grant returned, no contact with entry "
+	    "%s for %d ms",
+	    s->key.sub.id, s->key.task, s->key.attempt, l->address,
+	    LE_CONTACT_MS);
+	add_unsent_end(l, &e);
+}
+
+/* A grant that is read without contact may be older than LE_UNREACHABLE_MS: its
+ * entry may have granted the task elsewhere. Contact that is made later does
+ * not prove the opposite, so the grant is not kept until then. */
 static void
 on_start(struct link *l, XDR *args)
 {
@@ -123,8 +159,10 @@
 
 	if (!cn_decode(l->conn, args, (xdrproc_t)xdr_pd_start, &s))
 		return;
-	if (l->entry != 0)
+	if (in_contact(l))
 		k->ops->start(k->arg, l->entry, &s);
+	else
+		return_grant(l, &s);
 	xdr_free((xdrproc_t)xdr_pd_start, (char *)&s);
 }
 
@@ -290,6 +328,7 @@
 			k->ops->gone(k->arg, l->entry);
 		l->entry = a->incarnation;
 	}
+	l->echo_ms = a->clock_ms;
 	k->ops->contact(k->arg, l->entry, a->clock_ms);
 	/* An entry has not counted a worker that has just connected. */
 	if (l->unneeded_ms == 0 && a->service_workers > 0)
@@ -533,7 +572,6 @@
 void
 lk_report_end(struct lk *k, uint64_t entry, const struct pd_end *e)
 {
-	struct pd_end copy = *e;
 	GHashTableIter it;
 	struct link *l;
 
@@ -541,9 +579,7 @@
 	while (g_hash_table_iter_next(&it, NULL, (void **)&l)) {
 		if (l->entry != entry || !l->open)
 			continue;
-		copy.key.sub.id = g_strdup(e->key.sub.id);
-		g_array_append_val(l->unsent_ends, copy);
-		event_active(k->flush_event, EV_TIMEOUT, 0);
+		add_unsent_end(l, e);
 		return;
 	}
 }
--- a/tests/test_links.c
+++ b/tests/test_links.c
@@ -11,6 +11,7 @@
 #include "clock.h"
 #include "conn.h"
 #include "contacts.h"
+#include "lease.h"
 #include "links.h"
 #include "log.h"
 #include "support_net.h"
@@ -45,6 +46,8 @@
 	bool accepting; /* in the last heartbeat */
 	unsigned loads; /* reports without ended tasks */
 	unsigned ends;  /* ended tasks of all reports */
+	bool silent;    /* leaves heartbeats unanswered */
+	enum pd_end_state last_end;
 };
 
 struct fixture {
@@ -55,6 +58,7 @@
 	const char *addresses[ENTRIES];
 	unsigned announced;  /* entries that are announced to the agent */
 	uint64_t busy_entry; /* has grants at the agent */
+	unsigned started;    /* grants that the agent took */
 };
 
 static void
@@ -65,6 +69,8 @@
 	assert_true(cn_decode(c, args, (xdrproc_t)xdr_pd_ended, &ended));
 	e->loads += ended.list.list_len == 0;
 	e->ends += ended.list.list_len;
+	if (ended.list.list_len > 0)
+		e->last_end = ended.list.list_val[0].state;
 	xdr_free((xdrproc_t)xdr_pd_ended, (char *)&ended);
 }
 
@@ -88,7 +94,8 @@
 	reply.clock_ms = a.clock_ms;
 	reply.entries.entries_val = (pd_name *)(uintptr_t)e->fixture->addresses;
 	reply.entries.entries_len = e->fixture->announced;
-	cn_reply(c, xid, (xdrproc_t)xdr_pd_attached, &reply);
+	if (!e->silent)
+		cn_reply(c, xid, (xdrproc_t)xdr_pd_attached, &reply);
 	xdr_free((xdrproc_t)xdr_pd_attach, (char *)&a);
 }
 
@@ -147,9 +154,20 @@
 	return (f->busy_entry == entry);
 }
 
+static void
+on_start(void *arg, uint64_t entry, const struct pd_start *s)
+{
+	struct fixture *f = arg;
+
+	(void)entry;
+	(void)s;
+	f->started++;
+}
+
 static const struct lk_ops link_ops = {.fill_attach = fill_attach,
     .contact = on_contact,
     .gone = on_gone,
+    .start = on_start,
     .has_grants = has_grants};
 
 static int
@@ -352,6 +370,39 @@
 	assert_in_range(connected(f), AC_CONTACTS_MIN, ENTRIES);
 }
 
+static void
+send_start(struct entry *e)
+{
+	struct pd_start s = {.key.sub.id = (char *)(uintptr_t) "a"};
+
+	cn_send(e->conn, PD_START, (xdrproc_t)xdr_pd_start, &s);
+}
+
+/* Guards against the start of a task that its entry has granted elsewhere: an
+ * agent that was stopped for seconds finds the grant in its socket, and has
+ * contact to the entry again before the task would have to start. */
+static void
+test_grant_read_after_silence(void **state)
+{
+	struct fixture *f = *state;
+	struct entry *e = &f->entries[0];
+
+	f->announced = SEEDS;
+	start_links(f);
+	sn_run_loop(f->base, RECONNECT_MS);
+	send_start(e);
+	sn_run_loop(f->base, BUSY_MS);
+	assert_int_equal(1, f->started);
+	e->silent = true;
+	sn_run_loop(f->base, LE_CONTACT_MS + BUSY_MS);
+	send_start(e);
+	e->silent = false;
+	sn_run_loop(f->base, BUSY_MS);
+	assert_int_equal(1, f->started);
+	assert_int_equal(1, e->ends);
+	assert_int_equal(PD_END_RETURNED, e->last_end);
+}
+
 int
 main(void)
 {
@@ -362,6 +413,7 @@
 	    T(test_ends_beyond_one_message),
 	    T(test_load_report_rate),
 	    T(test_entries_announced_later),
+	    T(test_grant_read_after_silence),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
