Reject an earlier process of an agent that attaches late

Callers would see a task run twice at the same time. An entry took the first heartbeat of any other process of an agent for that of its successor, which ends the runs of its predecessor before it attaches, and granted their tasks again. An agent that was stopped (SIGSTOP) while its successor attached is such another process: when it goes on and reconnects, the runs of the successor were taken for ended. So was a heartbeat that waited in a socket of a slow entry, which reads its sockets in any order.

Cause: the incarnation of an agent is random and tells only that two processes differ. The heartbeat now carries the start of the process. One that has not started after the known process is rejected until the runs of that one must have ended, LE_UNREACHABLE_MS after the last reply to it; so a host whose clock was set back between two starts is not shut out. Without a reply the rejected agent loses contact and stops its tasks. A change of the process is also handled when it shows on a connection that was attached before.

Evidence: test_jobs (test_late_attach_of_earlier_agent) failed before: the task was granted a second time.

Ruled out: reports of the earlier process. They are accepted from the current connection only, and name the grant and the attempt.

--- a/agent/executor.c
+++ b/agent/executor.c
@@ -76,7 +76,8 @@
 	struct event *tick;
 	struct pr_signals *signals;
 	uint64_t incarnation;
-	char *service; /* of the endpoint, owned */
+	uint64_t started_ms; /* wall clock */
+	char *service;       /* of the endpoint, owned */
 	GPtrArray *labels;
 	uint64_t stop_requested_ms;
 	const char *path; /* of the settings */
@@ -237,6 +238,7 @@
 	a->name = e->settings.name;
 	a->az = e->settings.az;
 	a->incarnation = e->incarnation;
+	a->started_ms = e->started_ms;
 	a->service = e->service;
 	a->labels.labels_val = (pd_name *)e->labels->pdata;
 	a->labels.labels_len = e->labels->len;
@@ -424,6 +426,7 @@
 	rn_free(rng);
 	e->labels = g_ptr_array_new_with_free_func(g_free);
 	e->clock = ck_new_system();
+	e->started_ms = ck_wall_ms(e->clock);
 	e->counters = ct_new();
 	e->runner = ru_new(e->clock, e->counters, &runner_ops, e);
 	start_links(e);
--- a/bench/model_worker.c
+++ b/bench/model_worker.c
@@ -340,6 +340,7 @@
 	    .az = (char *)(uintptr_t) "az",
 	    .service = (char *)(uintptr_t) "service",
 	    .incarnation = w->incarnation,
+	    .started_ms = w->incarnation,
 	    .cpu = l.cpu,
 	    .mem_mb = MEM_MB,
 	    .load = l.reported,
--- a/entry/workers.c
+++ b/entry/workers.c
@@ -15,6 +15,7 @@
 	struct cn *conn;
 	uint64_t session; /* see struct fl_worker */
 	bool attached;
+	bool rejected; /* its last heartbeat was */
 };
 
 struct wo {
@@ -66,6 +67,37 @@
 	cn_reply(l->conn, xid, (xdrproc_t)xdr_pd_attached, &reply);
 }
 
+static void
+accept_attach(struct link *l, uint32_t xid, const struct pd_attach *a,
+    struct fl_worker *f, bool restarted)
+{
+	struct wo *w = l->workers;
+
+	fl_count_workers(w->fleet);
+	reply_attach(l, xid, a, f);
+	if (l->attached && !restarted)
+		return;
+	lg_write(LOG_NOTICE, "workers",
+	    "agent %s is connected, capacity %u thousandths of a core", a->name,
+	    a->cpu);
+	l->attached = true;
+	l->rejected = false;
+	jb_attached(w->jobs, f, restarted);
+}
+
+/* Without a reply the agent has no contact and stops its tasks. */
+static void
+reject_attach(struct link *l, uint32_t xid, const struct pd_attach *a)
+{
+	if (!l->rejected)
+		lg_write(LOG_WARNING, "workers",
+		    "agent %s is rejected: a later process of it is connected",
+		    a->name);
+	l->rejected = true;
+	l->attached = false;
+	cn_reject(l->conn, xid);
+}
+
 static void
 on_attach(struct link *l, uint32_t xid, XDR *args)
 {
@@ -85,15 +117,10 @@
 		return;
 	}
 	f = fl_attach(w->fleet, &a, l->session, &restarted);
-	fl_count_workers(w->fleet);
-	reply_attach(l, xid, &a, f);
-	if (!l->attached) {
-		lg_write(LOG_NOTICE, "workers",
-		    "agent %s is connected, capacity %u thousandths of a core",
-		    a.name, a.cpu);
-		l->attached = true;
-		jb_attached(w->jobs, f, restarted);
-	}
+	if (f != NULL)
+		accept_attach(l, xid, &a, f, restarted);
+	else
+		reject_attach(l, xid, &a);
 	xdr_free((xdrproc_t)xdr_pd_attach, (char *)&a);
 }
 
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -7,6 +7,7 @@
 #include "config.h"
 #include "counters.h"
 #include "fleet.h"
+#include "lease.h"
 #include "level.h"
 #include "log.h"
 #include "rng.h"
@@ -160,6 +161,19 @@
 	}
 }
 
+/* Whether an agent process is not the successor of the known one, whose tasks
+ * may still run. The clock of a host may be set back between two starts, so
+ * this is not held against a process for longer than the other one's tasks may
+ * run. */
+static bool
+is_earlier_process(
+    const struct fl_worker *w, const struct pd_attach *a, uint64_t now)
+{
+	return (w->incarnation != 0 && w->incarnation != a->incarnation &&
+	    a->started_ms <= w->started_ms &&
+	    now <= w->heartbeat_reply_ms + LE_UNREACHABLE_MS);
+}
+
 /* A new agent process keeps the learned speed, which belongs to the worker. */
 struct fl_worker *
 fl_attach(
@@ -168,8 +182,12 @@
 	struct fl_worker *w = find_or_add_worker(f, a->name);
 	uint64_t now = ck_mono_ms(f->clock);
 
+	*restarted = false;
+	if (is_earlier_process(w, a, now))
+		return (NULL);
 	*restarted = w->incarnation != 0 && w->incarnation != a->incarnation;
 	w->incarnation = a->incarnation;
+	w->started_ms = a->started_ms;
 	set_session(f, w, session);
 	set_string(&w->az, a->az);
 	set_string(&w->service, a->service);
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -25,6 +25,7 @@
  * @name: name of its agent
  * @session: number of the connection to its agent, 0 for none
  * @incarnation: of its agent
+ * @started_ms: wall clock at the start of its agent
  * @labels: each label enclosed in spaces
  * @cpu: capacity, thousandths of a core; 0 while its endpoint is unknown
  * @cpu_others: CPU used by tasks of other entries, as of the last report
@@ -48,6 +49,7 @@
 	char *labels;
 	uint64_t session;
 	uint64_t incarnation;
+	uint64_t started_ms;
 	unsigned cpu;
 	unsigned mem_mb;
 	unsigned cpu_others;
@@ -106,7 +108,8 @@
  * @restarted: set to whether the agent is a new process, which ensures that
  *     no task of its predecessor runs any more
  *
- * Return: the worker, borrowed for the life of @f.
+ * Return: the worker, borrowed for the life of @f; NULL if another process of
+ * the agent that started later has attached, whose tasks may still run.
  */
 struct fl_worker *fl_attach(
     struct fl *f, const struct pd_attach *a, uint64_t session, bool *restarted);
--- a/tests/jobs_fixture.h
+++ b/tests/jobs_fixture.h
@@ -152,6 +152,7 @@
 	    .az = (char *)(uintptr_t)az,
 	    .service = (char *)(uintptr_t) "desk",
 	    .incarnation = incarnation,
+	    .started_ms = incarnation,
 	    .cpu = WORKER_CPU,
 	    .mem_mb = 1000,
 	    .load.cpu_used = used,
@@ -161,7 +162,8 @@
 	struct fl_worker *w;
 
 	w = fl_attach(f->fleet, &a, session, &restarted);
-	jb_attached(f->jobs, w, restarted);
+	if (w != NULL)
+		jb_attached(f->jobs, w, restarted);
 	return (w);
 }
 
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -286,6 +286,35 @@
 	assert_int_equal(3, f->nstarts);
 }
 
+/* Guards against a second run of a task because an earlier process of its agent
+ * attaches late: it was stopped while its successor attached, or its message
+ * waited in a socket of the entry. */
+static void
+test_late_attach_of_earlier_agent(void **state)
+{
+	struct fixture *f = *state;
+	struct fl_worker *w, *late;
+	unsigned i;
+
+	attach_agent(f, "w1", "z1", 1, 10, 0);
+	w = attach_agent(f, "w1", "z1", 2, 11, 0);
+	submit(f, "a", 1);
+	assert_int_equal(1, f->nstarts);
+	late = attach_agent(f, "w1", "z1", 3, 10, 0);
+	assert_int_equal(1, f->nstarts);
+	assert_null(late);
+	assert_int_equal(2, w->session);
+	report_end(f, 0, PD_END_DONE);
+	assert_int_equal(JB_COMPLETED, f->answers[0].status);
+	/* The clock of the host was set back before the last start: the agent
+	 * is accepted when nothing of the other process can run any more. */
+	for (i = 0; i <= LE_UNREACHABLE_MS; i += 20) {
+		assert_null(attach_agent(f, "w1", "z1", 3, 10, 0));
+		ck_advance_ms(f->clock, 20);
+	}
+	assert_non_null(attach_agent(f, "w1", "z1", 3, 10, 0));
+}
+
 /* Guards against a caller that waits until its deadline although its job was
  * lost with a host and cannot run again in time. */
 static void
@@ -457,6 +486,7 @@
 	    T(test_retry_on_other_worker),
 	    T(test_stale_report),
 	    T(test_lost_agent),
+	    T(test_late_attach_of_earlier_agent),
 	    T(test_lost_host_answered_early),
 	    T(test_refuse_for_urgent),
 	    T(test_reconnect),
--- a/wire/pd.h
+++ b/wire/pd.h
@@ -341,6 +341,7 @@
 	char *cell;
 	char *name;
 	u_quad_t incarnation;
+	u_quad_t started_ms;
 	char *az;
 	char *service;
 	struct {
--- a/wire/pd.x
+++ b/wire/pd.x
@@ -262,6 +262,7 @@
 	string cell<PD_NAME_MAX>;
 	string name<PD_NAME_MAX>;
 	unsigned hyper incarnation;
+	unsigned hyper started_ms;	/* wall clock at process start */
 	string az<PD_NAME_MAX>;
 	string service<PD_NAME_MAX>;
 	pd_name labels<PD_LABELS_MAX>;
--- a/wire/pd_xdr.c
+++ b/wire/pd_xdr.c
@@ -714,6 +714,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->started_ms))
+		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->az, PD_NAME_MAX))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->service, PD_NAME_MAX))
