Close the connection that an agent has replaced

Callers would see a job that is answered late or with 504, and possibly a task that runs twice at the same time. When an agent opens another connection, its earlier one may still hold a heartbeat. That heartbeat made the earlier connection the current one again: grants went there and were lost, and when it was closed, the agent counted as lost though it was attached. Its grants were marked unreachable and not asked for again, as the other connection had been attached before; they were granted elsewhere after LE_UNREACHABLE_MS, while the agent, which had contact, went on with them.

Cause: the session of a worker followed each heartbeat. The entry now closes the replaced connection when the new one is attached, so that nothing more is read from it.

--- a/entry/workers.c
+++ b/entry/workers.c
@@ -67,6 +67,20 @@
 	cn_reply(l->conn, xid, (xdrproc_t)xdr_pd_attached, &reply);
 }
 
+/* Closes the connection that an agent had before. Messages that are still on
+ * their way on it would make it the current one again. */
+static void
+close_replaced(struct wo *w, uint64_t session)
+{
+	struct link *l = g_hash_table_lookup(w->links, &session);
+
+	if (l == NULL)
+		return;
+	lg_write(LOG_NOTICE, "workers",
+	    "an agent has opened another connection: closing the earlier one");
+	cn_close(l->conn);
+}
+
 static void
 accept_attach(struct link *l, uint32_t xid, const struct pd_attach *a,
     struct fl_worker *f, bool restarted)
@@ -104,6 +118,7 @@
 	struct wo *w = l->workers;
 	struct pd_attach a = {0};
 	struct fl_worker *f;
+	uint64_t previous;
 	bool restarted;
 
 	if (!cn_decode(l->conn, args, (xdrproc_t)xdr_pd_attach, &a))
@@ -116,7 +131,10 @@
 		xdr_free((xdrproc_t)xdr_pd_attach, (char *)&a);
 		return;
 	}
+	previous = fl_session_of(w->fleet, a.name);
 	f = fl_attach(w->fleet, &a, l->session, &restarted);
+	if (f != NULL && previous != l->session)
+		close_replaced(w, previous);
 	if (f != NULL)
 		accept_attach(l, xid, &a, f, restarted);
 	else
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -202,6 +202,14 @@
 	return (w);
 }
 
+uint64_t
+fl_session_of(const struct fl *f, const char *name)
+{
+	const struct fl_worker *w = g_hash_table_lookup(f->by_name, name);
+
+	return (w == NULL ? 0 : w->session);
+}
+
 struct fl_worker *
 fl_find_by_session(const struct fl *f, uint64_t session)
 {
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -118,6 +118,9 @@
  * unknown */
 struct fl_worker *fl_detach(struct fl *f, uint64_t session);
 
+/** fl_session_of() - connection of an agent, 0 for none */
+uint64_t fl_session_of(const struct fl *f, const char *name);
+
 /** fl_find_by_session() - worker of a connection. Return: NULL if unknown */
 struct fl_worker *fl_find_by_session(const struct fl *f, uint64_t session);
 
