Take no run for ended while its agent is in contact

Callers would see a task run twice at the same time. After a connection to an agent had ended, its grants were taken for ended LE_UNREACHABLE_MS after the last reply on that connection, unless the agent had said by then that it still had them. An agent that reconnects gets new replies and goes on; if the query of its grants got no answer in time (650 ms, on a link that stood still as long), it was not asked again, and its tasks were granted elsewhere.

Cause: the time by which a run has ended was fixed when the connection was lost, but each later reply to a heartbeat lets the run go on. It now follows the last reply, and an agent that is connected is asked again every 200 ms. While it is connected the job is not given up for it.

Ruled out: an answer that overtakes the grant. Grants and queries use one connection.

--- a/entry/workers.c
+++ b/entry/workers.c
@@ -280,8 +280,8 @@
 	struct fl_worker *from =
 	    fl_find_by_session(k->workers->fleet, k->session);
 
-	/* Without a reply the tasks remain unreachable until their leases
-	 * have ended. */
+	/* Without a reply the tasks remain unreachable; the agent is asked
+	 * again while it is connected. */
 	if (error != CN_OK)
 		lg_write(LOG_NOTICE, "workers",
 		    "no reply from an agent to a query of its grants: %s",
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -37,6 +37,7 @@
  *     time that a message takes
  * @heartbeat_reply_ms: when this entry last replied to a heartbeat
  * @heartbeat_ms: when the last heartbeat arrived
+ * @queried_ms: when its agent was last asked for the state of its grants
  * @service_workers: connected workers of its service
  * @label_workers: connected workers that have its rarest label
  * @reported: what its agent has learned from the tasks of all entries
@@ -60,6 +61,7 @@
 	int64_t clock_offset_ms;
 	uint64_t heartbeat_reply_ms;
 	uint64_t heartbeat_ms;
+	uint64_t queried_ms;
 	unsigned service_workers;
 	unsigned label_workers;
 	struct pd_speed reported;
--- a/sched/jobs_impl.h
+++ b/sched/jobs_impl.h
@@ -39,7 +39,6 @@
 struct jb_task {
 	struct fl_worker *worker;
 	struct fl_worker *avoid[JB_AVOID_MAX];
-	uint64_t latest_end_ms; /* an unreachable run has ended by then */
 	uint64_t unreachable_since_ms;
 	uint16_t step;
 	uint16_t index;
--- a/sched/jobs_outcome.c
+++ b/sched/jobs_outcome.c
@@ -6,6 +6,8 @@
 /* An agent reconnects within 100 ms after a connection reset; one that has
  * restarted reports within this time that it does not know the run. */
 #define RECONNECT_MS 300
+/* An agent is asked again for the state of its grants after this time. */
+#define QUERY_RETRY_MS 200
 /* Least time after which a job that was refused for an overload is worth a new
  * try: about the run time of the tasks that fill the workers. */
 #define RETRY_MIN_MS 200
@@ -326,7 +328,14 @@
 	    (double)ck_mono_ms(j->clock) - (double)t->worker->heartbeat_ms, 0);
 	t->state = JB_UNREACHABLE;
 	t->unreachable_since_ms = ck_mono_ms(j->clock);
-	t->latest_end_ms = t->worker->heartbeat_reply_ms + LE_UNREACHABLE_MS;
+}
+
+/* Time by which the run of a granted task has ended, unless its agent gets
+ * another reply to a heartbeat, which lets it go on. */
+static uint64_t
+latest_end_ms(const struct jb_task *t)
+{
+	return (t->worker->heartbeat_reply_ms + LE_UNREACHABLE_MS);
 }
 
 static void
@@ -347,6 +356,7 @@
 	struct pd_key k;
 	unsigned i;
 
+	w->queried_ms = ck_mono_ms(j->clock);
 	g_hash_table_iter_init(&it, j->by_number);
 	while (g_hash_table_iter_next(&it, NULL, (void **)&job))
 		for (i = 0; i < job->ntasks; i++)
@@ -387,16 +397,26 @@
 {
 	double size_ms = job->steps[t->step].size_ms * JB_MIN_SIZE_FACTOR;
 
-	if (ck_mono_ms(j->clock) <= t->unreachable_since_ms + RECONNECT_MS)
+	if (t->worker->session != 0 ||
+	    ck_mono_ms(j->clock) <= t->unreachable_since_ms + RECONNECT_MS)
 		return (false);
 	/* Cached, since the loss of an availability zone makes thousands of
 	 * tasks unreachable at once. */
 	if (j->best_run_ratio == 0)
 		j->best_run_ratio = fl_best_run_ratio(j->fleet);
-	return ((double)t->latest_end_ms + size_ms * j->best_run_ratio >
+	return ((double)latest_end_ms(t) + size_ms * j->best_run_ratio >
 	    (double)job->deadline_ms);
 }
 
+/* Asks an agent that is connected again for the state of its grants, if it has
+ * left the last query unanswered. */
+static void
+repeat_query(struct jb *j, struct fl_worker *w, uint64_t now)
+{
+	if (w->session != 0 && now - w->queried_ms >= QUERY_RETRY_MS)
+		request_reconcile(j, w);
+}
+
 /* Checks the grants of a job and places ready tasks. Return: false if the job
  * must be given up. */
 static bool
@@ -409,22 +429,23 @@
 	for (i = 0; i < job->ntasks; i++) {
 		t = &job->tasks[i];
 		/* A silent agent is treated like a disconnected one. */
-		if (t->state == JB_GRANTED &&
-		    now > t->worker->heartbeat_reply_ms + LE_UNREACHABLE_MS)
+		if (t->state == JB_GRANTED && now > latest_end_ms(t))
 			mark_unreachable(j, job, t);
 		if (t->state == JB_UNREACHABLE &&
 		    cannot_be_replaced(j, job, t)) {
 			jb_trace(j, job, t, TR_HOPELESS, t->worker,
-			    (double)t->latest_end_ms - (double)now,
+			    (double)latest_end_ms(t) - (double)now,
 			    (double)job->deadline_ms - (double)now);
 			return (false);
 		}
-		if (t->state == JB_UNREACHABLE && now > t->latest_end_ms) {
+		if (t->state == JB_UNREACHABLE && now > latest_end_ms(t)) {
 			job->any_started = true;
 			jb_trace(j, job, t, TR_DROPPED, t->worker, 0, 0);
 			jb_release_worker(job, t);
 			t->state = JB_READY;
 		}
+		if (t->state == JB_UNREACHABLE)
+			repeat_query(j, t->worker, now);
 		ready = ready || t->state == JB_READY;
 	}
 	return (!ready || jb_place(j, job));
--- a/tests/jobs_fixture.h
+++ b/tests/jobs_fixture.h
@@ -143,9 +143,11 @@
 	return (0);
 }
 
+/* Handles the first heartbeat of a connection, or a later one if not
+ * @first. */
 static inline struct fl_worker *
-attach_agent(struct fixture *f, const char *name, const char *az,
-    uint64_t session, uint64_t incarnation, unsigned used)
+handle_heartbeat(struct fixture *f, const char *name, const char *az,
+    uint64_t session, uint64_t incarnation, unsigned used, bool first)
 {
 	struct pd_attach a = {.cell = (char *)(uintptr_t) "c",
 	    .name = (char *)(uintptr_t)name,
@@ -162,11 +164,19 @@
 	struct fl_worker *w;
 
 	w = fl_attach(f->fleet, &a, session, &restarted);
-	if (w != NULL)
+	if (w != NULL && first)
 		jb_attached(f->jobs, w, restarted);
 	return (w);
 }
 
+static inline struct fl_worker *
+attach_agent(struct fixture *f, const char *name, const char *az,
+    uint64_t session, uint64_t incarnation, unsigned used)
+{
+	return (
+	    handle_heartbeat(f, name, az, session, incarnation, used, true));
+}
+
 static inline struct fl_worker *
 attach(struct fixture *f, const char *name, uint64_t session)
 {
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -407,6 +407,35 @@
 	assert_int_equal(JB_COMPLETED, f->answers[0].status);
 }
 
+/* Guards against a second run of a task at another worker while its agent,
+ * which has reconnected and is in contact, has not answered for its grants. */
+static void
+test_query_of_grants_unanswered(void **state)
+{
+	struct fixture *f = *state;
+	struct fl_worker *w;
+	unsigned i;
+
+	w = attach(f, "w1", 1);
+	submit(f, "a", 1);
+	fl_detach(f->fleet, 1);
+	jb_detached(f->jobs, w);
+	attach_agent(f, "w1", "z1", 2, 1, TASK_CPU);
+	assert_int_equal(1, f->nreconciled);
+	attach(f, "w2", 3);
+	for (i = 0; i < TIMEOUT_MS - 50; i += 10) {
+		ck_advance_ms(f->clock, 10);
+		handle_heartbeat(f, "w1", "z1", 2, 1, TASK_CPU, false);
+		handle_heartbeat(f, "w2", "z1", 3, 3, 0, false);
+		jb_tick(f->jobs);
+		assert_int_equal(1, f->nstarts);
+		assert_int_equal(0, f->nanswers);
+	}
+	assert_true(f->nreconciled > 1);
+	report_end(f, 0, PD_END_DONE);
+	assert_int_equal(JB_COMPLETED, f->answers[0].status);
+}
+
 /* Guards against refusing, which means "not run", a job of which a task may
  * have started, and against an answer after the deadline. */
 static void
@@ -490,6 +519,7 @@
 	    T(test_lost_host_answered_early),
 	    T(test_refuse_for_urgent),
 	    T(test_reconnect),
+	    T(test_query_of_grants_unanswered),
 	    T(test_give_up),
 	    T(test_waiters),
 	    T(test_long_task),
