Withdraw grants again when their agent reconnects

Callers would see a task run twice at the same time: a client whose connection broke, or that got 504, submits its job again 1,300 ms later, while a run of the first submission goes on up to the deadline of the job. A WITHDRAW was not sent while the agent had no connection, nor while it had reconnected and not answered for its grants, and one that was lost with its connection was not repeated. The agent, which is in contact again, goes on with the run, and the entry no longer asks about it.

Cause: a withdrawal was sent once, if at all. It is now kept until the deadline of its job, when the agent ends the run by itself, and sent again when the same agent process opens another connection. A grant that is given up because its agent is silent is withdrawn as well.

Evidence: test_jobs (test_withdrawn_without_connection, test_withdrawn_before_query_answered, test_withdrawal_lost, test_dropped_grant_withdrawn) failed before. The fixture now counts only the withdrawals that are sent, which is stricter.

Ruled out: a withdrawal that overtakes its grant. Both use one connection, and an agent opens the next one after it has closed the last, with what is unread.

--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -38,6 +38,7 @@
 	j->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	j->ended = g_hash_table_new(g_str_hash, g_str_equal);
 	g_queue_init(&j->ended_order);
+	g_queue_init(&j->withdrawals);
 	j->took = hg_new(
 	    counters, "pd_job_took_ms", "From a job's arrival to its answer");
 	j->queued = hg_new(
@@ -94,6 +95,7 @@
 		return;
 	while (j->ended_order.length > 0)
 		forget_oldest_ended(j);
+	jb_withdrawals_free(j);
 	g_hash_table_destroy(j->ended);
 	g_hash_table_destroy(j->by_id);
 	g_hash_table_destroy(j->by_number);
--- a/sched/jobs_impl.h
+++ b/sched/jobs_impl.h
@@ -10,7 +10,8 @@
 
 /**
  * DOC: jb - internals: jobs.c admits jobs and places tasks, jobs_queue.c keeps
- * statistics of the queues, jobs_outcome.c handles reports and ends jobs
+ * statistics of the queues, jobs_outcome.c handles reports and ends jobs,
+ * jobs_withdrawals.c withdraws grants
  */
 
 /* Declared run times are off by up to 40%: a job is given up only if not even a
@@ -105,6 +106,21 @@
 	uint64_t ended_ms;
 };
 
+/**
+ * struct jb_withdrawal - grant that was withdrawn, kept until it expires: the
+ * message is lost if the connection to its agent is
+ * @worker: borrowed
+ * @incarnation: of the agent that has the grant
+ * @expires_ms: when the agent ends it by itself
+ * @key: with an owned id
+ */
+struct jb_withdrawal {
+	struct fl_worker *worker;
+	uint64_t incarnation;
+	uint64_t expires_ms;
+	struct pd_key key;
+};
+
 struct jb {
 	const struct ck *clock;
 	struct ct *counters;
@@ -116,6 +132,7 @@
 	GHashTable *by_number; /* number -> struct jb_job, owned */
 	GHashTable *ended;     /* id -> struct jb_ended_job, borrowed */
 	GQueue ended_order;    /* struct jb_ended_job, owned, oldest first */
+	GQueue withdrawals;    /* struct jb_withdrawal, owned, oldest first */
 	struct hg *took;       /* time from a job's arrival to its answer */
 	struct hg *queued;     /* wait of a task at its agent */
 	struct hg *ran;        /* run time of a task at its endpoint */
@@ -175,6 +192,21 @@
 /** jb_release_worker() - release the CPU that a task holds at its worker */
 void jb_release_worker(struct jb_job *job, struct jb_task *t);
 
+/** jb_grant_key() - key of the current grant of a task; borrows from the job */
+struct pd_key jb_grant_key(const struct jb_job *job, const struct jb_task *t);
+
+/** jb_withdraw() - withdraw the grant of a task, now and each time that its
+ * agent reconnects until the deadline of the job */
+void jb_withdraw(
+    struct jb *j, const struct jb_job *job, const struct jb_task *t);
+
+/** jb_repeat_withdrawals() - withdraw the grants again of an agent that has
+ * reconnected */
+void jb_repeat_withdrawals(struct jb *j, struct fl_worker *w);
+
+/** jb_withdrawals_free() - forget all withdrawals */
+void jb_withdrawals_free(struct jb *j);
+
 /** jb_unblock_tasks() - make the tasks ready whose dependencies are done */
 void jb_unblock_tasks(struct jb_job *job);
 
--- a/sched/jobs_outcome.c
+++ b/sched/jobs_outcome.c
@@ -21,8 +21,8 @@
 	return (r < JB_R_MAX ? names[r] : "invalid");
 }
 
-static struct pd_key
-grant_key(const struct jb_job *job, const struct jb_task *t)
+struct pd_key
+jb_grant_key(const struct jb_job *job, const struct jb_task *t)
 {
 	struct pd_key k = {
 	    .sub = {.id = job->id, .created_ms = job->number},
@@ -98,17 +98,14 @@
 	    .ntrace = job->trace->len,
 	};
 	struct jb_task *t;
-	struct pd_key k;
 	unsigned i;
 
 	if (status == JB_REFUSED)
 		a.retry_ms = retry_ms(j, job);
 	for (i = 0; i < job->ntasks; i++) {
 		t = &job->tasks[i];
-		if (t->state == JB_GRANTED) {
-			k = grant_key(job, t);
-			j->ops->withdraw(j->arg, t->worker, &k);
-		}
+		if (t->state == JB_GRANTED || t->state == JB_UNREACHABLE)
+			jb_withdraw(j, job, t);
 		jb_release_worker(job, t);
 	}
 	count_end(j, status, reason);
@@ -361,7 +358,7 @@
 	while (g_hash_table_iter_next(&it, NULL, (void **)&job))
 		for (i = 0; i < job->ntasks; i++)
 			if (job->tasks[i].worker == w) {
-				k = grant_key(job, &job->tasks[i]);
+				k = jb_grant_key(job, &job->tasks[i]);
 				g_array_append_val(keys, k);
 			}
 	if (keys->len > 0)
@@ -373,10 +370,12 @@
 void
 jb_attached(struct jb *j, struct fl_worker *w, bool restarted)
 {
-	if (restarted)
+	if (restarted) {
 		foreach_task_at(j, w, handle_agent_restart);
-	else
-		request_reconcile(j, w);
+		return;
+	}
+	jb_repeat_withdrawals(j, w);
+	request_reconcile(j, w);
 }
 
 void
@@ -441,6 +440,7 @@
 		if (t->state == JB_UNREACHABLE && now > latest_end_ms(t)) {
 			job->any_started = true;
 			jb_trace(j, job, t, TR_DROPPED, t->worker, 0, 0);
+			jb_withdraw(j, job, t);
 			jb_release_worker(job, t);
 			t->state = JB_READY;
 		}
--- a/tests/jobs_fixture.h
+++ b/tests/jobs_fixture.h
@@ -66,9 +66,9 @@
 {
 	struct fixture *f = arg;
 
-	(void)w;
 	(void)k;
-	f->nwithdrawn++;
+	/* Without a connection nothing is sent. */
+	f->nwithdrawn += w->session != 0;
 }
 
 static inline void
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -481,6 +481,90 @@
 	assert_false(jb_cancel(f->jobs, "b"));
 }
 
+/* Guards against a run that goes on after its client has left, because the
+ * connection to its agent was lost before it was withdrawn: the client submits
+ * the job again after 1,300 ms. */
+static void
+test_withdrawn_without_connection(void **state)
+{
+	struct fixture *f = *state;
+	struct fl_worker *w;
+
+	w = attach(f, "w1", 1);
+	submit(f, "a", 1);
+	fl_detach(f->fleet, 1);
+	jb_detached(f->jobs, w);
+	jb_remove_waiter(f->jobs, 7);
+	assert_int_equal(0, f->nwithdrawn);
+	ck_advance_ms(f->clock, 100);
+	attach_agent(f, "w1", "z1", 2, 1, TASK_CPU);
+	assert_int_equal(1, f->nwithdrawn);
+}
+
+/* The same for an agent that has reconnected and not answered for its grants
+ * yet. */
+static void
+test_withdrawn_before_query_answered(void **state)
+{
+	struct fixture *f = *state;
+	struct fl_worker *w;
+
+	w = attach(f, "w1", 1);
+	submit(f, "a", 1);
+	fl_detach(f->fleet, 1);
+	jb_detached(f->jobs, w);
+	attach_agent(f, "w1", "z1", 2, 1, TASK_CPU);
+	jb_remove_waiter(f->jobs, 7);
+	assert_int_equal(1, f->nwithdrawn);
+}
+
+/* The same for a withdrawal that is lost with its connection. */
+static void
+test_withdrawal_lost(void **state)
+{
+	struct fixture *f = *state;
+	struct fl_worker *w;
+
+	w = attach(f, "w1", 1);
+	submit(f, "a", 1);
+	jb_remove_waiter(f->jobs, 7);
+	assert_int_equal(1, f->nwithdrawn);
+	fl_detach(f->fleet, 1);
+	jb_detached(f->jobs, w);
+	attach_agent(f, "w1", "z1", 2, 1, TASK_CPU);
+	assert_int_equal(2, f->nwithdrawn);
+	/* Grants expire with their job, and end with the agent process. */
+	ck_advance_ms(f->clock, TIMEOUT_MS);
+	fl_detach(f->fleet, 2);
+	attach_agent(f, "w1", "z1", 3, 1, TASK_CPU);
+	assert_int_equal(2, f->nwithdrawn);
+	submit(f, "b", 1);
+	jb_remove_waiter(f->jobs, 7);
+	assert_int_equal(3, f->nwithdrawn);
+	attach_agent(f, "w1", "z1", 4, 2, 0);
+	assert_int_equal(3, f->nwithdrawn);
+}
+
+/* Guards against a grant that its agent still holds when it is back, though the
+ * task was granted elsewhere meanwhile. */
+static void
+test_dropped_grant_withdrawn(void **state)
+{
+	struct fixture *f = *state;
+	unsigned i;
+
+	attach(f, "w1", 1);
+	submit(f, "a", 1);
+	for (i = 0; i <= LE_UNREACHABLE_MS; i += 20) {
+		assert_int_equal(1, f->nstarts);
+		ck_advance_ms(f->clock, 20);
+		handle_heartbeat(f, "w2", "z1", 2, 2, 0, false);
+		jb_tick(f->jobs);
+	}
+	assert_int_equal(2, f->nstarts);
+	assert_int_equal(1, f->nwithdrawn);
+}
+
 /* Guards against stopping a task at each attempt because it takes longer than
  * declared: when each run had a limit, one was stopped four times in a row. */
 static void
@@ -522,6 +606,10 @@
 	    T(test_query_of_grants_unanswered),
 	    T(test_give_up),
 	    T(test_waiters),
+	    T(test_withdrawn_without_connection),
+	    T(test_withdrawn_before_query_answered),
+	    T(test_withdrawal_lost),
+	    T(test_dropped_grant_withdrawn),
 	    T(test_long_task),
 	};
 
