Grant a task once when its agent has restarted

Callers would see a task run twice at the same time, if two workers are concerned, else one that runs again after it has ended. When an agent attached as a new process, the entry went through its workers' tasks and granted each again. That places all tasks of the job that wait, also ones with a higher number, and if they went to the worker that had just attached, they were taken for grants of the earlier process and granted once more. The first grant was not withdrawn.

Cause: the tasks at a worker were looked up while they were changed. They are now listed before, with their attempts.

Evidence: test_jobs (test_task_granted_twice_at_restart) failed before: five grants of two tasks, not four.

--- a/sched/jobs_outcome.c
+++ b/sched/jobs_outcome.c
@@ -293,29 +293,55 @@
 		handle_end(j, w, &e->list.list_val[i]);
 }
 
-/* Calls @fn for each task granted to @w; @fn may end the job. */
+/* A grant as it was before the calls of foreach_task_at(). */
+struct grant_ref {
+	uint64_t number; /* of the job */
+	unsigned task;
+	unsigned attempt;
+};
+
+static GArray *
+grants_at(struct jb *j, const struct fl_worker *w)
+{
+	GArray *refs = g_array_new(FALSE, FALSE, sizeof(struct grant_ref));
+	struct grant_ref r;
+	GHashTableIter it;
+	struct jb_job *job;
+
+	g_hash_table_iter_init(&it, j->by_number);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&job)) {
+		r.number = job->number;
+		for (r.task = 0; r.task < job->ntasks; r.task++) {
+			r.attempt = job->tasks[r.task].attempt;
+			if (job->tasks[r.task].worker == w)
+				g_array_append_val(refs, r);
+		}
+	}
+	return (refs);
+}
+
+/* Calls @fn for each task granted to @w; @fn may end the job, and may grant
+ * other tasks of it to @w, for which it is not called. */
 static void
 foreach_task_at(struct jb *j, struct fl_worker *w,
     void (*fn)(struct jb *j, struct jb_job *job, struct jb_task *t))
 {
-	GList *jobs = g_hash_table_get_keys(j->by_number), *l;
-	uint64_t *numbers = g_new(uint64_t, g_list_length(jobs) + 1);
+	GArray *refs = grants_at(j, w);
+	const struct grant_ref *r;
 	struct jb_job *job;
-	size_t i, n = 0;
-	unsigned k;
+	struct jb_task *t;
+	guint i;
 
-	for (l = jobs; l != NULL; l = l->next)
-		numbers[n++] = *(uint64_t *)l->data;
-	g_list_free(jobs);
-	for (i = 0; i < n; i++)
-		for (k = 0;; k++) {
-			job = g_hash_table_lookup(j->by_number, &numbers[i]);
-			if (job == NULL || k >= job->ntasks)
-				break;
-			if (job->tasks[k].worker == w)
-				fn(j, job, &job->tasks[k]);
-		}
-	g_free(numbers);
+	for (i = 0; i < refs->len; i++) {
+		r = &g_array_index(refs, struct grant_ref, i);
+		job = g_hash_table_lookup(j->by_number, &r->number);
+		if (job == NULL)
+			continue;
+		t = &job->tasks[r->task];
+		if (t->worker == w && t->attempt == r->attempt)
+			fn(j, job, t);
+	}
+	g_array_free(refs, TRUE);
 }
 
 static void
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -315,6 +315,27 @@
 	assert_non_null(attach_agent(f, "w1", "z1", 3, 10, 0));
 }
 
+/* Guards against a second grant of a task that was placed just before, when its
+ * agent restarted: the first one is not withdrawn. */
+static void
+test_task_granted_twice_at_restart(void **state)
+{
+	struct pd_end end = {.state = PD_END_RETURNED};
+	struct pd_ended report = {.list = {.list_len = 1, .list_val = &end}};
+	struct fixture *f = *state;
+	struct fl_worker *w;
+
+	w = attach_agent(f, "w1", "z1", 1, 1, 0);
+	submit(f, "a", 2);
+	assert_int_equal(2, f->nstarts);
+	/* The second task waits, as the only worker accepts nothing. */
+	end.key = f->starts[1];
+	jb_grants_ended(f->jobs, w, &report);
+	assert_int_equal(2, f->nstarts);
+	attach_agent(f, "w1", "z1", 2, 2, 0);
+	assert_int_equal(4, f->nstarts);
+}
+
 /* Guards against a caller that waits until its deadline although its job was
  * lost with a host and cannot run again in time. */
 static void
@@ -600,6 +621,7 @@
 	    T(test_stale_report),
 	    T(test_lost_agent),
 	    T(test_late_attach_of_earlier_agent),
+	    T(test_task_granted_twice_at_restart),
 	    T(test_lost_host_answered_early),
 	    T(test_refuse_for_urgent),
 	    T(test_reconnect),
