Answer no query of grants before it is known which entry asks

Callers would see a task run twice at the same time. An agent that is stopped for 650 ms after it has sent its first heartbeat on a connection takes the reply for lost: timeouts are handled before the data that has arrived. Then it read the query of its grants, and answered for those of entry 0, of which it has none: all were reported lost while they went on, if the address was new to the agent or it had left that entry before.

Cause: the answer was given for the last known entry of the address. It is now rejected until a heartbeat of this connection has been answered; the entry asks again.

Evidence: test_links (test_query_before_heartbeat_answered) failed before.

--- a/agent/links.c
+++ b/agent/links.c
@@ -198,6 +198,8 @@
 	return (a.load);
 }
 
+/* Before the first reply to a heartbeat of this connection it is not known
+ * which entry asks; it asks again. */
 static void
 on_reconcile(struct link *l, uint32_t xid, XDR *args)
 {
@@ -206,6 +208,10 @@
 	struct pd_ended reply = {0};
 	unsigned i;
 
+	if (l->echo_ms == 0) {
+		cn_reject(l->conn, xid);
+		return;
+	}
 	if (!cn_decode(l->conn, args, (xdrproc_t)xdr_pd_cancel, &list))
 		return;
 	reply.list.list_val = g_new0(struct pd_end, list.list.list_len + 1);
--- a/tests/test_links.c
+++ b/tests/test_links.c
@@ -48,6 +48,8 @@
 	unsigned ends;  /* ended tasks of all reports */
 	bool silent;    /* leaves heartbeats unanswered */
 	enum pd_end_state last_end;
+	enum cn_error query_error;
+	enum pd_end_state query_answer;
 };
 
 struct fixture {
@@ -164,10 +166,20 @@
 	f->started++;
 }
 
+static enum pd_end_state
+grant_state(void *arg, uint64_t entry, const struct pd_key *k)
+{
+	(void)arg;
+	(void)entry;
+	(void)k;
+	return (PD_END_LOST);
+}
+
 static const struct lk_ops link_ops = {.fill_attach = fill_attach,
     .contact = on_contact,
     .gone = on_gone,
     .start = on_start,
+    .state = grant_state,
     .has_grants = has_grants};
 
 static int
@@ -403,6 +415,50 @@
 	assert_int_equal(PD_END_RETURNED, e->last_end);
 }
 
+static void
+on_query_answer(void *arg, enum cn_error error, void *result)
+{
+	const struct pd_ended *ended = result;
+	struct entry *e = arg;
+
+	e->query_error = error;
+	if (error == CN_OK && ended->list.list_len > 0)
+		e->query_answer = ended->list.list_val[0].state;
+}
+
+static void
+query_grant(struct entry *e)
+{
+	struct pd_key key = {.sub.id = (char *)(uintptr_t) "a"};
+	struct pd_cancel query = {.list = {.list_len = 1, .list_val = &key}};
+
+	cn_call(e->conn, PD_RECONCILE, (xdrproc_t)xdr_pd_cancel, &query,
+	    (xdrproc_t)xdr_pd_ended, sizeof(struct pd_ended), 0,
+	    on_query_answer, e);
+	sn_run_loop(e->fixture->base, BUSY_MS);
+}
+
+/* Guards against the answer "lost" for grants that go on: an agent that was
+ * stopped takes the reply to its first heartbeat for lost, so it does not know
+ * which entry asks. */
+static void
+test_query_before_heartbeat_answered(void **state)
+{
+	struct fixture *f = *state;
+	struct entry *e = &f->entries[0];
+
+	f->announced = SEEDS;
+	e->silent = true;
+	start_links(f);
+	sn_run_loop(f->base, BUSY_MS);
+	query_grant(e);
+	assert_int_equal(CN_REJECTED, e->query_error);
+	e->silent = false;
+	sn_run_loop(f->base, RECONNECT_MS);
+	query_grant(e);
+	assert_int_equal(CN_OK, e->query_error);
+}
+
 int
 main(void)
 {
@@ -414,6 +470,7 @@
 	    T(test_load_report_rate),
 	    T(test_entries_announced_later),
 	    T(test_grant_read_after_silence),
+	    T(test_query_before_heartbeat_answered),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
