Keep one connection to an entry that has several addresses

Callers would see a task run twice at the same time. An agent that knows an entry by two addresses, such as a seed and the advertised one, connected to both. The entry took each heartbeat for a new connection of the agent and asked for its grants; the agent may read the query before a grant that waits on the other connection, and answers that the grant is lost, which it then starts. When it left one of the addresses, it also stopped all tasks of the entry.

Cause: grants and queries keep their order on one connection only. The agent now closes the earlier connection, with what is unread there, when a reply shows that both lead to the same process, and uses the other address when this one fails.

--- a/agent/links.c
+++ b/agent/links.c
@@ -315,6 +315,57 @@
 		from->list_hash = ac_list_hash(list, n);
 }
 
+static bool
+is_attached(const struct link *l)
+{
+	return (l->open && l->echo_ms != 0);
+}
+
+/* Another connection to the entry of @l, NULL if there is none. */
+static struct link *
+other_link(const struct link *l)
+{
+	GHashTableIter it;
+	struct link *o;
+
+	if (l->entry == 0)
+		return (NULL);
+	g_hash_table_iter_init(&it, l->links->table);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&o))
+		if (o != l && o->entry == l->entry && is_attached(o))
+			return (o);
+	return (NULL);
+}
+
+/* An entry may have several addresses. Grants and queries of an entry must come
+ * on one connection, which keeps their order, so the earlier one is closed
+ * before anything is read that follows the reply on the new one. */
+static void
+close_other_link(struct link *l)
+{
+	struct link *o = other_link(l);
+
+	if (o == NULL)
+		return;
+	lg_write(LOG_NOTICE, "links", "%s is the entry at %s", l->address,
+	    o->address);
+	g_array_append_vals(
+	    l->unsent_ends, o->unsent_ends->data, o->unsent_ends->len);
+	g_array_set_size(o->unsent_ends, 0);
+	o->open = false;
+	cn_close(o->conn);
+	o->failed = false;
+}
+
+static void
+entry_gone(struct link *l)
+{
+	struct lk *k = l->links;
+
+	if (l->entry != 0 && other_link(l) == NULL)
+		k->ops->gone(k->arg, l->entry);
+}
+
 static void
 on_attached(void *arg, enum cn_error error, void *result)
 {
@@ -330,10 +381,10 @@
 	if (l->entry != a->incarnation) {
 		lg_write(LOG_NOTICE, "links", "connected to entry %s at %s",
 		    a->entry, l->address);
-		if (l->entry != 0)
-			k->ops->gone(k->arg, l->entry);
+		entry_gone(l);
 		l->entry = a->incarnation;
 	}
+	close_other_link(l);
 	l->echo_ms = a->clock_ms;
 	k->ops->contact(k->arg, l->entry, a->clock_ms);
 	/* An entry has not counted a worker that has just connected. */
@@ -451,8 +502,7 @@
 	l->open = false;
 	cn_close(l->conn);
 	l->failed = false;
-	if (l->entry != 0)
-		k->ops->gone(k->arg, l->entry);
+	entry_gone(l);
 	l->entry = 0;
 }
 
@@ -467,6 +517,8 @@
 
 	for (i = 0; i < k->ranked->len; i++) {
 		l = k->ranked->pdata[i];
+		if (l->conn == NULL && other_link(l) != NULL)
+			continue;
 		if (left == 0) {
 			release_link(l);
 			continue;
--- a/tests/test_links.c
+++ b/tests/test_links.c
@@ -40,6 +40,8 @@
 struct entry {
 	struct fixture *fixture;
 	unsigned number;
+	uint64_t incarnation;
+	unsigned accepted; /* connections */
 	struct cn_listener *listener;
 	char address[SN_ADDRESS_SIZE];
 	struct cn *conn;
@@ -82,7 +84,7 @@
 	struct entry *e = arg;
 	struct pd_attach a = {0};
 	struct pd_attached reply = {.entry = e->address,
-	    .incarnation = e->number + 1,
+	    .incarnation = e->incarnation,
 	    .service_workers = MANY_WORKERS,
 	    .label_workers = MANY_WORKERS};
 
@@ -119,6 +121,7 @@
 	struct entry *e = arg;
 
 	e->conn = c;
+	e->accepted++;
 	cn_set_ops(c, &entry_ops, e);
 }
 
@@ -197,6 +200,7 @@
 		e = &f->entries[i];
 		e->fixture = f;
 		e->number = i;
+		e->incarnation = i + 1;
 		e->listener = sn_listen(f->base, on_accept, e, e->address);
 		f->addresses[i] = e->address;
 	}
@@ -459,6 +463,34 @@
 	assert_int_equal(CN_OK, e->query_error);
 }
 
+/* Guards against two connections to one entry, which has two addresses: a grant
+ * on one of them may be read after a query on the other, whose answer was that
+ * it is not known. */
+static void
+test_entry_with_two_addresses(void **state)
+{
+	struct fixture *f = *state;
+	struct entry *e = f->entries;
+	unsigned accepted;
+
+	f->announced = SEEDS;
+	e[1].incarnation = e[0].incarnation;
+	start_links(f);
+	sn_run_loop(f->base, RECONNECT_MS);
+	assert_int_equal(SEEDS - 1, connected(f));
+	assert_int_equal(SEEDS - 1, lk_connected(f->links));
+	accepted = e[0].accepted + e[1].accepted;
+	sn_run_loop(f->base, RECONNECT_MS);
+	assert_int_equal(accepted, e[0].accepted + e[1].accepted);
+	/* The other address is used when the first one fails. */
+	e = e[0].conn != NULL ? &e[0] : &e[1];
+	cn_listener_free(e->listener);
+	e->listener = NULL;
+	cn_close(e->conn);
+	sn_run_loop(f->base, RECONNECT_MS);
+	assert_int_equal(SEEDS - 1, connected(f));
+}
+
 int
 main(void)
 {
@@ -471,6 +503,7 @@
 	    T(test_entries_announced_later),
 	    T(test_grant_read_after_silence),
 	    T(test_query_before_heartbeat_answered),
+	    T(test_entry_with_two_addresses),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
