Report no end to the successor of its entry

Callers could see a job completed whose task has not run. Between the opening of a connection and the first reply on it, an agent reported the ends of tasks to the address of their entry, where a new process may serve. Grants are named by job, number, task and attempt; each process numbers its jobs from 1, so a job that was submitted again soon after the start could have the same name.

Cause: ends were sent by the entry that was known at the address last. They now wait for the first reply on the connection, and are dropped if it is of another process, which knows nothing of them. A grant that is returned for lack of contact is reported to its sender at once, as nothing else is known of it.

Evidence: test_links (test_end_for_earlier_entry) failed before: the end was reported.

--- a/agent/links.c
+++ b/agent/links.c
@@ -135,17 +135,37 @@
 	    ck_mono_ms(l->links->clock) <= l->echo_ms + LE_CONTACT_MS);
 }
 
+/* The load as it is reported to one entry: one that the agent is about to leave
+ * must not grant any more. */
+static struct pd_load
+load_for(const struct link *l, struct pd_load load)
+{
+	load.accepting = load.accepting && l->unneeded_ms == 0;
+	return (load);
+}
+
+static struct pd_load
+current_load(struct lk *k)
+{
+	struct pd_attach a = {0};
+
+	k->ops->fill_attach(k->arg, &a);
+	return (a.load);
+}
+
 static void
 return_grant(struct link *l, const struct pd_start *s)
 {
 	struct pd_end e = {.key = s->key, .state = PD_END_RETURNED};
+	struct pd_ended report = {.load = load_for(l, current_load(l->links)),
+	    .list = {.list_len = 1, .list_val = &e}};
 
 	lg_write(LOG_NOTICE, "links",
 	    "job %s task %u attempt %u: grant returned, no contact with entry "
 	    "%s for %d ms",
 	    s->key.sub.id, s->key.task, s->key.attempt, l->address,
 	    LE_CONTACT_MS);
-	add_unsent_end(l, &e);
+	cn_send(l->conn, PD_ENDED, (xdrproc_t)xdr_pd_ended, &report);
 }
 
 /* A grant that is read without contact may be older than LE_UNREACHABLE_MS: its
@@ -180,24 +200,6 @@
 	xdr_free((xdrproc_t)xdr_pd_cancel, (char *)&list);
 }
 
-/* The load as it is reported to one entry: one that the agent is about to leave
- * must not grant any more. */
-static struct pd_load
-load_for(const struct link *l, struct pd_load load)
-{
-	load.accepting = load.accepting && l->unneeded_ms == 0;
-	return (load);
-}
-
-static struct pd_load
-current_load(struct lk *k)
-{
-	struct pd_attach a = {0};
-
-	k->ops->fill_attach(k->arg, &a);
-	return (a.load);
-}
-
 /* Before the first reply to a heartbeat of this connection it is not known
  * which entry asks; it asks again. */
 static void
@@ -382,10 +384,13 @@
 		lg_write(LOG_NOTICE, "links", "connected to entry %s at %s",
 		    a->entry, l->address);
 		entry_gone(l);
+		clear_unsent_ends(l);
 		l->entry = a->incarnation;
 	}
 	close_other_link(l);
 	l->echo_ms = a->clock_ms;
+	if (l->unsent_ends->len > 0)
+		event_active(k->flush_event, EV_TIMEOUT, 0);
 	k->ops->contact(k->arg, l->entry, a->clock_ms);
 	/* An entry has not counted a worker that has just connected. */
 	if (l->unneeded_ms == 0 && a->service_workers > 0)
@@ -578,8 +583,7 @@
 static bool
 is_load_report_due(const struct link *l, uint64_t now, unsigned period_ms)
 {
-	return (l->open && l->entry != 0 && l->unneeded_ms == 0 &&
-	    now - l->load_sent_ms >= period_ms);
+	return (l->unneeded_ms == 0 && now - l->load_sent_ms >= period_ms);
 }
 
 /* Sends the load and all ends that are not sent yet. */
@@ -611,12 +615,12 @@
 	(void)what;
 	g_hash_table_iter_init(&it, k->table);
 	while (g_hash_table_iter_next(&it, NULL, (void **)&l)) {
-		if (l->unsent_ends->len == 0 &&
-		    !is_load_report_due(l, now, period_ms))
+		if (!is_attached(l) ||
+		    (l->unsent_ends->len == 0 &&
+			!is_load_report_due(l, now, period_ms)))
 			continue;
 		l->load_sent_ms = now;
-		if (l->open)
-			send_ends(l, load_for(l, load));
+		send_ends(l, load_for(l, load));
 		clear_unsent_ends(l);
 	}
 }
--- a/tests/test_links.c
+++ b/tests/test_links.c
@@ -491,6 +491,32 @@
 	assert_int_equal(SEEDS - 1, connected(f));
 }
 
+/* Guards against an end that is reported to the successor of its entry, whose
+ * jobs have the same numbers. */
+static void
+test_end_for_earlier_entry(void **state)
+{
+	struct pd_end end = {.key.sub.id = (char *)(uintptr_t) "a"};
+	struct fixture *f = *state;
+	struct entry *e = &f->entries[0];
+	uint64_t earlier = e->incarnation;
+
+	f->announced = SEEDS;
+	start_links(f);
+	sn_run_loop(f->base, RECONNECT_MS);
+	cn_close(e->conn);
+	e->incarnation = ENTRIES + 1;
+	e->silent = true;
+	sn_run_loop(f->base, 2 * DISCOVER_MS);
+	assert_non_null(e->conn);
+	lk_report_end(f->links, earlier, &end);
+	sn_run_loop(f->base, BUSY_MS);
+	assert_int_equal(0, e->ends);
+	e->silent = false;
+	sn_run_loop(f->base, SETTLE_MS);
+	assert_int_equal(0, e->ends);
+}
+
 int
 main(void)
 {
@@ -504,6 +530,7 @@
 	    T(test_grant_read_after_silence),
 	    T(test_query_before_heartbeat_answered),
 	    T(test_entry_with_two_addresses),
+	    T(test_end_for_earlier_entry),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
