Keep the ends of tasks until their entry is connected

Callers would wait for a task that runs a second time after it has ended. Ends that an agent could not send were dropped, and the entry asked for the grants when it was connected again: a grant that had ended was reported lost, and granted again. The same answer was given when a task ended just before the query was read, as its end waited for the end of the loop pass.

Cause: the answer to a query tells only which grants are active. Ends now wait for the next connection to the same process of the entry, and are sent before the answer to a query.

Evidence: test_links (test_end_while_disconnected, test_end_before_query) failed before.

Not covered: ends that were sent and are lost with their connection.

--- a/agent/links.c
+++ b/agent/links.c
@@ -100,8 +100,6 @@
 	l->echo_ms = 0;
 	l->failed = true;
 	l->heartbeat_pending = false;
-	/* The entry asks about its grants once it is connected again. */
-	clear_unsent_ends(l);
 }
 
 static void send_attach(struct link *l);
@@ -153,6 +151,22 @@
 	return (a.load);
 }
 
+/* Sends the load and all ends that are not sent yet. */
+static void
+send_ends(struct link *l, struct pd_load load)
+{
+	struct pd_ended e = {.load = load};
+	guint sent = 0;
+
+	do {
+		e.list.list_val = (struct pd_end *)l->unsent_ends->data + sent;
+		e.list.list_len = MIN(l->unsent_ends->len - sent, PD_BATCH_MAX);
+		cn_send(l->conn, PD_ENDED, (xdrproc_t)xdr_pd_ended, &e);
+		sent += e.list.list_len;
+	} while (sent < l->unsent_ends->len);
+	clear_unsent_ends(l);
+}
+
 static void
 return_grant(struct link *l, const struct pd_start *s)
 {
@@ -224,6 +238,9 @@
 		    k->ops->state(k->arg, l->entry, &list.list.list_val[i]);
 	}
 	reply.load = load_for(l, current_load(k));
+	/* A grant that has just ended is not known here any more. */
+	if (l->unsent_ends->len > 0)
+		send_ends(l, reply.load);
 	cn_reply(l->conn, xid, (xdrproc_t)xdr_pd_ended, &reply);
 	g_free(reply.list.list_val);
 	xdr_free((xdrproc_t)xdr_pd_cancel, (char *)&list);
@@ -351,14 +368,28 @@
 		return;
 	lg_write(LOG_NOTICE, "links", "%s is the entry at %s", l->address,
 	    o->address);
-	g_array_append_vals(
-	    l->unsent_ends, o->unsent_ends->data, o->unsent_ends->len);
-	g_array_set_size(o->unsent_ends, 0);
 	o->open = false;
 	cn_close(o->conn);
 	o->failed = false;
 }
 
+/* Takes the ends that wait for another connection to the entry of @l. */
+static void
+take_unsent_ends(struct link *l)
+{
+	GHashTableIter it;
+	struct link *o;
+
+	g_hash_table_iter_init(&it, l->links->table);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&o)) {
+		if (o == l || o->entry != l->entry || o->unsent_ends->len == 0)
+			continue;
+		g_array_append_vals(
+		    l->unsent_ends, o->unsent_ends->data, o->unsent_ends->len);
+		g_array_set_size(o->unsent_ends, 0);
+	}
+}
+
 static void
 entry_gone(struct link *l)
 {
@@ -388,6 +419,7 @@
 		l->entry = a->incarnation;
 	}
 	close_other_link(l);
+	take_unsent_ends(l);
 	l->echo_ms = a->clock_ms;
 	if (l->unsent_ends->len > 0)
 		event_active(k->flush_event, EV_TIMEOUT, 0);
@@ -508,6 +540,7 @@
 	cn_close(l->conn);
 	l->failed = false;
 	entry_gone(l);
+	clear_unsent_ends(l);
 	l->entry = 0;
 }
 
@@ -586,21 +619,6 @@
 	return (l->unneeded_ms == 0 && now - l->load_sent_ms >= period_ms);
 }
 
-/* Sends the load and all ends that are not sent yet. */
-static void
-send_ends(struct link *l, struct pd_load load)
-{
-	struct pd_ended e = {.load = load};
-	guint sent = 0;
-
-	do {
-		e.list.list_val = (struct pd_end *)l->unsent_ends->data + sent;
-		e.list.list_len = MIN(l->unsent_ends->len - sent, PD_BATCH_MAX);
-		cn_send(l->conn, PD_ENDED, (xdrproc_t)xdr_pd_ended, &e);
-		sent += e.list.list_len;
-	} while (sent < l->unsent_ends->len);
-}
-
 static void
 on_flush(evutil_socket_t fd, short what, void *arg)
 {
@@ -621,7 +639,6 @@
 			continue;
 		l->load_sent_ms = now;
 		send_ends(l, load_for(l, load));
-		clear_unsent_ends(l);
 	}
 }
 
@@ -634,16 +651,15 @@
 void
 lk_report_end(struct lk *k, uint64_t entry, const struct pd_end *e)
 {
+	struct link *to = NULL, *l;
 	GHashTableIter it;
-	struct link *l;
 
 	g_hash_table_iter_init(&it, k->table);
-	while (g_hash_table_iter_next(&it, NULL, (void **)&l)) {
-		if (l->entry != entry || !l->open)
-			continue;
-		add_unsent_end(l, e);
-		return;
-	}
+	while (g_hash_table_iter_next(&it, NULL, (void **)&l))
+		if (l->entry == entry && (to == NULL || is_attached(l)))
+			to = l;
+	if (to != NULL)
+		add_unsent_end(to, e);
 }
 
 unsigned
--- a/tests/test_links.c
+++ b/tests/test_links.c
@@ -51,6 +51,7 @@
 	bool silent;    /* leaves heartbeats unanswered */
 	enum pd_end_state last_end;
 	enum cn_error query_error;
+	unsigned ends_before_answer; /* reported before the answer to a query */
 	enum pd_end_state query_answer;
 };
 
@@ -169,6 +170,16 @@
 	f->started++;
 }
 
+/* A withdrawn grant ends at once. */
+static void
+on_withdraw(void *arg, uint64_t entry, const struct pd_key *k)
+{
+	struct pd_end end = {.key = *k};
+	struct fixture *f = arg;
+
+	lk_report_end(f->links, entry, &end);
+}
+
 static enum pd_end_state
 grant_state(void *arg, uint64_t entry, const struct pd_key *k)
 {
@@ -182,6 +193,7 @@
     .contact = on_contact,
     .gone = on_gone,
     .start = on_start,
+    .withdraw = on_withdraw,
     .state = grant_state,
     .has_grants = has_grants};
 
@@ -426,6 +438,7 @@
 	struct entry *e = arg;
 
 	e->query_error = error;
+	e->ends_before_answer = e->ends;
 	if (error == CN_OK && ended->list.list_len > 0)
 		e->query_answer = ended->list.list_val[0].state;
 }
@@ -491,6 +504,44 @@
 	assert_int_equal(SEEDS - 1, connected(f));
 }
 
+/* Guards against running a task again that has ended while there was no
+ * connection to its entry, or just before the entry asked for it. */
+static void
+test_end_while_disconnected(void **state)
+{
+	struct pd_end end = {.key.sub.id = (char *)(uintptr_t) "a"};
+	struct fixture *f = *state;
+	struct entry *e = &f->entries[0];
+
+	f->announced = SEEDS;
+	start_links(f);
+	sn_run_loop(f->base, RECONNECT_MS);
+	cn_close(e->conn);
+	while (lk_connected(f->links) == SEEDS)
+		event_base_loop(f->base, EVLOOP_ONCE);
+	lk_report_end(f->links, e->incarnation, &end);
+	sn_run_loop(f->base, RECONNECT_MS);
+	assert_int_equal(1, e->ends);
+}
+
+/* The same for a task that ends just before its entry asks for it. */
+static void
+test_end_before_query(void **state)
+{
+	struct pd_key key = {.sub.id = (char *)(uintptr_t) "a"};
+	struct pd_cancel list = {.list = {.list_len = 1, .list_val = &key}};
+	struct fixture *f = *state;
+	struct entry *e = &f->entries[0];
+
+	f->announced = SEEDS;
+	start_links(f);
+	sn_run_loop(f->base, RECONNECT_MS);
+	cn_send(e->conn, PD_WITHDRAW, (xdrproc_t)xdr_pd_cancel, &list);
+	query_grant(e);
+	assert_int_equal(CN_OK, e->query_error);
+	assert_int_equal(1, e->ends_before_answer);
+}
+
 /* Guards against an end that is reported to the successor of its entry, whose
  * jobs have the same numbers. */
 static void
@@ -530,6 +581,8 @@
 	    T(test_grant_read_after_silence),
 	    T(test_query_before_heartbeat_answered),
 	    T(test_entry_with_two_addresses),
+	    T(test_end_while_disconnected),
+	    T(test_end_before_query),
 	    T(test_end_for_earlier_entry),
 	};
 
