--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -231,6 +231,23 @@
 	f->client = socket(AF_INET, SOCK_STREAM, 0);
 }
 
+/* Guards against a second run of a job beside that of its resubmission: an
+ * entry that was stopped finds the request of a client that has given up, and
+ * started its tasks before it noticed. */
+static void
+test_client_gone_before_read(void **state)
+{
+	struct fixture *f = *state;
+
+	f->has_config = true;
+	send_request(f);
+	close(f->client);
+	run_loop(f);
+	assert_int_equal(0, f->deadline_ms);
+	assert_int_equal(0, fr_pending(f->front));
+	f->client = socket(AF_INET, SOCK_STREAM, 0);
+}
+
 /* Sends a job with the given body on a connection of its own. Return: status of
  * the response. */
 static int
@@ -310,6 +327,7 @@
 	    T(test_wait_for_configuration),
 	    T(test_no_configuration),
 	    T(test_client_gone),
+	    T(test_client_gone_before_read),
 	    T(test_malformed),
 	};
 
