Renew the contact when a grant is returned for the lack of it

Callers would see late jobs after an agent was stopped: the entry, which has heard of the agent lately, grants a returned task again at once, and to the same agent if that is the best one. The task went back and forth until the next heartbeat of the agent was due, up to 200 ms later.

Cause: the agent did not send a heartbeat with the returned grant. It now goes before it, so that its reply comes before the next grant.

--- a/agent/links.c
+++ b/agent/links.c
@@ -179,6 +179,9 @@
 	    "%s for %d ms",
 	    s->key.sub.id, s->key.task, s->key.attempt, l->address,
 	    LE_CONTACT_MS);
+	/* Renews the contact before the entry grants the task again. */
+	if (!l->heartbeat_pending)
+		send_attach(l);
 	cn_send(l->conn, PD_ENDED, (xdrproc_t)xdr_pd_ended, &report);
 }
 
--- a/tests/test_links.c
+++ b/tests/test_links.c
@@ -34,6 +34,8 @@
  * Half as much again is allowed for a machine that is busy with other tests. */
 #define DISCOVER_MS 100
 #define BUSY_MS 50
+/* Less than the time between two heartbeats. */
+#define ROUND_TRIP_MS 20
 
 struct fixture;
 
@@ -431,6 +433,29 @@
 	assert_int_equal(PD_END_RETURNED, e->last_end);
 }
 
+/* Guards against a task that goes back and forth between an entry and an agent
+ * that was stopped, until the next heartbeat is due. */
+static void
+test_contact_after_returned_grant(void **state)
+{
+	struct fixture *f = *state;
+	struct entry *e = &f->entries[0];
+
+	ck_free(f->clock);
+	f->clock = ck_new_manual(LE_CONTACT_MS, LE_CONTACT_MS);
+	f->announced = SEEDS;
+	start_links(f);
+	sn_run_loop(f->base, RECONNECT_MS);
+	ck_advance_ms(f->clock, LE_CONTACT_MS + 1);
+	send_start(e);
+	sn_run_loop(f->base, ROUND_TRIP_MS);
+	assert_int_equal(1, e->ends);
+	send_start(e);
+	sn_run_loop(f->base, ROUND_TRIP_MS);
+	assert_int_equal(1, e->ends);
+	assert_int_equal(1, f->started);
+}
+
 static void
 on_query_answer(void *arg, enum cn_error error, void *result)
 {
@@ -579,6 +604,7 @@
 	    T(test_load_report_rate),
 	    T(test_entries_announced_later),
 	    T(test_grant_read_after_silence),
+	    T(test_contact_after_returned_grant),
 	    T(test_query_before_heartbeat_answered),
 	    T(test_entry_with_two_addresses),
 	    T(test_end_while_disconnected),
