--- a/agent/links.c
+++ b/agent/links.c
@@ -48,9 +48,10 @@
 	uint64_t rank;              /* order of preference, lowest first */
 	uint64_t entry;             /* incarnation, 0 while unknown */
 	uint64_t heartbeat_sent_ms; /* clock in the last heartbeat */
-	uint64_t announced_ms;      /* when it answered or was announced last */
-	uint64_t unneeded_ms;       /* since when it is not needed; 0: it is */
-	uint32_t list_hash;         /* of the entries that it announced last */
+	uint64_t echo_ms; /* latest clock echoed on this connection; 0: none */
+	uint64_t announced_ms; /* when it answered or was announced last */
+	uint64_t unneeded_ms;  /* since when it is not needed; 0: it is */
+	uint32_t list_hash;    /* of the entries that it announced last */
 	uint64_t load_sent_ms; /* when a report with the load was sent last */
 	GArray *unsent_ends;   /* struct pd_end with owned ids, to be sent */
 };
@@ -96,10 +97,9 @@
 		    l->address, cn_error_name(why));
 	l->conn = NULL;
 	l->open = false;
+	l->echo_ms = 0;
 	l->failed = true;
 	l->heartbeat_pending = false;
-	/* The entry asks about its grants once it is connected again. */
-	clear_unsent_ends(l);
 }
 
 static void send_attach(struct link *l);
@@ -115,31 +115,22 @@
 		send_attach(l);
 }
 
+/* Queues the report of an end, which is sent after this loop pass. */
 static void
-on_start(struct link *l, XDR *args)
+add_unsent_end(struct link *l, const struct pd_end *e)
 {
-	struct lk *k = l->links;
-	struct pd_start s = {0};
+	struct pd_end copy = *e;
 
-	if (!cn_decode(l->conn, args, (xdrproc_t)xdr_pd_start, &s))
-		return;
-	if (l->entry != 0)
-		k->ops->start(k->arg, l->entry, &s);
-	xdr_free((xdrproc_t)xdr_pd_start, (char *)&s);
+	copy.key.sub.id = g_strdup(e->key.sub.id);
+	g_array_append_val(l->unsent_ends, copy);
+	event_active(l->links->flush_event, EV_TIMEOUT, 0);
 }
 
-static void
-on_withdraw(struct link *l, XDR *args)
+static bool
+in_contact(const struct link *l)
 {
-	struct lk *k = l->links;
-	struct pd_cancel list = {0};
-	unsigned i;
-
-	if (!cn_decode(l->conn, args, (xdrproc_t)xdr_pd_cancel, &list))
-		return;
-	for (i = 0; i < list.list.list_len; i++)
-		k->ops->withdraw(k->arg, l->entry, &list.list.list_val[i]);
-	xdr_free((xdrproc_t)xdr_pd_cancel, (char *)&list);
+	return (l->echo_ms != 0 &&
+	    ck_mono_ms(l->links->clock) <= l->echo_ms + LE_CONTACT_MS);
 }
 
 /* The load as it is reported to one entry: one that the agent is about to leave
@@ -160,6 +151,74 @@
 	return (a.load);
 }
 
+/* Sends the load and all ends that are not sent yet. */
+static void
+send_ends(struct link *l, struct pd_load load)
+{
+	struct pd_ended e = {.load = load};
+	guint sent = 0;
+
+	do {
+		e.list.list_val = (struct pd_end *)l->unsent_ends->data + sent;
+		e.list.list_len = MIN(l->unsent_ends->len - sent, PD_BATCH_MAX);
+		cn_send(l->conn, PD_ENDED, (xdrproc_t)xdr_pd_ended, &e);
+		sent += e.list.list_len;
+	} while (sent < l->unsent_ends->len);
+	clear_unsent_ends(l);
+}
+
+static void
+return_grant(struct link *l, const struct pd_start *s)
+{
+	struct pd_end e = {.key = s->key, .state = PD_END_RETURNED};
+	struct pd_ended report = {.load = load_for(l, current_load(l->links)),
+	    .list = {.list_len = 1, .list_val = &e}};
+
+	lg_write(LOG_NOTICE, "links",
+	    "job %s task %u attempt %u: grant returned, no contact with entry "
+	    "%s for %d ms",
+	    s->key.sub.id, s->key.task, s->key.attempt, l->address,
+	    LE_CONTACT_MS);
+	/* Renews the contact before the entry grants the task again. */
+	if (!l->heartbeat_pending)
+		send_attach(l);
+	cn_send(l->conn, PD_ENDED, (xdrproc_t)xdr_pd_ended, &report);
+}
+
+/* A grant that is read without contact may be older than LE_UNREACHABLE_MS: its
+ * entry may have granted the task elsewhere. Contact that is made later does
+ * not prove the opposite, so the grant is not kept until then. */
+static void
+on_start(struct link *l, XDR *args)
+{
+	struct lk *k = l->links;
+	struct pd_start s = {0};
+
+	if (!cn_decode(l->conn, args, (xdrproc_t)xdr_pd_start, &s))
+		return;
+	if (in_contact(l))
+		k->ops->start(k->arg, l->entry, &s);
+	else
+		return_grant(l, &s);
+	xdr_free((xdrproc_t)xdr_pd_start, (char *)&s);
+}
+
+static void
+on_withdraw(struct link *l, XDR *args)
+{
+	struct lk *k = l->links;
+	struct pd_cancel list = {0};
+	unsigned i;
+
+	if (!cn_decode(l->conn, args, (xdrproc_t)xdr_pd_cancel, &list))
+		return;
+	for (i = 0; i < list.list.list_len; i++)
+		k->ops->withdraw(k->arg, l->entry, &list.list.list_val[i]);
+	xdr_free((xdrproc_t)xdr_pd_cancel, (char *)&list);
+}
+
+/* Before the first reply to a heartbeat of this connection it is not known
+ * which entry asks; it asks again. */
 static void
 on_reconcile(struct link *l, uint32_t xid, XDR *args)
 {
@@ -168,6 +227,10 @@
 	struct pd_ended reply = {0};
 	unsigned i;
 
+	if (l->echo_ms == 0) {
+		cn_reject(l->conn, xid);
+		return;
+	}
 	if (!cn_decode(l->conn, args, (xdrproc_t)xdr_pd_cancel, &list))
 		return;
 	reply.list.list_val = g_new0(struct pd_end, list.list.list_len + 1);
@@ -178,6 +241,9 @@
 		    k->ops->state(k->arg, l->entry, &list.list.list_val[i]);
 	}
 	reply.load = load_for(l, current_load(k));
+	/* A grant that has just ended is not known here any more. */
+	if (l->unsent_ends->len > 0)
+		send_ends(l, reply.load);
 	cn_reply(l->conn, xid, (xdrproc_t)xdr_pd_ended, &reply);
 	g_free(reply.list.list_val);
 	xdr_free((xdrproc_t)xdr_pd_cancel, (char *)&list);
@@ -271,6 +337,71 @@
 		from->list_hash = ac_list_hash(list, n);
 }
 
+static bool
+is_attached(const struct link *l)
+{
+	return (l->open && l->echo_ms != 0);
+}
+
+/* Another connection to the entry of @l, NULL if there is none. */
+static struct link *
+other_link(const struct link *l)
+{
+	GHashTableIter it;
+	struct link *o;
+
+	if (l->entry == 0)
+		return (NULL);
+	g_hash_table_iter_init(&it, l->links->table);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&o))
+		if (o != l && o->entry == l->entry && is_attached(o))
+			return (o);
+	return (NULL);
+}
+
+/* An entry may have several addresses. Grants and queries of an entry must come
+ * on one connection, which keeps their order, so the earlier one is closed
+ * before anything is read that follows the reply on the new one. */
+static void
+close_other_link(struct link *l)
+{
+	struct link *o = other_link(l);
+
+	if (o == NULL)
+		return;
+	lg_write(LOG_NOTICE, "links", "%s is the entry at %s", l->address,
+	    o->address);
+	o->open = false;
+	cn_close(o->conn);
+	o->failed = false;
+}
+
+/* Takes the ends that wait for another connection to the entry of @l. */
+static void
+take_unsent_ends(struct link *l)
+{
+	GHashTableIter it;
+	struct link *o;
+
+	g_hash_table_iter_init(&it, l->links->table);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&o)) {
+		if (o == l || o->entry != l->entry || o->unsent_ends->len == 0)
+			continue;
+		g_array_append_vals(
+		    l->unsent_ends, o->unsent_ends->data, o->unsent_ends->len);
+		g_array_set_size(o->unsent_ends, 0);
+	}
+}
+
+static void
+entry_gone(struct link *l)
+{
+	struct lk *k = l->links;
+
+	if (l->entry != 0 && other_link(l) == NULL)
+		k->ops->gone(k->arg, l->entry);
+}
+
 static void
 on_attached(void *arg, enum cn_error error, void *result)
 {
@@ -286,10 +417,15 @@
 	if (l->entry != a->incarnation) {
 		lg_write(LOG_NOTICE, "links", "connected to entry %s at %s",
 		    a->entry, l->address);
-		if (l->entry != 0)
-			k->ops->gone(k->arg, l->entry);
+		entry_gone(l);
+		clear_unsent_ends(l);
 		l->entry = a->incarnation;
 	}
+	close_other_link(l);
+	take_unsent_ends(l);
+	l->echo_ms = a->clock_ms;
+	if (l->unsent_ends->len > 0)
+		event_active(k->flush_event, EV_TIMEOUT, 0);
 	k->ops->contact(k->arg, l->entry, a->clock_ms);
 	/* An entry has not counted a worker that has just connected. */
 	if (l->unneeded_ms == 0 && a->service_workers > 0)
@@ -406,8 +542,8 @@
 	l->open = false;
 	cn_close(l->conn);
 	l->failed = false;
-	if (l->entry != 0)
-		k->ops->gone(k->arg, l->entry);
+	entry_gone(l);
+	clear_unsent_ends(l);
 	l->entry = 0;
 }
 
@@ -422,6 +558,8 @@
 
 	for (i = 0; i < k->ranked->len; i++) {
 		l = k->ranked->pdata[i];
+		if (l->conn == NULL && other_link(l) != NULL)
+			continue;
 		if (left == 0) {
 			release_link(l);
 			continue;
@@ -481,23 +619,7 @@
 static bool
 is_load_report_due(const struct link *l, uint64_t now, unsigned period_ms)
 {
-	return (l->open && l->entry != 0 && l->unneeded_ms == 0 &&
-	    now - l->load_sent_ms >= period_ms);
-}
-
-/* Sends the load and all ends that are not sent yet. */
-static void
-send_ends(struct link *l, struct pd_load load)
-{
-	struct pd_ended e = {.load = load};
-	guint sent = 0;
-
-	do {
-		e.list.list_val = (struct pd_end *)l->unsent_ends->data + sent;
-		e.list.list_len = MIN(l->unsent_ends->len - sent, PD_BATCH_MAX);
-		cn_send(l->conn, PD_ENDED, (xdrproc_t)xdr_pd_ended, &e);
-		sent += e.list.list_len;
-	} while (sent < l->unsent_ends->len);
+	return (l->unneeded_ms == 0 && now - l->load_sent_ms >= period_ms);
 }
 
 static void
@@ -514,13 +636,12 @@
 	(void)what;
 	g_hash_table_iter_init(&it, k->table);
 	while (g_hash_table_iter_next(&it, NULL, (void **)&l)) {
-		if (l->unsent_ends->len == 0 &&
-		    !is_load_report_due(l, now, period_ms))
+		if (!is_attached(l) ||
+		    (l->unsent_ends->len == 0 &&
+			!is_load_report_due(l, now, period_ms)))
 			continue;
 		l->load_sent_ms = now;
-		if (l->open)
-			send_ends(l, load_for(l, load));
-		clear_unsent_ends(l);
+		send_ends(l, load_for(l, load));
 	}
 }
 
@@ -533,19 +654,15 @@
 void
 lk_report_end(struct lk *k, uint64_t entry, const struct pd_end *e)
 {
-	struct pd_end copy = *e;
+	struct link *to = NULL, *l;
 	GHashTableIter it;
-	struct link *l;
 
 	g_hash_table_iter_init(&it, k->table);
-	while (g_hash_table_iter_next(&it, NULL, (void **)&l)) {
-		if (l->entry != entry || !l->open)
-			continue;
-		copy.key.sub.id = g_strdup(e->key.sub.id);
-		g_array_append_val(l->unsent_ends, copy);
-		event_active(k->flush_event, EV_TIMEOUT, 0);
-		return;
-	}
+	while (g_hash_table_iter_next(&it, NULL, (void **)&l))
+		if (l->entry == entry && (to == NULL || is_attached(l)))
+			to = l;
+	if (to != NULL)
+		add_unsent_end(to, e);
 }
 
 unsigned
--- a/entry/workers.c
+++ b/entry/workers.c
@@ -15,6 +15,7 @@
 	struct cn *conn;
 	uint64_t session; /* see struct fl_worker */
 	bool attached;
+	bool rejected; /* its last heartbeat was */
 };
 
 struct wo {
@@ -66,12 +67,58 @@
 	cn_reply(l->conn, xid, (xdrproc_t)xdr_pd_attached, &reply);
 }
 
+/* Closes the connection that an agent had before. Messages that are still on
+ * their way on it would make it the current one again. */
+static void
+close_replaced(struct wo *w, uint64_t session)
+{
+	struct link *l = g_hash_table_lookup(w->links, &session);
+
+	if (l == NULL)
+		return;
+	lg_write(LOG_NOTICE, "workers",
+	    "an agent has opened another connection: closing the earlier one");
+	cn_close(l->conn);
+}
+
+static void
+accept_attach(struct link *l, uint32_t xid, const struct pd_attach *a,
+    struct fl_worker *f, bool restarted)
+{
+	struct wo *w = l->workers;
+
+	fl_count_workers(w->fleet);
+	reply_attach(l, xid, a, f);
+	if (l->attached && !restarted)
+		return;
+	lg_write(LOG_NOTICE, "workers",
+	    "agent %s is connected, capacity %u thousandths of a core", a->name,
+	    a->cpu);
+	l->attached = true;
+	l->rejected = false;
+	jb_attached(w->jobs, f, restarted);
+}
+
+/* Without a reply the agent has no contact and stops its tasks. */
+static void
+reject_attach(struct link *l, uint32_t xid, const struct pd_attach *a)
+{
+	if (!l->rejected)
+		lg_write(LOG_WARNING, "workers",
+		    "agent %s is rejected: a later process of it is connected",
+		    a->name);
+	l->rejected = true;
+	l->attached = false;
+	cn_reject(l->conn, xid);
+}
+
 static void
 on_attach(struct link *l, uint32_t xid, XDR *args)
 {
 	struct wo *w = l->workers;
 	struct pd_attach a = {0};
 	struct fl_worker *f;
+	uint64_t previous;
 	bool restarted;
 
 	if (!cn_decode(l->conn, args, (xdrproc_t)xdr_pd_attach, &a))
@@ -84,16 +131,14 @@
 		xdr_free((xdrproc_t)xdr_pd_attach, (char *)&a);
 		return;
 	}
+	previous = fl_session_of(w->fleet, a.name);
 	f = fl_attach(w->fleet, &a, l->session, &restarted);
-	fl_count_workers(w->fleet);
-	reply_attach(l, xid, &a, f);
-	if (!l->attached) {
-		lg_write(LOG_NOTICE, "workers",
-		    "agent %s is connected, capacity %u thousandths of a core",
-		    a.name, a.cpu);
-		l->attached = true;
-		jb_attached(w->jobs, f, restarted);
-	}
+	if (f != NULL && previous != l->session)
+		close_replaced(w, previous);
+	if (f != NULL)
+		accept_attach(l, xid, &a, f, restarted);
+	else
+		reject_attach(l, xid, &a);
 	xdr_free((xdrproc_t)xdr_pd_attach, (char *)&a);
 }
 
@@ -235,8 +280,8 @@
 	struct fl_worker *from =
 	    fl_find_by_session(k->workers->fleet, k->session);
 
-	/* Without a reply the tasks remain unreachable until their leases
-	 * have ended. */
+	/* Without a reply the tasks remain unreachable; the agent is asked
+	 * again while it is connected. */
 	if (error != CN_OK)
 		lg_write(LOG_NOTICE, "workers",
 		    "no reply from an agent to a query of its grants: %s",
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -25,6 +25,7 @@
  * @name: name of its agent
  * @session: number of the connection to its agent, 0 for none
  * @incarnation: of its agent
+ * @started_ms: wall clock at the start of its agent
  * @labels: each label enclosed in spaces
  * @cpu: capacity, thousandths of a core; 0 while its endpoint is unknown
  * @cpu_others: CPU used by tasks of other entries, as of the last report
@@ -36,6 +37,7 @@
  *     time that a message takes
  * @heartbeat_reply_ms: when this entry last replied to a heartbeat
  * @heartbeat_ms: when the last heartbeat arrived
+ * @queried_ms: when its agent was last asked for the state of its grants
  * @service_workers: connected workers of its service
  * @label_workers: connected workers that have its rarest label
  * @reported: what its agent has learned from the tasks of all entries
@@ -48,6 +50,7 @@
 	char *labels;
 	uint64_t session;
 	uint64_t incarnation;
+	uint64_t started_ms;
 	unsigned cpu;
 	unsigned mem_mb;
 	unsigned cpu_others;
@@ -58,6 +61,7 @@
 	int64_t clock_offset_ms;
 	uint64_t heartbeat_reply_ms;
 	uint64_t heartbeat_ms;
+	uint64_t queried_ms;
 	unsigned service_workers;
 	unsigned label_workers;
 	struct pd_speed reported;
@@ -106,7 +110,8 @@
  * @restarted: set to whether the agent is a new process, which ensures that
  *     no task of its predecessor runs any more
  *
- * Return: the worker, borrowed for the life of @f.
+ * Return: the worker, borrowed for the life of @f; NULL if another process of
+ * the agent that started later has attached, whose tasks may still run.
  */
 struct fl_worker *fl_attach(
     struct fl *f, const struct pd_attach *a, uint64_t session, bool *restarted);
@@ -115,6 +120,9 @@
  * unknown */
 struct fl_worker *fl_detach(struct fl *f, uint64_t session);
 
+/** fl_session_of() - connection of an agent, 0 for none */
+uint64_t fl_session_of(const struct fl *f, const char *name);
+
 /** fl_find_by_session() - worker of a connection. Return: NULL if unknown */
 struct fl_worker *fl_find_by_session(const struct fl *f, uint64_t session);
 
--- a/sched/jobs_outcome.c
+++ b/sched/jobs_outcome.c
@@ -6,6 +6,8 @@
 /* An agent reconnects within 100 ms after a connection reset; one that has
  * restarted reports within this time that it does not know the run. */
 #define RECONNECT_MS 300
+/* An agent is asked again for the state of its grants after this time. */
+#define QUERY_RETRY_MS 200
 /* Least time after which a job that was refused for an overload is worth a new
  * try: about the run time of the tasks that fill the workers. */
 #define RETRY_MIN_MS 200
@@ -19,8 +21,8 @@
 	return (r < JB_R_MAX ? names[r] : "invalid");
 }
 
-static struct pd_key
-grant_key(const struct jb_job *job, const struct jb_task *t)
+struct pd_key
+jb_grant_key(const struct jb_job *job, const struct jb_task *t)
 {
 	struct pd_key k = {
 	    .sub = {.id = job->id, .created_ms = job->number},
@@ -96,17 +98,14 @@
 	    .ntrace = job->trace->len,
 	};
 	struct jb_task *t;
-	struct pd_key k;
 	unsigned i;
 
 	if (status == JB_REFUSED)
 		a.retry_ms = retry_ms(j, job);
 	for (i = 0; i < job->ntasks; i++) {
 		t = &job->tasks[i];
-		if (t->state == JB_GRANTED) {
-			k = grant_key(job, t);
-			j->ops->withdraw(j->arg, t->worker, &k);
-		}
+		if (t->state == JB_GRANTED || t->state == JB_UNREACHABLE)
+			jb_withdraw(j, job, t);
 		jb_release_worker(job, t);
 	}
 	count_end(j, status, reason);
@@ -294,29 +293,55 @@
 		handle_end(j, w, &e->list.list_val[i]);
 }
 
-/* Calls @fn for each task granted to @w; @fn may end the job. */
+/* A grant as it was before the calls of foreach_task_at(). */
+struct grant_ref {
+	uint64_t number; /* of the job */
+	unsigned task;
+	unsigned attempt;
+};
+
+static GArray *
+grants_at(struct jb *j, const struct fl_worker *w)
+{
+	GArray *refs = g_array_new(FALSE, FALSE, sizeof(struct grant_ref));
+	struct grant_ref r;
+	GHashTableIter it;
+	struct jb_job *job;
+
+	g_hash_table_iter_init(&it, j->by_number);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&job)) {
+		r.number = job->number;
+		for (r.task = 0; r.task < job->ntasks; r.task++) {
+			r.attempt = job->tasks[r.task].attempt;
+			if (job->tasks[r.task].worker == w)
+				g_array_append_val(refs, r);
+		}
+	}
+	return (refs);
+}
+
+/* Calls @fn for each task granted to @w; @fn may end the job, and may grant
+ * other tasks of it to @w, for which it is not called. */
 static void
 foreach_task_at(struct jb *j, struct fl_worker *w,
     void (*fn)(struct jb *j, struct jb_job *job, struct jb_task *t))
 {
-	GList *jobs = g_hash_table_get_keys(j->by_number), *l;
-	uint64_t *numbers = g_new(uint64_t, g_list_length(jobs) + 1);
+	GArray *refs = grants_at(j, w);
+	const struct grant_ref *r;
 	struct jb_job *job;
-	size_t i, n = 0;
-	unsigned k;
+	struct jb_task *t;
+	guint i;
 
-	for (l = jobs; l != NULL; l = l->next)
-		numbers[n++] = *(uint64_t *)l->data;
-	g_list_free(jobs);
-	for (i = 0; i < n; i++)
-		for (k = 0;; k++) {
-			job = g_hash_table_lookup(j->by_number, &numbers[i]);
-			if (job == NULL || k >= job->ntasks)
-				break;
-			if (job->tasks[k].worker == w)
-				fn(j, job, &job->tasks[k]);
-		}
-	g_free(numbers);
+	for (i = 0; i < refs->len; i++) {
+		r = &g_array_index(refs, struct grant_ref, i);
+		job = g_hash_table_lookup(j->by_number, &r->number);
+		if (job == NULL)
+			continue;
+		t = &job->tasks[r->task];
+		if (t->worker == w && t->attempt == r->attempt)
+			fn(j, job, t);
+	}
+	g_array_free(refs, TRUE);
 }
 
 static void
@@ -326,7 +351,14 @@
 	    (double)ck_mono_ms(j->clock) - (double)t->worker->heartbeat_ms, 0);
 	t->state = JB_UNREACHABLE;
 	t->unreachable_since_ms = ck_mono_ms(j->clock);
-	t->latest_end_ms = t->worker->heartbeat_reply_ms + LE_UNREACHABLE_MS;
+}
+
+/* Time by which the run of a granted task has ended, unless its agent gets
+ * another reply to a heartbeat, which lets it go on. */
+static uint64_t
+latest_end_ms(const struct jb_task *t)
+{
+	return (t->worker->heartbeat_reply_ms + LE_UNREACHABLE_MS);
 }
 
 static void
@@ -347,11 +379,12 @@
 	struct pd_key k;
 	unsigned i;
 
+	w->queried_ms = ck_mono_ms(j->clock);
 	g_hash_table_iter_init(&it, j->by_number);
 	while (g_hash_table_iter_next(&it, NULL, (void **)&job))
 		for (i = 0; i < job->ntasks; i++)
 			if (job->tasks[i].worker == w) {
-				k = grant_key(job, &job->tasks[i]);
+				k = jb_grant_key(job, &job->tasks[i]);
 				g_array_append_val(keys, k);
 			}
 	if (keys->len > 0)
@@ -363,10 +396,12 @@
 void
 jb_attached(struct jb *j, struct fl_worker *w, bool restarted)
 {
-	if (restarted)
+	if (restarted) {
 		foreach_task_at(j, w, handle_agent_restart);
-	else
-		request_reconcile(j, w);
+		return;
+	}
+	jb_repeat_withdrawals(j, w);
+	request_reconcile(j, w);
 }
 
 void
@@ -387,16 +422,26 @@
 {
 	double size_ms = job->steps[t->step].size_ms * JB_MIN_SIZE_FACTOR;
 
-	if (ck_mono_ms(j->clock) <= t->unreachable_since_ms + RECONNECT_MS)
+	if (t->worker->session != 0 ||
+	    ck_mono_ms(j->clock) <= t->unreachable_since_ms + RECONNECT_MS)
 		return (false);
 	/* Cached, since the loss of an availability zone makes thousands of
 	 * tasks unreachable at once. */
 	if (j->best_run_ratio == 0)
 		j->best_run_ratio = fl_best_run_ratio(j->fleet);
-	return ((double)t->latest_end_ms + size_ms * j->best_run_ratio >
+	return ((double)latest_end_ms(t) + size_ms * j->best_run_ratio >
 	    (double)job->deadline_ms);
 }
 
+/* Asks an agent that is connected again for the state of its grants, if it has
+ * left the last query unanswered. */
+static void
+repeat_query(struct jb *j, struct fl_worker *w, uint64_t now)
+{
+	if (w->session != 0 && now - w->queried_ms >= QUERY_RETRY_MS)
+		request_reconcile(j, w);
+}
+
 /* Checks the grants of a job and places ready tasks. Return: false if the job
  * must be given up. */
 static bool
@@ -409,22 +454,24 @@
 	for (i = 0; i < job->ntasks; i++) {
 		t = &job->tasks[i];
 		/* A silent agent is treated like a disconnected one. */
-		if (t->state == JB_GRANTED &&
-		    now > t->worker->heartbeat_reply_ms + LE_UNREACHABLE_MS)
+		if (t->state == JB_GRANTED && now > latest_end_ms(t))
 			mark_unreachable(j, job, t);
 		if (t->state == JB_UNREACHABLE &&
 		    cannot_be_replaced(j, job, t)) {
 			jb_trace(j, job, t, TR_HOPELESS, t->worker,
-			    (double)t->latest_end_ms - (double)now,
+			    (double)latest_end_ms(t) - (double)now,
 			    (double)job->deadline_ms - (double)now);
 			return (false);
 		}
-		if (t->state == JB_UNREACHABLE && now > t->latest_end_ms) {
+		if (t->state == JB_UNREACHABLE && now > latest_end_ms(t)) {
 			job->any_started = true;
 			jb_trace(j, job, t, TR_DROPPED, t->worker, 0, 0);
+			jb_withdraw(j, job, t);
 			jb_release_worker(job, t);
 			t->state = JB_READY;
 		}
+		if (t->state == JB_UNREACHABLE)
+			repeat_query(j, t->worker, now);
 		ready = ready || t->state == JB_READY;
 	}
 	return (!ready || jb_place(j, job));
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -286,6 +286,56 @@
 	assert_int_equal(3, f->nstarts);
 }
 
+/* Guards against a second run of a task because an earlier process of its agent
+ * attaches late: it was stopped while its successor attached, or its message
+ * waited in a socket of the entry. */
+static void
+test_late_attach_of_earlier_agent(void **state)
+{
+	struct fixture *f = *state;
+	struct fl_worker *w, *late;
+	unsigned i;
+
+	attach_agent(f, "w1", "z1", 1, 10, 0);
+	w = attach_agent(f, "w1", "z1", 2, 11, 0);
+	submit(f, "a", 1);
+	assert_int_equal(1, f->nstarts);
+	late = attach_agent(f, "w1", "z1", 3, 10, 0);
+	assert_int_equal(1, f->nstarts);
+	assert_null(late);
+	assert_int_equal(2, w->session);
+	report_end(f, 0, PD_END_DONE);
+	assert_int_equal(JB_COMPLETED, f->answers[0].status);
+	/* The clock of the host was set back before the last start: the agent
+	 * is accepted when nothing of the other process can run any more. */
+	for (i = 0; i <= LE_UNREACHABLE_MS; i += 20) {
+		assert_null(attach_agent(f, "w1", "z1", 3, 10, 0));
+		ck_advance_ms(f->clock, 20);
+	}
+	assert_non_null(attach_agent(f, "w1", "z1", 3, 10, 0));
+}
+
+/* Guards against a second grant of a task that was placed just before, when its
+ * agent restarted: the first one is not withdrawn. */
+static void
+test_task_granted_twice_at_restart(void **state)
+{
+	struct pd_end end = {.state = PD_END_RETURNED};
+	struct pd_ended report = {.list = {.list_len = 1, .list_val = &end}};
+	struct fixture *f = *state;
+	struct fl_worker *w;
+
+	w = attach_agent(f, "w1", "z1", 1, 1, 0);
+	submit(f, "a", 2);
+	assert_int_equal(2, f->nstarts);
+	/* The second task waits, as the only worker accepts nothing. */
+	end.key = f->starts[1];
+	jb_grants_ended(f->jobs, w, &report);
+	assert_int_equal(2, f->nstarts);
+	attach_agent(f, "w1", "z1", 2, 2, 0);
+	assert_int_equal(4, f->nstarts);
+}
+
 /* Guards against a caller that waits until its deadline although its job was
  * lost with a host and cannot run again in time. */
 static void
@@ -378,6 +428,35 @@
 	assert_int_equal(JB_COMPLETED, f->answers[0].status);
 }
 
+/* Guards against a second run of a task at another worker while its agent,
+ * which has reconnected and is in contact, has not answered for its grants. */
+static void
+test_query_of_grants_unanswered(void **state)
+{
+	struct fixture *f = *state;
+	struct fl_worker *w;
+	unsigned i;
+
+	w = attach(f, "w1", 1);
+	submit(f, "a", 1);
+	fl_detach(f->fleet, 1);
+	jb_detached(f->jobs, w);
+	attach_agent(f, "w1", "z1", 2, 1, TASK_CPU);
+	assert_int_equal(1, f->nreconciled);
+	attach(f, "w2", 3);
+	for (i = 0; i < TIMEOUT_MS - 50; i += 10) {
+		ck_advance_ms(f->clock, 10);
+		handle_heartbeat(f, "w1", "z1", 2, 1, TASK_CPU, false);
+		handle_heartbeat(f, "w2", "z1", 3, 3, 0, false);
+		jb_tick(f->jobs);
+		assert_int_equal(1, f->nstarts);
+		assert_int_equal(0, f->nanswers);
+	}
+	assert_true(f->nreconciled > 1);
+	report_end(f, 0, PD_END_DONE);
+	assert_int_equal(JB_COMPLETED, f->answers[0].status);
+}
+
 /* Guards against refusing, which means "not run", a job of which a task may
  * have started, and against an answer after the deadline. */
 static void
@@ -423,6 +502,90 @@
 	assert_false(jb_cancel(f->jobs, "b"));
 }
 
+/* Guards against a run that goes on after its client has left, because the
+ * connection to its agent was lost before it was withdrawn: the client submits
+ * the job again after 1,300 ms. */
+static void
+test_withdrawn_without_connection(void **state)
+{
+	struct fixture *f = *state;
+	struct fl_worker *w;
+
+	w = attach(f, "w1", 1);
+	submit(f, "a", 1);
+	fl_detach(f->fleet, 1);
+	jb_detached(f->jobs, w);
+	jb_remove_waiter(f->jobs, 7);
+	assert_int_equal(0, f->nwithdrawn);
+	ck_advance_ms(f->clock, 100);
+	attach_agent(f, "w1", "z1", 2, 1, TASK_CPU);
+	assert_int_equal(1, f->nwithdrawn);
+}
+
+/* The same for an agent that has reconnected and not answered for its grants
+ * yet. */
+static void
+test_withdrawn_before_query_answered(void **state)
+{
+	struct fixture *f = *state;
+	struct fl_worker *w;
+
+	w = attach(f, "w1", 1);
+	submit(f, "a", 1);
+	fl_detach(f->fleet, 1);
+	jb_detached(f->jobs, w);
+	attach_agent(f, "w1", "z1", 2, 1, TASK_CPU);
+	jb_remove_waiter(f->jobs, 7);
+	assert_int_equal(1, f->nwithdrawn);
+}
+
+/* The same for a withdrawal that is lost with its connection. */
+static void
+test_withdrawal_lost(void **state)
+{
+	struct fixture *f = *state;
+	struct fl_worker *w;
+
+	w = attach(f, "w1", 1);
+	submit(f, "a", 1);
+	jb_remove_waiter(f->jobs, 7);
+	assert_int_equal(1, f->nwithdrawn);
+	fl_detach(f->fleet, 1);
+	jb_detached(f->jobs, w);
+	attach_agent(f, "w1", "z1", 2, 1, TASK_CPU);
+	assert_int_equal(2, f->nwithdrawn);
+	/* Grants expire with their job, and end with the agent process. */
+	ck_advance_ms(f->clock, TIMEOUT_MS);
+	fl_detach(f->fleet, 2);
+	attach_agent(f, "w1", "z1", 3, 1, TASK_CPU);
+	assert_int_equal(2, f->nwithdrawn);
+	submit(f, "b", 1);
+	jb_remove_waiter(f->jobs, 7);
+	assert_int_equal(3, f->nwithdrawn);
+	attach_agent(f, "w1", "z1", 4, 2, 0);
+	assert_int_equal(3, f->nwithdrawn);
+}
+
+/* Guards against a grant that its agent still holds when it is back, though the
+ * task was granted elsewhere meanwhile. */
+static void
+test_dropped_grant_withdrawn(void **state)
+{
+	struct fixture *f = *state;
+	unsigned i;
+
+	attach(f, "w1", 1);
+	submit(f, "a", 1);
+	for (i = 0; i <= LE_UNREACHABLE_MS; i += 20) {
+		assert_int_equal(1, f->nstarts);
+		ck_advance_ms(f->clock, 20);
+		handle_heartbeat(f, "w2", "z1", 2, 2, 0, false);
+		jb_tick(f->jobs);
+	}
+	assert_int_equal(2, f->nstarts);
+	assert_int_equal(1, f->nwithdrawn);
+}
+
 /* Guards against stopping a task at each attempt because it takes longer than
  * declared: when each run had a limit, one was stopped four times in a row. */
 static void
@@ -457,11 +620,18 @@
 	    T(test_retry_on_other_worker),
 	    T(test_stale_report),
 	    T(test_lost_agent),
+	    T(test_late_attach_of_earlier_agent),
+	    T(test_task_granted_twice_at_restart),
 	    T(test_lost_host_answered_early),
 	    T(test_refuse_for_urgent),
 	    T(test_reconnect),
+	    T(test_query_of_grants_unanswered),
 	    T(test_give_up),
 	    T(test_waiters),
+	    T(test_withdrawn_without_connection),
+	    T(test_withdrawn_before_query_answered),
+	    T(test_withdrawal_lost),
+	    T(test_dropped_grant_withdrawn),
 	    T(test_long_task),
 	};
 
