Count and log ignored heartbeats by reason

Heartbeats of other writers were dropped with one line each, or with none if their body could not be read.

--- a/agent/executor.c
+++ b/agent/executor.c
@@ -140,6 +140,15 @@
 		lk_send_heartbeats(e->links);
 }
 
+static void
+on_heartbeat_ignored(void *arg, const char *reason)
+{
+	struct ex *e = arg;
+
+	ct_increment(e->counters, "pd_heartbeats_ignored_total",
+	    "Heartbeats with a fault, which change nothing", "reason", reason);
+}
+
 static void
 on_gone(void *arg)
 {
@@ -216,6 +225,7 @@
 
 static const struct od_ops endpoint_ops = {
     .heartbeat = on_heartbeat,
+    .heartbeat_ignored = on_heartbeat_ignored,
     .gone = on_gone,
     .connection_refused = on_connection_refused,
     .polled = on_polled,
--- /dev/null
+++ b/tests/test_heartbeat.c
@@ -0,0 +1,268 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <glib.h>
+
+#include "clock.h"
+#include "log.h"
+#include "orders.h"
+#include "support_net.h"
+
+/* Tests heartbeats of other writers than the endpoint: each is sent between two
+ * heartbeats of the endpoint, must change nothing, and must not keep the agent
+ * from the second one. */
+
+#define WALL_MS 1767225600000ULL
+/* Life of the endpoint at the start of a test. */
+#define LIFE_MS 10000
+#define ANSWER_MS 40
+#define INSTANCE "/v1/instances/i-7f3a91c2"
+/* More than jansson accepts. */
+#define NESTING 50000
+
+struct fixture {
+	struct event_base *base;
+	struct ck *clock;
+	struct od *orders;
+	unsigned port;
+	unsigned long long sequence;
+	unsigned heartbeats;
+	struct od_heartbeat last;
+	unsigned ignored;
+	const char *reason; /* of the last one that was ignored */
+	unsigned gone;
+};
+
+static void
+on_heartbeat(void *arg, const struct od_heartbeat *a)
+{
+	struct fixture *f = arg;
+
+	f->heartbeats++;
+	f->last = *a;
+}
+
+static void
+on_ignored(void *arg, const char *reason)
+{
+	struct fixture *f = arg;
+
+	f->ignored++;
+	f->reason = reason;
+}
+
+static void
+on_gone(void *arg)
+{
+	struct fixture *f = arg;
+
+	f->gone++;
+}
+
+static void
+ignore(void *arg)
+{
+	(void)arg;
+}
+
+static unsigned
+no_renewal(void *arg)
+{
+	(void)arg;
+	return (0);
+}
+
+static const struct od_ops ops = {.heartbeat = on_heartbeat,
+    .heartbeat_ignored = on_ignored,
+    .gone = on_gone,
+    .connection_refused = ignore,
+    .lease_renewal_ms = no_renewal,
+    .unreachable = ignore};
+
+static int
+set_up(void **state)
+{
+	struct fixture *f = g_new0(struct fixture, 1);
+	char heartbeats[SN_ADDRESS_SIZE], endpoint[SN_ADDRESS_SIZE];
+
+	lg_open("test", LOG_CRIT);
+	f->base = event_base_new();
+	f->clock = ck_new_manual(1000, WALL_MS + LIFE_MS);
+	f->port = sn_free_port();
+	sn_address(heartbeats, f->port);
+	sn_address(endpoint, sn_free_port());
+	f->orders = od_new(f->base, f->clock, heartbeats, endpoint, &ops, f);
+	assert_non_null(f->orders);
+	*state = f;
+	return (0);
+}
+
+static int
+tear_down(void **state)
+{
+	struct fixture *f = *state;
+
+	od_free(f->orders);
+	event_base_loop(f->base, EVLOOP_NONBLOCK);
+	event_base_free(f->base);
+	ck_free(f->clock);
+	g_free(f);
+	return (0);
+}
+
+static void
+on_answer(struct evhttp_request *req, void *arg)
+{
+	int *status = arg;
+
+	*status = req == NULL ? 0 : evhttp_request_get_response_code(req);
+}
+
+static int
+send_request(struct fixture *f, enum evhttp_cmd_type method, const char *path,
+    const char *text)
+{
+	struct evhttp_connection *c = evhttp_connection_base_new(
+	    f->base, NULL, "127.0.0.1", (ev_uint16_t)f->port);
+	int status = 0;
+	struct evhttp_request *req = evhttp_request_new(on_answer, &status);
+
+	evbuffer_add(evhttp_request_get_output_buffer(req), text, strlen(text));
+	evhttp_add_header(
+	    evhttp_request_get_output_headers(req), "Host", "agent");
+	evhttp_make_request(c, req, method, path);
+	sn_run_loop(f->base, ANSWER_MS);
+	evhttp_connection_free(c);
+	return (status);
+}
+
+/* Heartbeat of the endpoint in which the text of one field is replaced; with
+ * @text NULL the field is missing. Owned by the caller. */
+static char *
+heartbeat_with(struct fixture *f, const char *key, const char *text)
+{
+	char sequence[32], born[32];
+	const char *const fields[][2] = {{"service", "\"desk\""},
+	    {"address", "\"10.128.0.9:8080\""}, {"zone", "\"armor\""},
+	    {"version", "\"v1\""}, {"slots", "8"}, {"state", "\"ready\""},
+	    {"cold_remaining_ms", "0"},
+	    {"capacity", "{\"cpu\":16000,\"mem_mb\":32768,\"gpu\":0}"},
+	    {"labels", "[\"a\",\"r1-3\"]"}, {"clock_ms", "482113"},
+	    {"seq", sequence}, {"born", born}};
+	GString *out = g_string_new("{");
+	const char *value;
+	size_t i;
+
+	snprintf(sequence, sizeof(sequence), "%llu", ++f->sequence);
+	snprintf(born, sizeof(born), "%llu", WALL_MS);
+	for (i = 0; i < G_N_ELEMENTS(fields); i++) {
+		value = strcmp(fields[i][0], key) == 0 ? text : fields[i][1];
+		if (value != NULL)
+			g_string_append_printf(out, "%s\"%s\":%s",
+			    out->len > 1 ? "," : "", fields[i][0], value);
+	}
+	g_string_append(out, "}");
+	return (g_string_free(out, FALSE));
+}
+
+static int
+put(struct fixture *f, const char *path, char *text)
+{
+	int status = send_request(f, EVHTTP_REQ_PUT, path, text);
+
+	g_free(text);
+	return (status);
+}
+
+/* The endpoint's own heartbeat is followed. */
+static void
+assert_followed(struct fixture *f)
+{
+	unsigned before = f->heartbeats;
+
+	assert_int_equal(200, put(f, INSTANCE, heartbeat_with(f, "", NULL)));
+	assert_int_equal(before + 1, f->heartbeats);
+	assert_int_equal(WALL_MS, f->last.started_ms);
+	assert_int_equal(16000, f->last.cpu);
+}
+
+static void
+assert_ignored(
+    struct fixture *f, const char *path, const char *reason, char *text)
+{
+	unsigned heartbeats = f->heartbeats, ignored = f->ignored;
+
+	assert_int_equal(200, put(f, path, text));
+	assert_int_equal(heartbeats, f->heartbeats);
+	assert_int_equal(ignored + 1, f->ignored);
+	assert_string_equal(reason, f->reason);
+}
+
+/* Sends heartbeats with other texts for a field, which end with NULL; in the
+ * last one the field is missing. */
+static void
+assert_field_checked(struct fixture *f, const char *key, const char *reason,
+    const char *const *texts)
+{
+	assert_followed(f);
+	do {
+		assert_ignored(
+		    f, INSTANCE, reason, heartbeat_with(f, key, *texts));
+		assert_followed(f);
+	} while (*texts++ != NULL);
+}
+
+/* Guards against a process that ends, or that stops following its endpoint,
+ * because of a body that cannot be read. */
+static void
+test_unreadable_body(void **state)
+{
+	static const char *const texts[] = {"", "{", "[]", "7", "\"\"", "null",
+	    "{\"seq\":99999999999999999999}", "{\"seq\":1e999}",
+	    "{\"service\":\"\xff\xfe\"}", "{\"service\":\"a\\u0000b\"}"};
+	struct fixture *f = *state;
+	char *nested;
+	size_t i;
+
+	assert_followed(f);
+	for (i = 0; i < G_N_ELEMENTS(texts); i++) {
+		assert_ignored(f, INSTANCE, "body", g_strdup(texts[i]));
+		assert_followed(f);
+	}
+	nested = g_strnfill(NESTING, '[');
+	assert_ignored(f, INSTANCE, "body", nested);
+	assert_followed(f);
+}
+
+/* Guards against a heartbeat without a name that entries can use. */
+static void
+test_odd_names(void **state)
+{
+	static const char *const texts[] = {
+	    "7", "\"\"", "[]", "{}", "null", "true", NULL};
+	static const char *const states[] = {
+	    "\"odd\"", "\"Ready\"", "7", "\"\"", "[\"ready\"]", NULL};
+	struct fixture *f = *state;
+
+	assert_field_checked(f, "service", "service", texts);
+	assert_field_checked(f, "state", "state", states);
+}
+
+int
+main(void)
+{
+#define T(fn) cmocka_unit_test_setup_teardown(fn, set_up, tear_down)
+	const struct CMUnitTest tests[] = {
+	    T(test_unreadable_body),
+	    T(test_odd_names),
+	};
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
