Ignore heartbeats whose start is no time or lies in the future

Such a heartbeat was taken for a restart of the endpoint: its runs counted as ended, and its own heartbeats were ignored for good as those of an earlier process.

--- a/tests/test_heartbeat.c
+++ b/tests/test_heartbeat.c
@@ -255,6 +255,21 @@
 	assert_field_checked(f, "state", "state", states);
 }
 
+/* Guards against a start of the endpoint that is no time or lies in the future:
+ * it was taken for a restart, which ends all runs, and the heartbeats of the
+ * endpoint were ignored from then on as those of an earlier process. */
+static void
+test_start_in_future(void **state)
+{
+	static const char *const texts[] = {"9223372036854775807",
+	    "1767225600000000", "1767225730000", "-1767225600000", "0",
+	    "1767225600001.5", "1.7e12", "\"1767225600001\"", "[]", "null",
+	    "true", NULL};
+	struct fixture *f = *state;
+
+	assert_field_checked(f, "born", "born", texts);
+}
+
 int
 main(void)
 {
@@ -262,6 +277,7 @@
 	const struct CMUnitTest tests[] = {
 	    T(test_unreadable_body),
 	    T(test_odd_names),
+	    T(test_start_in_future),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
