Ignore heartbeats with a sequence number that cannot be reached

After a number that is too large, all heartbeats of the endpoint counted as late ones, and the agent no longer followed it. An endpoint sends at most one heartbeat per millisecond of its life, with a margin for a clock that was set back.

--- a/tests/test_heartbeat.c
+++ b/tests/test_heartbeat.c
@@ -270,6 +270,32 @@
 	assert_field_checked(f, "born", "born", texts);
 }
 
+/* Guards against a sequence number that is none or that the endpoint cannot
+ * have reached: its own heartbeats were ignored from then on as late ones. */
+static void
+test_sequence_too_large(void **state)
+{
+	static const char *const texts[] = {"9223372036854775807", "11500",
+	    "-1", "4.5", "1e6", "\"4\"", "[]", "null", "true", NULL};
+	struct fixture *f = *state;
+
+	assert_field_checked(f, "seq", "sequence", texts);
+}
+
+/* Guards against heartbeats that are ignored because the endpoint sends many,
+ * or seems younger than it is since the clock of the host was set back. */
+static void
+test_sequence_of_endpoint(void **state)
+{
+	struct fixture *f = *state;
+
+	f->sequence = LIFE_MS + 900;
+	assert_followed(f);
+	ck_advance_ms(f->clock, LIFE_MS);
+	f->sequence = 2 * LIFE_MS;
+	assert_followed(f);
+}
+
 int
 main(void)
 {
@@ -278,6 +304,8 @@
 	    T(test_unreadable_body),
 	    T(test_odd_names),
 	    T(test_start_in_future),
+	    T(test_sequence_too_large),
+	    T(test_sequence_of_endpoint),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
