--- a/tests/test_heartbeat.c
+++ b/tests/test_heartbeat.c
@@ -296,6 +296,24 @@
 	assert_followed(f);
 }
 
+/* Guards against a capacity that is cut to 32 bits, or that lets sums of
+ * capacities overflow: the endpoint got more work than fits, or none. */
+static void
+test_capacity_out_of_range(void **state)
+{
+	static const char *const texts[] = {"{}", "[]", "7", "null",
+	    "{\"cpu\":4294967297,\"mem_mb\":1}",
+	    "{\"cpu\":4294967295,\"mem_mb\":1}", "{\"cpu\":-1,\"mem_mb\":1}",
+	    "{\"cpu\":1000.5,\"mem_mb\":1}", "{\"cpu\":\"1000\",\"mem_mb\":1}",
+	    "{\"cpu\":1000}", "{\"mem_mb\":1}",
+	    "{\"cpu\":1000,\"mem_mb\":4294967296}",
+	    "{\"cpu\":1000,\"mem_mb\":-1}", "{\"cpu\":1000,\"mem_mb\":[1]}",
+	    NULL};
+	struct fixture *f = *state;
+
+	assert_field_checked(f, "capacity", "capacity", texts);
+}
+
 int
 main(void)
 {
@@ -306,6 +324,7 @@
 	    T(test_start_in_future),
 	    T(test_sequence_too_large),
 	    T(test_sequence_of_endpoint),
+	    T(test_capacity_out_of_range),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
