Ignore heartbeats whose address has no IP and port

Only the form is checked: the agent calls the address in its settings, and there may be a proxy between.

--- a/fakes/fake_minion.c
+++ b/fakes/fake_minion.c
@@ -440,12 +440,13 @@
 {
 	struct evhttp_request *req = evhttp_request_new(heartbeat_done, m);
 	json_t *o;
-	char *text, *path;
+	char *text, *path, address[32];
 
+	snprintf(address, sizeof(address), "127.0.0.1:%u", m->port);
 	o = json_pack(
 	    "{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:{s:i,s:i,s:i},s:[s,s],"
 	    "s:I,s:I,s:I}",
-	    "service", m->service, "address", "-", "zone", m->az, "version",
+	    "service", m->service, "address", address, "zone", m->az, "version",
 	    "v1", "slots", 8, "state", m->draining ? "draining" : "ready",
 	    "cold_remaining_ms", 0, "capacity", "cpu", (int)m->cpu, "mem_mb",
 	    65536, "gpu", 0, "labels", "a", "r1", "clock_ms",
--- a/tests/test_heartbeat.c
+++ b/tests/test_heartbeat.c
@@ -314,6 +314,21 @@
 	assert_field_checked(f, "capacity", "capacity", texts);
 }
 
+/* Guards against following an entry that names no endpoint to call. */
+static void
+test_address_out_of_range(void **state)
+{
+	static const char *const texts[] = {"\"10.128.0.9:0\"",
+	    "\"10.128.0.9:65536\"", "\"10.128.0.9:-1\"",
+	    "\"10.128.0.9:99999999999999999999\"", "\"10.128.0.9\"",
+	    "\"10.128.0.9:\"", "\"10.128.0.9:80x\"", "\"10.128.0.9: 80\"",
+	    "\"10.128.0.256:80\"", "\"10.128.0:80\"", "\":80\"", "\"-\"",
+	    "\"\"", "\"some-host-name-of-many-letters:80\"", "7", "[]", NULL};
+	struct fixture *f = *state;
+
+	assert_field_checked(f, "address", "address", texts);
+}
+
 int
 main(void)
 {
@@ -325,6 +340,7 @@
 	    T(test_sequence_too_large),
 	    T(test_sequence_of_endpoint),
 	    T(test_capacity_out_of_range),
+	    T(test_address_out_of_range),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
--- a/wire/conn.c
+++ b/wire/conn.c
@@ -115,6 +115,14 @@
 	return (evutil_inet_pton(AF_INET, host, &sin->sin_addr) == 1);
 }
 
+bool
+cn_is_address(const char *address)
+{
+	struct sockaddr_in sin;
+
+	return (parse_address(address, &sin) && sin.sin_port != 0);
+}
+
 static void
 pending_free(struct pending *p)
 {
--- a/wire/conn.h
+++ b/wire/conn.h
@@ -3,6 +3,7 @@
 
 #include <event2/event.h>
 #include <rpc/rpc.h>
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -33,6 +34,9 @@
 	CN_BAD_ADDRESS,    /* the address cannot be used */
 };
 
+/** cn_is_address() - whether a text is "IP:port" with a port from 1 to 65535 */
+bool cn_is_address(const char *address);
+
 /** cn_error_name() - description of an error, never NULL */
 const char *cn_error_name(enum cn_error e);
 
