Ignore heartbeats with fields of another type

Labels that are none were left out, so that the endpoint got no tasks that need them, and a heartbeat of another writer with a valid service was followed in part.

--- a/tests/test_heartbeat.c
+++ b/tests/test_heartbeat.c
@@ -329,6 +329,33 @@
 	assert_field_checked(f, "address", "address", texts);
 }
 
+/* Guards against taking a part of a heartbeat whose other fields are of another
+ * type, such as no labels: the endpoint got no tasks that need one. */
+static void
+test_fields_of_another_type(void **state)
+{
+	static const char *const labels[] = {
+	    "7", "{}", "null", "\"a\"", "[7]", "[\"a\",null]", "[[\"a\"]]"};
+	static const char *const numbers[] = {"\"8\"", "-1", "[]", "null"};
+	static const char *const zones[] = {"7", "\"\"", "[]", NULL};
+	struct fixture *f = *state;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(labels); i++) {
+		assert_followed(f);
+		assert_ignored(f, INSTANCE, "labels",
+		    heartbeat_with(f, "labels", labels[i]));
+	}
+	for (i = 0; i < G_N_ELEMENTS(numbers); i++) {
+		assert_ignored(f, INSTANCE, "number",
+		    heartbeat_with(f, "slots", numbers[i]));
+		assert_ignored(f, INSTANCE, "number",
+		    heartbeat_with(f, "cold_remaining_ms", numbers[i]));
+		assert_followed(f);
+	}
+	assert_field_checked(f, "zone", "zone", zones);
+}
+
 int
 main(void)
 {
@@ -341,6 +368,7 @@
 	    T(test_sequence_of_endpoint),
 	    T(test_capacity_out_of_range),
 	    T(test_address_out_of_range),
+	    T(test_fields_of_another_type),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
