Ignore heartbeats with a clock that is out of range

The deadlines of orders follow the endpoint's clock: a value that is too large made their computation overflow, and a negative one let the endpoint refuse each start as late until the next list.

--- a/tests/test_heartbeat.c
+++ b/tests/test_heartbeat.c
@@ -356,6 +356,24 @@
 	assert_field_checked(f, "zone", "zone", zones);
 }
 
+/* Guards against a reading of the endpoint's clock that makes the deadlines of
+ * orders overflow, or that lets the endpoint refuse them as late. */
+static void
+test_clock_out_of_range(void **state)
+{
+	static const char *const texts[] = {"9223372036854775807", "-1",
+	    "1767225800000", "\"482113\"", "[]", "null", "true"};
+	struct fixture *f = *state;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(texts); i++) {
+		assert_followed(f);
+		assert_ignored(f, INSTANCE, "clock",
+		    heartbeat_with(f, "clock_ms", texts[i]));
+	}
+	assert_followed(f);
+}
+
 int
 main(void)
 {
@@ -369,6 +387,7 @@
 	    T(test_capacity_out_of_range),
 	    T(test_address_out_of_range),
 	    T(test_fields_of_another_type),
+	    T(test_clock_out_of_range),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
