--- a/tests/test_heartbeat.c
+++ b/tests/test_heartbeat.c
@@ -374,6 +374,33 @@
 	assert_followed(f);
 }
 
+/* Guards against following an entry without an id: the endpoint's own id was
+ * forgotten, and its deregistration ignored. */
+static void
+test_odd_ids(void **state)
+{
+	char *name = g_strnfill(PD_ID_MAX + 1, 'i');
+	char *path = g_strconcat("/v1/instances/", name, NULL);
+	const char *const paths[] = {"/v1/instances/", "/v1/instances", "/",
+	    "/v1/instances/a/b", "/v1/instances/?a=i-7f3a91c2", "/i-7f3a91c2",
+	    path};
+	struct fixture *f = *state;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(paths); i++) {
+		assert_followed(f);
+		assert_ignored(f, paths[i], "id", heartbeat_with(f, "", NULL));
+		assert_int_equal(
+		    200, send_request(f, EVHTTP_REQ_DELETE, paths[i], ""));
+		assert_int_equal(0, f->gone);
+	}
+	assert_int_equal(
+	    200, send_request(f, EVHTTP_REQ_DELETE, INSTANCE "?a=b", ""));
+	assert_int_equal(1, f->gone);
+	g_free(path);
+	g_free(name);
+}
+
 int
 main(void)
 {
@@ -388,6 +415,7 @@
 	    T(test_address_out_of_range),
 	    T(test_fields_of_another_type),
 	    T(test_clock_out_of_range),
+	    T(test_odd_ids),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
