Do not count unusable addresses of entries as connected

An agent connects to the first 16 entries by rank. An announced address that is none, or to which a connection fails at once, counted as an entry that is connected, so that 16 of them kept the agent from all entries.

--- a/agent/links.c
+++ b/agent/links.c
@@ -369,6 +369,8 @@
 			cn_set_idle(l->conn,
 			    is_starting(l->links) ? DISCOVERY_CONNECT_MS
 						  : CONNECT_TIMEOUT_MS);
+		else
+			l->failed = true;
 	} else if (l->open && !l->heartbeat_pending &&
 	    (now || is_asked_for_entries(l) ||
 		ck_mono_ms(l->links->clock) - l->heartbeat_sent_ms >=
--- a/tests/test_links.c
+++ b/tests/test_links.c
@@ -20,6 +20,8 @@
 
 #define ENTRIES 20
 #define SEEDS 3
+/* More than the entries that an agent connects to. */
+#define ODD_ADDRESSES (2 * AC_CONTACTS_MIN)
 /* Longer than an agent takes to learn the addresses and to leave the entries
  * that it does not need. */
 #define SETTLE_MS 1800
@@ -52,7 +54,7 @@
 	struct ck *clock;
 	struct lk *links;
 	struct entry entries[ENTRIES];
-	const char *addresses[ENTRIES];
+	const char *addresses[ENTRIES + ODD_ADDRESSES];
 	unsigned announced;  /* entries that are announced to the agent */
 	uint64_t busy_entry; /* has grants at the agent */
 };
@@ -352,6 +354,57 @@
 	assert_in_range(connected(f), AC_CONTACTS_MIN, ENTRIES);
 }
 
+/* Announces addresses that come before all entries by rank. Their text is to be
+ * released. */
+static void
+announce_odd_addresses(struct fixture *f, const char *ip, unsigned port)
+{
+	unsigned i, found = 0;
+	char *address;
+
+	for (; found < ODD_ADDRESSES; port++) {
+		address = g_strdup_printf("%s:%u", ip, port);
+		for (i = 0; i < ENTRIES; i++)
+			if (ac_rank("side-1", f->entries[i].address) <
+			    ac_rank("side-1", address))
+				break;
+		if (i == ENTRIES)
+			f->addresses[ENTRIES + found++] = address;
+		else
+			g_free(address);
+	}
+	f->announced = ENTRIES + ODD_ADDRESSES;
+}
+
+static void
+assert_connected_beside(struct fixture *f, const char *ip, unsigned port)
+{
+	unsigned i;
+
+	announce_odd_addresses(f, ip, port);
+	start_links(f);
+	sn_run_loop(f->base, SETTLE_MS);
+	assert_int_equal(AC_CONTACTS_MIN, connected(f));
+	for (i = 0; i < ODD_ADDRESSES; i++)
+		g_free((char *)(uintptr_t)f->addresses[ENTRIES + i]);
+	f->announced = ENTRIES;
+}
+
+/* Guards against an agent that connects to no entry, because addresses that are
+ * none are announced: each counted as an entry that is connected. */
+static void
+test_port_out_of_range(void **state)
+{
+	assert_connected_beside(*state, "127.0.0.1", 65536);
+}
+
+/* The same with addresses to which connections fail at once. */
+static void
+test_address_without_route(void **state)
+{
+	assert_connected_beside(*state, "255.255.255.255", 1);
+}
+
 int
 main(void)
 {
@@ -362,6 +415,8 @@
 	    T(test_ends_beyond_one_message),
 	    T(test_load_report_rate),
 	    T(test_entries_announced_later),
+	    T(test_port_out_of_range),
+	    T(test_address_without_route),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
