--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -89,6 +89,29 @@
 	assert_int_equal(1, f->rejected);
 }
 
+/* Guards against a row of a zone that cannot exist, which makes the entry
+ * reject each configuration and each other zone from then on. */
+static void
+test_zone_of_unusable_name(void **state)
+{
+	char *name = g_strnfill(PD_NAME_MAX + 1, 'z');
+	char *key = g_strconcat("evacuate/", name, NULL);
+	struct fixture *f = *state;
+
+	add_answer(f, 3, false,
+	    json_pack("[o,o,o,o,o]", row("evacuate/", "{}"), row(key, "{}"),
+		config_row(2, 1), json_integer(7), row("evacuate/armor", "7")));
+	add_answer(f, 4, false, json_pack("[o]", config_row(3, 1)));
+	follow(f);
+	assert_int_equal(4, cf_revision(f->config));
+	assert_int_equal(3, cf_current(f->config)->queues.queues_len);
+	assert_int_equal(1, cf_current(f->config)->evacuated.evacuated_len);
+	assert_true(cf_evacuated(f->config, "armor"));
+	assert_int_equal(0, f->rejected);
+	g_free(key);
+	g_free(name);
+}
+
 /* Guards against entries that get a configuration that they have from one that
  * has just started: other tables have changed since, so that it knows the same
  * configuration by a higher revision. */
@@ -175,6 +198,8 @@
 		test_same_configuration_newer, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
 		test_rejected_configuration_confirmed, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_zone_of_unusable_name, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
 		test_event_loop_stands_still, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
