--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -112,6 +112,24 @@
 	g_free(name);
 }
 
+/* Guards against an entry that no longer follows the table, because the answer
+ * with one row that has an odd key counts as unreadable. */
+static void
+test_key_with_nul(void **state)
+{
+	struct fixture *f = *state;
+
+	add_answer(f, 3, false, json_pack("[o]", config_row(2, 1)));
+	g_queue_push_tail(&f->answers,
+	    strdup("{\"rows\":[{\"key\":\"evacuate/armor\\u0000x\","
+		   "\"value\":\"e30=\"},{\"key\":\"evacuate/quay\","
+		   "\"value\":\"e30=\"}],\"has_more\":false,\"ver\":4}"));
+	follow(f);
+	assert_int_equal(4, cf_revision(f->config));
+	assert_int_equal(1, cf_current(f->config)->evacuated.evacuated_len);
+	assert_true(cf_evacuated(f->config, "quay"));
+}
+
 /* Guards against entries that get a configuration that they have from one that
  * has just started: other tables have changed since, so that it knows the same
  * configuration by a higher revision. */
@@ -200,6 +218,8 @@
 		test_rejected_configuration_confirmed, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
 		test_zone_of_unusable_name, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_key_with_nul, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
 		test_event_loop_stands_still, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
