Refuse jobs whose id has other than printable ASCII characters

Such an id is no valid text of a JSON message, so that no start of the job could be written: each agent gave it back, by its code, until the deadline of the job. Answered with 400 now.

--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -301,6 +301,25 @@
 	g_free(nested);
 }
 
+/* Guards against a job whose id cannot be sent to an endpoint: each agent gave
+ * it back, and the entry granted it again and again until its deadline. */
+static void
+test_id_not_utf8(void **state)
+{
+	static const char *const paths[] = {
+	    "/q/\xff\xfe", "/q/0123456789abcde\xe4", "/q/\x01"};
+	char *job = job_with_spec('x', 1);
+	struct fixture *f = *state;
+	size_t i;
+
+	f->has_config = true;
+	for (i = 0; i < G_N_ELEMENTS(paths); i++)
+		assert_int_equal(400, post(f, paths[i], job));
+	assert_int_equal(0, f->deadline_ms);
+	assert_int_equal(200, post(f, "/q/0123456789abcdef", job));
+	g_free(job);
+}
+
 #define T(fn) cmocka_unit_test_setup_teardown(fn, set_up, tear_down)
 
 int
@@ -311,6 +330,7 @@
 	    T(test_no_configuration),
 	    T(test_client_gone),
 	    T(test_malformed),
+	    T(test_id_not_utf8),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
