--- a/entry/gossip.c
+++ b/entry/gossip.c
@@ -44,6 +44,8 @@
  * seed. */
 #define FORGET_MS 60000
 #define CANCEL_TIMEOUT_MS 500
+/* Time between log lines about addresses that cannot be used. */
+#define ODD_LOG_MS 1000
 #define US_PER_MS 1000
 
 struct peer {
@@ -79,6 +81,7 @@
 	uint64_t behind_revision; /* own revision at behind_since_ms */
 	uint64_t fetch_sent_ms;   /* last call for it */
 	unsigned fetches;         /* calls for it without a reply */
+	uint64_t odd_logged_ms;   /* last log line about an odd address */
 	bool closing;
 };
 
@@ -124,11 +127,31 @@
 	g_free(p);
 }
 
+/* @address has at most PD_NAME_MAX bytes. */
+static void
+log_odd_address(struct go *g, const char *address)
+{
+	uint64_t now = ck_mono_ms(g->clock);
+	char *text;
+
+	if (g->odd_logged_ms != 0 && now - g->odd_logged_ms < ODD_LOG_MS)
+		return;
+	g->odd_logged_ms = now;
+	text = g_strescape(address, NULL);
+	lg_write(LOG_WARNING, "gossip",
+	    "ignoring an entry: \"%s\" is no IP:port", text);
+	g_free(text);
+}
+
 static struct peer *
 peer_add(struct go *g, const char *address, bool seed)
 {
 	struct peer *p;
 
+	if (!cn_is_address(address)) {
+		log_odd_address(g, address);
+		return (NULL);
+	}
 	if (strcmp(address, g->self.address) == 0)
 		return (NULL);
 	p = g_hash_table_lookup(g->peers, address);
--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -361,6 +361,52 @@
 	}
 }
 
+static void
+on_client_closed(void *arg, struct cn *c, enum cn_error why)
+{
+	struct cn **client = arg;
+
+	(void)c;
+	(void)why;
+	*client = NULL;
+}
+
+static const struct cn_ops client_ops = {.closed = on_client_closed};
+
+/* Guards against addresses that are none in the lists that agents get, where
+ * they take the place of entries. */
+static void
+test_odd_address_announced(void **state)
+{
+	static const char *const odd[] = {
+	    "127.0.0.1:70000", "127.0.0.1:0", "entry", ""};
+	char *listed[] = {(char *)(uintptr_t) "127.0.0.1:-1"};
+	struct fixture *f = *state;
+	struct pd_gossip m = {.cell = (char *)(uintptr_t) "cell",
+	    .name = (char *)(uintptr_t) "x",
+	    .entries = {G_N_ELEMENTS(listed), listed}};
+	enum cn_error error;
+	const char *const *list;
+	struct cn *c;
+	uint32_t hash;
+	unsigned i, n;
+
+	c = cn_connect(f->base, f->entries[0].address, &client_ops, &c, &error);
+	assert_non_null(c);
+	sn_run_loop(f->base, BUSY_MS);
+	for (i = 0; i < G_N_ELEMENTS(odd); i++) {
+		m.address = (char *)(uintptr_t)odd[i];
+		cn_send(c, PD_GOSSIP, (xdrproc_t)xdr_pd_gossip, &m);
+	}
+	sn_run_loop(f->base, BUSY_MS);
+	list = go_addresses(f->entries[0].gossip, &n, &hash);
+	assert_int_equal(ENTRIES, n);
+	for (i = 0; i < n; i++)
+		assert_true(cn_is_address(list[i]));
+	if (c != NULL)
+		cn_close(c);
+}
+
 int
 main(void)
 {
@@ -369,6 +415,8 @@
 		test_config_spreads, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
 		test_config_sent_many_times, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_odd_address_announced, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
 		test_seeds_start_last, set_up_stopped, tear_down),
 	};
