Count start records of an overlapping agent process as lost

What callers see: a submission that is sent again after the death of its entry runs a second time, although its first run has a start record at an agent that is up.

Cause: at a takeover the records of an agent count as complete from the start of the process that answers the fence. Two processes of one agent can be up together: one that drains, or whose host was replaced too early, and its successor. Each HELLO ends the session of the other one, so either of them may be the one that answers, and the tasks that the other process started since then are in no gathered record.

An entry now notes until when another process of the agent was connected, and takes the records for complete only from then on. Ids that are older are answered "unknown" (record_lost). After a plain restart nothing changes: the session of the former process has ended before the new one starts. If the entry notices the end late (2 s without traffic), ids of that time count as lost too.

Evidence: test_overlapping_agents fails without the change: the records count as complete from the start of the earlier process on.

Ruled out: tasks of an agent whose incarnation changes under one owner; the owner answers "unknown" for them and never grants them again.

--- a/plan/takeover_agents.c
+++ b/plan/takeover_agents.c
@@ -4,6 +4,20 @@
 #include "partition.h"
 #include "takeover_impl.h"
 
+/*
+ * Notes until when another process of the agent was connected. It may not have
+ * exited: an agent that drains, or whose host is replaced too early, overlaps
+ * with its successor, and either may connect last.
+ */
+static void
+note_other_process(const struct tk *t, struct tk_agent *a)
+{
+	uint64_t until;
+
+	until = a->connected ? ck_wall_ms(t->clock) : a->connected_ms;
+	a->others_connected_ms = MAX(a->others_connected_ms, until);
+}
+
 void
 tk_agent_up(struct tk *t, dp_agent agent, const struct pd_hello *h)
 {
@@ -18,6 +32,8 @@
 	if (a->connected)
 		g_hash_table_remove(t->handles, &a->handle);
 	if (a->incarnation != h->incarnation) {
+		if (a->incarnation != 0)
+			note_other_process(t, a);
 		a->gathered = 0;
 		a->answered_seq = 0;
 	}
@@ -40,6 +56,7 @@
 	if (a == NULL)
 		return;
 	a->connected = false;
+	a->connected_ms = ck_wall_ms(t->clock);
 	a->fence_pending = false;
 	g_hash_table_remove(t->handles, &agent);
 }
@@ -209,8 +226,8 @@
 		a->gathered |= pt_bit(p);
 		if ((a->ever_gathered & pt_bit(p)) == 0 &&
 		    cs_endpoint(t->state, a->name) != NULL)
-			part->latest_start_ms =
-			    MAX(part->latest_start_ms, started_ms);
+			part->latest_start_ms = MAX(part->latest_start_ms,
+			    MAX(started_ms, a->others_connected_ms));
 		a->ever_gathered |= pt_bit(p);
 	}
 }
--- a/plan/takeover_impl.h
+++ b/plan/takeover_impl.h
@@ -66,8 +66,9 @@
 	bool owners_stopped; /* no former owner can start tasks any more */
 	uint64_t owners_stopped_ms;
 	uint64_t owners_stopped_seq; /* tk.seq at that moment */
-	uint64_t latest_start_ms;    /* wall clock: latest start of an agent of
-					the inventory that was gathered */
+	uint64_t latest_start_ms;    /* wall clock: latest time from which an
+					agent of the inventory that was
+					gathered has all start records */
 	uint64_t takeover_wall_ms;
 	bool reported_complete; /* latest arguments of tk_ops.partition */
 	uint64_t reported_wall_ms;
@@ -80,7 +81,11 @@
 	bool connected;
 	uint64_t incarnation;
 	uint64_t started_ms;
-	bool fence_pending;     /* a fence or probe waits for its reply */
+	uint64_t connected_ms;        /* wall clock: end of the latest session,
+					 while there is none */
+	uint64_t others_connected_ms; /* wall clock: when another process of
+					 the agent was last connected, or 0 */
+	bool fence_pending;           /* a fence or probe waits for its reply */
 	uint64_t fence_seq;     /* tk.seq of the latest fence's first page */
 	uint64_t retry_ms;      /* no fence before this monotonic time */
 	uint64_t gathered;      /* partitions that this incarnation was fenced
--- a/tests/test_cell_random.c
+++ b/tests/test_cell_random.c
@@ -113,7 +113,7 @@
 	    {"age from reply", MB_V_AGE_FROM_REPLY, 0, 2},
 	    {"concurrent list changes", MB_V_CONCURRENT_LIST_CHANGES, 0, 6},
 	    {"small quorum", MB_V_SMALL_QUORUM, 0, 1},
-	    {"no wait", 0, TK_V_NO_WAIT, 4},
+	    {"no wait", 0, TK_V_NO_WAIT, 26},
 	    {"no age", 0, TK_V_IGNORE_AGENT_START, 1},
 	};
 	struct run r;
--- a/tests/test_takeover.c
+++ b/tests/test_takeover.c
@@ -598,6 +598,65 @@
 	fixture_free(f);
 }
 
+/* Up to which wall clock time records count as lost after a takeover for which
+ * @handle of the agent of e2 answers. */
+static uint64_t
+lost_until(struct fixture *f, unsigned p, dp_agent handle, uint64_t incarnation,
+    uint64_t started_ms)
+{
+	unsigned round;
+
+	remove_entry(f, "entry-2", OTHER);
+	tk_confirmed(f->tk, OTHER, f->revision);
+	for (round = 0; round < 2; round++) {
+		answer_fence(f, 1, 11, AGENT_START_MS, 0);
+		answer_fence(f, handle, incarnation, started_ms, 0);
+		advance_ms(f, 10);
+	}
+	assert_int_equal(DP_ACTIVE, tk_partition_state(f->tk, p));
+	return (f->wall_ms[p]);
+}
+
+/* Guards against a second start of a task whose record is at another process of
+ * the same agent, which was up together with the process that is gathered. */
+static void
+test_overlapping_agents(void **state)
+{
+	struct fixture *f;
+	uint64_t heard;
+	unsigned p;
+
+	(void)state;
+	/* The earlier process connects again after the later one. */
+	f = two_entries(0, &p);
+	agent_up(f, 3, "e2", 13, WALL_MS - 10000);
+	advance_ms(f, 5000);
+	heard = ck_wall_ms(f->clock);
+	agent_up(f, 2, "e2", 12, WALL_MS - 50000);
+	advance_ms(f, 1000);
+	assert_true(lost_until(f, p, 2, 12, WALL_MS - 50000) >= heard);
+	fixture_free(f);
+
+	/* The later process connects while the earlier one is connected. */
+	f = two_entries(0, &p);
+	advance_ms(f, 5000);
+	heard = ck_wall_ms(f->clock);
+	agent_up(f, 3, "e2", 13, WALL_MS - 10000);
+	advance_ms(f, 1000);
+	assert_true(lost_until(f, p, 3, 13, WALL_MS - 10000) >= heard);
+	fixture_free(f);
+
+	/* A process that starts after the end of the earlier one. */
+	f = two_entries(0, &p);
+	tk_agent_down(f->tk, 2);
+	advance_ms(f, 5000);
+	agent_up(f, 3, "e2", 13, WALL_MS + 4000);
+	advance_ms(f, 1000);
+	assert_int_equal(
+	    WALL_MS + 4000, lost_until(f, p, 3, 13, WALL_MS + 4000));
+	fixture_free(f);
+}
+
 /* Guards against failed fences that are not sent again, and against replies
  * that are taken for another page, view or agent process. */
 static void
@@ -699,6 +758,7 @@
 	    cmocka_unit_test(test_agent_restarted_later),
 	    cmocka_unit_test(test_agent_restarts_during_wait),
 	    cmocka_unit_test(test_ids_older_than_agent),
+	    cmocka_unit_test(test_overlapping_agents),
 	    cmocka_unit_test(test_fence_replies),
 	    cmocka_unit_test(test_rejoin),
 	};
