Resolve a task that started under another attempt as unknown

What callers see: a task could start at a second endpoint, if its owner does not know that it has started under another attempt number.

Cause: an agent refuses a grant with "duplicate" when the task has started under another attempt. The entry takes this as inconclusive and sends a RESOLVE for the refused key. The agent has no record of that key, so it voided it and answered "not started", and the entry granted the task elsewhere. The two answers of the agent contradicted each other.

The agent now answers "outcome unknown" to a RESOLVE of such a key, unless both attempts are of an idempotent request.

Evidence: test_resolve_other_attempt fails without the change. With complete start records an owner does not get into this case; it is the last check where they are not, as in the known limits of docs/INVARIANTS.md.

Ruled out: attempts that were returned as not started; their records are removed, so they exclude nothing.

--- a/plan/gate.c
+++ b/plan/gate.c
@@ -447,17 +447,20 @@
 	return (true);
 }
 
-/* Whether a record of another attempt of the task forbids this attempt. */
+/*
+ * Whether a record of another attempt of the task forbids this attempt.
+ * @single_attempt: this attempt allows no other one
+ */
 static bool
-excluded_by_attempt(const struct ga *g, const struct pd_grant *grant)
+excluded_by_attempt(
+    const struct ga *g, const struct pd_key *key, bool single_attempt)
 {
-	bool single_attempt = !grant->idempotent || grant->ntasks != 1;
 	const struct sl_record *r;
 	const struct sl_sub *sub;
 
-	sub = sl_sub_find(g->log, &grant->key.sub);
+	sub = sl_sub_find(g->log, &key->sub);
 	for (r = sub != NULL ? sub->first : NULL; r != NULL; r = r->sibling)
-		if (r->task == grant->key.task && r->state != PD_NOT_STARTED &&
+		if (r->task == key->task && r->state != PD_NOT_STARTED &&
 		    (single_attempt || r->single_attempt))
 			return (true);
 	return (false);
@@ -467,7 +470,8 @@
 static enum pd_reason
 refusal_reason(struct ga *g, const struct pd_grant *grant)
 {
-	if (excluded_by_attempt(g, grant))
+	if (excluded_by_attempt(
+		g, &grant->key, !grant->idempotent || grant->ntasks != 1))
 		return (PD_R_DUPLICATE);
 	if (g->draining)
 		return (PD_R_DRAINING);
@@ -603,16 +607,28 @@
 	start_queued(g);
 }
 
+/* Reason why nothing can be said about a key without a record, or PD_R_NONE. */
+static enum pd_reason
+unresolvable_reason(const struct ga *g, const struct pd_key *key)
+{
+	if (key->sub.created_ms <= sl_horizon(g->log))
+		return (PD_R_FORGOTTEN);
+	if (excluded_by_attempt(g, key, false))
+		return (PD_R_DUPLICATE);
+	return (PD_R_NONE);
+}
+
 void
 ga_resolve(struct ga *g, const struct pd_key *key, struct pd_record *out)
 {
 	const struct sl_record *r;
+	enum pd_reason reason;
 
 	r = sl_find(g->log, key);
-	if (r == NULL && key->sub.created_ms <= sl_horizon(g->log)) {
-		*out = (struct pd_record){.key = *key,
-		    .state = PD_OUTCOME_UNKNOWN,
-		    .reason = PD_R_FORGOTTEN};
+	reason = r == NULL ? unresolvable_reason(g, key) : PD_R_NONE;
+	if (reason != PD_R_NONE) {
+		*out = (struct pd_record){
+		    .key = *key, .state = PD_OUTCOME_UNKNOWN, .reason = reason};
 		return;
 	}
 	if (r == NULL)
--- a/plan/gate.h
+++ b/plan/gate.h
@@ -148,7 +148,8 @@
  *     next call that changes the gate
  *
  * A key without a record is voided, so that a late grant for it doesn't start.
- * If its record may have been dropped, its state is PD_OUTCOME_UNKNOWN instead.
+ * If its record may have been dropped, or the task has started under another
+ * attempt, its state is PD_OUTCOME_UNKNOWN instead.
  */
 void ga_resolve(struct ga *g, const struct pd_key *key, struct pd_record *out);
 
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -414,6 +414,45 @@
 	    PD_R_VOIDED, fix_resolve(f, fix_key("other", 0)).reason);
 }
 
+/* Guards against a task that is resolved as not started, and so granted to
+ * another endpoint, though it started here under another attempt number. */
+static void
+test_resolve_other_attempt(void **state)
+{
+	struct fix *f = *state;
+	ga_session s = ga_session_opened(f->gate, ENTRY_1);
+	struct pd_grant g = fix_make_grant("job", 0);
+	struct pd_record r;
+
+	fix_permit(f, s);
+	g.key.attempt = 1;
+	ga_grant(f->gate, s, &g);
+	assert_int_equal(1, f->nstarts);
+	r = fix_resolve(f, fix_key("job", 0));
+	assert_int_equal(PD_OUTCOME_UNKNOWN, r.state);
+	assert_int_equal(PD_R_DUPLICATE, r.reason);
+	fix_end_call(f, 0, GA_OK, 7);
+	assert_int_equal(
+	    PD_OUTCOME_UNKNOWN, fix_resolve(f, fix_key("job", 0)).state);
+	assert_int_equal(PD_DONE, fix_resolve(f, g.key).state);
+
+	/* An attempt that did not start excludes no other. */
+	g = fix_make_grant("job", 1);
+	ga_grant(f->gate, s, &g);
+	fix_end_call(f, 0, GA_CONN_REFUSED, 0);
+	g.key.attempt = 1;
+	assert_int_equal(PD_NOT_STARTED, fix_resolve(f, g.key).state);
+
+	/* An idempotent request may start again. */
+	g = fix_make_grant("request", 0);
+	g.idempotent = true;
+	g.ntasks = 1;
+	ga_grant(f->gate, s, &g);
+	fix_end_call(f, 0, GA_CONN_LOST, 0);
+	g.key.attempt = 1;
+	assert_int_equal(PD_NOT_STARTED, fix_resolve(f, g.key).state);
+}
+
 /* Guards against a RESOLVE that changes or misreports the state of a key that
  * has a record. */
 static void
@@ -660,6 +699,7 @@
 	    FIX_TEST(test_duplicate_grants),
 	    FIX_TEST(test_other_attempts),
 	    FIX_TEST(test_voided_grant),
+	    FIX_TEST(test_resolve_other_attempt),
 	    FIX_TEST(test_resolve_known),
 	    FIX_TEST(test_cancel_queued_only),
 	    FIX_TEST(test_fence_stops_old_owner),
