Refuse an id of the future only if it provably did not run

What callers see: a submission that a former owner has run is refused with "created_in_future" and "not run".

Cause: an id is refused if it is created more than 1 s in the future of the entry. The clocks of two entries may differ by 1 s, so a former owner may have accepted and run it. The refusal did not check whether the partition was still gathering start records, whether the records were incomplete, or whether the entry was verified.

The answer is now "unknown" in these cases, as for other refusals.

Evidence: test_future_id_after_takeover fails without the change (status "refused" in place of "unknown").

Ruled out: the refusals "overload", "deadline", "deadline_unreachable" and "cancelled", and those of jobs that can never run, all check this already; "malformed" is refused by every entry.

--- a/plan/dispatch.c
+++ b/plan/dispatch.c
@@ -409,6 +409,17 @@
 	    ck_wall_ms(d->clock) + d->settings.clock_error_ms / 2);
 }
 
+/* A former owner whose clock is ahead may have run the id. */
+static void
+refuse_future(struct dp *d, struct sb *s)
+{
+	bool not_run;
+
+	not_run = oc_not_run_provable(d, &s->id);
+	oc_finish(d, s, not_run ? PD_REFUSED : PD_UNKNOWN, "created_in_future",
+	    g_strdup("created_ms is in the future of this entry."), not_run);
+}
+
 static void
 submit_new(struct dp *d, const struct pd_submit *p, uint64_t waiter)
 {
@@ -427,9 +438,7 @@
 	expire_at(d, s);
 	if (is_in_future(d, &p->sub)) {
 		s->body_hash = sb_body_hash(p);
-		oc_finish(d, s, PD_REFUSED, "created_in_future",
-		    g_strdup("created_ms is in the future of this entry."),
-		    true);
+		refuse_future(d, s);
 		return;
 	}
 	take_payload(d, s, p);
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -723,6 +723,42 @@
 	sd_free(x);
 }
 
+static void
+set_created_ahead(struct pd_submit *s)
+{
+	s->sub.created_ms = SD_WALL_MS + 1500;
+}
+
+/*
+ * Guards against "not run" for an id that is in the future of this entry when
+ * the entry cannot know whether a former owner, whose clock is ahead, ran it.
+ */
+static void
+test_future_id_after_takeover(void **state)
+{
+	dp_agent agents[1];
+	struct sd *x;
+
+	(void)state;
+	x = sd_new("learned");
+	sd_add_agents(x, 1, agents);
+	sd_set_partitions(x, DP_GATHERING, 9, false, SD_WALL_MS);
+	sd_submit_as(x, "gathering", 1, 9000, 1, set_created_ahead);
+	assert_int_equal(sd_answer_to(x, 1)->status, PD_UNKNOWN);
+	assert_false(sd_answer_to(x, 1)->not_run);
+	sd_set_partitions(x, DP_ACTIVE, 9, false, SD_WALL_MS);
+	sd_submit_as(x, "incomplete", 1, 9000, 2, set_created_ahead);
+	assert_int_equal(sd_answer_to(x, 2)->status, PD_UNKNOWN);
+	sd_set_partitions(x, DP_ACTIVE, 9, true, 0);
+	sd_submit_as(x, "provable", 1, 9000, 3, set_created_ahead);
+	assert_answer(x, 3, PD_REFUSED, "created_in_future", true);
+	dp_set_verified(x->dp, 0);
+	sd_submit_as(x, "unverified", 1, 9000, 4, set_created_ahead);
+	assert_int_equal(sd_answer_to(x, 4)->status, PD_UNKNOWN);
+	assert_int_equal(x->grants->len, 0);
+	sd_free(x);
+}
+
 int
 main(void)
 {
@@ -747,6 +783,7 @@
 	    cmocka_unit_test(test_deadline_unreachable),
 	    cmocka_unit_test(test_unusable_endpoints),
 	    cmocka_unit_test(test_takeover),
+	    cmocka_unit_test(test_future_id_after_takeover),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
