Do not run an id again that the entry has forgotten

What callers see: a submission that is sent again at the end of its lifetime runs a second time.

Cause: an entry forgets the answer of an id when a monotonic timer ends, but takes an id for too old to run by the wall clock. At the last millisecond of the lifetime the answer was gone and the id not yet too old. If the wall clock was ahead when the id arrived and is corrected later, the gap is as long as the correction. Another endpoint than the one that ran the task has no start record that would prevent it.

The entry now keeps the greatest created_ms of the ids that it has forgotten and answers "id_expired" for unknown ids up to it, as agents do with dropped start records. The bound of the wall clock includes the last millisecond.

Evidence: both parts of test_forgotten_id fail without the change (a second grant). ck_step_wall_ms() moves only the wall clock of a manual clock.

Ruled out: the start records of agents; they are dropped by the monotonic clock, and ids up to the youngest dropped one are refused as forgotten.

--- a/base/clock.c
+++ b/base/clock.c
@@ -120,3 +120,9 @@
 	c->mono_us += us;
 	c->wall_us += us;
 }
+
+void
+ck_step_wall_ms(struct ck *c, int64_t ms)
+{
+	c->wall_us += (uint64_t)(ms * (int64_t)US_PER_MS);
+}
--- a/base/clock.h
+++ b/base/clock.h
@@ -55,4 +55,7 @@
 /** ck_advance_us() - advance a manual clock by microseconds */
 void ck_advance_us(struct ck *c, uint64_t us);
 
+/** ck_step_wall_ms() - set only the wall clock of a manual clock by @ms */
+void ck_step_wall_ms(struct ck *c, int64_t ms);
+
 #endif
--- a/plan/dispatch.c
+++ b/plan/dispatch.c
@@ -342,7 +342,8 @@
 	uint64_t wall;
 
 	wall = ck_wall_ms(d->clock);
-	if (p->sub.created_ms + d->settings.retention_ms < wall) {
+	if (p->sub.created_ms + d->settings.retention_ms <= wall ||
+	    p->sub.created_ms <= d->forgotten_until_ms) {
 		oc_answer_waiter(d, &p->sub, waiter, PD_UNKNOWN, "id_expired",
 		    "The id is older than the time for which answers are "
 		    "kept.",
@@ -693,6 +694,8 @@
 	while ((n = hp_first(&d->expiries)) != NULL && n->key <= now_us) {
 		s = hp_item(n, struct sb, expiry);
 		if (s->phase == SB_ANSWERED) {
+			d->forgotten_until_ms =
+			    MAX(d->forgotten_until_ms, s->id.created_ms);
 			oc_forget(d, s);
 			continue;
 		}
--- a/plan/dispatch_impl.h
+++ b/plan/dispatch_impl.h
@@ -65,6 +65,9 @@
 	struct rn *rng;
 	const struct cs *state;
 	uint64_t verified_until_ms;
+	/* Greatest created_ms of a forgotten submission. The wall clock may be
+	 * set back after the submission has expired by the monotonic one. */
+	uint64_t forgotten_until_ms;
 	struct partition partitions[PD_PARTITIONS];
 	struct sb_table table;
 	struct qu *queue;
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -759,6 +759,50 @@
 	sd_free(x);
 }
 
+static void
+set_created_early(struct pd_submit *s)
+{
+	s->sub.created_ms = SD_WALL_MS - 300000;
+}
+
+/*
+ * Guards against a second run of an id whose answer is forgotten before the id
+ * counts as expired: at the end of its lifetime, and when the wall clock was
+ * ahead and is corrected.
+ */
+static void
+test_forgotten_id(void **state)
+{
+	dp_agent agents[1];
+	struct sd *x;
+
+	(void)state;
+	x = sd_new("learned");
+	sd_add_agents(x, 1, agents);
+	sd_submit(x, "a", 1, 1000, 1);
+	sd_finish(x, 0, 50);
+	sd_advance(x, 600000);
+	assert_int_equal(dp_stats(x->dp).submissions, 0);
+	sd_submit(x, "a", 1, 1000, 2);
+	assert_int_equal(x->grants->len, 1);
+	assert_answer(x, 2, PD_UNKNOWN, "id_expired", false);
+	sd_free(x);
+
+	x = sd_new("learned");
+	sd_add_agents(x, 1, agents);
+	sd_submit_as(x, "b", 1, 1000, 1, set_created_early);
+	sd_finish(x, 0, 50);
+	sd_advance(x, 310000);
+	assert_int_equal(dp_stats(x->dp).submissions, 0);
+	ck_step_wall_ms(x->clock, -300000);
+	sd_submit_as(x, "b", 1, 1000, 2, set_created_early);
+	assert_int_equal(x->grants->len, 1);
+	assert_answer(x, 2, PD_UNKNOWN, "id_expired", false);
+	sd_submit_as(x, "c", 1, 1000, 3, NULL);
+	assert_int_equal(x->grants->len, 2);
+	sd_free(x);
+}
+
 int
 main(void)
 {
@@ -784,6 +828,7 @@
 	    cmocka_unit_test(test_unusable_endpoints),
 	    cmocka_unit_test(test_takeover),
 	    cmocka_unit_test(test_future_id_after_takeover),
+	    cmocka_unit_test(test_forgotten_id),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
