Reject calls between entries from other cells

What callers see: a submission runs once in each of two cells, and an entry applies changes from the log of another cell.

Cause: only STATUS carries the name of the cell. FORWARD, LOOKUP, CHANGES and PUSH were handled from any process that connects. An entry whose list still has an address that has passed to another cell sends its submissions there: they run there, and again in its own cell after the next change of the owner.

An entry now takes these calls only over a connection on which it has received a STATUS of its own cell, and rejects them otherwise, counted in pd_foreign_total. Entries send a STATUS as the first call of a connection, so that no submission waits for the next poll.

Ruled out: agents. Their HELLO carries the cell, and nothing else is taken from a connection before it.

--- a/entry/peers.c
+++ b/entry/peers.c
@@ -44,7 +44,7 @@
 };
 
 static struct mb *
-member(struct pe *p)
+member(const struct pe *p)
 {
 	return (kn_find(p->kernel, "member"));
 }
@@ -57,12 +57,36 @@
 	evtimer_add(peer->reconnect_timer, &tv);
 }
 
+static void
+announced(void *arg, enum cn_error error, void *result)
+{
+	(void)arg;
+	(void)error;
+	(void)result;
+}
+
+/* The other entry takes calls over a connection only after a STATUS of its
+ * cell. The membership does not use this reply: its own call may be
+ * outstanding, and there is one per address at a time. */
+static void
+announce(const struct pe *p, struct cn *c)
+{
+	struct pd_status own;
+
+	memset(&own, 0, sizeof(own));
+	mb_handle_status(member(p), NULL, &own);
+	own.cell = p->options->cell;
+	cn_call(c, PD_STATUS, (xdrproc_t)xdr_pd_status, &own,
+	    (xdrproc_t)xdr_pd_status, sizeof(struct pd_status),
+	    STATUS_TIMEOUT_MS, announced, NULL);
+}
+
 static void
 peer_opened(void *arg, struct cn *c)
 {
 	struct peer *peer = arg;
 
-	(void)c;
+	announce(peer->peers, c);
 	peer->open = true;
 	peer->close_logged = false;
 	lg_write(LOG_INFO, "peers", "connected to entry %s", peer->address);
@@ -343,24 +367,31 @@
 	return (true);
 }
 
+static void
+count_foreign(const struct pe *p)
+{
+	ct_increment(kn_find(p->kernel, "counters"), "pd_foreign_total",
+	    "calls from another cell", "from", "entry");
+}
+
 /*
  * Whether a call comes from another cell. Entries of another cell must not
  * count towards the majority that accepts changes of this cell.
  */
 static bool
-is_foreign(struct pe *p, const struct pd_status *s)
+is_foreign(const struct pe *p, const struct pd_status *s)
 {
 	if (strcmp(s->cell, p->options->cell) == 0)
 		return (false);
-	ct_increment(kn_find(p->kernel, "counters"), "pd_foreign_total",
-	    "calls from another cell", "from", "entry");
+	count_foreign(p);
 	lg_write(LOG_WARNING, "peers", "entry %s belongs to cell %s", s->name,
 	    s->cell);
 	return (true);
 }
 
 static void
-handle_status(struct pe *p, struct cn *c, uint32_t xid, XDR *args)
+handle_status(
+    struct pe *p, struct cn *c, uint32_t xid, XDR *args, bool *same_cell)
 {
 	struct pd_status from, own;
 
@@ -368,7 +399,8 @@
 	memset(&own, 0, sizeof(own));
 	if (!cn_decode(c, args, (xdrproc_t)xdr_pd_status, &from))
 		return;
-	if (is_foreign(p, &from)) {
+	*same_cell = !is_foreign(p, &from);
+	if (!*same_cell) {
 		cn_reject(c, xid);
 		xdr_free((xdrproc_t)xdr_pd_status, &from);
 		return;
@@ -433,20 +465,28 @@
 }
 
 bool
-pe_handle_call(
-    struct pe *p, struct cn *c, uint32_t proc, uint32_t xid, XDR *args)
+pe_handle_call(struct pe *p, struct cn *c, uint32_t proc, uint32_t xid,
+    XDR *args, bool *same_cell)
 {
 	static void (*const handlers[])(
 	    struct pe *, struct cn *, uint32_t, XDR *) = {
-	    [PD_STATUS] = handle_status,
 	    [PD_CHANGES] = handle_changes,
 	    [PD_PUSH] = handle_push,
 	    [PD_FORWARD] = handle_forward,
 	    [PD_LOOKUP] = handle_lookup,
 	};
 
+	if (proc == PD_STATUS) {
+		handle_status(p, c, xid, args, same_cell);
+		return (true);
+	}
 	if (proc >= G_N_ELEMENTS(handlers) || handlers[proc] == NULL)
 		return (false);
-	handlers[proc](p, c, xid, args);
+	if (*same_cell)
+		handlers[proc](p, c, xid, args);
+	else {
+		count_foreign(p);
+		cn_reject(c, xid);
+	}
 	return (true);
 }
--- a/entry/peers.h
+++ b/entry/peers.h
@@ -62,10 +62,13 @@
 
 /**
  * pe_handle_call() - handle a call from another entry
+ * @same_cell: kept with the connection, false at first; set by STATUS to
+ *     whether the caller belongs to this cell. Other calls are rejected while
+ *     it is false, since each cell has its own owners and its own change log.
  *
  * Return: false when @proc is not a call between entries.
  */
-bool pe_handle_call(
-    struct pe *p, struct cn *c, uint32_t proc, uint32_t xid, XDR *args);
+bool pe_handle_call(struct pe *p, struct cn *c, uint32_t proc, uint32_t xid,
+    XDR *args, bool *same_cell);
 
 #endif
--- a/entry/sessions.c
+++ b/entry/sessions.c
@@ -33,6 +33,7 @@
 	struct ba grants;
 	struct ba cancels;
 	bool unflushed; /* in the list of the same name in struct ss */
+	bool same_cell; /* of another entry: it belongs to this cell */
 };
 
 struct ss {
@@ -411,7 +412,7 @@
 	if (proc < G_N_ELEMENTS(handlers) && handlers[proc] != NULL)
 		handlers[proc](session, xid, args);
 	else if (!pe_handle_call(kn_find(session->sessions->kernel, "peers"), c,
-		     proc, xid, args))
+		     proc, xid, args, &session->same_cell))
 		cn_reject(c, xid);
 }
 
