Do not say that nothing was run to a caller whose submission ran

What callers see: an entry that is stopping, or has too many waiting callers, answers 503 with "nothing was run" when a submission is sent again or looked up that has run. A caller that believes it sends the work under a new id.

Cause: these answers are given before the id is known, and their text spoke of the submission. It now speaks of the request.

Evidence: test_run_submission_sent_to_stopping_entry fails without the change.

Ruled out: "not_run" in answers with a status; only the owner sets it.

--- a/entry/callers.c
+++ b/entry/callers.c
@@ -149,7 +149,8 @@
 reject_busy(struct ca *c, struct _u_response *response)
 {
 	return (reject(c, response, HT_UNAVAILABLE, "too_many_callers",
-	    "Too many callers wait at this entry; nothing was run."));
+	    "Too many callers wait at this entry; this request started "
+	    "nothing."));
 }
 
 /*
@@ -165,7 +166,7 @@
 
 	if (atomic_load(&c->phase) > (int)last_phase) {
 		reject(c, response, HT_UNAVAILABLE, "draining",
-		    "This entry is stopping; nothing was run.");
+		    "This entry is stopping; this request started nothing.");
 		return (false);
 	}
 	if (text != NULL &&
