Test that no fault of an endpoint's connection starts a task twice

A task counts as not started only if the connection that is tried beforehand fails or the permit has expired after it; both come before a byte of the task is sent. Then it is "outcome unknown", even if the second connection is refused, and is not sent again: test_endpoint_closes_before_task closes the port between the two, which the kernel answers with a refusal or a reset. test_no_second_request covers a reset, a part of a response, a redirect to the same address, 503 with Retry-After, and 100 without a final status. Each leads to one request.

--- a/tests/harness_stub.c
+++ b/tests/harness_stub.c
@@ -78,6 +78,48 @@
 	g_string_free(out, TRUE);
 }
 
+static void
+send_text(int fd, const char *text)
+{
+	ssize_t n = send(fd, text, strlen(text), MSG_NOSIGNAL);
+
+	(void)n;
+}
+
+/* Makes close() reset the connection. */
+static void
+reset_on_close(int fd)
+{
+	struct linger reset = {1, 0};
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
+/* Responds in a way that tempts a client to send a request again; returns false
+ * for other ids. */
+static bool
+respond_with_fault(int fd, const char *id)
+{
+	if (g_str_has_prefix(id, "reset"))
+		reset_on_close(fd);
+	else if (g_str_has_prefix(id, "partial"))
+		send_text(
+		    fd, "HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\npart");
+	else if (g_str_has_prefix(id, "redirect"))
+		send_text(fd,
+		    "HTTP/1.1 307 X\r\nLocation: /task\r\n"
+		    "Content-Length: 0\r\nConnection: close\r\n\r\n");
+	else if (g_str_has_prefix(id, "busy"))
+		send_text(fd,
+		    "HTTP/1.1 503 X\r\nRetry-After: 0\r\n"
+		    "Content-Length: 0\r\nConnection: close\r\n\r\n");
+	else if (g_str_has_prefix(id, "continue"))
+		send_text(fd, "HTTP/1.1 100 Continue\r\n\r\n");
+	else
+		return (g_str_has_prefix(id, "broken"));
+	return (true);
+}
+
 struct endpoint_call {
 	struct su *stub;
 	int fd;
@@ -101,7 +143,7 @@
 		send_response(fd, 404, "no", 2);
 	else if (g_str_has_prefix(id, "large"))
 		send_response(fd, 200, large, sizeof(large));
-	else if (!g_str_has_prefix(id, "broken"))
+	else if (!respond_with_fault(fd, id))
 		send_response(fd, 200, body, strlen(body));
 	g_free(id);
 }
--- a/tests/harness_stub.h
+++ b/tests/harness_stub.h
@@ -21,8 +21,10 @@
  * DOC: su - stubs around an agent process under test: an entry that speaks the
  * RPC messages, and an endpoint whose response depends on the first word of the
  * submission id: "fail" 500, "reject" 404, "large" more than PD_BODY_MAX bytes,
- * "broken" closes the connection, "slow-MS" delays the response; the body is
- * echoed otherwise
+ * "broken" closes the connection, "reset" resets it, "partial" closes it after
+ * a part of the response, "redirect" 307 to itself, "busy" 503 with
+ * Retry-After, "continue" 100 and then closes the connection, "slow-MS" delays
+ * the response; the body is echoed otherwise
  */
 
 #define SU_RECORDS_MAX 4096
--- a/tests/proc_agent.c
+++ b/tests/proc_agent.c
@@ -1,10 +1,15 @@
+#include <netinet/in.h>
 #include <signal.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <ulfius.h>
 #include <unistd.h>
 
 #include "harness_stub.h"
 
+/* Rounds of closing a port while a task is sent. */
+#define CLOSE_ROUNDS 40
+
 static void
 assert_header(const char *request, const char *name, const char *value)
 {
@@ -83,6 +88,78 @@
 	    G_N_ELEMENTS(cases), g_atomic_int_get(&s->endpoint_calls));
 }
 
+/* Guards against a task that is sent twice, or reported as not started, after a
+ * response that tempts an HTTP client to send the request again. */
+static void
+test_no_second_request(void **state)
+{
+	static const struct {
+		const char *id;
+		enum pd_task_state state;
+	} cases[] = {
+	    {"reset", PD_OUTCOME_UNKNOWN},
+	    {"ok-1", PD_DONE},
+	    {"partial", PD_OUTCOME_UNKNOWN},
+	    {"ok-2", PD_DONE},
+	    {"redirect", PD_FAILED},
+	    {"ok-3", PD_DONE},
+	    {"busy", PD_FAILED},
+	    {"ok-4", PD_DONE},
+	    {"continue", PD_OUTCOME_UNKNOWN},
+	};
+	struct su *s = *state;
+	unsigned i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		su_grant(s, cases[i].id, 0, 1, 5000, "x");
+		SU_WAIT(s, s->nrecords == i + 1);
+		if (s->records[i].state != cases[i].state)
+			fail_msg("%s: state %u", cases[i].id,
+			    (unsigned)s->records[i].state);
+		assert_int_equal(i + 1, g_atomic_int_get(&s->endpoint_calls));
+	}
+}
+
+/* A listener at the port of the endpoint, in place of the stub's. */
+static int
+listen_again(const struct su *s)
+{
+	struct sockaddr_in sin = {.sin_family = AF_INET};
+	int fd, on = 1;
+
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	sin.sin_port = htons((uint16_t)s->endpoint_port);
+	assert_int_equal(0, bind(fd, (struct sockaddr *)&sin, sizeof(sin)));
+	assert_int_equal(0, listen(fd, 64));
+	return (fd);
+}
+
+/* Guards against "not started" when the endpoint takes the connection that is
+ * tried beforehand and closes its port before or while the task is sent: the
+ * kernel refuses or resets the second connection. */
+static void
+test_endpoint_closes_before_task(void **state)
+{
+	struct su *s = *state;
+	unsigned i;
+	int fd, checked;
+
+	shutdown(s->endpoint_fd, SHUT_RDWR);
+	close(s->endpoint_fd);
+	for (i = 0; i < CLOSE_ROUNDS; i++) {
+		fd = listen_again(s);
+		su_grant(s, "job", i, 1, 5000, "x");
+		SU_WAIT(s, (checked = accept(fd, NULL, NULL)) >= 0);
+		close(checked);
+		close(fd);
+		SU_WAIT(s, s->nrecords == i + 1);
+		assert_int_equal(PD_OUTCOME_UNKNOWN, s->records[i].state);
+	}
+	s->endpoint_fd = listen_again(s);
+}
+
 /* Guards against starts without a permit. */
 static void
 test_start_needs_permit(void **state)
@@ -491,6 +568,8 @@
 	const struct CMUnitTest tests[] = {
 	    TEST(test_run_tasks),
 	    TEST(test_task_outcomes),
+	    TEST(test_no_second_request),
+	    TEST(test_endpoint_closes_before_task),
 	    TEST(test_start_needs_permit),
 	    TEST(test_agent_pause),
 	    TEST(test_report_batching),
