Check resolved keys against other attempts in the random test of the gate

The model knows all attempts of a task, so a key that is voided by a RESOLVE must not have another attempt that started.

--- a/tests/test_gate_random.c
+++ b/tests/test_gate_random.c
@@ -274,6 +274,8 @@
 		if (k->started)
 			fail_msg("%s/%u is resolved as not started", s->id,
 			    key.task);
+		if (!k->voided)
+			check_other_attempts(s, key.task, key.attempt);
 		k->voided = true;
 		k->voided_view = m->fences[pt_partition(&key.sub)];
 	}
