Refuse a session of an agent process whose successor is connected

What callers see: while two processes of an agent are up together, almost every submission with a task at its endpoint is answered "unknown", as long as the earlier process drains. No task starts twice.

Cause: a HELLO ends the session of the other process and gives up all grants to it. The other one connects again within 200 ms and does the same.

An entry now refuses the process that was replaced while its successor has a session. Each refused HELLO shows that the process is up, so its start records count as not known until then. The tasks that it ran when its successor connected are still answered "unknown".

Ruled out: a successor that is refused for good. The earlier process is refused only while its successor is connected, and the other way round at an entry that heard them in the other order.

--- a/entry/sessions.c
+++ b/entry/sessions.c
@@ -45,6 +45,7 @@
 	GHashTable *agents;         /* dp_agent to struct session */
 	GPtrArray *unflushed;       /* struct session with batches to send */
 	struct ct_metric *hellos;
+	struct ct_metric *hellos_of_replaced;
 	struct ct_metric *permits_denied;
 	struct ct_metric *resolves;
 };
@@ -320,6 +321,19 @@
 	return (true);
 }
 
+static bool
+is_replaced(struct ss *s, const struct pd_hello *h)
+{
+	if (!tk_agent_is_replaced(takeover(s), h))
+		return (false);
+	ct_add(s->hellos_of_replaced, 1);
+	lg_write(LOG_WARNING, "sessions",
+	    "agent %s, incarnation %016" PRIx64
+	    ", is refused: its successor is connected",
+	    h->name, (uint64_t)h->incarnation);
+	return (true);
+}
+
 static void
 handle_hello(struct session *session, uint32_t xid, XDR *args)
 {
@@ -331,7 +345,7 @@
 	memset(&h, 0, sizeof(h));
 	if (!cn_decode(session->conn, args, (xdrproc_t)xdr_pd_hello, &h))
 		return;
-	if (is_foreign(s, &h)) {
+	if (is_foreign(s, &h) || is_replaced(s, &h)) {
 		cn_reject(session->conn, xid);
 		xdr_free((xdrproc_t)xdr_pd_hello, &h);
 		return;
@@ -458,6 +472,9 @@
 	s->unflushed = g_ptr_array_new();
 	s->hellos = ct_get(counters, CT_COUNTER, "pd_hellos_total",
 	    "sessions opened by agents", "");
+	s->hellos_of_replaced = ct_get(counters, CT_COUNTER,
+	    "pd_hellos_of_replaced_total",
+	    "sessions refused, since the agent's successor is connected", "");
 	s->permits_denied =
 	    ct_get(counters, CT_COUNTER, "pd_permits_denied_total",
 		"heartbeats answered without a permit", "");
--- a/plan/takeover.h
+++ b/plan/takeover.h
@@ -75,6 +75,16 @@
  */
 void tk_confirmed(struct tk *t, uint64_t incarnation, uint64_t revision);
 
+/**
+ * tk_agent_is_replaced() - whether a HELLO is of a process whose successor is
+ * connected
+ *
+ * Two processes of an agent may be up together. If each could end the session
+ * of the other one, no task of either would get its result. The records of the
+ * process count as not known from now on.
+ */
+bool tk_agent_is_replaced(struct tk *t, const struct pd_hello *h);
+
 /** tk_agent_up() - a session with an agent was opened */
 void tk_agent_up(struct tk *t, dp_agent agent, const struct pd_hello *h);
 
--- a/plan/takeover_agents.c
+++ b/plan/takeover_agents.c
@@ -16,6 +16,20 @@
 
 	until = a->connected ? ck_wall_ms(t->clock) : a->connected_ms;
 	a->others_connected_ms = MAX(a->others_connected_ms, until);
+	a->replaced_incarnation = a->incarnation;
+}
+
+bool
+tk_agent_is_replaced(struct tk *t, const struct pd_hello *h)
+{
+	struct tk_agent *a;
+
+	a = g_hash_table_lookup(t->agents, h->name);
+	if (a == NULL || !a->connected ||
+	    h->incarnation != a->replaced_incarnation)
+		return (false);
+	a->others_connected_ms = ck_wall_ms(t->clock);
+	return (true);
 }
 
 void
--- a/plan/takeover_impl.h
+++ b/plan/takeover_impl.h
@@ -80,6 +80,7 @@
 	dp_agent handle; /* of its session */
 	bool connected;
 	uint64_t incarnation;
+	uint64_t replaced_incarnation; /* the one before it, 0 for none */
 	uint64_t started_ms;
 	uint64_t connected_ms;        /* wall clock: end of the latest session,
 					 while there is none */
--- a/tests/test_takeover.c
+++ b/tests/test_takeover.c
@@ -657,6 +657,45 @@
 	fixture_free(f);
 }
 
+static bool
+is_replaced(struct fixture *f, const char *name, uint64_t incarnation)
+{
+	struct pd_hello h = {0};
+
+	h.name = (char *)(uintptr_t)name;
+	h.incarnation = incarnation;
+	return (tk_agent_is_replaced(f->tk, &h));
+}
+
+/* Guards against two processes of an agent that end each other's sessions, so
+ * that no result arrives, and against a refused one whose records are taken for
+ * known. */
+static void
+test_replaced_agent(void **state)
+{
+	struct fixture *f;
+	uint64_t heard;
+	unsigned p;
+
+	(void)state;
+	f = two_entries(0, &p);
+	assert_false(is_replaced(f, "e2", 12));
+	assert_false(is_replaced(f, "e2", 13));
+	agent_up(f, 3, "e2", 13, WALL_MS - 10000);
+	assert_true(is_replaced(f, "e2", 12));
+	assert_false(is_replaced(f, "e2", 13));
+	assert_false(is_replaced(f, "e1", 12));
+	assert_false(is_replaced(f, "e3", 12));
+	advance_ms(f, 5000);
+	heard = ck_wall_ms(f->clock);
+	assert_true(is_replaced(f, "e2", 12));
+	assert_true(lost_until(f, p, 3, 13, WALL_MS - 10000) >= heard);
+	/* It may connect again when the successor has no session. */
+	tk_agent_down(f->tk, 3);
+	assert_false(is_replaced(f, "e2", 12));
+	fixture_free(f);
+}
+
 /* Guards against failed fences that are not sent again, and against replies
  * that are taken for another page, view or agent process. */
 static void
@@ -759,6 +798,7 @@
 	    cmocka_unit_test(test_agent_restarts_during_wait),
 	    cmocka_unit_test(test_ids_older_than_agent),
 	    cmocka_unit_test(test_overlapping_agents),
+	    cmocka_unit_test(test_replaced_agent),
 	    cmocka_unit_test(test_fence_replies),
 	    cmocka_unit_test(test_rejoin),
 	};
