--- a/plan/dispatch.c
+++ b/plan/dispatch.c
@@ -342,7 +342,8 @@
 	uint64_t wall;
 
 	wall = ck_wall_ms(d->clock);
-	if (p->sub.created_ms + d->settings.retention_ms < wall) {
+	if (p->sub.created_ms + d->settings.retention_ms <= wall ||
+	    p->sub.created_ms <= d->forgotten_until_ms) {
 		oc_answer_waiter(d, &p->sub, waiter, PD_UNKNOWN, "id_expired",
 		    "The id is older than the time for which answers are "
 		    "kept.",
@@ -409,6 +410,17 @@
 	    ck_wall_ms(d->clock) + d->settings.clock_error_ms / 2);
 }
 
+/* A former owner whose clock is ahead may have run the id. */
+static void
+refuse_future(struct dp *d, struct sb *s)
+{
+	bool not_run;
+
+	not_run = oc_not_run_provable(d, &s->id);
+	oc_finish(d, s, not_run ? PD_REFUSED : PD_UNKNOWN, "created_in_future",
+	    g_strdup("created_ms is in the future of this entry."), not_run);
+}
+
 static void
 submit_new(struct dp *d, const struct pd_submit *p, uint64_t waiter)
 {
@@ -427,9 +439,7 @@
 	expire_at(d, s);
 	if (is_in_future(d, &p->sub)) {
 		s->body_hash = sb_body_hash(p);
-		oc_finish(d, s, PD_REFUSED, "created_in_future",
-		    g_strdup("created_ms is in the future of this entry."),
-		    true);
+		refuse_future(d, s);
 		return;
 	}
 	take_payload(d, s, p);
@@ -684,6 +694,8 @@
 	while ((n = hp_first(&d->expiries)) != NULL && n->key <= now_us) {
 		s = hp_item(n, struct sb, expiry);
 		if (s->phase == SB_ANSWERED) {
+			d->forgotten_until_ms =
+			    MAX(d->forgotten_until_ms, s->id.created_ms);
 			oc_forget(d, s);
 			continue;
 		}
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -723,6 +723,86 @@
 	sd_free(x);
 }
 
+static void
+set_created_ahead(struct pd_submit *s)
+{
+	s->sub.created_ms = SD_WALL_MS + 1500;
+}
+
+/*
+ * Guards against "not run" for an id that is in the future of this entry when
+ * the entry cannot know whether a former owner, whose clock is ahead, ran it.
+ */
+static void
+test_future_id_after_takeover(void **state)
+{
+	dp_agent agents[1];
+	struct sd *x;
+
+	(void)state;
+	x = sd_new("learned");
+	sd_add_agents(x, 1, agents);
+	sd_set_partitions(x, DP_GATHERING, 9, false, SD_WALL_MS);
+	sd_submit_as(x, "gathering", 1, 9000, 1, set_created_ahead);
+	assert_int_equal(sd_answer_to(x, 1)->status, PD_UNKNOWN);
+	assert_false(sd_answer_to(x, 1)->not_run);
+	sd_set_partitions(x, DP_ACTIVE, 9, false, SD_WALL_MS);
+	sd_submit_as(x, "incomplete", 1, 9000, 2, set_created_ahead);
+	assert_int_equal(sd_answer_to(x, 2)->status, PD_UNKNOWN);
+	sd_set_partitions(x, DP_ACTIVE, 9, true, 0);
+	sd_submit_as(x, "provable", 1, 9000, 3, set_created_ahead);
+	assert_answer(x, 3, PD_REFUSED, "created_in_future", true);
+	dp_set_verified(x->dp, 0);
+	sd_submit_as(x, "unverified", 1, 9000, 4, set_created_ahead);
+	assert_int_equal(sd_answer_to(x, 4)->status, PD_UNKNOWN);
+	assert_int_equal(x->grants->len, 0);
+	sd_free(x);
+}
+
+static void
+set_created_early(struct pd_submit *s)
+{
+	s->sub.created_ms = SD_WALL_MS - 300000;
+}
+
+/*
+ * Guards against a second run of an id whose answer is forgotten before the id
+ * counts as expired: at the end of its lifetime, and when the wall clock was
+ * ahead and is corrected.
+ */
+static void
+test_forgotten_id(void **state)
+{
+	dp_agent agents[1];
+	struct sd *x;
+
+	(void)state;
+	x = sd_new("learned");
+	sd_add_agents(x, 1, agents);
+	sd_submit(x, "a", 1, 1000, 1);
+	sd_finish(x, 0, 50);
+	sd_advance(x, 600000);
+	assert_int_equal(dp_stats(x->dp).submissions, 0);
+	sd_submit(x, "a", 1, 1000, 2);
+	assert_int_equal(x->grants->len, 1);
+	assert_answer(x, 2, PD_UNKNOWN, "id_expired", false);
+	sd_free(x);
+
+	x = sd_new("learned");
+	sd_add_agents(x, 1, agents);
+	sd_submit_as(x, "b", 1, 1000, 1, set_created_early);
+	sd_finish(x, 0, 50);
+	sd_advance(x, 310000);
+	assert_int_equal(dp_stats(x->dp).submissions, 0);
+	ck_step_wall_ms(x->clock, -300000);
+	sd_submit_as(x, "b", 1, 1000, 2, set_created_early);
+	assert_int_equal(x->grants->len, 1);
+	assert_answer(x, 2, PD_UNKNOWN, "id_expired", false);
+	sd_submit_as(x, "c", 1, 1000, 3, NULL);
+	assert_int_equal(x->grants->len, 2);
+	sd_free(x);
+}
+
 int
 main(void)
 {
@@ -747,6 +827,8 @@
 	    cmocka_unit_test(test_deadline_unreachable),
 	    cmocka_unit_test(test_unusable_endpoints),
 	    cmocka_unit_test(test_takeover),
+	    cmocka_unit_test(test_future_id_after_takeover),
+	    cmocka_unit_test(test_forgotten_id),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
