--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -617,29 +617,29 @@
 test_answer_to_start(void **state)
 {
 	static const struct {
-		int status;
 		const char *answer;
+		int status;
 		enum ru_start_result result;
 	} cases[] = {
-	    {200, "{\"clock_ms\":1}", RU_STARTED},
-	    {400, "{}", RU_REJECTED},
-	    {409, "{\"reason\":\"room\"}", RU_NO_ROOM},
-	    {409, "{\"reason\":\"ticket\"}", RU_NO_ROOM},
-	    {409, "{\"reason\":\"fence\"}", RU_NO_ROOM},
-	    {409, "{\"reason\":\"old\"}", RU_OLD_RUN},
-	    {409, "{\"reason\":\"late\"}", RU_TOO_LATE},
-	    {421, "{}", RU_NO_ROOM},
-	    {429, "{}", RU_NO_ROOM},
-	    {503, "", RU_NO_ROOM},
-	    {409, "{\"reason\":\"other\"}", RU_NO_ANSWER},
-	    {409, "{", RU_NO_ANSWER},
-	    {201, "{}", RU_NO_ANSWER},
-	    {302, "{}", RU_NO_ANSWER},
-	    {404, "{}", RU_NO_ANSWER},
-	    {408, "{}", RU_NO_ANSWER},
-	    {500, "{}", RU_NO_ANSWER},
-	    {502, "{}", RU_NO_ANSWER},
-	    {504, "{}", RU_NO_ANSWER},
+	    {"{\"clock_ms\":1}", 200, RU_STARTED},
+	    {"{}", 400, RU_REJECTED},
+	    {"{\"reason\":\"room\"}", 409, RU_NO_ROOM},
+	    {"{\"reason\":\"ticket\"}", 409, RU_NO_ROOM},
+	    {"{\"reason\":\"fence\"}", 409, RU_NO_ROOM},
+	    {"{\"reason\":\"old\"}", 409, RU_OLD_RUN},
+	    {"{\"reason\":\"late\"}", 409, RU_TOO_LATE},
+	    {"{}", 421, RU_NO_ROOM},
+	    {"{}", 429, RU_NO_ROOM},
+	    {"", 503, RU_NO_ROOM},
+	    {"{\"reason\":\"other\"}", 409, RU_NO_ANSWER},
+	    {"{", 409, RU_NO_ANSWER},
+	    {"{}", 201, RU_NO_ANSWER},
+	    {"{}", 302, RU_NO_ANSWER},
+	    {"{}", 404, RU_NO_ANSWER},
+	    {"{}", 408, RU_NO_ANSWER},
+	    {"{}", 500, RU_NO_ANSWER},
+	    {"{}", 502, RU_NO_ANSWER},
+	    {"{}", 504, RU_NO_ANSWER},
 	};
 	struct fixture *f = *state;
 	size_t i;
