Do not let a late stop extend the lease of a run

Callers would see a task run twice: an agent whose process was paused around the loss of an entry requests the stop of its runs late, and the lease could last 600 ms from that request, though the entry starts the tasks elsewhere 1,262 ms after the last contact. The limit is fixed when the stop is requested, at the one that the run had.

Evidence: test_lease_beyond_lost_contact_after_pause fails before (101,600 instead of at most 101,250).

--- a/sched/runner.c
+++ b/sched/runner.c
@@ -425,10 +425,12 @@
 	}
 	if (t->phase == RU_STOPPING)
 		return;
+	t->stop_sent_ms = ck_mono_ms(r->clock);
+	/* A stop that is requested late does not let the run go on longer. */
+	t->lease_limit_ms =
+	    MIN(ru_lease_limit_ms(r, t), t->stop_sent_ms + LE_RUN_MS);
 	t->phase = RU_STOPPING;
 	t->end = end;
-	t->stop_requested_ms = ck_mono_ms(r->clock);
-	t->stop_sent_ms = t->stop_requested_ms;
 	r->ops->stop(r->arg, &run);
 }
 
--- a/sched/runner_endpoint.c
+++ b/sched/runner_endpoint.c
@@ -32,11 +32,11 @@
  * elsewhere LE_UNREACHABLE_MS after the last contact; a run that is stopped
  * ends with the lease that it had, also if the endpoint does not confirm the
  * stop. */
-static uint64_t
-lease_limit_ms(const struct ru *r, const struct ru_task *t)
+uint64_t
+ru_lease_limit_ms(const struct ru *r, const struct ru_task *t)
 {
 	if (t->phase == RU_STOPPING)
-		return (t->stop_requested_ms + LE_RUN_MS);
+		return (t->lease_limit_ms);
 	return (ru_entry_echo_ms(r, t->entry) + LE_CONTACT_MS + LE_RUN_MS);
 }
 
@@ -52,7 +52,7 @@
 	for (i = 0; i < r->tasks->len; i++) {
 		t = r->tasks->pdata[i];
 		if (t->phase != RU_QUEUED)
-			until = MIN(until, lease_limit_ms(r, t));
+			until = MIN(until, ru_lease_limit_ms(r, t));
 	}
 	return (until > now ? (unsigned)(until - now) : 0);
 }
--- a/sched/runner_impl.h
+++ b/sched/runner_impl.h
@@ -52,13 +52,13 @@
 	uint64_t expires_ms;
 	uint64_t queued_ms;
 	uint64_t
-	    expected_start_ms; /* of a queued task, by ru_expect_starts() */
-	uint64_t started_ms;   /* when the start was sent; 0: not yet */
-	uint64_t confirmed_ms; /* when the endpoint confirmed the start */
-	uint64_t stop_requested_ms;
-	uint64_t stop_sent_ms; /* when the stop was last repeated */
-	uint64_t stopped_ms;   /* when the stop was confirmed; 0: not yet */
-	uint64_t incarnation;  /* process of the endpoint that got the start */
+	    expected_start_ms;   /* of a queued task, by ru_expect_starts() */
+	uint64_t started_ms;     /* when the start was sent; 0: not yet */
+	uint64_t confirmed_ms;   /* when the endpoint confirmed the start */
+	uint64_t stop_sent_ms;   /* when the stop was last repeated */
+	uint64_t lease_limit_ms; /* latest end of the lease of a stopped run */
+	uint64_t stopped_ms;     /* when the stop was confirmed; 0: not yet */
+	uint64_t incarnation; /* process of the endpoint that got the start */
 	enum ru_phase phase;
 	bool limit_hit;        /* is being stopped at its run time limit */
 	bool returnable;       /* its entry may choose another worker */
@@ -137,6 +137,9 @@
 /** ru_lease_ms() - longest lease that may be ordered now, 0 for none */
 unsigned ru_lease_ms(const struct ru *r);
 
+/** ru_lease_limit_ms() - time until which the lease of a run may last */
+uint64_t ru_lease_limit_ms(const struct ru *r, const struct ru_task *t);
+
 /** ru_extend_lease() - note that the lease is renewed now. Return: its
  * duration, milliseconds */
 unsigned ru_extend_lease(struct ru *r);
--- a/tests/test_runner_endpoint.c
+++ b/tests/test_runner_endpoint.c
@@ -108,6 +108,29 @@
 	assert_int_equal(PD_END_LOST, f->ends[1].state);
 }
 
+/* Guards against two runs of a task whose entry has lost the agent: the stop is
+ * requested late, after a pause of the agent process, and the lease of the run
+ * that is being stopped was counted from that request. */
+static void
+test_lease_beyond_lost_contact_after_pause(void **state)
+{
+	struct fixture *f = *state;
+	uint64_t contact_ms = ck_mono_ms(f->clock);
+	uint64_t now;
+
+	grant(f, ENTRY_1, "a");
+	answer_start(f, "a", RU_STARTED);
+	ck_advance_ms(f->clock, LE_CONTACT_MS - 50);
+	assert_int_equal(LE_RUN_MS, ru_renew_lease(f->runner));
+	ck_advance_ms(f->clock, 400);
+	ru_tick(f->runner);
+	assert_int_equal(2, f->norders);
+	assert_true(f->orders[1].stop);
+	now = ck_mono_ms(f->clock);
+	assert_in_range(now + ru_renew_lease(f->runner), now,
+	    contact_ms + LE_CONTACT_MS + LE_RUN_MS);
+}
+
 /* Guards against runs that go on after their entry process was replaced. */
 static void
 test_entry_gone_stops_runs(void **state)
@@ -396,6 +419,7 @@
 	    T(test_lost_contact_stops_runs),
 	    T(test_lease_renewed_after_lost_contact),
 	    T(test_lease_renewed_beside_unconfirmed_stop),
+	    T(test_lease_beyond_lost_contact_after_pause),
 	    T(test_entry_gone_stops_runs),
 	    T(test_unanswered_start),
 	    T(test_unanswered_start_runs),
