--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -61,6 +61,10 @@
 	unsigned long long start_deadline_ms; /* of the last start */
 	enum ru_start_result start_result;    /* of the last one */
 	unsigned long long started_ms; /* of the endpoint, in its answers */
+	struct evhttp_bound_socket *endpoint_socket;
+	unsigned long long other_started_ms; /* of a later process */
+	unsigned other_polls;                /* that it got */
+	bool keep_end; /* ends stay listed, as if not acknowledged */
 };
 
 /* --- endpoint --- */
@@ -149,7 +153,7 @@
 	struct timeval hold = {0, (long)f->hold_ms * 1000};
 	struct timeval delay = {0, (long)f->delay_ms * 1000};
 
-	if (strstr(body, "\"ack_cursor\":1") != NULL)
+	if (strstr(body, "\"ack_cursor\":1") != NULL && !f->keep_end)
 		f->run_ended = f->run_started = false;
 	if (strstr(body, "\"wait_ms\"") != NULL && !f->run_ended &&
 	    f->answer == NULL) {
@@ -202,6 +206,20 @@
 		on_hold(req, arg);
 }
 
+/* A later process of the endpoint, without runs. */
+static void
+on_other_order(struct evhttp_request *req, void *arg)
+{
+	struct fixture *f = arg;
+
+	if (strcmp(evhttp_request_get_uri(req), "/v1/hold") == 0)
+		f->other_polls++;
+	evbuffer_add_printf(evhttp_request_get_output_buffer(req),
+	    "{\"clock_ms\":1,\"born\":%llu,\"running\":[],\"ended\":[]}",
+	    f->other_started_ms);
+	evhttp_send_reply(req, 200, NULL, NULL);
+}
+
 /* --- agent --- */
 
 static void
@@ -702,6 +720,123 @@
 	assert_in_range(f->start_deadline_ms, 1, 10000);
 }
 
+/* Guards against runs that go on beyond their lease because the clock was read
+ * from an answer without lists, which does not say which process it is from. */
+static void
+test_clock_of_answer_without_lists(void **state)
+{
+	struct fixture *f = *state;
+
+	f->hold_ms = 200;
+	start_orders(f);
+	f->answer = "{\"clock_ms\":1000000000}";
+	send_heartbeat_of(f, "desk", "a", WALL_MS + 5);
+	assert_true(f->unreachable > 0);
+	start_run(f);
+	sn_run_loop(f->base, 20);
+	assert_int_equal(1, f->starts);
+	assert_in_range(f->start_deadline_ms, 1, 10000);
+}
+
+static void
+keep_socket(struct evhttp_bound_socket *socket, void *arg)
+{
+	struct fixture *f = arg;
+
+	f->endpoint_socket = socket;
+}
+
+/* Starts a later process of the endpoint at the same port. Connections that are
+ * open stay with the earlier one. */
+static struct evhttp *
+start_other_process(struct fixture *f)
+{
+	struct evhttp *other;
+
+	evhttp_foreach_bound_socket(f->endpoint, keep_socket, f);
+	evhttp_del_accept_socket(f->endpoint, f->endpoint_socket);
+	other = sc_listen(f->base, f->endpoint_address, on_other_order, f);
+	assert_non_null(other);
+	return (other);
+}
+
+/* Guards against two runs of a task whose start goes to the earlier process of
+ * the endpoint on a connection that is still open: the lists of the later one
+ * do not have the run, so it was taken for lost. */
+static void
+test_start_at_earlier_process(void **state)
+{
+	struct fixture *f = *state;
+	struct evhttp *other;
+
+	use_real_clock(f);
+	start_orders(f);
+	start_run(f);
+	sn_run_loop(f->base, 20);
+	other = start_other_process(f);
+	f->other_started_ms = WALL_MS + 5;
+	send_heartbeat_of(f, "desk", "a", WALL_MS + 5);
+	assert_int_equal(1, f->starts);
+	assert_int_equal(1, f->heartbeats);
+	f->run_started = false;
+	start_run(f);
+	sn_run_loop(f->base, 50);
+	evhttp_free(other);
+	assert_int_equal(2, f->starts);
+	assert_false(f->run_started);
+}
+
+/* Guards against a worker that is not used because its polls go to the earlier
+ * process of the endpoint on a connection that is still open. */
+static void
+test_idle_endpoint_replaced(void **state)
+{
+	struct fixture *f = *state;
+	struct evhttp *other;
+
+	use_real_clock(f);
+	start_orders(f);
+	other = start_other_process(f);
+	f->other_started_ms = WALL_MS + 5;
+	send_heartbeat_of(f, "desk", "a", WALL_MS + 5);
+	sn_run_loop(f->base, 700);
+	evhttp_free(other);
+	assert_true(f->other_polls > 0);
+	assert_int_equal(1, f->heartbeats);
+}
+
+/* Guards against polls that follow each other without a pause, and against a
+ * worker whose lists are not seen, while a connection to the earlier process of
+ * the endpoint is open: it answers at once, since its ends are not
+ * acknowledged. */
+static void
+test_polls_to_earlier_process(void **state)
+{
+	struct fixture *f = *state;
+	struct evhttp *other;
+	unsigned polls;
+
+	use_real_clock(f);
+	start_orders(f);
+	start_run(f);
+	sn_run_loop(f->base, 20);
+	other = start_other_process(f);
+	f->other_started_ms = WALL_MS + 5;
+	send_heartbeat_of(f, "desk", "a", WALL_MS + 5);
+	assert_true(f->other_polls > 0);
+	start_run(f);
+	polls = f->polls;
+	f->other_polls = 0;
+	f->run_ended = true;
+	f->keep_end = true;
+	sn_run_loop(f->base, 300);
+	evhttp_free(other);
+	print_message("%u polls to the earlier process, %u to the later one\n",
+	    f->polls - polls, f->other_polls);
+	assert_in_range(f->polls - polls, 0, 30);
+	assert_true(f->other_polls > 0);
+}
+
 int
 main(void)
 {
@@ -719,6 +854,10 @@
 	    T(test_polls_without_pause),
 	    T(test_answer_to_start),
 	    T(test_clock_of_earlier_process),
+	    T(test_clock_of_answer_without_lists),
+	    T(test_start_at_earlier_process),
+	    T(test_idle_endpoint_replaced),
+	    T(test_polls_to_earlier_process),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
