Hold a run that its endpoint has confirmed and never lists

A task could run twice: answers to starts do not say which process of the endpoint they are from. A start that a later process confirms, while polls still go to the earlier one over an open connection, is in none of the lists that the agent gets, and was taken for lost at once. Found in review.

A run that has never been listed is stopped, and counts until its end is listed or the lease is over; a run that was listed before ends as until now when a complete list no longer has it.

Evidence: test_run_never_listed fails before. test_list_older_than_start asserted that the first list without a run ends it; it lists the run once now, and then asserts the same. test_late_task_not_starved listed none of the runs that go on.

--- a/sched/runner_endpoint.c
+++ b/sched/runner_endpoint.c
@@ -225,17 +225,29 @@
 static bool
 run_is_gone(const struct ru_poll_result *poll, const struct ru_task *t)
 {
-	if (poll->partial || t->incarnation != poll->incarnation)
+	if (poll->partial || t->incarnation != poll->incarnation ||
+	    is_listed(poll, t))
 		return (false);
 	if (t->phase == RU_RUNNING)
-		return (poll->sent_ms > t->confirmed_ms + START_SETTLE_MS &&
-		    !is_listed(poll, t));
+		return (t->listed &&
+		    poll->sent_ms > t->confirmed_ms + START_SETTLE_MS);
 	if (t->phase == RU_STOPPING)
-		return (t->stopped_ms != 0 && poll->sent_ms > t->stopped_ms &&
-		    !is_listed(poll, t));
+		return (!t->never_listed && t->stopped_ms != 0 &&
+		    poll->sent_ms > t->stopped_ms);
 	return (false);
 }
 
+/* Whether a start was confirmed by another process than the one that answers
+ * polls: answers to starts do not say which process they are from. */
+static bool
+runs_elsewhere(const struct ru_poll_result *poll, const struct ru_task *t)
+{
+	return (t->phase == RU_RUNNING && !t->listed && !poll->partial &&
+	    t->incarnation == poll->incarnation &&
+	    poll->sent_ms > t->confirmed_ms + START_SETTLE_MS &&
+	    !is_listed(poll, t));
+}
+
 /*
  * Whether the listed end @info is that of the run of @t. A process that did not
  * get the start can list a stop of it only, which says nothing about the run at
@@ -249,11 +261,11 @@
 	    info->outcome == RU_DONE || info->outcome == RU_FAILED);
 }
 
-/* Stops runs whose start went to a new process of the endpoint before the agent
- * knew of it: the clock of the new process is another one, so their lease may
- * be longer than intended. */
+/* Notes which runs are listed, and stops those whose start went to a new
+ * process of the endpoint before the agent knew of it: the clock of the new
+ * process is another one, so their lease may be longer than intended. */
 static void
-stop_moved_runs(struct ru *r, const struct ru_poll_result *poll)
+check_listed_runs(struct ru *r, const struct ru_poll_result *poll)
 {
 	const struct ru_run_info *info;
 	struct ru_task *t;
@@ -262,7 +274,11 @@
 	for (i = 0; i < poll->nrunning; i++) {
 		info = &poll->running[i];
 		t = find_run(r, info->id, info->step, info->index, info->run);
-		if (t == NULL || t->incarnation == poll->incarnation)
+		if (t == NULL)
+			continue;
+		t->listed = true;
+		t->never_listed = false;
+		if (t->incarnation == poll->incarnation)
 			continue;
 		t->incarnation = poll->incarnation;
 		t->stopped_ms = 0;
@@ -280,7 +296,7 @@
 
 	set_incarnation(r, poll->incarnation);
 	r->unanswered = 0;
-	stop_moved_runs(r, poll);
+	check_listed_runs(r, poll);
 	for (i = 0; i < poll->nended; i++) {
 		t = find_run(r, poll->ended[i].id, poll->ended[i].step,
 		    poll->ended[i].index, poll->ended[i].run);
@@ -290,11 +306,15 @@
 	}
 	for (k = r->tasks->len; k-- > 0;) {
 		t = r->tasks->pdata[k];
-		if (run_is_gone(poll, t))
+		if (run_is_gone(poll, t)) {
 			ru_end(r, t,
 			    t->phase == RU_STOPPING ? t->end : PD_END_LOST,
 			    t->phase == RU_STOPPING ? RU_C_STOPPED
 						    : RU_C_NOT_LISTED);
+		} else if (runs_elsewhere(poll, t)) {
+			t->never_listed = true;
+			ru_stop_task(r, t, PD_END_LOST);
+		}
 	}
 	stop_unknown_runs(r, poll);
 	if (!r->old_runs_ended && !r->replaced && !poll->partial &&
--- a/sched/runner_impl.h
+++ b/sched/runner_impl.h
@@ -60,8 +60,10 @@
 	uint64_t stopped_ms;     /* when the stop was confirmed; 0: not yet */
 	uint64_t incarnation; /* process of the endpoint that got the start */
 	enum ru_phase phase;
-	bool limit_hit;        /* is being stopped at its run time limit */
-	bool returnable;       /* its entry may choose another worker */
+	bool listed;       /* a poll has listed the run */
+	bool never_listed; /* it was confirmed, but is at no known process */
+	bool limit_hit;    /* is being stopped at its run time limit */
+	bool returnable;   /* its entry may choose another worker */
 	enum pd_end_state end; /* state to report once it has stopped */
 };
 
