--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -837,6 +837,24 @@
 	assert_true(f->other_polls > 0);
 }
 
+/* Guards against a worker that stays unused because its endpoint has restarted
+ * after the clock of the host was set back. */
+static void
+test_restart_after_clock_set_back(void **state)
+{
+	struct fixture *f = *state;
+
+	use_real_clock(f);
+	start_orders(f);
+	f->started_ms = WALL_MS - 1000;
+	sn_run_loop(f->base, 1500);
+	assert_int_equal(0, f->outdated);
+	sn_run_loop(f->base, 1500);
+	assert_true(f->outdated > 0);
+	send_heartbeat_of(f, "desk", "a", WALL_MS - 1000);
+	assert_int_equal(1, f->heartbeats);
+}
+
 int
 main(void)
 {
@@ -858,6 +876,7 @@
 	    T(test_start_at_earlier_process),
 	    T(test_idle_endpoint_replaced),
 	    T(test_polls_to_earlier_process),
+	    T(test_restart_after_clock_set_back),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
