Log dropped grants and changed descriptions of workers

Entries now write a line and count each grant whose agent was unreachable until the lease had ended, and a line at each change of the service, zone, capacity or labels of a worker.

--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -174,6 +174,35 @@
 	    now <= w->heartbeat_reply_ms + LE_UNREACHABLE_MS);
 }
 
+static bool
+is_described_by(
+    const struct fl_worker *w, const struct pd_attach *a, const char *labels)
+{
+	return (strcmp(w->az, a->az) == 0 &&
+	    strcmp(w->service, a->service) == 0 &&
+	    strcmp(w->labels, labels) == 0 && w->cpu == a->cpu &&
+	    w->mem_mb == a->mem_mb);
+}
+
+/* Sets what tasks are placed by, and logs a change of it. */
+static void
+set_description(struct fl_worker *w, const struct pd_attach *a)
+{
+	char *labels = join_labels(a);
+
+	if (w->labels != NULL && !is_described_by(w, a, labels))
+		lg_write(LOG_NOTICE, "fleet",
+		    "worker %s is now of service %s in zone %s, %u thousandths "
+		    "of a core, %u MB, labels:%s",
+		    w->name, a->service, a->az, a->cpu, a->mem_mb, labels);
+	set_string(&w->az, a->az);
+	set_string(&w->service, a->service);
+	g_free(w->labels);
+	w->labels = labels;
+	w->cpu = a->cpu;
+	w->mem_mb = a->mem_mb;
+}
+
 /* A new agent process keeps the learned speed, which belongs to the worker. */
 struct fl_worker *
 fl_attach(
@@ -189,12 +218,7 @@
 	w->incarnation = a->incarnation;
 	w->started_ms = a->started_ms;
 	set_session(f, w, session);
-	set_string(&w->az, a->az);
-	set_string(&w->service, a->service);
-	g_free(w->labels);
-	w->labels = join_labels(a);
-	w->cpu = a->cpu;
-	w->mem_mb = a->mem_mb;
+	set_description(w, a);
 	w->clock_offset_ms = (int64_t)a->clock_ms - (int64_t)now;
 	w->heartbeat_reply_ms = now;
 	w->heartbeat_ms = now;
--- a/sched/jobs_outcome.c
+++ b/sched/jobs_outcome.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "event.h"
 #include "jobs_impl.h"
 #include "lease.h"
 
@@ -442,6 +443,25 @@
 		request_reconcile(j, w);
 }
 
+/* Logged when it happens, since the trace of a job is logged at its end only.
+ */
+static void
+log_dropped_grant(struct jb *j, const struct jb_job *job,
+    const struct jb_task *t, uint64_t now)
+{
+	ct_add(ct_get(j->counters, CT_COUNTER, "pd_grants_dropped_total",
+		   "Grants whose agent was unreachable until their lease had "
+		   "ended",
+		   ""),
+	    1);
+	ev_write_detail("jobs", "grant_dropped",
+	    "{s:s,s:i,s:i,s:s,s:i,s:i,s:i}", "job", job->id, "task",
+	    (int)(t - job->tasks), "attempt", (int)t->attempt, "worker",
+	    t->worker->name, "reply_ms_ago",
+	    (int)(now - t->worker->heartbeat_reply_ms), "job_ms",
+	    (int)(now - job->arrived_ms), "waiters", (int)job->waiters->len);
+}
+
 /* Checks the grants of a job and places ready tasks. Return: false if the job
  * must be given up. */
 static bool
@@ -466,6 +486,7 @@
 		if (t->state == JB_UNREACHABLE && now > latest_end_ms(t)) {
 			job->any_started = true;
 			jb_trace(j, job, t, TR_DROPPED, t->worker, 0, 0);
+			log_dropped_grant(j, job, t, now);
 			jb_withdraw(j, job, t);
 			jb_release_worker(job, t);
 			t->state = JB_READY;
