Grant no task of a job that was held while the agents were out of contact

What callers saw: a front machine was cut off for 5.5 s.

Cause: the only condition to grant a task again was that the lease of its last run had ended. That shows that the entry's own run is over, and nothing about the client: its connection may have broken while the entry could not see it, and what its host has sent may be lost. However long the entry was away, it went on with the job.

An entry that has had no heartbeat of any agent for LE_CONTACT_MS was cut off or paused, or all its agents were. The agents have stopped its runs by then. It grants no task of the jobs that it held before, neither again nor for the first time, in whatever way the end of a run becomes known: lease, report, query, restart of the agent, next step, tick. The jobs are given up (504) once a task would have to be granted; results that the agents had before still count. Where other agents were heard all the time a lost run is granted again as before. A new submission to the same entry renews the right to grant.

--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -64,6 +64,10 @@
 	uint64_t counted_ms;    /* when workers were counted */
 	uint64_t warm_up_from_ms;
 	uint64_t ticked_ms;
+	uint64_t heard_ms; /* last heartbeat of any agent, or start */
+	/* Latest time without a heartbeat for longer than LE_CONTACT_MS. */
+	uint64_t silent_from_ms;
+	uint64_t silent_until_ms;
 };
 
 static void
@@ -90,6 +94,7 @@
 	f->rng = rn_new(seed);
 	f->warm_up_from_ms = ck_mono_ms(clock);
 	f->ticked_ms = f->warm_up_from_ms;
+	f->heard_ms = f->warm_up_from_ms;
 	f->workers = g_ptr_array_new_with_free_func(worker_free);
 	f->connected = g_ptr_array_new();
 	f->by_name = g_hash_table_new(g_str_hash, g_str_equal);
@@ -203,6 +208,30 @@
 	w->mem_mb = a->mem_mb;
 }
 
+static void
+note_heartbeat(struct fl *f, uint64_t now)
+{
+	if (now - f->heard_ms > LE_CONTACT_MS) {
+		lg_write(LOG_NOTICE, "fleet",
+		    "first heartbeat of an agent after %u ms",
+		    (unsigned)(now - f->heard_ms));
+		f->silent_from_ms = f->heard_ms;
+		f->silent_until_ms = now;
+	}
+	f->heard_ms = now;
+}
+
+bool
+fl_lost_contact_since(const struct fl *f, uint64_t since_ms, unsigned limit_ms)
+{
+	uint64_t now = ck_mono_ms(f->clock);
+
+	if (now - MAX(f->heard_ms, since_ms) > limit_ms)
+		return (true);
+	return (f->silent_until_ms > since_ms &&
+	    f->silent_until_ms - MAX(f->silent_from_ms, since_ms) > limit_ms);
+}
+
 /* A new agent process keeps the learned speed, which belongs to the worker. */
 struct fl_worker *
 fl_attach(
@@ -214,6 +243,7 @@
 	*restarted = false;
 	if (is_earlier_process(w, a, now))
 		return (NULL);
+	note_heartbeat(f, now);
 	*restarted = w->incarnation != 0 && w->incarnation != a->incarnation;
 	w->incarnation = a->incarnation;
 	w->started_ms = a->started_ms;
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -203,6 +203,16 @@
  */
 bool fl_is_warming_up(struct fl *f);
 
+/**
+ * fl_lost_contact_since() - whether this entry has been without a heartbeat of
+ * any agent for longer than a limit, at some time after @since_ms
+ * @limit_ms: LE_CONTACT_MS or more
+ *
+ * It was cut off or paused then, or all agents were.
+ */
+bool fl_lost_contact_since(
+    const struct fl *f, uint64_t since_ms, unsigned limit_ms);
+
 /** fl_tick() - detect pauses of this process; call at least every 100 ms */
 void fl_tick(struct fl *f);
 
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -226,6 +226,7 @@
 	job->priority = r->queue->priority;
 	job->number = ++j->last_number;
 	job->arrived_ms = now;
+	job->submitted_ms = now;
 	job->deadline_ms =
 	    now + (limit > ANSWER_DELAY_MS ? limit - ANSWER_DELAY_MS : 0);
 	job->waiters = g_array_new(FALSE, FALSE, sizeof(uint64_t));
@@ -365,6 +366,15 @@
 		fl_has_room(w, req)));
 }
 
+/* Before the first grant nothing runs that agents have to stop in time, so a
+ * job may wait longer then for the agents of an entry that has started. */
+bool
+jb_may_be_elsewhere(const struct jb *j, const struct jb_job *job)
+{
+	return (fl_lost_contact_since(j->fleet, job->submitted_ms,
+	    job->any_granted ? LE_CONTACT_MS : LE_UNREACHABLE_MS));
+}
+
 bool
 jb_place(struct jb *j, struct jb_job *job)
 {
@@ -374,6 +384,8 @@
 	double finish;
 	unsigned i;
 
+	if (jb_may_be_elsewhere(j, job))
+		return (false);
 	for (i = 0; i < job->ntasks; i++) {
 		t = &job->tasks[i];
 		if (t->state != JB_READY)
@@ -464,7 +476,7 @@
 {
 	enum jb_reason reason = check_admission(j, job);
 
-	if (may_wait(j, job, reason))
+	if (may_wait(j, job, reason) && !jb_may_be_elsewhere(j, job))
 		return (true);
 	if (reason == JB_R_NONE && jb_place(j, job))
 		return (true);
@@ -498,6 +510,7 @@
 	struct jb_job *job = g_hash_table_lookup(j->by_id, r->id);
 
 	if (job != NULL) {
+		job->submitted_ms = ck_mono_ms(j->clock);
 		g_array_append_val(job->waiters, waiter);
 		return;
 	}
--- a/sched/jobs.h
+++ b/sched/jobs.h
@@ -18,7 +18,8 @@
  * is answered when it has ended. If the entry is lost, the client may submit
  * the job again and it runs from the start. It never runs twice at the same
  * time: its tasks are stopped when its deadline has passed, or when their
- * agents have lost contact to the entry.
+ * agents have lost contact to the entry, and an entry that has lost contact to
+ * its agents grants no task of a job that it has accepted before.
  */
 struct jb;
 struct jb_job;
@@ -93,6 +94,7 @@
 	JB_R_ATTEMPTS,  /* a task has used up its attempts */
 	JB_R_CLIENT,    /* the client withdrew it or disconnected */
 	JB_R_STOPPING,  /* the entry is shutting down */
+	JB_R_CONTACT,   /* its client may have submitted it elsewhere */
 	JB_R_MAX,
 };
 
--- a/sched/jobs_impl.h
+++ b/sched/jobs_impl.h
@@ -90,6 +90,7 @@
 	unsigned priority;
 	uint64_t number;
 	uint64_t arrived_ms;
+	uint64_t submitted_ms; /* when a client last submitted it */
 	uint64_t target_at_ms; /* an answer after this is late */
 	uint64_t deadline_ms;
 	GArray *waiters;  /* uint64_t */
@@ -180,8 +181,20 @@
  * false if it was refused; @job is consumed then */
 bool jb_admit(struct jb *j, struct jb_job *job);
 
-/** jb_place() - grant the ready tasks of a job. Return: false if a task is not
- * expected to end by the deadline */
+/**
+ * jb_may_be_elsewhere() - whether another entry may have the job by now
+ *
+ * An entry that is cut off or paused does not see that a client's connection
+ * breaks, and the client then submits its job to another entry. Nor does it see
+ * it later: what the client's host has sent meanwhile may be lost. So after a
+ * time without contact to its agents, which have stopped its runs, the entry
+ * may not grant tasks of the jobs that it held before.
+ */
+bool jb_may_be_elsewhere(const struct jb *j, const struct jb_job *job);
+
+/** jb_place() - grant the ready tasks of a job. Return: false if the job must
+ * be given up: a task is not expected to end by the deadline, or another entry
+ * may have the job */
 bool jb_place(struct jb *j, struct jb_job *job);
 
 /** jb_trace() - add an event to the trace of a job; @t is NULL for the whole
--- a/sched/jobs_outcome.c
+++ b/sched/jobs_outcome.c
@@ -17,7 +17,8 @@
 jb_reason_name(enum jb_reason r)
 {
 	static const char *const names[] = {"none", "no_worker", "no_room",
-	    "overload", "deadline", "attempts", "client", "stopping"};
+	    "overload", "deadline", "attempts", "client", "stopping",
+	    "contact"};
 
 	return (r < JB_R_MAX ? names[r] : "invalid");
 }
@@ -131,6 +132,11 @@
 		if (job->tasks[i].state == JB_GRANTED ||
 		    job->tasks[i].state == JB_UNREACHABLE)
 			job->any_started = true;
+	if (ck_mono_ms(j->clock) < job->deadline_ms &&
+	    jb_may_be_elsewhere(j, job)) {
+		jb_trace(j, job, NULL, TR_CONTACT_LOST, NULL, 0, 0);
+		reason = JB_R_CONTACT;
+	}
 	jb_finish(j, job, job->any_started ? JB_GAVE_UP : JB_REFUSED, reason);
 }
 
--- a/sched/trace.c
+++ b/sched/trace.c
@@ -34,6 +34,8 @@
 	"the lease of an unreachable run had ended"},
     [TR_RESTARTED] = {"restarted", NULL, NULL,
 	"the agent of the task had restarted"},
+    [TR_CONTACT_LOST] = {"contact_lost", NULL, NULL,
+	"the entry had lost contact with its agents"},
 };
 
 const char *
--- a/sched/trace.h
+++ b/sched/trace.h
@@ -14,22 +14,23 @@
 /** enum tr_kind - kind of an event: a decision of the entry or a report of an
  * agent; a and b are the values of struct tr_event */
 enum tr_kind {
-	TR_TAKEN = 0, /* job arrived; a: ms to target, b: ms to deadline */
-	TR_CROWDED,   /* job would delay more urgent queues; a: ms that their
-			 tasks would wait, b: ms that they may */
-	TR_GRANTED,   /* a: expected ms until the end, b: CPU in use there */
-	TR_NO_WORKER, /* no worker can take the task now */
-	TR_TOO_LATE,  /* a: expected ms until the end, b: ms to deadline */
-	TR_DONE,      /* a: ms in the agent's queue, b: ms of the run */
-	TR_FAILED,    /* a, b: as TR_DONE */
-	TR_STOPPED,   /* run exceeded its limit; a, b: as TR_DONE */
-	TR_LOST,      /* run ended without a result; a, b: as TR_DONE */
-	TR_RETURNED,  /* agent did not start the task; a, b: as TR_DONE */
-	TR_DOUBTFUL,  /* agent is unreachable; a: ms since its heartbeat */
-	TR_HOPELESS,  /* unreachable run cannot be replaced in time; a: ms
-			 until it has ended for sure, b: ms to deadline */
-	TR_DROPPED,   /* the lease of an unreachable run has ended */
-	TR_RESTARTED, /* agent has restarted, so the run has ended */
+	TR_TAKEN = 0,    /* job arrived; a: ms to target, b: ms to deadline */
+	TR_CROWDED,      /* job would delay more urgent queues; a: ms that their
+			    tasks would wait, b: ms that they may */
+	TR_GRANTED,      /* a: expected ms until the end, b: CPU in use there */
+	TR_NO_WORKER,    /* no worker can take the task now */
+	TR_TOO_LATE,     /* a: expected ms until the end, b: ms to deadline */
+	TR_DONE,         /* a: ms in the agent's queue, b: ms of the run */
+	TR_FAILED,       /* a, b: as TR_DONE */
+	TR_STOPPED,      /* run exceeded its limit; a, b: as TR_DONE */
+	TR_LOST,         /* run ended without a result; a, b: as TR_DONE */
+	TR_RETURNED,     /* agent did not start the task; a, b: as TR_DONE */
+	TR_DOUBTFUL,     /* agent is unreachable; a: ms since its heartbeat */
+	TR_HOPELESS,     /* unreachable run cannot be replaced in time; a: ms
+			    until it has ended for sure, b: ms to deadline */
+	TR_DROPPED,      /* the lease of an unreachable run has ended */
+	TR_RESTARTED,    /* agent has restarted, so the run has ended */
+	TR_CONTACT_LOST, /* entry was without contact to its agents */
 	TR_MAX,
 };
 
--- a/tests/jobs_fixture.h
+++ b/tests/jobs_fixture.h
@@ -46,7 +46,8 @@
 	uint64_t waiters[RECORDS_MAX];
 	unsigned nanswers;
 	char ids[RECORDS_MAX][32];
-	unsigned priority; /* of the jobs that are submitted */
+	unsigned priority;   /* of the jobs that are submitted */
+	unsigned timeout_ms; /* likewise */
 };
 
 static inline void
@@ -124,6 +125,7 @@
 	f->config = cf_new();
 	f->fleet = fl_new(f->clock, f->counters, f->config, 1);
 	f->jobs = jb_new(f->clock, f->counters, f->fleet, &ops, f);
+	f->timeout_ms = TIMEOUT_MS;
 	warm_up(f);
 	*state = f;
 	return (0);
@@ -190,7 +192,7 @@
 	static const char *const names[] = {"q", "q1", "q2", "q3"};
 	struct pd_queue q = {.name = (char *)(uintptr_t)names[f->priority],
 	    .service = (char *)(uintptr_t) "desk",
-	    .timeout_ms = TIMEOUT_MS,
+	    .timeout_ms = f->timeout_ms,
 	    .target_ms = TARGET_MS,
 	    .priority = f->priority,
 	    .attempts = 2,
@@ -205,7 +207,7 @@
 	};
 	struct jb_request r = {.id = id,
 	    .queue = &q,
-	    .deadline_ms = TIMEOUT_MS,
+	    .deadline_ms = f->timeout_ms,
 	    .steps = s,
 	    .nsteps = steps,
 	    .body = "b",
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -463,6 +463,7 @@
 test_give_up(void **state)
 {
 	struct fixture *f = *state;
+	unsigned i;
 
 	attach(f, "w1", 1);
 	submit(f, "a", 1);
@@ -473,8 +474,10 @@
 	/* A task that the agent returns has not started. */
 	attach(f, "w1", 1);
 	submit(f, "b", 1);
-	ck_advance_ms(f->clock, TIMEOUT_MS - 50);
-	attach(f, "w1", 1);
+	for (i = 0; i < TIMEOUT_MS - 50; i += 50) {
+		ck_advance_ms(f->clock, 50);
+		attach(f, "w1", 1);
+	}
 	report_end(f, 1, PD_END_RETURNED);
 	assert_int_equal(JB_REFUSED, f->answers[1].status);
 	assert_int_equal(JB_R_DEADLINE, f->answers[1].reason);
