Give up jobs whose client does not answer the probes of TCP

What callers saw: a client that is cut off from its entry alone finds its connection broken and submits its job to another entry, while the first one goes on with it: two runs side by side, up to the end of the first. The entry is in contact with its agents all the time.

Cause: an open connection was taken for a client that waits. A partition hides the end of a connection for as long as it lasts, and for ever if a reset is lost in it.

A request that was received that long before it is read, by a process that was paused, is not taken. A client that waits silently answers the probes and keeps its job.

A proxy between client and entry that answers the probes itself hides the loss of its client: that stays open.

--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -488,6 +488,7 @@
 
 	(void)fd;
 	(void)what;
+	fr_check_clients(d->front);
 	jb_tick(d->jobs);
 	if (!front_has_config(d) && !front_config_expected(d))
 		fr_resume_waiting(d->front);
--- a/tests/harness_fleet.c
+++ b/tests/harness_fleet.c
@@ -1,10 +1,13 @@
+#include <arpa/inet.h>
 #include <fcntl.h>
 #include <glib.h>
+#include <netinet/in.h>
 #include <setjmp.h>
 #include <signal.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <ulfius.h>
 #include <unistd.h>
 
@@ -48,6 +51,7 @@
 	unsigned store_relay_port; /* store_port when there is no relay */
 	unsigned store_relay_control_port;
 	bool relayed;
+	unsigned timeout_ms; /* of the queues */
 	unsigned nentries;
 	unsigned nworkers;
 	unsigned next_suffix; /* makes names of logs and ids of jobs unique */
@@ -175,12 +179,12 @@
 }
 
 static json_t *
-queue_json(const char *name, const char *prefix)
+queue_json(const struct hf *f, const char *name, const char *prefix)
 {
 	return (json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:f,s:i}", "name", name,
 	    "host", "127.0.0.1", "path_prefix", prefix, "service", "desk",
-	    "timeout_ms", DEADLINE_MS, "target_latency_ms", 60, "max_attempts",
-	    3, "stretch", 1.6, "priority", 0));
+	    "timeout_ms", (int)f->timeout_ms, "target_latency_ms", 60,
+	    "max_attempts", 3, "stretch", 1.6, "priority", 0));
 }
 
 void
@@ -193,9 +197,9 @@
 	for (i = 0; i < added; i++) {
 		snprintf(name, sizeof(name), "added%u", i);
 		snprintf(prefix, sizeof(prefix), "/added%u/", i);
-		json_array_append_new(routes, queue_json(name, prefix));
+		json_array_append_new(routes, queue_json(f, name, prefix));
 	}
-	json_array_append_new(routes, queue_json("q", PATH_PREFIX));
+	json_array_append_new(routes, queue_json(f, "q", PATH_PREFIX));
 	o = json_pack("{s:i,s:o,s:[],s:{}}", "version", (int)version, "routes",
 	    routes, "services", "limits");
 	text = json_dumps(o, JSON_COMPACT);
@@ -204,6 +208,13 @@
 	json_decref(o);
 }
 
+void
+hf_set_timeout(struct hf *f, unsigned version, unsigned timeout_ms)
+{
+	f->timeout_ms = timeout_ms;
+	hf_set_queues(f, version, 0);
+}
+
 void
 hf_evacuate(struct hf *f, const char *az, bool out)
 {
@@ -275,6 +286,7 @@
 
 	f->hn = h;
 	f->relayed = relayed;
+	f->timeout_ms = DEADLINE_MS;
 	f->nentries = entries;
 	f->nworkers = workers;
 	f->log = hn_path(h, "runs.log");
@@ -467,14 +479,45 @@
 
 /* --- clients --- */
 
-int
-hf_submit(struct hf *f, unsigned entry, const char *id, const char *spec,
-    unsigned tasks, unsigned size_ms, json_t **answer)
+/* Body of a job, released with free(). */
+static char *
+job_body(const char *spec, unsigned tasks, unsigned size_ms)
 {
 	json_t *o = json_pack("{s:s,s:b,s:[{s:i,s:i,s:i,s:i}]}", "spec", spec,
 	    "best_effort", 1, "steps", "count", (int)tasks, "cpu", TASK_CPU,
 	    "mem_mb", 64, "estimate_ms", (int)size_ms);
 	char *body = json_dumps(o, JSON_COMPACT);
+
+	json_decref(o);
+	return (body);
+}
+
+int
+hf_send_job(struct hf *f, unsigned entry, const char *id, const char *spec,
+    unsigned tasks, unsigned size_ms)
+{
+	struct sockaddr_in to = {.sin_family = AF_INET,
+	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	    .sin_port = htons((uint16_t)f->entries[entry].clients_port)};
+	int s = socket(AF_INET, SOCK_STREAM, 0);
+	char *body = job_body(spec, tasks, size_ms);
+	char *request = g_strdup_printf("POST " PATH_PREFIX
+					"%s HTTP/1.1\r\nHost: 127.0.0.1\r\n"
+					"Content-Length: %zu\r\n\r\n%s",
+	    id, strlen(body), body);
+
+	assert_int_equal(0, connect(s, (struct sockaddr *)&to, sizeof(to)));
+	assert_int_equal(strlen(request), send(s, request, strlen(request), 0));
+	g_free(request);
+	free(body);
+	return (s);
+}
+
+int
+hf_submit(struct hf *f, unsigned entry, const char *id, const char *spec,
+    unsigned tasks, unsigned size_ms, json_t **answer)
+{
+	char *body = job_body(spec, tasks, size_ms);
 	char *path = g_strconcat(PATH_PREFIX, id, NULL);
 	int status;
 
@@ -482,7 +525,6 @@
 	    "POST", f->entries[entry].clients_port, path, body, NULL, answer);
 	g_free(path);
 	free(body);
-	json_decref(o);
 	return (status);
 }
 
--- a/tests/harness_fleet.h
+++ b/tests/harness_fleet.h
@@ -67,6 +67,10 @@
  * does */
 void hf_set_queues(struct hf *f, unsigned version, unsigned added);
 
+/** hf_set_timeout() - write a configuration with another timeout of the queue,
+ * which limits the deadline of its jobs */
+void hf_set_timeout(struct hf *f, unsigned version, unsigned timeout_ms);
+
 /** hf_evacuate() - take an availability zone out, or bring it back, as the
  * operator does */
 void hf_evacuate(struct hf *f, const char *az, bool out);
@@ -76,6 +80,11 @@
 int hf_submit(struct hf *f, unsigned entry, const char *id, const char *spec,
     unsigned tasks, unsigned size_ms, json_t **answer);
 
+/** hf_send_job() - send one job and do not wait for its answer. Return: socket
+ * of the connection, owned */
+int hf_send_job(struct hf *f, unsigned entry, const char *id, const char *spec,
+    unsigned tasks, unsigned size_ms);
+
 /** hf_start_load() - send jobs at a rate in the background, until
  * hf_stop_load()
  */
--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -1,4 +1,5 @@
 #include <arpa/inet.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <setjmp.h>
 #include <stdarg.h>
@@ -22,6 +23,9 @@
 
 #define START_MS 100000
 #define DEADLINE_MS 1500
+/* Time after which a client submits a job again whose connection broke. */
+#define RESUBMIT_MS 1300
+#define CHECK_MS 20
 #define REQUEST                                                                \
 	"POST /q/01 HTTP/1.1\r\nHost: h\r\nContent-Length: 61\r\n"             \
 	"X-Pimentodock-Deadline-Ms: 1500\r\n\r\n"                              \
@@ -35,7 +39,9 @@
 	struct pd_queue queue;
 	bool has_config;
 	bool config_expected;
+	bool holds_jobs;      /* the dispatcher does not answer */
 	unsigned deadline_ms; /* of the last job */
+	unsigned closed;      /* jobs whose client has gone */
 	int client;
 };
 
@@ -72,6 +78,8 @@
 	struct fixture *f = arg;
 
 	f->deadline_ms = job->request.deadline_ms;
+	if (f->holds_jobs)
+		return;
 	fr_answer(f->front, waiter, &a);
 }
 
@@ -86,8 +94,10 @@
 static void
 client_closed(void *arg, uint64_t waiter)
 {
-	(void)arg;
+	struct fixture *f = arg;
+
 	(void)waiter;
+	f->closed++;
 }
 
 static unsigned
@@ -248,6 +258,80 @@
 	f->client = socket(AF_INET, SOCK_STREAM, 0);
 }
 
+/* Lets the client's socket drop all that it receives, as in a partition: it
+ * acknowledges nothing. */
+static void
+cut_off_client(struct fixture *f)
+{
+	struct sock_filter drop = BPF_STMT(BPF_RET | BPF_K, 0);
+	struct sock_fprog program = {.len = 1, .filter = &drop};
+
+	assert_int_equal(0,
+	    setsockopt(f->client, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+		sizeof(program)));
+}
+
+/* Passes time on both clocks and checks the clients. */
+static void
+pass(struct fixture *f, unsigned ms)
+{
+	unsigned i;
+
+	for (i = 0; i < ms; i += CHECK_MS) {
+		usleep(CHECK_MS * 1000);
+		ck_advance_ms(f->clock, CHECK_MS);
+		event_base_loop(f->base, EVLOOP_NONBLOCK);
+		fr_check_clients(f->front);
+	}
+}
+
+/* Guards against a run of a job beside that of its resubmission, when its
+ * client is cut off and the end of its connection does not arrive. */
+static void
+test_client_cut_off(void **state)
+{
+	struct fixture *f = *state;
+
+	f->has_config = true;
+	f->holds_jobs = true;
+	send_request(f);
+	run_loop(f);
+	cut_off_client(f);
+	pass(f, RESUBMIT_MS);
+	assert_int_equal(1, f->closed);
+	assert_int_equal(0, fr_pending(f->front));
+}
+
+/* Guards against giving up a job whose client waits silently. */
+static void
+test_client_waits(void **state)
+{
+	struct fixture *f = *state;
+
+	f->has_config = true;
+	f->holds_jobs = true;
+	send_request(f);
+	pass(f, 3000);
+	assert_int_equal(0, f->closed);
+	assert_int_equal(1, fr_pending(f->front));
+}
+
+/* Guards against taking a job that has waited unread for longer than it takes
+ * its client, whose end has not arrived, to submit it elsewhere. */
+static void
+test_request_read_late(void **state)
+{
+	struct fixture *f = *state;
+
+	f->has_config = true;
+	send_request(f);
+	cut_off_client(f);
+	usleep(RESUBMIT_MS * 1000);
+	run_loop(f);
+	assert_int_equal(0, f->deadline_ms);
+	assert_int_equal(0, fr_pending(f->front));
+}
+
 /* Sends a job with the given body on a connection of its own. Return: status of
  * the response. */
 static int
@@ -347,6 +431,9 @@
 	    T(test_no_configuration),
 	    T(test_client_gone),
 	    T(test_client_gone_before_read),
+	    T(test_client_cut_off),
+	    T(test_client_waits),
+	    T(test_request_read_late),
 	    T(test_malformed),
 	    T(test_id_not_utf8),
 	};
