Start only grants that are for the endpoint as it is now

What callers saw: a minion crashed and one of another kind came back at its address.

Cause: entries place tasks by the description in the last ATTACH of an agent, and nothing in a grant told the agent which endpoint it was meant for. The agent took every grant while its endpoint was accepting, and it said so from the first list of a new process on, still with the labels, service and capacity of the earlier one. The new description waited for the answer to a pending heartbeat and then for the next period, and a change of the labels alone sent none at all.

A description is now identified by a hash of the process (its start), service, zone, labels and capacity. ATTACH carries it, each grant repeats the one that it was placed by, and the agent returns a grant for another one. Queued grants are returned when it changes, and so is a grant whose start was rejected meanwhile. The list of a new process makes the description unknown until a heartbeat of this process. A change is sent at once, or with the answer to a pending heartbeat; until an entry has it, reports to this entry say that the endpoint takes no tasks. The zone is that which the endpoint reports.

Entries and agents of the versions before and after do not understand each other's ATTACH and START.

--- a/agent/executor.c
+++ b/agent/executor.c
@@ -4,6 +4,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "clock.h"
 #include "counters.h"
@@ -78,6 +79,7 @@
 	uint64_t incarnation;
 	uint64_t started_ms; /* wall clock */
 	char *service;       /* of the endpoint, owned */
+	char *endpoint_az;   /* owned */
 	GPtrArray *labels;
 	uint64_t stop_requested_ms;
 	const char *path; /* of the settings */
@@ -119,31 +121,57 @@
 
 /* --- the endpoint --- */
 
-/* Entries must learn at once that an endpoint joins or leaves. */
+/* Entries must learn at once that an endpoint joins, leaves or changes. */
 static void
 send_heartbeats_if_changed(struct ex *e, const struct ru_load *before)
 {
 	struct ru_load after = ru_load(e->runner);
 
 	if (before->reported.accepting != after.reported.accepting ||
-	    before->cpu != after.cpu)
+	    before->description != after.description)
 		lk_send_heartbeats(e->links);
 }
 
+/* Hash of the process and of all that entries place tasks by, not 0. */
+static uint64_t
+hash_description(const struct od_heartbeat *a)
+{
+	GString *s = g_string_new(NULL);
+	uint64_t hash;
+	unsigned i;
+
+	g_string_printf(s, "%llu\n%u\n%u\n%s\n%s",
+	    (unsigned long long)a->started_ms, a->cpu, a->mem_mb, a->service,
+	    a->az);
+	for (i = 0; i < a->nlabels; i++)
+		g_string_append_printf(s, "\n%s", a->labels[i]);
+	hash = XXH3_64bits(s->str, s->len);
+	g_string_free(s, TRUE);
+	return (hash == 0 ? 1 : hash);
+}
+
 static void
 on_heartbeat(void *arg, const struct od_heartbeat *a)
 {
 	struct ex *e = arg;
 	struct ru_load before = ru_load(e->runner);
+	struct ru_endpoint endpoint = {
+	    .incarnation = a->started_ms,
+	    .description = hash_description(a),
+	    .cpu = a->cpu,
+	    .mem_mb = a->mem_mb,
+	    .accepting = a->accepting,
+	};
 	unsigned i;
 
 	g_free(e->service);
 	e->service = g_strdup(a->service);
+	g_free(e->endpoint_az);
+	e->endpoint_az = g_strdup(a->az);
 	g_ptr_array_set_size(e->labels, 0);
 	for (i = 0; i < a->nlabels; i++)
 		g_ptr_array_add(e->labels, g_strdup(a->labels[i]));
-	ru_update_endpoint(
-	    e->runner, a->started_ms, a->cpu, a->mem_mb, a->accepting);
+	ru_update_endpoint(e->runner, &endpoint);
 	send_heartbeats_if_changed(e, &before);
 }
 
@@ -251,7 +279,7 @@
 	struct ru_load l = ru_load(e->runner);
 
 	a->name = e->settings.name;
-	a->az = e->settings.az;
+	a->az = e->endpoint_az != NULL ? e->endpoint_az : e->settings.az;
 	a->incarnation = e->incarnation;
 	a->started_ms = e->started_ms;
 	a->service = e->service;
@@ -259,6 +287,7 @@
 	a->labels.labels_len = e->labels->len;
 	a->cpu = l.cpu;
 	a->mem_mb = l.mem_mb;
+	a->endpoint = l.description;
 	a->load = l.reported;
 	return (l.old_runs_ended && e->service != NULL);
 }
@@ -480,6 +509,7 @@
 	ck_free(e->clock);
 	g_ptr_array_free(e->labels, TRUE);
 	g_free(e->service);
+	g_free(e->endpoint_az);
 	/* The last callback of a connection that was just closed frees it. */
 	event_base_loop(e->base, EVLOOP_NONBLOCK);
 	event_base_free(e->base);
--- a/agent/links.c
+++ b/agent/links.c
@@ -53,6 +53,8 @@
 	uint64_t unneeded_ms;  /* since when it is not needed; 0: it is */
 	uint32_t list_hash;    /* of the entries that it announced last */
 	uint64_t load_sent_ms; /* when a report with the load was sent last */
+	uint64_t described;    /* endpoint in the last heartbeat; 0: none */
+	bool heartbeat_due;    /* as soon as the pending one is answered */
 	GArray *unsent_ends;   /* struct pd_end with owned ids, to be sent */
 };
 
@@ -98,8 +100,10 @@
 	l->conn = NULL;
 	l->open = false;
 	l->echo_ms = 0;
+	l->described = 0;
 	l->failed = true;
 	l->heartbeat_pending = false;
+	l->heartbeat_due = false;
 }
 
 static void send_attach(struct link *l);
@@ -133,22 +137,26 @@
 	    ck_mono_ms(l->links->clock) <= l->echo_ms + LE_CONTACT_MS);
 }
 
-/* The load as it is reported to one entry: one that the agent is about to leave
- * must not grant any more. */
+/* The load as it is reported to one entry: one that the agent is about to
+ * leave, or that has no description of the endpoint as it is, must not grant.
+ */
 static struct pd_load
-load_for(const struct link *l, struct pd_load load)
+load_for(const struct link *l, const struct pd_attach *a)
 {
-	load.accepting = load.accepting && l->unneeded_ms == 0;
+	struct pd_load load = a->load;
+
+	load.accepting = load.accepting && l->unneeded_ms == 0 &&
+	    l->described == a->endpoint;
 	return (load);
 }
 
 static struct pd_load
-current_load(struct lk *k)
+current_load_for(const struct link *l)
 {
 	struct pd_attach a = {0};
 
-	k->ops->fill_attach(k->arg, &a);
-	return (a.load);
+	l->links->ops->fill_attach(l->links->arg, &a);
+	return (load_for(l, &a));
 }
 
 /* Sends the load and all ends that are not sent yet. */
@@ -171,7 +179,7 @@
 return_grant(struct link *l, const struct pd_start *s)
 {
 	struct pd_end e = {.key = s->key, .state = PD_END_RETURNED};
-	struct pd_ended report = {.load = load_for(l, current_load(l->links)),
+	struct pd_ended report = {.load = current_load_for(l),
 	    .list = {.list_len = 1, .list_val = &e}};
 
 	lg_write(LOG_NOTICE, "links",
@@ -240,7 +248,7 @@
 		reply.list.list_val[i].state =
 		    k->ops->state(k->arg, l->entry, &list.list.list_val[i]);
 	}
-	reply.load = load_for(l, current_load(k));
+	reply.load = current_load_for(l);
 	/* A grant that has just ended is not known here any more. */
 	if (l->unsent_ends->len > 0)
 		send_ends(l, reply.load);
@@ -431,6 +439,8 @@
 	if (l->unneeded_ms == 0 && a->service_workers > 0)
 		ac_observe(k->contacts, a->service_workers, a->label_workers);
 	add_announced(l, a);
+	if (l->heartbeat_due && l->open)
+		send_attach(l);
 }
 
 /* Hash of the list that an entry need not send again. Now and then it is none,
@@ -458,8 +468,10 @@
 	a.cell = k->cell;
 	a.clock_ms = ck_mono_ms(k->clock);
 	a.entries_hash = known_list(l);
-	a.load = load_for(l, a.load);
+	l->described = a.endpoint;
+	a.load = load_for(l, &a);
 	l->heartbeat_pending = true;
+	l->heartbeat_due = false;
 	l->heartbeat_sent_ms = a.clock_ms;
 	cn_call(l->conn, PD_ATTACH, (xdrproc_t)xdr_pd_attach, &a,
 	    (xdrproc_t)xdr_pd_attached, sizeof(struct pd_attached),
@@ -507,7 +519,9 @@
 						  : CONNECT_TIMEOUT_MS);
 		else
 			l->failed = true;
-	} else if (l->open && !l->heartbeat_pending &&
+	} else if (l->open && l->heartbeat_pending) {
+		l->heartbeat_due = l->heartbeat_due || now;
+	} else if (l->open &&
 	    (now || is_asked_for_entries(l) ||
 		ck_mono_ms(l->links->clock) - l->heartbeat_sent_ms >=
 		    LE_HEARTBEAT_MS)) {
@@ -630,12 +644,13 @@
 	struct lk *k = arg;
 	uint64_t now = ck_mono_ms(k->clock);
 	GHashTableIter it;
-	struct pd_load load = current_load(k);
+	struct pd_attach a = {0};
 	unsigned period_ms = ac_report_period_ms(lk_connected(k));
 	struct link *l;
 
 	(void)fd;
 	(void)what;
+	k->ops->fill_attach(k->arg, &a);
 	g_hash_table_iter_init(&it, k->table);
 	while (g_hash_table_iter_next(&it, NULL, (void **)&l)) {
 		if (!is_attached(l) ||
@@ -643,7 +658,7 @@
 			!is_load_report_due(l, now, period_ms)))
 			continue;
 		l->load_sent_ms = now;
-		send_ends(l, load_for(l, load));
+		send_ends(l, load_for(l, &a));
 	}
 }
 
--- a/bench/model_worker.c
+++ b/bench/model_worker.c
@@ -343,6 +343,7 @@
 	    .started_ms = w->incarnation,
 	    .cpu = l.cpu,
 	    .mem_mb = MEM_MB,
+	    .endpoint = l.description,
 	    .load = l.reported,
 	    .clock_ms = clock_ms};
 	struct fl_worker *f;
@@ -458,11 +459,15 @@
 md_worker_start(struct md_worker *w)
 {
 	struct md *m = w->model;
+	struct ru_endpoint endpoint = {
+	    .cpu = w->cpu, .mem_mb = MEM_MB, .accepting = true};
 
 	w->up = true;
 	w->incarnation++;
+	endpoint.incarnation = w->incarnation;
+	endpoint.description = w->incarnation;
 	w->runner = ru_new(m->clock, m->counters, &runner_ops, w);
-	ru_update_endpoint(w->runner, w->incarnation, w->cpu, MEM_MB, true);
+	ru_update_endpoint(w->runner, &endpoint);
 	deliver_run_end(w, &(struct command){.id = ""}, RU_LAPSED);
 	md_schedule(
 	    m, 0, on_heartbeat, w->number, (unsigned)w->incarnation, NULL);
--- a/fakes/fake_minion.c
+++ b/fakes/fake_minion.c
@@ -77,6 +77,7 @@
 	char *name;
 	char *service;
 	char *az;
+	char *label; /* of its kind, NULL for "a" */
 	int log_fd;
 	unsigned port;
 	unsigned cpu;
@@ -475,6 +476,9 @@
 	    65536, "gpu", 0, "labels", "a", "r1", "clock_ms",
 	    (json_int_t)now_ms(), "seq", (json_int_t)++m->heartbeat_seq, "born",
 	    (json_int_t)m->incarnation);
+	if (m->label != NULL)
+		json_object_set_new(
+		    o, "labels", json_pack("[s,s]", m->label, "r1"));
 	text = json_dumps(o, JSON_COMPACT);
 	path = g_strdup_printf("/v1/instances/%s", m->name);
 	evbuffer_add(evhttp_request_get_output_buffer(req), text, strlen(text));
@@ -613,9 +617,11 @@
 	struct arg_str *name =
 	    arg_str1(NULL, "name", "NAME", "name of the endpoint");
 	struct arg_str *az = arg_str1(NULL, "az", "AZ", "availability zone");
+	struct arg_str *label = arg_str0(
+	    NULL, "label", "LABEL", "label of its kind, \"a\" if unset");
 	struct arg_str *log = arg_str1(NULL, "log", "FILE", "log of runs");
 	struct arg_end *end = arg_end(8);
-	void *table[] = {port, agent_port, cpu, name, az, log, end};
+	void *table[] = {port, agent_port, cpu, name, az, label, log, end};
 
 	if (arg_parse(argc, argv, table) != 0) {
 		arg_print_errors(stderr, end, argv[0]);
@@ -626,6 +632,7 @@
 	m->cpu = (unsigned)cpu->ival[0];
 	m->name = g_strdup(name->sval[0]);
 	m->az = g_strdup(az->sval[0]);
+	m->label = label->count > 0 ? g_strdup(label->sval[0]) : NULL;
 	m->service = g_strdup("desk");
 	m->log_fd = open(log->sval[0], O_WRONLY | O_CREAT | O_APPEND, 0644);
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
@@ -664,6 +671,7 @@
 	g_hash_table_destroy(m.highest_ended);
 	g_free(m.name);
 	g_free(m.az);
+	g_free(m.label);
 	g_free(m.service);
 	event_base_free(m.base);
 	close(m.log_fd);
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -206,6 +206,7 @@
 	w->labels = labels;
 	w->cpu = a->cpu;
 	w->mem_mb = a->mem_mb;
+	w->endpoint = a->endpoint;
 }
 
 static void
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -27,6 +27,7 @@
  * @incarnation: of its agent
  * @started_ms: wall clock at the start of its agent
  * @labels: each label enclosed in spaces
+ * @endpoint: identifies its endpoint as it was last described, see pd_attach
  * @cpu: capacity, thousandths of a core; 0 while its endpoint is unknown
  * @cpu_others: CPU used by tasks of other entries, as of the last report
  * @cpu_own: CPU used by grants of this entry
@@ -51,6 +52,7 @@
 	uint64_t session;
 	uint64_t incarnation;
 	uint64_t started_ms;
+	uint64_t endpoint;
 	unsigned cpu;
 	unsigned mem_mb;
 	unsigned cpu_others;
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -317,6 +317,7 @@
 		w->clock_offset_ms - (int64_t)(run_ms * START_MARGIN_FACTOR));
 	out.expires_ms =
 	    (uint64_t)((int64_t)job->deadline_ms + w->clock_offset_ms);
+	out.endpoint = w->endpoint;
 	out.body.body_val = job->body;
 	out.body.body_len = (u_int)job->body_len;
 	j->ops->start(j->arg, w, &out);
--- a/sched/runner.c
+++ b/sched/runner.c
@@ -106,6 +106,7 @@
 {
 	struct ru_load l = {.cpu = r->endpoint_known ? r->cpu : 0,
 	    .mem_mb = r->mem_mb,
+	    .description = r->description,
 	    .reported.accepting = r->endpoint_known && r->accepting &&
 		!r->draining && !r->replaced &&
 		r->unanswered < RU_UNANSWERED_MAX,
@@ -372,6 +373,7 @@
 	t->level = lv_of(s->priority);
 	t->size_ms = s->size_ms;
 	t->limit_ms = s->limit_ms;
+	t->description = s->endpoint;
 	t->start_by_ms = s->start_by_ms;
 	t->expires_ms = s->expires_ms;
 	t->returnable = s->queue_max != UINT32_MAX;
@@ -404,9 +406,16 @@
 	full = l.reported.cpu_used + s->cpu > l.cpu &&
 	    cpu_queued_ahead(&l, t) + s->cpu > s->queue_max;
 	g_ptr_array_add(r->tasks, t);
+	if (s->endpoint != r->description)
+		ct_add(ct_get(r->counters, CT_COUNTER,
+			   "pd_grants_other_endpoint_total",
+			   "Grants returned since they were for the endpoint "
+			   "as it was before",
+			   ""),
+		    1);
 	if (full || !l.reported.accepting || l.queued >= QUEUE_MAX ||
-	    s->cpu > l.cpu || now >= s->expires_ms ||
-	    !wh_accepts(&r->health, now)) {
+	    s->endpoint != r->description || s->cpu > l.cpu ||
+	    now >= s->expires_ms || !wh_accepts(&r->health, now)) {
 		ru_end(r, t, PD_END_RETURNED, RU_C_NOT_STARTED);
 		return;
 	}
--- a/sched/runner.h
+++ b/sched/runner.h
@@ -102,14 +102,24 @@
 void ru_free(struct ru *r);
 
 /**
- * ru_update_endpoint() - handle a heartbeat of the endpoint
+ * struct ru_endpoint - the endpoint as it describes itself
  * @incarnation: number that differs for each start of it; as in polls, since
  *     anyone can send a heartbeat
+ * @description: identifies the process and everything by which entries place
+ *     tasks: service, availability zone, labels and capacity; not 0
  * @cpu: its capacity, thousandths of a core
  * @accepting: it accepts new tasks
  */
-void ru_update_endpoint(struct ru *r, uint64_t incarnation, unsigned cpu,
-    unsigned mem_mb, bool accepting);
+struct ru_endpoint {
+	uint64_t incarnation;
+	uint64_t description;
+	unsigned cpu;
+	unsigned mem_mb;
+	bool accepting;
+};
+
+/** ru_update_endpoint() - handle a heartbeat of the endpoint */
+void ru_update_endpoint(struct ru *r, const struct ru_endpoint *e);
 
 /**
  * ru_endpoint_gone() - handle that the endpoint takes no more tasks
@@ -155,7 +165,12 @@
 /** ru_entry_gone() - handle the end of an entry process: stop its tasks */
 void ru_entry_gone(struct ru *r, uint64_t entry);
 
-/** ru_grant() - handle a grant of an entry: queue, start or return the task */
+/**
+ * ru_grant() - handle a grant of an entry: queue, start or return the task
+ *
+ * A grant is for one description of the endpoint. It is returned if that is not
+ * the current one, also later, while it is queued.
+ */
 void ru_grant(struct ru *r, uint64_t entry, const struct pd_start *s);
 
 /** ru_withdraw() - stop a task that its entry no longer needs */
@@ -180,9 +195,10 @@
 	struct pd_load reported; /* part that is sent to entries */
 	unsigned cpu;
 	unsigned mem_mb;
-	unsigned active;     /* runs at the endpoint */
-	unsigned queued;     /* tasks that wait */
-	bool old_runs_ended; /* no run of an earlier agent process is left */
+	uint64_t description; /* of the endpoint; 0: unknown */
+	unsigned active;      /* runs at the endpoint */
+	unsigned queued;      /* tasks that wait */
+	bool old_runs_ended;  /* no run of an earlier agent process is left */
 };
 
 /** ru_load() - current load and capacity */
--- a/sched/runner_endpoint.c
+++ b/sched/runner_endpoint.c
@@ -93,6 +93,16 @@
 	}
 }
 
+/* The queued tasks were granted to the endpoint as it was. Until a heartbeat
+ * describes it again, nothing is known of it that tasks are placed by. */
+static void
+forget_description(struct ru *r)
+{
+	r->endpoint_known = false;
+	r->description = 0;
+	ru_return_queued(r);
+}
+
 /*
  * A new process does not prove that the earlier one has ended: it may have
  * closed its port and finish its runs. Nothing is started, and no lease is
@@ -112,25 +122,26 @@
 		    ru_sum_load(r).active);
 		r->replaced = r->replaced || !r->old_runs_ended ||
 		    ru_sum_load(r).active > 0;
-		if (r->replaced)
-			ru_return_queued(r);
+		forget_description(r);
 	}
 	r->endpoint_incarnation = incarnation;
 }
 
 void
-ru_update_endpoint(struct ru *r, uint64_t incarnation, unsigned cpu,
-    unsigned mem_mb, bool accepting)
+ru_update_endpoint(struct ru *r, const struct ru_endpoint *e)
 {
-	set_incarnation(r, incarnation);
-	if (r->accepting && !accepting)
+	set_incarnation(r, e->incarnation);
+	if (r->accepting && !e->accepting)
 		lg_write(
 		    LOG_NOTICE, "runner", "the endpoint accepts no new tasks");
+	if (r->description != e->description)
+		forget_description(r);
 	r->endpoint_known = true;
-	r->cpu = cpu;
-	r->mem_mb = mem_mb;
-	r->accepting = accepting;
-	if (!accepting)
+	r->description = e->description;
+	r->cpu = e->cpu;
+	r->mem_mb = e->mem_mb;
+	r->accepting = e->accepting;
+	if (!e->accepting)
 		ru_return_queued(r);
 	ru_start_queued(r);
 }
@@ -142,8 +153,7 @@
 		lg_write(LOG_NOTICE, "runner",
 		    "the endpoint has stopped, with %u runs",
 		    ru_sum_load(r).active);
-	r->endpoint_known = false;
-	ru_return_queued(r);
+	forget_description(r);
 }
 
 static struct ru_task *
@@ -372,7 +382,8 @@
 					: "no_answer");
 	if (answer == RU_NO_ANSWER) {
 		ru_stop_task(r, t, PD_END_LOST);
-	} else if (t->phase == RU_STOPPING || answer == RU_REJECTED) {
+	} else if (t->phase == RU_STOPPING || answer == RU_REJECTED ||
+	    t->description != r->description) {
 		ru_end(r, t, PD_END_RETURNED, RU_C_NOT_STARTED);
 	} else {
 		if (answer == RU_OLD_RUN)
--- a/sched/runner_impl.h
+++ b/sched/runner_impl.h
@@ -59,6 +59,7 @@
 	uint64_t lease_limit_ms; /* latest end of the lease of a stopped run */
 	uint64_t stopped_ms;     /* when the stop was confirmed; 0: not yet */
 	uint64_t incarnation; /* process of the endpoint that got the start */
+	uint64_t description; /* of the endpoint that it is for */
 	enum ru_phase phase;
 	bool listed;       /* a poll has listed the run */
 	bool never_listed; /* it was confirmed, but is at no known process */
@@ -82,6 +83,7 @@
 	struct wh
 	    health; /* of this worker, learned from the runs of all entries */
 	uint64_t endpoint_incarnation;
+	uint64_t description; /* see struct ru_endpoint; 0: unknown */
 	unsigned cpu;
 	unsigned mem_mb;
 	unsigned unanswered; /* consecutive calls without an answer */
--- a/tests/harness_fleet.c
+++ b/tests/harness_fleet.c
@@ -32,6 +32,7 @@
 	unsigned orders_port;
 	unsigned relay_port; /* orders_port when there is no relay */
 	unsigned relay_control_port;
+	const char *label; /* of its kind, NULL for "a" */
 	char az[8];
 };
 
@@ -51,7 +52,8 @@
 	unsigned store_relay_port; /* store_port when there is no relay */
 	unsigned store_relay_control_port;
 	bool relayed;
-	unsigned timeout_ms; /* of the queues */
+	unsigned timeout_ms;        /* of the queues */
+	const char *required_label; /* of jobs, "" for none */
 	unsigned nentries;
 	unsigned nworkers;
 	unsigned next_suffix; /* makes names of logs and ids of jobs unique */
@@ -151,7 +153,8 @@
 	w->minion = hn_start(f->hn, name,
 	    (const char *const[]){"fakes/fake_minion", "--port", orders,
 		"--agent", beats, "--cpu", cpu, "--name", id, "--az", w->az,
-		"--log", f->log, NULL});
+		"--log", f->log, w->label == NULL ? NULL : "--label", w->label,
+		NULL});
 	hn_wait_ready(w->minion, &port, 1);
 }
 
@@ -287,6 +290,7 @@
 	f->hn = h;
 	f->relayed = relayed;
 	f->timeout_ms = DEADLINE_MS;
+	f->required_label = "";
 	f->nentries = entries;
 	f->nworkers = workers;
 	f->log = hn_path(h, "runs.log");
@@ -371,6 +375,12 @@
 	return (f->workers[i].agent);
 }
 
+struct hn_proc *
+hf_minion(struct hf *f, unsigned i)
+{
+	return (f->workers[i].minion);
+}
+
 static void
 stop_process(struct hn_proc *p, int sig)
 {
@@ -415,6 +425,18 @@
 	start_minion(f, i);
 }
 
+void
+hf_set_label(struct hf *f, unsigned i, const char *label)
+{
+	f->workers[i].label = label;
+}
+
+void
+hf_require_label(struct hf *f, const char *label)
+{
+	f->required_label = label;
+}
+
 void
 hf_start_minion(struct hf *f, unsigned i)
 {
@@ -481,11 +503,12 @@
 
 /* Body of a job, released with free(). */
 static char *
-job_body(const char *spec, unsigned tasks, unsigned size_ms)
+job_body(const struct hf *f, const char *spec, unsigned tasks, unsigned size_ms)
 {
-	json_t *o = json_pack("{s:s,s:b,s:[{s:i,s:i,s:i,s:i}]}", "spec", spec,
-	    "best_effort", 1, "steps", "count", (int)tasks, "cpu", TASK_CPU,
-	    "mem_mb", 64, "estimate_ms", (int)size_ms);
+	json_t *o = json_pack("{s:s,s:b,s:[{s:i,s:i,s:i,s:i,s:s}]}", "spec",
+	    spec, "best_effort", 1, "steps", "count", (int)tasks, "cpu",
+	    TASK_CPU, "mem_mb", 64, "estimate_ms", (int)size_ms,
+	    "required_label", f->required_label);
 	char *body = json_dumps(o, JSON_COMPACT);
 
 	json_decref(o);
@@ -500,7 +523,7 @@
 	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
 	    .sin_port = htons((uint16_t)f->entries[entry].clients_port)};
 	int s = socket(AF_INET, SOCK_STREAM, 0);
-	char *body = job_body(spec, tasks, size_ms);
+	char *body = job_body(f, spec, tasks, size_ms);
 	char *request = g_strdup_printf("POST " PATH_PREFIX
 					"%s HTTP/1.1\r\nHost: 127.0.0.1\r\n"
 					"Content-Length: %zu\r\n\r\n%s",
@@ -517,7 +540,7 @@
 hf_submit(struct hf *f, unsigned entry, const char *id, const char *spec,
     unsigned tasks, unsigned size_ms, json_t **answer)
 {
-	char *body = job_body(spec, tasks, size_ms);
+	char *body = job_body(f, spec, tasks, size_ms);
 	char *path = g_strconcat(PATH_PREFIX, id, NULL);
 	int status;
 
@@ -697,11 +720,14 @@
 	return (out);
 }
 
-unsigned
-hf_starts_in_zone(struct hf *f, const char *az, uint64_t after_ms)
+/* Number of starts at each worker after a time. */
+static void
+count_starts(struct hf *f, uint64_t after_ms, unsigned n[HF_NODES_MAX])
 {
 	char *text = NULL, **lines, **part;
-	unsigned i, worker, n = 0;
+	unsigned i, worker;
+
+	memset(n, 0, HF_NODES_MAX * sizeof(*n));
 
 	assert_true(g_file_get_contents(f->log, &text, NULL, NULL));
 	lines = g_strsplit(text, "\n", -1);
@@ -711,11 +737,30 @@
 		    g_ascii_strtoull(part[0], NULL, 10) > after_ms) {
 			worker =
 			    (unsigned)g_ascii_strtoull(part[2] + 1, NULL, 10);
-			n += strcmp(f->workers[worker].az, az) == 0;
+			n[worker]++;
 		}
 		g_strfreev(part);
 	}
 	g_strfreev(lines);
 	g_free(text);
+}
+
+unsigned
+hf_starts_in_zone(struct hf *f, const char *az, uint64_t after_ms)
+{
+	unsigned starts[HF_NODES_MAX], i, n = 0;
+
+	count_starts(f, after_ms, starts);
+	for (i = 0; i < f->nworkers; i++)
+		n += strcmp(f->workers[i].az, az) == 0 ? starts[i] : 0;
 	return (n);
 }
+
+unsigned
+hf_starts_at(struct hf *f, unsigned i, uint64_t after_ms)
+{
+	unsigned starts[HF_NODES_MAX];
+
+	count_starts(f, after_ms, starts);
+	return (starts[i]);
+}
--- a/tests/harness_fleet.h
+++ b/tests/harness_fleet.h
@@ -104,6 +104,9 @@
 /** hf_agent() - process of an agent */
 struct hn_proc *hf_agent(struct hf *f, unsigned i);
 
+/** hf_minion() - process of an endpoint */
+struct hn_proc *hf_minion(struct hf *f, unsigned i);
+
 /** hf_restart_entry() - end an entry with a signal and start it again */
 void hf_restart_entry(struct hf *f, unsigned i, int sig);
 
@@ -118,6 +121,12 @@
  */
 void hf_replace_minion(struct hf *f, unsigned i, bool deregisters);
 
+/** hf_set_label() - label of the kind of an endpoint from its next start on */
+void hf_set_label(struct hf *f, unsigned i, const char *label);
+
+/** hf_require_label() - label that the tasks of all further jobs require */
+void hf_require_label(struct hf *f, const char *label);
+
 /** hf_start_minion() - start an endpoint that has left */
 void hf_start_minion(struct hf *f, unsigned i);
 
@@ -159,4 +168,7 @@
  * time, wall clock in ms */
 unsigned hf_starts_in_zone(struct hf *f, const char *az, uint64_t after_ms);
 
+/** hf_starts_at() - the same for one endpoint */
+unsigned hf_starts_at(struct hf *f, unsigned i, uint64_t after_ms);
+
 #endif
--- a/tests/jobs_fixture.h
+++ b/tests/jobs_fixture.h
@@ -46,8 +46,10 @@
 	uint64_t waiters[RECORDS_MAX];
 	unsigned nanswers;
 	char ids[RECORDS_MAX][32];
-	unsigned priority;   /* of the jobs that are submitted */
-	unsigned timeout_ms; /* likewise */
+	uint64_t endpoints[RECORDS_MAX]; /* that the grants are for */
+	uint64_t endpoint;               /* in heartbeats of agents */
+	unsigned priority;               /* of the jobs that are submitted */
+	unsigned timeout_ms;             /* likewise */
 };
 
 static inline void
@@ -59,6 +61,7 @@
 	g_strlcpy(f->ids[f->nstarts], s->key.sub.id, sizeof(f->ids[0]));
 	f->starts[f->nstarts].sub.id = f->ids[f->nstarts];
 	f->run_limits[f->nstarts] = s->limit_ms;
+	f->endpoints[f->nstarts] = s->endpoint;
 	f->start_workers[f->nstarts++] = w;
 }
 
@@ -159,6 +162,7 @@
 	    .started_ms = incarnation,
 	    .cpu = WORKER_CPU,
 	    .mem_mb = 1000,
+	    .endpoint = f->endpoint,
 	    .load.cpu_used = used,
 	    .load.accepting = true,
 	    .clock_ms = ck_mono_ms(f->clock)};
--- a/tests/proc_endpoint.c
+++ b/tests/proc_endpoint.c
@@ -188,6 +188,43 @@
 	check_served(t->fleet);
 }
 
+/* Time for which an endpoint is down before one of another kind starts at its
+ * address. */
+#define DOWN_MS 3400
+/* Jobs a second, many enough that the entries always place one. */
+#define PER_S 33
+
+/* Guards against starts of tasks at an endpoint without the label that they
+ * require, in the first 200 ms after it has taken the place of another one. */
+static void
+test_starts_without_required_label(void **state)
+{
+	struct hf_test *t = *state;
+	struct hf *f = t->fleet;
+	uint64_t changed_ms;
+	unsigned n;
+
+	hf_require_label(f, "a");
+	hf_start_load(f, PER_S);
+	hn_sleep_ms(1000);
+	hn_kill(hf_minion(f, 0));
+	hn_sleep_ms(DOWN_MS);
+	changed_ms = hn_wall_ms();
+	hf_set_label(f, 0, "b");
+	hf_start_minion(f, 0);
+	hn_sleep_ms(1500);
+	(void)hf_stop_load(f, &n);
+	assert_int_equal(0, hf_starts_at(f, 0, changed_ms));
+	assert_true(hf_starts_at(f, 1, changed_ms) > 0);
+	/* It is used for tasks that do not require the label. */
+	hf_require_label(f, "b");
+	changed_ms = hn_wall_ms();
+	assert_int_equal(200,
+	    hf_submit(
+		f, 0, "00000000000000f3", "run_ms=10 cpu=6000", 2, 10, NULL));
+	assert_int_equal(2, hf_starts_at(f, 0, changed_ms - 1));
+}
+
 #define TEST(name)                                                             \
 	cmocka_unit_test_setup_teardown(name, set_up, hf_test_tear_down)
 
@@ -200,6 +237,7 @@
 	    TEST(test_answer_without_list_of_runs),
 	    TEST(test_late_deregistration),
 	    TEST(test_heartbeat_of_another_process),
+	    TEST(test_starts_without_required_label),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
--- a/tests/runner_fixture.h
+++ b/tests/runner_fixture.h
@@ -25,6 +25,8 @@
 #define TASK_CPU 1000
 #define TASK_SIZE_MS 100
 #define ENDPOINT_CPU 4000
+#define DESCRIPTION 77
+#define OTHER_DESCRIPTION 78
 #define START_MS 100000
 #define ORDERS_MAX 64
 
@@ -48,6 +50,7 @@
 	unsigned priority;    /* of the tasks that are granted */
 	uint64_t incarnation; /* of the process that answers polls */
 	bool partial;         /* its lists are */
+	uint64_t description; /* of the endpoint that tasks are granted for */
 };
 
 static inline void
@@ -117,6 +120,19 @@
 	answer_poll(f, ck_mono_ms(f->clock), NULL, 0, &info, 1);
 }
 
+static inline void
+describe_endpoint(struct fixture *f, uint64_t incarnation, uint64_t description,
+    bool accepting)
+{
+	struct ru_endpoint e = {.incarnation = incarnation,
+	    .description = description,
+	    .cpu = ENDPOINT_CPU,
+	    .mem_mb = 1000,
+	    .accepting = accepting};
+
+	ru_update_endpoint(f->runner, &e);
+}
+
 static inline int
 set_up(void **state)
 {
@@ -125,9 +141,10 @@
 	f->clock = ck_new_manual(START_MS, START_MS);
 	f->counters = ct_new();
 	f->incarnation = 1;
+	f->description = DESCRIPTION;
 	f->runner = ru_new(f->clock, f->counters, &ops, f);
 	answer_empty_poll(f);
-	ru_update_endpoint(f->runner, 1, ENDPOINT_CPU, 1000, true);
+	describe_endpoint(f, 1, DESCRIPTION, true);
 	ru_entry_contact(f->runner, ENTRY_1, ck_mono_ms(f->clock));
 	ru_entry_contact(f->runner, ENTRY_2, ck_mono_ms(f->clock));
 	*state = f;
@@ -179,6 +196,7 @@
 	    .queue_max = UINT32_MAX,
 	    .start_by_ms = (uint64_t)((int64_t)now + start_by_ms),
 	    .expires_ms = now + 1500,
+	    .endpoint = f->description,
 	    .body = {.body_len = 1, .body_val = (char *)(uintptr_t) "x"},
 	};
 
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -47,6 +47,23 @@
 	assert_int_equal(2, f->nstarts);
 }
 
+/* Guards against a grant that its agent takes for one to its endpoint as it is
+ * now, which has changed since it was described to the entry. */
+static void
+test_grant_names_endpoint(void **state)
+{
+	struct fixture *f = *state;
+
+	f->endpoint = 5;
+	attach(f, "w1", 1);
+	submit(f, "a", 1);
+	assert_int_equal(5, f->endpoints[0]);
+	f->endpoint = 6;
+	handle_heartbeat(f, "w1", "z1", 1, 1, 0, false);
+	submit(f, "b", 1);
+	assert_int_equal(6, f->endpoints[1]);
+}
+
 /* Guards against a step that starts before the step it depends on is done. */
 static void
 test_steps(void **state)
@@ -611,6 +628,7 @@
 #define T(fn) cmocka_unit_test_setup_teardown(fn, set_up, tear_down)
 	const struct CMUnitTest tests[] = {
 	    T(test_complete),
+	    T(test_grant_names_endpoint),
 	    T(test_answer_lost),
 	    T(test_steps),
 	    T(test_refuse_at_once),
--- a/tests/test_links.c
+++ b/tests/test_links.c
@@ -49,10 +49,15 @@
 	struct cn_listener *listener;
 	char address[SN_ADDRESS_SIZE];
 	struct cn *conn;
-	bool accepting; /* in the last heartbeat */
-	unsigned loads; /* reports without ended tasks */
-	unsigned ends;  /* ended tasks of all reports */
-	bool silent;    /* leaves heartbeats unanswered */
+	bool accepting;     /* in the last heartbeat */
+	uint64_t described; /* endpoint in the last heartbeat */
+	bool holds;         /* heartbeats; answered by answer_held() */
+	uint32_t held_xid;
+	uint64_t held_clock_ms;
+	unsigned accepting_reports; /* reports that accept grants */
+	unsigned loads;             /* reports without ended tasks */
+	unsigned ends;              /* ended tasks of all reports */
+	bool silent;                /* leaves heartbeats unanswered */
 	enum pd_end_state last_end;
 	enum cn_error query_error;
 	unsigned ends_before_answer; /* reported before the answer to a query */
@@ -68,6 +73,7 @@
 	unsigned announced;  /* entries that are announced to the agent */
 	uint64_t busy_entry; /* has grants at the agent */
 	unsigned started;    /* grants that the agent took */
+	uint64_t endpoint;   /* description of the endpoint */
 };
 
 static void
@@ -76,6 +82,7 @@
 	struct pd_ended ended = {0};
 
 	assert_true(cn_decode(c, args, (xdrproc_t)xdr_pd_ended, &ended));
+	e->accepting_reports += ended.load.accepting;
 	e->loads += ended.list.list_len == 0;
 	e->ends += ended.list.list_len;
 	if (ended.list.list_len > 0)
@@ -100,14 +107,28 @@
 	assert_int_equal(PD_ATTACH, proc);
 	assert_true(cn_decode(c, args, (xdrproc_t)xdr_pd_attach, &a));
 	e->accepting = a.load.accepting;
+	e->described = a.endpoint;
+	e->held_xid = xid;
+	e->held_clock_ms = a.clock_ms;
 	reply.clock_ms = a.clock_ms;
 	reply.entries.entries_val = (pd_name *)(uintptr_t)e->fixture->addresses;
 	reply.entries.entries_len = e->fixture->announced;
-	if (!e->silent)
+	if (!e->silent && !e->holds)
 		cn_reply(c, xid, (xdrproc_t)xdr_pd_attached, &reply);
 	xdr_free((xdrproc_t)xdr_pd_attach, (char *)&a);
 }
 
+static void
+answer_held(struct entry *e)
+{
+	struct pd_attached reply = {.entry = e->address,
+	    .incarnation = e->incarnation,
+	    .clock_ms = e->held_clock_ms};
+
+	e->holds = false;
+	cn_reply(e->conn, e->held_xid, (xdrproc_t)xdr_pd_attached, &reply);
+}
+
 static void
 on_closed(void *arg, struct cn *c, enum cn_error why)
 {
@@ -133,7 +154,9 @@
 static bool
 fill_attach(void *arg, struct pd_attach *a)
 {
-	(void)arg;
+	struct fixture *f = arg;
+
+	a->endpoint = f->endpoint;
 	a->name = (char *)(uintptr_t) "side-1";
 	a->az = a->service = (char *)(uintptr_t) "x";
 	a->incarnation = 1;
@@ -435,6 +458,42 @@
 	assert_int_equal(PD_END_RETURNED, e->last_end);
 }
 
+/* Guards against grants by an old description of the endpoint, while a
+ * heartbeat with it waits for its answer: the new one was sent with the next
+ * heartbeat, and reports said in between that the endpoint takes tasks. */
+static void
+test_description_changes_beside_pending_heartbeat(void **state)
+{
+	struct pd_end end = {.key.sub.id = (char *)(uintptr_t) "a"};
+	struct fixture *f = *state;
+	struct entry *e = &f->entries[0];
+	unsigned reports;
+
+	f->announced = SEEDS;
+	f->endpoint = 1;
+	start_links(f);
+	sn_run_loop(f->base, RECONNECT_MS);
+	e->holds = true;
+	e->held_xid = 0;
+	while (e->held_xid == 0)
+		sn_run_loop(f->base, 1);
+	assert_int_equal(1, e->described);
+	f->endpoint = 2;
+	lk_send_heartbeats(f->links);
+	reports = e->accepting_reports;
+	lk_report_end(f->links, e->incarnation, &end);
+	sn_run_loop(f->base, ROUND_TRIP_MS);
+	assert_int_equal(1, e->ends);
+	assert_int_equal(reports, e->accepting_reports);
+	assert_int_equal(1, e->described);
+	answer_held(e);
+	sn_run_loop(f->base, ROUND_TRIP_MS);
+	assert_int_equal(2, e->described);
+	lk_report_end(f->links, e->incarnation, &end);
+	sn_run_loop(f->base, ROUND_TRIP_MS);
+	assert_int_equal(reports + 1, e->accepting_reports);
+}
+
 /* Guards against a task that goes back and forth between an entry and an agent
  * that was stopped, until the next heartbeat is due. */
 static void
@@ -656,6 +715,7 @@
 	    T(test_ends_beyond_one_message),
 	    T(test_load_report_rate),
 	    T(test_entries_announced_later),
+	    T(test_description_changes_beside_pending_heartbeat),
 	    T(test_grant_read_after_silence),
 	    T(test_contact_after_returned_grant),
 	    T(test_query_before_heartbeat_answered),
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -86,6 +86,7 @@
 	    .cpu = TASK_CPU,
 	    .mem_mb = 1,
 	    .queue_max = TASK_CPU,
+	    .endpoint = DESCRIPTION,
 	    .body = {.body_len = 1, .body_val = (char *)(uintptr_t) "x"},
 	};
 	struct fixture *f = *state;
@@ -215,7 +216,7 @@
 
 	for (i = 0; i < G_N_ELEMENTS(ids); i++)
 		grant(f, ENTRY_1, ids[i]);
-	ru_update_endpoint(f->runner, 1, ENDPOINT_CPU, 1000, false);
+	describe_endpoint(f, 1, DESCRIPTION, false);
 	assert_int_equal(1, f->nends);
 	assert_int_equal(PD_END_RETURNED, f->ends[0].state);
 	grant(f, ENTRY_1, "f");
--- a/tests/test_runner_endpoint.c
+++ b/tests/test_runner_endpoint.c
@@ -304,7 +304,8 @@
 {
 	f->incarnation = 2;
 	answer_empty_poll(f);
-	ru_update_endpoint(f->runner, 2, ENDPOINT_CPU, 1000, true);
+	f->description = OTHER_DESCRIPTION;
+	describe_endpoint(f, 2, f->description, true);
 }
 
 /* Guards against two runs of a task whose endpoint was replaced by another
--- a/wire/pd.h
+++ b/wire/pd.h
@@ -350,6 +350,7 @@
 	} labels;
 	u_int cpu;
 	u_int mem_mb;
+	u_quad_t endpoint;
 	pd_load load;
 	u_quad_t clock_ms;
 	u_int entries_hash;
@@ -381,6 +382,7 @@
 	u_int queue_max;
 	u_quad_t start_by_ms;
 	u_quad_t expires_ms;
+	u_quad_t endpoint;
 	struct {
 		u_int body_len;
 		char *body_val;
--- a/wire/pd.x
+++ b/wire/pd.x
@@ -268,6 +268,8 @@
 	pd_name labels<PD_LABELS_MAX>;
 	unsigned int cpu;		/* thousandths of a core; 0 if unknown */
 	unsigned int mem_mb;
+	unsigned hyper endpoint;	/* identifies its process and all that is
+					 * said of it here; 0: unknown */
 	pd_load load;
 	unsigned hyper clock_ms;	/* clock of the agent */
 	unsigned int entries_hash;	/* of the list received last; 0: none */
@@ -294,6 +296,7 @@
 	unsigned int queue_max;		/* most cpu queued ahead, its own included */
 	unsigned hyper start_by_ms;	/* agent's clock: latest start in time */
 	unsigned hyper expires_ms;	/* agent's clock: ended at this time */
+	unsigned hyper endpoint;	/* that it is for, as in pd_attach */
 	opaque body<PD_BODY_MAX>;
 };
 
--- a/wire/pd_xdr.c
+++ b/wire/pd_xdr.c
@@ -727,6 +727,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->mem_mb))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->endpoint))
+		 return FALSE;
 	 if (!xdr_pd_load (xdrs, &objp->load))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->clock_ms))
@@ -799,6 +801,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->expires_ms))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->endpoint))
+			 return FALSE;
 		 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, PD_BODY_MAX))
 			 return FALSE;
 		return TRUE;
@@ -838,6 +842,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->expires_ms))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->endpoint))
+			 return FALSE;
 		 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, PD_BODY_MAX))
 			 return FALSE;
 	 return TRUE;
@@ -865,6 +871,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->expires_ms))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->endpoint))
+		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, PD_BODY_MAX))
 		 return FALSE;
 	return TRUE;
