Send orders only to the process of the endpoint that they are for

What callers could see: an endpoint restarts under its id, as another kind or size. Until its agent knows, which takes until the first heartbeat or the next poll (up to 500 ms while idle), starts on new connections reach the new process. Only the agent's own check of the grant comes before.

Cause: a start names no process. Its connection may be a new one, to whatever listens at the address, and its answer does not say who took it.

Starts carry the id of the endpoint that has described itself (X-Pimentodock-Expected-Instance); another one answers 421. The next process may have the same id, so each new connection for orders is checked with a poll first, whose answer has the start of the process at the other end. If that is not the one in charge, nothing is sent, the task stays queued, and the address is polled at once.

Evidence: test_orders (test_start_before_process_is_known fails without the check).

Two tests of answers without lists open their connection for orders before these answers come: what such an answer says of runs and clock is what they test, and a connection that gives one is not used any more.

--- a/fakes/fake_minion.c
+++ b/fakes/fake_minion.c
@@ -1,5 +1,6 @@
 #include <argtable2.h>
 #include <event2/buffer.h>
+#include <event2/http.h>
 #include <fcntl.h>
 #include <glib.h>
 #include <stdio.h>
@@ -34,6 +35,8 @@
 #define WAIT_MAX_MS 2000
 #define HEARTBEAT_MS 1500
 #define STATUS_CONFLICT 409
+#define STATUS_OTHER_INSTANCE 421
+#define EXPECTED_HEADER "X-Pimentodock-Expected-Instance"
 #define LEAVE_DELAY_US 5000
 
 struct run {
@@ -397,6 +400,15 @@
 	wb_start_timer(l->timer, MIN(wait, WAIT_MAX_MS) * US_PER_MS);
 }
 
+static bool
+is_for_other(const struct minion *m, struct evhttp_request *req)
+{
+	const char *id = evhttp_find_header(
+	    evhttp_request_get_input_headers(req), EXPECTED_HEADER);
+
+	return (id != NULL && strcmp(id, m->name) != 0);
+}
+
 /* @req is NULL for a command that was delayed. */
 static void
 execute(struct minion *m, const char *path, const json_t *body,
@@ -406,6 +418,10 @@
 	    json_object_get(body, "fencing_token"));
 	const char *reason = NULL;
 
+	if (req != NULL && is_for_other(m, req)) {
+		reply(m, req, STATUS_OTHER_INSTANCE, json_object());
+		return;
+	}
 	if (fencing_token < m->fencing_token)
 		reason = "fence";
 	m->fencing_token = MAX(m->fencing_token, fencing_token);
--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -64,7 +64,9 @@
 	struct evhttp_bound_socket *endpoint_socket;
 	unsigned long long other_started_ms; /* of a later process */
 	unsigned other_polls;                /* that it got */
-	bool keep_end; /* ends stay listed, as if not acknowledged */
+	unsigned other_starts;               /* likewise */
+	char expected[32]; /* endpoint named in the last start */
+	bool keep_end;     /* ends stay listed, as if not acknowledged */
 };
 
 /* --- endpoint --- */
@@ -139,6 +141,9 @@
 	f->start_deadline_ms =
 	    at == NULL ? 0 : strtoull(strchr(at, ':') + 1, NULL, 10);
 	g_free(body);
+	at = evhttp_find_header(evhttp_request_get_input_headers(req),
+	    "X-Pimentodock-Expected-Instance");
+	g_strlcpy(f->expected, at == NULL ? "" : at, sizeof(f->expected));
 	f->run_started = true;
 	evbuffer_add_printf(evhttp_request_get_output_buffer(req), "%s",
 	    f->start_answer != NULL ? f->start_answer : "{\"clock_ms\":1}");
@@ -214,6 +219,8 @@
 
 	if (strcmp(evhttp_request_get_uri(req), "/v1/hold") == 0)
 		f->other_polls++;
+	else
+		f->other_starts++;
 	evbuffer_add_printf(evhttp_request_get_output_buffer(req),
 	    "{\"clock_ms\":1,\"born\":%llu,\"running\":[],\"ended\":[]}",
 	    f->other_started_ms);
@@ -461,6 +468,15 @@
 	f->clock = ck_new_system();
 }
 
+/* Starts a run, so that further orders need no new connection. */
+static void
+open_order_connection(struct fixture *f)
+{
+	start_run(f);
+	sn_run_loop(f->base, 20);
+	assert_int_equal(1, f->starts);
+}
+
 /* Starts an agent and waits for its first poll. */
 static void
 start_until_first_poll(struct fixture *f)
@@ -579,6 +595,7 @@
 
 	use_real_clock(f);
 	start_orders(f);
+	open_order_connection(f);
 	lists = f->lists;
 	for (i = 0; i < G_N_ELEMENTS(answers); i++) {
 		f->answer = answers[i];
@@ -729,12 +746,13 @@
 
 	f->hold_ms = 200;
 	start_orders(f);
+	open_order_connection(f);
 	f->answer = "{\"clock_ms\":1000000000}";
 	send_heartbeat_of(f, "desk", "a", WALL_MS + 5);
 	assert_true(f->unreachable > 0);
 	start_run(f);
 	sn_run_loop(f->base, 20);
-	assert_int_equal(1, f->starts);
+	assert_int_equal(2, f->starts);
 	assert_in_range(f->start_deadline_ms, 1, 10000);
 }
 
@@ -746,6 +764,13 @@
 	f->endpoint_socket = socket;
 }
 
+static ev_uint16_t
+endpoint_port(const struct fixture *f)
+{
+	return ((ev_uint16_t)strtoul(
+	    strchr(f->endpoint_address, ':') + 1, NULL, 10));
+}
+
 /* Starts a later process of the endpoint at the same port. Connections that are
  * open stay with the earlier one. */
 static struct evhttp *
@@ -786,6 +811,66 @@
 	assert_false(f->run_started);
 }
 
+/* Guards against a start at a process of the endpoint that the agent does not
+ * know yet, and that may be of another kind, on a connection that is new since
+ * no other was open, or since the earlier process has ended. */
+static void
+test_start_before_process_is_known(void **state)
+{
+	struct fixture *f = *state;
+	struct evhttp *other;
+	unsigned polls;
+
+	use_real_clock(f);
+	start_until_first_poll(f);
+	sn_run_loop(f->base, 20);
+	other = start_other_process(f);
+	f->other_started_ms = WALL_MS + 5;
+	f->start_status = 200;
+	start_run(f);
+	sn_run_loop(f->base, 50);
+	assert_int_equal(1, f->starts);
+	assert_int_equal(RU_NO_ROOM, f->start_result);
+	assert_false(f->run_started);
+	assert_int_equal(0, f->other_starts);
+	/* It is polled at once, and then gets orders. */
+	assert_true(f->other_polls > 1);
+	start_run(f);
+	sn_run_loop(f->base, 50);
+	assert_int_equal(RU_STARTED, f->start_result);
+	assert_int_equal(1, f->other_starts);
+	/* Both processes are followed by a third one. */
+	evhttp_free(other);
+	f->started_ms = WALL_MS + 9;
+	polls = f->polls;
+	f->endpoint_socket = evhttp_bind_socket_with_handle(
+	    f->endpoint, "127.0.0.1", endpoint_port(f));
+	assert_non_null(f->endpoint_socket);
+	start_run(f);
+	sn_run_loop(f->base, 50);
+	assert_int_equal(3, f->starts);
+	assert_int_equal(RU_NO_ROOM, f->start_result);
+	assert_false(f->run_started);
+	assert_true(f->polls > polls);
+}
+
+/* Guards against a start at another endpoint that has taken the address. */
+static void
+test_start_names_endpoint(void **state)
+{
+	struct fixture *f = *state;
+
+	start_orders(f);
+	send_names(f, "desk", "a");
+	start_run(f);
+	sn_run_loop(f->base, 20);
+	assert_string_equal("i", f->expected);
+	f->start_status = 421;
+	start_run(f);
+	sn_run_loop(f->base, 20);
+	assert_int_equal(RU_NO_ROOM, f->start_result);
+}
+
 /* Guards against a worker that is not used because its polls go to the earlier
  * process of the endpoint on a connection that is still open. */
 static void
@@ -874,6 +959,8 @@
 	    T(test_clock_of_earlier_process),
 	    T(test_clock_of_answer_without_lists),
 	    T(test_start_at_earlier_process),
+	    T(test_start_before_process_is_known),
+	    T(test_start_names_endpoint),
 	    T(test_idle_endpoint_replaced),
 	    T(test_polls_to_earlier_process),
 	    T(test_restart_after_clock_set_back),
