Ask the other entries to give up a long job before starting it

What callers could see: a client behind a proxy loses its connection while the proxy keeps its own one to the entry, and answers the probes. The entry goes on with the job beside the entry to which the client has submitted it again, for as long as the job takes.

Cause: a new job was started at once, with nothing to show that no other entry has it. The client has come here, so whatever another entry takes for its open connection is not.

An entry now asks the others to give up a job (CLAIM) before it starts one whose deadline is longer than twice the time after which clients submit again. If one of them may have had a run of it, the job waits for LE_UNREACHABLE_MS, by which the run has been stopped or its lease is over; otherwise it starts when all have answered, within a round trip. A job with a shorter deadline has all but ended when its client comes back, and is not asked for: this would cost each short job a call to every other entry. A second request for the job waits with the first one, and a cancellation or a claim of another entry ends the wait.

An entry that the others cannot reach is not waited for. If it is out of contact to its agents as well, they have stopped its runs; if it only is cut off from the other entries and, through a proxy, from its client, both run: this stays open.

--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "claims.h"
 #include "clock.h"
 #include "config.h"
 #include "counters.h"
@@ -36,6 +37,10 @@
 #define DRAIN_MAX_MS 5500
 /* One in so many jobs that complete in time is logged with all its events. */
 #define LOG_SAMPLE_INTERVAL 32
+/* A job is asked for at the other entries if its deadline is longer than this
+ * many times clients.resubmit_ms. One with a shorter deadline has all but ended
+ * when its client submits it again. */
+#define CLAIM_RESUBMISSIONS 2
 /* Limit of clients.resubmit_ms. */
 #define RESUBMIT_MAX_MS 600000
 #define FIELD(field) offsetof(struct settings, field)
@@ -102,8 +107,9 @@
 	struct sc *metrics;
 	struct event *tick;
 	struct pr_signals *signals;
-	const char *path;      /* of the settings file */
-	GPtrArray *seeds;      /* RPC addresses, owned */
+	const char *path; /* of the settings file */
+	GPtrArray *seeds; /* RPC addresses, owned */
+	struct cm *claims;
 	uint64_t jobs_in_time; /* jobs that completed in time */
 	bool store_reachable;
 	uint64_t stopping_ms; /* when the stop signal arrived, 0 before */
@@ -253,6 +259,75 @@
 	fr_refuse(d->front, waiter, reason);
 }
 
+static void
+resume_request(void *arg, uint64_t waiter)
+{
+	struct di *d = arg;
+
+	fr_resume(d->front, waiter);
+}
+
+static void
+answer_cancelled(void *arg, uint64_t waiter)
+{
+	static const struct jb_answer cancelled = {.status = JB_CANCELLED};
+	struct di *d = arg;
+
+	fr_answer(d->front, waiter, &cancelled);
+}
+
+static void
+answer_released(void *arg, uint64_t waiter)
+{
+	static const struct jb_answer released = {
+	    .status = JB_GAVE_UP, .reason = JB_R_CONTACT};
+	struct di *d = arg;
+
+	fr_answer(d->front, waiter, &released);
+}
+
+static void
+on_claimed(void *arg, uint64_t number, bool may_run)
+{
+	struct di *d = arg;
+
+	/* Calls that are pending when the process stops end then. */
+	if (d->claims == NULL)
+		return;
+	if (may_run)
+		lg_write(LOG_NOTICE, "jobs",
+		    "taking over a job of another entry: waiting %d ms for "
+		    "the end of its runs",
+		    LE_UNREACHABLE_MS);
+	cm_answered(d->claims, number, may_run);
+}
+
+/*
+ * Whether another entry may have a job that is submitted to this one. Its
+ * client may have lost a connection that the other entry still takes for open,
+ * for example if a proxy keeps it.
+ */
+static bool
+must_claim(const struct di *d, const struct fr_job *job)
+{
+	unsigned limit_ms =
+	    MIN(job->request.deadline_ms, job->request.queue->timeout_ms);
+
+	if (cm_contains(d->claims, job->request.id))
+		return (true);
+	return (!job->resumed && !jb_is_active(d->jobs, job->request.id) &&
+	    limit_ms > CLAIM_RESUBMISSIONS * d->settings.resubmit_ms);
+}
+
+static void
+claim(struct di *d, uint64_t waiter, const char *id)
+{
+	uint64_t number;
+
+	if (cm_add(d->claims, id, waiter, &number))
+		go_claim(d->gossip, id, on_claimed, d, number);
+}
+
 static void
 front_submit(void *arg, uint64_t waiter, const struct fr_job *job)
 {
@@ -262,6 +337,8 @@
 		refuse_job(d, waiter, job, "kept_jobs_unsupported");
 	else if (job->unsupported != NULL)
 		refuse_job(d, waiter, job, "ability_unsupported");
+	else if (must_claim(d, job))
+		claim(d, waiter, job->request.id);
 	else
 		jb_submit(d->jobs, &job->request, waiter);
 }
@@ -274,12 +351,20 @@
 	fr_answer_cancel(d->front, waiter, known);
 }
 
+/* Return: whether the job was active or waited here. */
+static bool
+cancel_here(struct di *d, const char *id)
+{
+	return (cm_remove(d->claims, id, answer_cancelled) ||
+	    jb_cancel(d->jobs, id));
+}
+
 static void
 front_cancel(void *arg, uint64_t waiter, const char *id)
 {
 	struct di *d = arg;
 
-	if (jb_cancel(d->jobs, id))
+	if (cancel_here(d, id))
 		fr_answer_cancel(d->front, waiter, true);
 	else
 		go_cancel(d->gossip, id, on_gossip_cancelled, d, waiter);
@@ -411,7 +496,17 @@
 {
 	struct di *d = arg;
 
-	return (jb_cancel(d->jobs, id));
+	return (cancel_here(d, id));
+}
+
+static bool
+gossip_claim(void *arg, const char *id)
+{
+	struct di *d = arg;
+
+	if (cm_remove(d->claims, id, answer_released))
+		return (true);
+	return (jb_release(d->jobs, id));
 }
 
 static const struct go_ops gossip_ops = {
@@ -419,6 +514,7 @@
     .store_reachable = gossip_store_reachable,
     .waiting_counts = gossip_waiting_counts,
     .cancel = gossip_cancel,
+    .claim = gossip_claim,
 };
 
 /* --- callbacks of the RPC listener --- */
@@ -489,6 +585,7 @@
 	(void)fd;
 	(void)what;
 	fr_check_clients(d->front);
+	cm_tick(d->claims);
 	jb_tick(d->jobs);
 	if (!front_has_config(d) && !front_config_expected(d))
 		fr_resume_waiting(d->front);
@@ -587,6 +684,7 @@
 	};
 
 	d->clock = ck_new_system();
+	d->claims = cm_new(d->clock, resume_request, d);
 	d->counters = ct_new();
 	d->config = cf_new();
 	d->fleet = fl_new(d->clock, d->counters, d->config, rn_u64(rng));
@@ -626,6 +724,7 @@
 	if (d->tick != NULL)
 		event_free(d->tick);
 	fe_free(d->feed);
+	g_clear_pointer(&d->claims, cm_free);
 	go_free(d->gossip);
 	wo_free(d->workers);
 	fr_free(d->front);
--- a/entry/gossip.c
+++ b/entry/gossip.c
@@ -43,7 +43,7 @@
 /* An entry that has sent nothing for this time is removed, unless it is a
  * seed. */
 #define FORGET_MS 60000
-#define CANCEL_TIMEOUT_MS 500
+#define JOB_TIMEOUT_MS 500
 /* Time between log lines about addresses that cannot be used. */
 #define ODD_LOG_MS 1000
 #define US_PER_MS 1000
@@ -574,14 +574,15 @@
 }
 
 static void
-on_cancel_call(struct go *g, struct cn *c, uint32_t xid, XDR *args)
+on_job_call(struct go *g, struct cn *c, uint32_t xid, XDR *args,
+    bool (*handle)(void *arg, const char *id))
 {
 	struct pd_id id = {0};
 	bool_t known;
 
 	if (!cn_decode(c, args, (xdrproc_t)xdr_pd_id, &id))
 		return;
-	known = g->ops->cancel(g->arg, id.id);
+	known = handle(g->arg, id.id);
 	cn_reply(c, xid, (xdrproc_t)xdr_bool, &known);
 	xdr_free((xdrproc_t)xdr_pd_id, (char *)&id);
 }
@@ -593,7 +594,9 @@
 	if (proc == PD_GOSSIP)
 		on_gossip(g, c, xid, args);
 	else if (proc == PD_ABANDON)
-		on_cancel_call(g, c, xid, args);
+		on_job_call(g, c, xid, args, g->ops->cancel);
+	else if (proc == PD_CLAIM)
+		on_job_call(g, c, xid, args, g->ops->claim);
 	else
 		cn_reject(c, xid);
 }
@@ -611,8 +614,8 @@
 	return (n);
 }
 
-/* A cancellation that waits for the replies of other entries. */
-struct cancellation {
+/* A question about a job that waits for the replies of other entries. */
+struct job_question {
 	unsigned pending; /* calls without a reply */
 	bool known;
 	uint64_t waiter;
@@ -621,9 +624,9 @@
 };
 
 static void
-on_cancel_reply(void *arg, enum cn_error error, void *result)
+on_job_reply(void *arg, enum cn_error error, void *result)
 {
-	struct cancellation *k = arg;
+	struct job_question *k = arg;
 
 	if (error == CN_OK && result != NULL && *(bool_t *)result)
 		k->known = true;
@@ -633,17 +636,17 @@
 	g_free(k);
 }
 
-void
-go_cancel(struct go *g, const char *id,
+static void
+ask_about_job(struct go *g, uint32_t proc, const char *id,
     void (*done)(void *arg, uint64_t waiter, bool known), void *arg,
     uint64_t waiter)
 {
-	struct cancellation *k = g_new0(struct cancellation, 1);
+	struct job_question *k = g_new0(struct job_question, 1);
 	struct pd_id key = {.id = (char *)(uintptr_t)id};
 	GHashTableIter it;
 	struct peer *p;
 
-	/* Counts the call of on_cancel_reply() below, which makes @done certain
+	/* Counts the call of on_job_reply() below, which makes @done certain
 	 * when there are no other entries. */
 	k->pending = 1;
 	k->waiter = waiter;
@@ -654,9 +657,25 @@
 		if (!p->connected)
 			continue;
 		k->pending++;
-		cn_call(p->conn, PD_ABANDON, (xdrproc_t)xdr_pd_id, &key,
-		    (xdrproc_t)xdr_bool, sizeof(bool_t), CANCEL_TIMEOUT_MS,
-		    on_cancel_reply, k);
+		cn_call(p->conn, proc, (xdrproc_t)xdr_pd_id, &key,
+		    (xdrproc_t)xdr_bool, sizeof(bool_t), JOB_TIMEOUT_MS,
+		    on_job_reply, k);
 	}
-	on_cancel_reply(k, CN_CLOSED, NULL);
+	on_job_reply(k, CN_CLOSED, NULL);
+}
+
+void
+go_cancel(struct go *g, const char *id,
+    void (*done)(void *arg, uint64_t waiter, bool known), void *arg,
+    uint64_t waiter)
+{
+	ask_about_job(g, PD_ABANDON, id, done, arg, waiter);
+}
+
+void
+go_claim(struct go *g, const char *id,
+    void (*done)(void *arg, uint64_t waiter, bool known), void *arg,
+    uint64_t waiter)
+{
+	ask_about_job(g, PD_CLAIM, id, done, arg, waiter);
 }
--- a/entry/gossip.h
+++ b/entry/gossip.h
@@ -39,12 +39,15 @@
  * @waiting_counts: queues with waiting jobs at this entry and the numbers of
  *     these jobs, as jb_waiting_counts() returns them
  * @cancel: cancel a job for another entry. Return: whether it was active here
+ * @claim: give up a job that its client has submitted to another entry. Return:
+ *     whether it may still run
  */
 struct go_ops {
 	void (*config_received)(void *arg, const struct pd_config *config);
 	bool (*store_reachable)(void *arg);
 	GHashTable *(*waiting_counts)(void *arg);
 	bool (*cancel)(void *arg, const char *id);
+	bool (*claim)(void *arg, const char *id);
 };
 
 /** go_new() - connect to the seeds and start the periodic exchange; owned */
@@ -84,4 +87,15 @@
     void (*done)(void *arg, uint64_t waiter, bool known), void *arg,
     uint64_t waiter);
 
+/**
+ * go_claim() - ask the other entries to give up a job that its client has
+ * submitted to this one
+ * @done: called once; @known tells whether the job may still run for one of
+ *     them. Those that cannot be reached do not count
+ * @waiter: passed to @done
+ */
+void go_claim(struct go *g, const char *id,
+    void (*done)(void *arg, uint64_t waiter, bool known), void *arg,
+    uint64_t waiter);
+
 #endif
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -560,6 +560,25 @@
 	return (true);
 }
 
+bool
+jb_is_active(const struct jb *j, const char *id)
+{
+	return (g_hash_table_contains(j->by_id, id));
+}
+
+bool
+jb_release(struct jb *j, const char *id)
+{
+	struct jb_job *job = g_hash_table_lookup(j->by_id, id);
+	bool granted;
+
+	if (job == NULL)
+		return (false);
+	granted = job->any_granted;
+	jb_give_up(j, job, JB_R_CONTACT);
+	return (granted);
+}
+
 unsigned
 jb_active_count(const struct jb *j)
 {
--- a/sched/jobs.h
+++ b/sched/jobs.h
@@ -171,6 +171,16 @@
 /** jb_cancel() - cancel a job. Return: false if no such job is active */
 bool jb_cancel(struct jb *j, const char *id);
 
+/** jb_is_active() - whether this entry has the job */
+bool jb_is_active(const struct jb *j, const char *id);
+
+/**
+ * jb_release() - give up a job that its client has submitted to another entry
+ *
+ * Return: whether a task of it may still run, at most for LE_UNREACHABLE_MS.
+ */
+bool jb_release(struct jb *j, const char *id);
+
 /** jb_grants_ended() - handle a report of an agent: ended grants and its load
  */
 void jb_grants_ended(
--- a/tests/proc_resubmission.c
+++ b/tests/proc_resubmission.c
@@ -162,6 +162,49 @@
 	close(s);
 }
 
+/* Guards against the same when the entry cannot know that its client has gone:
+ * a proxy keeps the connection and answers probes. */
+static void
+test_client_of_proxy_lost(void **state)
+{
+	struct hf_test *t = *state;
+	struct hf *f = t->fleet;
+	GThread *client;
+	int s = submit_first(f), status;
+
+	client = g_thread_new("client", resubmit, f);
+	status = read_status(s);
+	check_runs(f, client);
+	assert_int_equal(504, status);
+	close(s);
+}
+
+/* Guards against the start of a job that was cancelled while it waited for the
+ * end of its run for another entry. */
+static void
+test_cancelled_while_taken_over(void **state)
+{
+	struct hf_test *t = *state;
+	struct hf *f = t->fleet;
+	uint64_t cancelled_ms;
+	int first = submit_first(f), second;
+	unsigned i;
+
+	second = hf_send_job(f, 1, JOB, SPEC, 1, RUN_MS);
+	assert_int_equal(504, read_status(first));
+	cancelled_ms = hn_wall_ms();
+	assert_int_equal(200,
+	    hn_http(
+		"DELETE", hf_clients_port(f, 1), "/q/" JOB, NULL, NULL, NULL));
+	assert_int_equal(200, read_status(second));
+	hn_sleep_ms(2000);
+	for (i = 0; i < WORKERS; i++)
+		assert_int_equal(0, hf_starts_at(f, i, cancelled_ms));
+	assert_false(is_running(f));
+	close(first);
+	close(second);
+}
+
 #define TEST(name)                                                             \
 	cmocka_unit_test_setup_teardown(name, set_up, hf_test_tear_down)
 
@@ -172,6 +215,8 @@
 	    TEST(test_entry_cut_off),
 	    TEST(test_entry_paused),
 	    TEST(test_client_cut_off),
+	    TEST(test_client_of_proxy_lost),
+	    TEST(test_cancelled_while_taken_over),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
--- a/tests/test_jobs_contact.c
+++ b/tests/test_jobs_contact.c
@@ -185,6 +185,24 @@
 	assert_int_equal(JB_COMPLETED, f->answers[1].status);
 }
 
+/* Guards against a run that goes on beside that for the entry to which the
+ * client has submitted the job. */
+static void
+test_job_claimed_by_other_entry(void **state)
+{
+	struct fixture *f = *state;
+
+	attach(f, "w1", 1);
+	submit_job(f, "a", 7, 1, 5000, 1);
+	assert_true(jb_is_active(f->jobs, "a"));
+	assert_true(jb_release(f->jobs, "a"));
+	assert_int_equal(1, f->nwithdrawn);
+	assert_int_equal(JB_GAVE_UP, f->answers[0].status);
+	assert_int_equal(JB_R_CONTACT, f->answers[0].reason);
+	assert_false(jb_is_active(f->jobs, "a"));
+	assert_false(jb_release(f->jobs, "a"));
+}
+
 #define T(fn) cmocka_unit_test_setup_teardown(fn, set_up_long, tear_down)
 
 int
@@ -198,6 +216,7 @@
 	    T(test_result_after_pause),
 	    T(test_granted_again_beside_other_agents),
 	    T(test_submitted_again_after_cut),
+	    T(test_job_claimed_by_other_entry),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
--- a/wire/pd.h
+++ b/wire/pd.h
@@ -534,6 +534,9 @@
 #define PD_ABANDON 19
 extern  bool_t * pd_abandon_1(pd_id *, CLIENT *);
 extern  bool_t * pd_abandon_1_svc(pd_id *, struct svc_req *);
+#define PD_CLAIM 20
+extern  bool_t * pd_claim_1(pd_id *, CLIENT *);
+extern  bool_t * pd_claim_1_svc(pd_id *, struct svc_req *);
 extern int pd_prog_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -594,6 +597,9 @@
 #define PD_ABANDON 19
 extern  bool_t * pd_abandon_1();
 extern  bool_t * pd_abandon_1_svc();
+#define PD_CLAIM 20
+extern  bool_t * pd_claim_1();
+extern  bool_t * pd_claim_1_svc();
 extern int pd_prog_1_freeresult ();
 #endif /* K&R C */
 
--- a/wire/pd.x
+++ b/wire/pd.x
@@ -384,5 +384,6 @@
 		pd_ended PD_RECONCILE(pd_cancel) = 17;
 		pd_gossip PD_GOSSIP(pd_gossip) = 18;
 		bool PD_ABANDON(pd_id) = 19;
+		bool PD_CLAIM(pd_id) = 20;
 	} = 1;
 } = 0x20504431;
