Tell other entries of a cancellation when they are in reach again

Cause: an entry that could not be reached, or did not answer in time, was taken for one that does not have the job, and was never told again.

The prefix of entry/claims.h is changed to one that no other module has.

--- a/entry/claims.c
+++ b/entry/claims.c
@@ -12,9 +12,9 @@
 	GArray *waiters;    /* uint64_t */
 };
 
-struct cm {
+struct cw {
 	const struct ck *clock;
-	cm_resume_fn resume;
+	cw_resume_fn resume;
 	void *arg;
 	GPtrArray *claims; /* struct claim, owned */
 	uint64_t last_number;
@@ -30,10 +30,10 @@
 	g_free(k);
 }
 
-struct cm *
-cm_new(const struct ck *clock, cm_resume_fn resume, void *arg)
+struct cw *
+cw_new(const struct ck *clock, cw_resume_fn resume, void *arg)
 {
-	struct cm *c = g_new0(struct cm, 1);
+	struct cw *c = g_new0(struct cw, 1);
 
 	c->clock = clock;
 	c->resume = resume;
@@ -43,7 +43,7 @@
 }
 
 void
-cm_free(struct cm *c)
+cw_free(struct cw *c)
 {
 	if (c == NULL)
 		return;
@@ -52,7 +52,7 @@
 }
 
 static struct claim *
-find_claim(const struct cm *c, const char *id)
+find_claim(const struct cw *c, const char *id)
 {
 	struct claim *k;
 	guint i;
@@ -66,13 +66,13 @@
 }
 
 bool
-cm_contains(const struct cm *c, const char *id)
+cw_contains(const struct cw *c, const char *id)
 {
 	return (find_claim(c, id) != NULL);
 }
 
 bool
-cm_add(struct cm *c, const char *id, uint64_t waiter, uint64_t *number)
+cw_add(struct cw *c, const char *id, uint64_t waiter, uint64_t *number)
 {
 	struct claim *k = find_claim(c, id);
 	bool new = k == NULL;
@@ -92,7 +92,7 @@
 /* Removes a claim, which a callback may add again, and calls @fn for each of
  * its requests. */
 static void
-end_claim(struct cm *c, guint index, cm_resume_fn fn)
+end_claim(struct cw *c, guint index, cw_resume_fn fn)
 {
 	struct claim *k = g_ptr_array_steal_index(c->claims, index);
 	guint i;
@@ -103,7 +103,7 @@
 }
 
 void
-cm_answered(struct cm *c, uint64_t number, bool may_run)
+cw_answered(struct cw *c, uint64_t number, bool may_run)
 {
 	struct claim *k;
 	guint i;
@@ -121,7 +121,7 @@
 }
 
 bool
-cm_remove(struct cm *c, const char *id, cm_resume_fn drop)
+cw_remove(struct cw *c, const char *id, cw_resume_fn drop)
 {
 	guint i;
 
@@ -135,7 +135,7 @@
 }
 
 void
-cm_tick(struct cm *c)
+cw_tick(struct cw *c)
 {
 	uint64_t now = ck_mono_ms(c->clock);
 	const struct claim *k;
--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -109,7 +109,7 @@
 	struct pr_signals *signals;
 	const char *path; /* of the settings file */
 	GPtrArray *seeds; /* RPC addresses, owned */
-	struct cm *claims;
+	struct cw *claims;
 	uint64_t jobs_in_time; /* jobs that completed in time */
 	bool store_reachable;
 	uint64_t stopping_ms; /* when the stop signal arrived, 0 before */
@@ -299,7 +299,7 @@
 		    "taking over a job of another entry: waiting %d ms for "
 		    "the end of its runs",
 		    LE_UNREACHABLE_MS);
-	cm_answered(d->claims, number, may_run);
+	cw_answered(d->claims, number, may_run);
 }
 
 /*
@@ -313,7 +313,7 @@
 	unsigned limit_ms =
 	    MIN(job->request.deadline_ms, job->request.queue->timeout_ms);
 
-	if (cm_contains(d->claims, job->request.id))
+	if (cw_contains(d->claims, job->request.id))
 		return (true);
 	return (!job->resumed && !jb_is_active(d->jobs, job->request.id) &&
 	    limit_ms > CLAIM_RESUBMISSIONS * d->settings.resubmit_ms);
@@ -324,7 +324,7 @@
 {
 	uint64_t number;
 
-	if (cm_add(d->claims, id, waiter, &number))
+	if (cw_add(d->claims, id, waiter, &number))
 		go_claim(d->gossip, id, on_claimed, d, number);
 }
 
@@ -355,7 +355,7 @@
 static bool
 cancel_here(struct di *d, const char *id)
 {
-	return (cm_remove(d->claims, id, answer_cancelled) ||
+	return (cw_remove(d->claims, id, answer_cancelled) ||
 	    jb_cancel(d->jobs, id));
 }
 
@@ -504,7 +504,7 @@
 {
 	struct di *d = arg;
 
-	if (cm_remove(d->claims, id, answer_released))
+	if (cw_remove(d->claims, id, answer_released))
 		return (true);
 	return (jb_release(d->jobs, id));
 }
@@ -585,7 +585,7 @@
 	(void)fd;
 	(void)what;
 	fr_check_clients(d->front);
-	cm_tick(d->claims);
+	cw_tick(d->claims);
 	jb_tick(d->jobs);
 	if (!front_has_config(d) && !front_config_expected(d))
 		fr_resume_waiting(d->front);
@@ -684,7 +684,7 @@
 	};
 
 	d->clock = ck_new_system();
-	d->claims = cm_new(d->clock, resume_request, d);
+	d->claims = cw_new(d->clock, resume_request, d);
 	d->counters = ct_new();
 	d->config = cf_new();
 	d->fleet = fl_new(d->clock, d->counters, d->config, rn_u64(rng));
@@ -724,7 +724,7 @@
 	if (d->tick != NULL)
 		event_free(d->tick);
 	fe_free(d->feed);
-	g_clear_pointer(&d->claims, cm_free);
+	g_clear_pointer(&d->claims, cw_free);
 	go_free(d->gossip);
 	wo_free(d->workers);
 	fr_free(d->front);
--- a/entry/gossip.c
+++ b/entry/gossip.c
@@ -1,6 +1,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "cancels.h"
 #include "clock.h"
 #include "contacts.h"
 #include "gossip.h"
@@ -80,6 +81,7 @@
 	GHashTable *peers;    /* address -> struct peer, owned */
 	GPtrArray *addresses; /* result of go_addresses(); borrowed text */
 	GPtrArray *round;     /* addresses not contacted in this round, owned */
+	struct uc *cancels;   /* that other entries were not told of */
 	struct rn *rng;
 	struct event *timer;
 	struct event *seed_timer;
@@ -106,6 +108,7 @@
 }
 
 static void send_message(struct go *g, struct peer *p);
+static void repeat_cancels(struct peer *p);
 
 static void
 peer_opened(void *arg, struct cn *c)
@@ -339,8 +342,10 @@
 	if (p != NULL) {
 		p->call_pending = false;
 		p->silent = error == CN_TIMEOUT;
-		if (error == CN_OK)
+		if (error == CN_OK) {
 			handle_message(x->gossip, result);
+			repeat_cancels(p);
+		}
 	}
 	g_free(x->address);
 	g_free(x);
@@ -509,6 +514,7 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
 	g->addresses = g_ptr_array_new();
 	g->round = g_ptr_array_new_with_free_func(g_free);
+	g->cancels = uc_new(clock);
 	g->rng = rn_new(self->incarnation);
 	for (i = 0; i < self->nseeds; i++)
 		peer_add(g, self->seeds[i], true);
@@ -531,6 +537,7 @@
 	g_hash_table_destroy(g->peers);
 	g_ptr_array_free(g->addresses, TRUE);
 	g_ptr_array_free(g->round, TRUE);
+	uc_free(g->cancels);
 	rn_free(g->rng);
 	g_free(g);
 }
@@ -623,12 +630,74 @@
 	void *arg;
 };
 
+/* A call about a job to one entry. */
+struct job_call {
+	struct go *gossip;
+	struct job_question *question; /* NULL for a repeated cancellation */
+	uint32_t proc;
+	char *address;
+	char *id;
+};
+
 static void
-on_job_reply(void *arg, enum cn_error error, void *result)
+end_job_call(struct job_call *call)
+{
+	g_free(call->address);
+	g_free(call->id);
+	g_free(call);
+}
+
+static void
+on_cancel_repeated(void *arg, enum cn_error error, void *result)
+{
+	struct job_call *call = arg;
+
+	(void)result;
+	if (error == CN_OK && !call->gossip->closing) {
+		lg_write(LOG_NOTICE, "gossip",
+		    "entry %s was told late that job %s is cancelled",
+		    call->address, call->id);
+		uc_remove(call->gossip->cancels, call->address, call->id);
+	}
+	end_job_call(call);
+}
+
+static void
+send_job_call(struct go *g, struct peer *p, uint32_t proc, const char *id,
+    struct job_question *question, cn_reply_fn done)
 {
-	struct job_question *k = arg;
+	struct pd_id key = {.id = (char *)(uintptr_t)id};
+	struct job_call *call = g_new0(struct job_call, 1);
+
+	call->gossip = g;
+	call->question = question;
+	call->proc = proc;
+	call->address = g_strdup(p->address);
+	call->id = g_strdup(id);
+	cn_call(p->conn, proc, (xdrproc_t)xdr_pd_id, &key, (xdrproc_t)xdr_bool,
+	    sizeof(bool_t), JOB_TIMEOUT_MS, done, call);
+}
 
-	if (error == CN_OK && result != NULL && *(bool_t *)result)
+static void
+repeat_cancel(void *arg, const char *id)
+{
+	struct peer *p = arg;
+
+	send_job_call(p->gossip, p, PD_ABANDON, id, NULL, on_cancel_repeated);
+}
+
+/* Tells an entry that is in reach of the jobs that were cancelled meanwhile. */
+static void
+repeat_cancels(struct peer *p)
+{
+	if (p->connected)
+		uc_each(p->gossip->cancels, p->address, repeat_cancel, p);
+}
+
+static void
+on_job_answer(struct job_question *k, enum cn_error error, const void *result)
+{
+	if (error == CN_OK && result != NULL && *(const bool_t *)result)
 		k->known = true;
 	if (--k->pending > 0)
 		return;
@@ -636,17 +705,28 @@
 	g_free(k);
 }
 
+static void
+on_job_reply(void *arg, enum cn_error error, void *result)
+{
+	struct job_call *call = arg;
+
+	if (error != CN_OK && call->proc == PD_ABANDON &&
+	    !call->gossip->closing)
+		uc_add(call->gossip->cancels, call->address, call->id);
+	on_job_answer(call->question, error, result);
+	end_job_call(call);
+}
+
 static void
 ask_about_job(struct go *g, uint32_t proc, const char *id,
     void (*done)(void *arg, uint64_t waiter, bool known), void *arg,
     uint64_t waiter)
 {
 	struct job_question *k = g_new0(struct job_question, 1);
-	struct pd_id key = {.id = (char *)(uintptr_t)id};
 	GHashTableIter it;
 	struct peer *p;
 
-	/* Counts the call of on_job_reply() below, which makes @done certain
+	/* Counts the call of on_job_answer() below, which makes @done certain
 	 * when there are no other entries. */
 	k->pending = 1;
 	k->waiter = waiter;
@@ -654,14 +734,14 @@
 	k->arg = arg;
 	g_hash_table_iter_init(&it, g->peers);
 	while (g_hash_table_iter_next(&it, NULL, (void **)&p)) {
-		if (!p->connected)
-			continue;
-		k->pending++;
-		cn_call(p->conn, proc, (xdrproc_t)xdr_pd_id, &key,
-		    (xdrproc_t)xdr_bool, sizeof(bool_t), JOB_TIMEOUT_MS,
-		    on_job_reply, k);
+		if (p->connected) {
+			k->pending++;
+			send_job_call(g, p, proc, id, k, on_job_reply);
+		} else if (proc == PD_ABANDON && p->last_heard_ms != 0) {
+			uc_add(g->cancels, p->address, id);
+		}
 	}
-	on_job_reply(k, CN_CLOSED, NULL);
+	on_job_answer(k, CN_CLOSED, NULL);
 }
 
 void
--- a/tests/test_claims.c
+++ b/tests/test_claims.c
@@ -15,7 +15,7 @@
 
 struct fixture {
 	struct ck *clock;
-	struct cm *claims;
+	struct cw *claims;
 	uint64_t resumed[WAITERS_MAX];
 	unsigned nresumed;
 	unsigned ndropped;
@@ -44,7 +44,7 @@
 	struct fixture *f = g_new0(struct fixture, 1);
 
 	f->clock = ck_new_manual(1000, 1000);
-	f->claims = cm_new(f->clock, resume, f);
+	f->claims = cw_new(f->clock, resume, f);
 	*state = f;
 	return (0);
 }
@@ -54,7 +54,7 @@
 {
 	struct fixture *f = *state;
 
-	cm_free(f->claims);
+	cw_free(f->claims);
 	ck_free(f->clock);
 	g_free(f);
 	return (0);
@@ -67,11 +67,11 @@
 	struct fixture *f = *state;
 	uint64_t number;
 
-	assert_true(cm_add(f->claims, "a", 7, &number));
-	cm_answered(f->claims, number, false);
+	assert_true(cw_add(f->claims, "a", 7, &number));
+	cw_answered(f->claims, number, false);
 	assert_int_equal(1, f->nresumed);
 	assert_int_equal(7, f->resumed[0]);
-	assert_false(cm_contains(f->claims, "a"));
+	assert_false(cw_contains(f->claims, "a"));
 }
 
 /* Guards against a start while the run for another entry goes on, also for a
@@ -82,19 +82,19 @@
 	struct fixture *f = *state;
 	uint64_t number, same;
 
-	assert_true(cm_add(f->claims, "a", 7, &number));
-	cm_tick(f->claims);
+	assert_true(cw_add(f->claims, "a", 7, &number));
+	cw_tick(f->claims);
 	assert_int_equal(0, f->nresumed);
-	cm_answered(f->claims, number, true);
-	assert_false(cm_add(f->claims, "a", 8, &same));
+	cw_answered(f->claims, number, true);
+	assert_false(cw_add(f->claims, "a", 8, &same));
 	assert_int_equal(number, same);
 	ck_advance_ms(f->clock, LE_UNREACHABLE_MS);
-	cm_tick(f->claims);
+	cw_tick(f->claims);
 	assert_int_equal(0, f->nresumed);
 	ck_advance_ms(f->clock, 1);
-	cm_tick(f->claims);
+	cw_tick(f->claims);
 	assert_int_equal(2, f->nresumed);
-	assert_false(cm_contains(f->claims, "a"));
+	assert_false(cw_contains(f->claims, "a"));
 }
 
 /* Guards against the start of a job that was cancelled while it waited. */
@@ -104,14 +104,14 @@
 	struct fixture *f = *state;
 	uint64_t first, second;
 
-	assert_true(cm_add(f->claims, "a", 7, &first));
-	assert_true(cm_add(f->claims, "b", 8, &second));
-	assert_true(cm_remove(f->claims, "a", drop));
-	assert_false(cm_remove(f->claims, "a", drop));
+	assert_true(cw_add(f->claims, "a", 7, &first));
+	assert_true(cw_add(f->claims, "b", 8, &second));
+	assert_true(cw_remove(f->claims, "a", drop));
+	assert_false(cw_remove(f->claims, "a", drop));
 	assert_int_equal(1, f->ndropped);
-	cm_answered(f->claims, first, false);
+	cw_answered(f->claims, first, false);
 	assert_int_equal(0, f->nresumed);
-	cm_answered(f->claims, second, false);
+	cw_answered(f->claims, second, false);
 	assert_int_equal(1, f->nresumed);
 	assert_int_equal(8, f->resumed[0]);
 }
--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -47,6 +47,8 @@
 	struct cf *config;
 	struct go *gossip;
 	GPtrArray *conns; /* accepted and still open */
+	unsigned cancels; /* that it was told of */
+	bool silent;      /* answers nothing */
 };
 
 struct fixture {
@@ -61,7 +63,8 @@
 {
 	struct entry *e = arg;
 
-	go_handle_call(e->gossip, c, proc, xid, args);
+	if (!e->silent)
+		go_handle_call(e->gossip, c, proc, xid, args);
 }
 
 static void
@@ -113,8 +116,10 @@
 static bool
 cancel(void *arg, const char *id)
 {
-	(void)arg;
-	(void)id;
+	struct entry *e = arg;
+
+	assert_string_equal("a", id);
+	e->cancels++;
 	return (false);
 }
 
@@ -246,6 +251,44 @@
 	    ENTRIES - AWAY - 1, ENTRIES - 1);
 }
 
+static void
+on_cancelled(void *arg, uint64_t waiter, bool known)
+{
+	unsigned *answered = arg;
+
+	(void)waiter;
+	(void)known;
+	(*answered)++;
+}
+
+/* Guards against a job that goes on after its cancellation was acknowledged by
+ * an entry that could not reach the one that has it. */
+static void
+test_cancel_beside_partition(void **state)
+{
+	struct fixture *f = *state;
+	struct entry *silent = &f->entries[1], *away = &f->entries[2];
+	unsigned answered = 0, i;
+	enum cn_error error;
+
+	silent->silent = true;
+	stop_entry(away);
+	sn_run_loop(f->base, 100);
+	go_cancel(f->entries[0].gossip, "a", on_cancelled, &answered, 7);
+	sn_run_loop(f->base, 700);
+	assert_int_equal(1, answered);
+	assert_int_equal(0, silent->cancels + away->cancels);
+	silent->silent = false;
+	away->listener =
+	    cn_listen(f->base, away->address, on_accept, away, &error);
+	assert_non_null(away->listener);
+	start_entry(f, away, 2);
+	sn_run_loop(f->base, SETTLE_MS);
+	/* Those that have answered are not told again. */
+	for (i = 1; i < ENTRIES; i++)
+		assert_int_equal(1, f->entries[i].cancels);
+}
+
 /* Adds @n queues to an empty configuration; released with xdr_free(). */
 static void
 add_queues(struct pd_config *c, unsigned n)
@@ -444,6 +487,8 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test_setup_teardown(
 		test_config_spreads, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_cancel_beside_partition, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
 		test_config_sent_many_times, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
