Take back the tasks that wait at agents when their zone is taken out

Cause: entries grant nothing to a zone that is out, but what they had granted before stayed in the queues of its agents, which do not know of zones. With deadlines of 1.5 s no task waits longer than the 5 s that operators allow; with longer ones it does.

When a configuration is in force, and when an agent in a zone that is out connects again, the entry takes back its grants there (TAKE_BACK). The agent returns those that have not started, also if their start is under way and is rejected; runs go on. The entry places them elsewhere.

--- a/agent/executor.c
+++ b/agent/executor.c
@@ -324,6 +324,14 @@
 	ru_withdraw(e->runner, entry, k);
 }
 
+static void
+on_take_back(void *arg, uint64_t entry, const struct pd_key *k)
+{
+	struct ex *e = arg;
+
+	ru_take_back(e->runner, entry, k);
+}
+
 static enum pd_end_state
 on_state(void *arg, uint64_t entry, const struct pd_key *k)
 {
@@ -346,6 +354,7 @@
     .gone = on_entry_gone,
     .start = on_grant,
     .withdraw = on_withdraw,
+    .take_back = on_take_back,
     .state = on_state,
     .has_grants = on_has_grants,
 };
--- a/agent/links.c
+++ b/agent/links.c
@@ -211,8 +211,10 @@
 	xdr_free((xdrproc_t)xdr_pd_start, (char *)&s);
 }
 
+/* Calls @handle for each grant of a list. */
 static void
-on_withdraw(struct link *l, XDR *args)
+on_keys(struct link *l, XDR *args,
+    void (*handle)(void *arg, uint64_t entry, const struct pd_key *k))
 {
 	struct lk *k = l->links;
 	struct pd_cancel list = {0};
@@ -221,7 +223,7 @@
 	if (!cn_decode(l->conn, args, (xdrproc_t)xdr_pd_cancel, &list))
 		return;
 	for (i = 0; i < list.list.list_len; i++)
-		k->ops->withdraw(k->arg, l->entry, &list.list.list_val[i]);
+		handle(k->arg, l->entry, &list.list.list_val[i]);
 	xdr_free((xdrproc_t)xdr_pd_cancel, (char *)&list);
 }
 
@@ -265,7 +267,9 @@
 	if (proc == PD_START)
 		on_start(l, args);
 	else if (proc == PD_WITHDRAW)
-		on_withdraw(l, args);
+		on_keys(l, args, l->links->ops->withdraw);
+	else if (proc == PD_TAKE_BACK)
+		on_keys(l, args, l->links->ops->take_back);
 	else if (proc == PD_RECONCILE)
 		on_reconcile(l, xid, args);
 	else
--- a/agent/links.h
+++ b/agent/links.h
@@ -23,6 +23,7 @@
  * @gone: the process of an entry has ended
  * @start: a grant arrived
  * @withdraw: a grant is no longer needed
+ * @take_back: a grant is to be returned unless it has started
  * @state: return the state of a grant
  * @has_grants: return whether an entry has grants here
  */
@@ -32,6 +33,7 @@
 	void (*gone)(void *arg, uint64_t entry);
 	void (*start)(void *arg, uint64_t entry, const struct pd_start *s);
 	void (*withdraw)(void *arg, uint64_t entry, const struct pd_key *k);
+	void (*take_back)(void *arg, uint64_t entry, const struct pd_key *k);
 	enum pd_end_state (*state)(
 	    void *arg, uint64_t entry, const struct pd_key *k);
 	bool (*has_grants)(void *arg, uint64_t entry);
--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -134,6 +134,15 @@
 	wo_send_withdraw(d->workers, w, k);
 }
 
+static void
+send_take_back(
+    void *arg, struct fl_worker *w, const struct pd_key *list, unsigned n)
+{
+	struct di *d = arg;
+
+	wo_send_take_back(d->workers, w, list, n);
+}
+
 static void
 send_reconcile(
     void *arg, struct fl_worker *w, const struct pd_key *list, unsigned n)
@@ -207,6 +216,7 @@
 static const struct jb_ops job_ops = {
     .start = send_start,
     .withdraw = send_withdraw,
+    .take_back = send_take_back,
     .reconcile = send_reconcile,
     .answer = send_answer,
     .ended = on_job_ended,
@@ -422,6 +432,7 @@
 	    current->queues.queues_len,
 	    (unsigned long long)current->zones_revision,
 	    current->evacuated.evacuated_len);
+	jb_zones_changed(d->jobs);
 	fr_set_limits(d->front, current->header_bytes, current->body_bytes);
 	if (cf_complete(d->config))
 		fr_resume_waiting(d->front);
--- a/entry/workers.c
+++ b/entry/workers.c
@@ -268,6 +268,21 @@
 		cn_send(c, PD_WITHDRAW, (xdrproc_t)xdr_pd_cancel, &list);
 }
 
+void
+wo_send_take_back(struct wo *w, const struct fl_worker *to,
+    const struct pd_key *keys, unsigned n)
+{
+	struct cn *c = conn_of(w, to);
+	struct pd_cancel list;
+	unsigned i;
+
+	for (i = 0; c != NULL && i < n; i += PD_BATCH_MAX) {
+		list.list.list_val = (pd_key *)(uintptr_t)keys + i;
+		list.list.list_len = MIN(n - i, PD_BATCH_MAX);
+		cn_send(c, PD_TAKE_BACK, (xdrproc_t)xdr_pd_cancel, &list);
+	}
+}
+
 struct reconcile_call {
 	struct wo *workers;
 	uint64_t session;
--- a/entry/workers.h
+++ b/entry/workers.h
@@ -58,6 +58,10 @@
 void wo_send_withdraw(
     struct wo *w, const struct fl_worker *to, const struct pd_key *k);
 
+/** wo_send_take_back() - take grants back that have not started */
+void wo_send_take_back(struct wo *w, const struct fl_worker *to,
+    const struct pd_key *keys, unsigned n);
+
 /** wo_reconcile() - ask the agent of a worker for the state of grants; its
  * reply goes to jb_grants_ended() */
 void wo_reconcile(struct wo *w, const struct fl_worker *to,
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -369,6 +369,12 @@
 	    w->mem_mb >= req->mem_mb && has_label(w, req->label));
 }
 
+bool
+fl_is_evacuated(const struct fl *f, const struct fl_worker *w)
+{
+	return (cf_evacuated(f->config, w->az));
+}
+
 static bool
 is_usable(const struct fl *f, const struct fl_worker *w, uint64_t now)
 {
@@ -378,7 +384,7 @@
 	if ((w->own.ejected || w->reported.ejected) &&
 	    now < w->own.next_probe_ms)
 		return (false);
-	return (!cf_evacuated(f->config, w->az));
+	return (!fl_is_evacuated(f, w));
 }
 
 /* Whether the run times of this entry's own tasks count instead of the agent's
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -125,6 +125,9 @@
 /** fl_session_of() - connection of an agent, 0 for none */
 uint64_t fl_session_of(const struct fl *f, const char *name);
 
+/** fl_is_evacuated() - whether the availability zone of a worker is out */
+bool fl_is_evacuated(const struct fl *f, const struct fl_worker *w);
+
 /** fl_find_by_session() - worker of a connection. Return: NULL if unknown */
 struct fl_worker *fl_find_by_session(const struct fl *f, uint64_t session);
 
--- a/sched/jobs.h
+++ b/sched/jobs.h
@@ -131,6 +131,7 @@
  * struct jb_ops - callbacks; must not call functions of this module
  * @start: grant a task to the agent of a worker
  * @withdraw: stop a granted task, or take it back if it has not started
+ * @take_back: take granted tasks back that have not started; the others go on
  * @reconcile: ask an agent for the state of grants; answered through
  *     jb_grants_ended()
  * @answer: send the answer of a job, called once for each waiter
@@ -140,6 +141,8 @@
 	void (*start)(void *arg, struct fl_worker *w, const struct pd_start *s);
 	void (*withdraw)(
 	    void *arg, struct fl_worker *w, const struct pd_key *k);
+	void (*take_back)(void *arg, struct fl_worker *w,
+	    const struct pd_key *keys, unsigned n);
 	void (*reconcile)(void *arg, struct fl_worker *w,
 	    const struct pd_key *keys, unsigned n);
 	void (*answer)(void *arg, uint64_t waiter, const struct jb_answer *a);
@@ -193,6 +196,10 @@
 /** jb_detached() - handle the end of the connection to an agent */
 void jb_detached(struct jb *j, struct fl_worker *w);
 
+/** jb_zones_changed() - take back the tasks that have not started in an
+ * availability zone that is out; call when a configuration is in force */
+void jb_zones_changed(struct jb *j);
+
 /** jb_tick() - check deadlines and unreachable agents, place ready tasks; call
  * every 20 ms */
 void jb_tick(struct jb *j);
--- a/sched/jobs_outcome.c
+++ b/sched/jobs_outcome.c
@@ -377,8 +377,9 @@
 	jb_retry_task(j, job, t);
 }
 
-static void
-request_reconcile(struct jb *j, struct fl_worker *w)
+/* Keys of all grants to a worker, borrowed from the jobs. */
+static GArray *
+grant_keys(struct jb *j, const struct fl_worker *w)
 {
 	GArray *keys = g_array_new(FALSE, FALSE, sizeof(struct pd_key));
 	GHashTableIter it;
@@ -386,7 +387,6 @@
 	struct pd_key k;
 	unsigned i;
 
-	w->queried_ms = ck_mono_ms(j->clock);
 	g_hash_table_iter_init(&it, j->by_number);
 	while (g_hash_table_iter_next(&it, NULL, (void **)&job))
 		for (i = 0; i < job->ntasks; i++)
@@ -394,12 +394,44 @@
 				k = jb_grant_key(job, &job->tasks[i]);
 				g_array_append_val(keys, k);
 			}
+	return (keys);
+}
+
+static void
+request_reconcile(struct jb *j, struct fl_worker *w)
+{
+	GArray *keys = grant_keys(j, w);
+
+	w->queried_ms = ck_mono_ms(j->clock);
 	if (keys->len > 0)
 		j->ops->reconcile(
 		    j->arg, w, (struct pd_key *)keys->data, keys->len);
 	g_array_free(keys, TRUE);
 }
 
+/* Tasks that wait in the queue of an agent would start there after its zone was
+ * taken out. */
+static void
+take_back_if_evacuated(void *arg, struct fl_worker *w)
+{
+	struct jb *j = arg;
+	GArray *keys;
+
+	if (w->session == 0 || !fl_is_evacuated(j->fleet, w))
+		return;
+	keys = grant_keys(j, w);
+	if (keys->len > 0)
+		j->ops->take_back(
+		    j->arg, w, (struct pd_key *)keys->data, keys->len);
+	g_array_free(keys, TRUE);
+}
+
+void
+jb_zones_changed(struct jb *j)
+{
+	fl_each(j->fleet, take_back_if_evacuated, j);
+}
+
 void
 jb_attached(struct jb *j, struct fl_worker *w, bool restarted)
 {
@@ -408,6 +440,7 @@
 		return;
 	}
 	jb_repeat_withdrawals(j, w);
+	take_back_if_evacuated(j, w);
 	request_reconcile(j, w);
 }
 
--- a/sched/runner.c
+++ b/sched/runner.c
@@ -452,6 +452,19 @@
 		ru_stop_task(r, t, PD_END_STOPPED);
 }
 
+void
+ru_take_back(struct ru *r, uint64_t entry, const struct pd_key *k)
+{
+	struct ru_task *t = find_grant(r, entry, k);
+
+	if (t == NULL)
+		return;
+	if (t->phase == RU_QUEUED)
+		ru_end(r, t, PD_END_RETURNED, RU_C_NOT_STARTED);
+	else
+		t->taken_back = true;
+}
+
 enum pd_end_state
 ru_grant_state(const struct ru *r, uint64_t entry, const struct pd_key *k)
 {
--- a/sched/runner.h
+++ b/sched/runner.h
@@ -176,6 +176,9 @@
 /** ru_withdraw() - stop a task that its entry no longer needs */
 void ru_withdraw(struct ru *r, uint64_t entry, const struct pd_key *k);
 
+/** ru_take_back() - return a task unless it has started; a run goes on */
+void ru_take_back(struct ru *r, uint64_t entry, const struct pd_key *k);
+
 /** ru_grant_state() - state of a grant, PD_END_LOST if it is unknown */
 enum pd_end_state ru_grant_state(
     const struct ru *r, uint64_t entry, const struct pd_key *k);
--- a/sched/runner_impl.h
+++ b/sched/runner_impl.h
@@ -65,6 +65,7 @@
 	bool never_listed; /* it was confirmed, but is at no known process */
 	bool limit_hit;    /* is being stopped at its run time limit */
 	bool returnable;   /* its entry may choose another worker */
+	bool taken_back;   /* is returned if its start is rejected */
 	enum pd_end_state end; /* state to report once it has stopped */
 };
 
--- a/tests/harness_fleet.c
+++ b/tests/harness_fleet.c
@@ -19,6 +19,7 @@
 #define TASK_CPU 6000
 #define ENDPOINT_CPU 64000U
 #define DEADLINE_MS 1500
+#define TARGET_MS 60
 /* Time after which a client submits a job without an answer again. */
 #define RETRY_DELAY_MS 1300
 #define TRIES_MAX 3
@@ -53,6 +54,7 @@
 	unsigned store_relay_control_port;
 	bool relayed;
 	unsigned timeout_ms;        /* of the queues */
+	unsigned target_ms;         /* likewise */
 	const char *required_label; /* of jobs, "" for none */
 	unsigned nentries;
 	unsigned nworkers;
@@ -186,8 +188,9 @@
 {
 	return (json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:f,s:i}", "name", name,
 	    "host", "127.0.0.1", "path_prefix", prefix, "service", "desk",
-	    "timeout_ms", (int)f->timeout_ms, "target_latency_ms", 60,
-	    "max_attempts", 3, "stretch", 1.6, "priority", 0));
+	    "timeout_ms", (int)f->timeout_ms, "target_latency_ms",
+	    (int)f->target_ms, "max_attempts", 3, "stretch", 1.6, "priority",
+	    0));
 }
 
 void
@@ -212,9 +215,11 @@
 }
 
 void
-hf_set_timeout(struct hf *f, unsigned version, unsigned timeout_ms)
+hf_set_times(
+    struct hf *f, unsigned version, unsigned timeout_ms, unsigned target_ms)
 {
 	f->timeout_ms = timeout_ms;
+	f->target_ms = target_ms;
 	hf_set_queues(f, version, 0);
 }
 
@@ -290,6 +295,7 @@
 	f->hn = h;
 	f->relayed = relayed;
 	f->timeout_ms = DEADLINE_MS;
+	f->target_ms = TARGET_MS;
 	f->required_label = "";
 	f->nentries = entries;
 	f->nworkers = workers;
--- a/tests/harness_fleet.h
+++ b/tests/harness_fleet.h
@@ -67,9 +67,10 @@
  * does */
 void hf_set_queues(struct hf *f, unsigned version, unsigned added);
 
-/** hf_set_timeout() - write a configuration with another timeout of the queue,
- * which limits the deadline of its jobs */
-void hf_set_timeout(struct hf *f, unsigned version, unsigned timeout_ms);
+/** hf_set_times() - write a configuration with another timeout of the queue,
+ * which limits the deadline of its jobs, and another target */
+void hf_set_times(
+    struct hf *f, unsigned version, unsigned timeout_ms, unsigned target_ms);
 
 /** hf_evacuate() - take an availability zone out, or bring it back, as the
  * operator does */
--- a/tests/jobs_fixture.h
+++ b/tests/jobs_fixture.h
@@ -42,6 +42,7 @@
 	unsigned nstarts;
 	unsigned nwithdrawn;
 	unsigned nreconciled;
+	unsigned ntaken_back;
 	struct jb_answer answers[RECORDS_MAX];
 	uint64_t waiters[RECORDS_MAX];
 	unsigned nanswers;
@@ -102,8 +103,23 @@
 	(void)a;
 }
 
-static const struct jb_ops ops = {
-    on_start, on_withdraw, on_reconcile, on_answer, on_ended};
+static inline void
+on_take_back(
+    void *arg, struct fl_worker *w, const struct pd_key *keys, unsigned n)
+{
+	struct fixture *f = arg;
+
+	(void)w;
+	(void)keys;
+	f->ntaken_back += n;
+}
+
+static const struct jb_ops ops = {.start = on_start,
+    .withdraw = on_withdraw,
+    .take_back = on_take_back,
+    .reconcile = on_reconcile,
+    .answer = on_answer,
+    .ended = on_ended};
 
 /* Passes the warm-up time, in which an entry does not refuse jobs for lack of
  * workers. */
--- a/tests/proc_dispatch.c
+++ b/tests/proc_dispatch.c
@@ -209,6 +209,42 @@
 			cases[i].path, cases[i].body, NULL, NULL));
 }
 
+/* Long enough that tasks that wait for the first ones would start later than
+ * operators expect after they took the zone out. */
+#define LONG_RUN_MS 6000
+#define LONG_TIMEOUT_MS 40000
+/* More than fit at the three endpoints at once, ten at each. */
+#define LONG_TASKS 45
+
+static void *
+submit_long_job(void *arg)
+{
+	return (GINT_TO_POINTER(hf_submit(arg, 0, "00000000000000e1",
+	    "run_ms=6000 cpu=6000", LONG_TASKS, LONG_RUN_MS, NULL)));
+}
+
+/* Guards against starts in a zone that is out, of tasks that were queued at its
+ * agents before. */
+static void
+test_tasks_queued_in_zone_out(void **state)
+{
+	struct hf_test *f = *state;
+	uint64_t out_ms;
+	GThread *client;
+
+	hf_set_times(f->fleet, 2, LONG_TIMEOUT_MS, LONG_TIMEOUT_MS);
+	hn_sleep_ms(CONFIG_MS);
+	client = g_thread_new("client", submit_long_job, f->fleet);
+	hn_sleep_ms(500);
+	hf_evacuate(f->fleet, "z0", true);
+	out_ms = hn_wall_ms();
+	assert_int_equal(200, GPOINTER_TO_INT(g_thread_join(client)));
+	assert_true(hn_wall_ms() > out_ms + EVACUATE_MS);
+	assert_int_equal(
+	    0, hf_starts_in_zone(f->fleet, "z0", out_ms + EVACUATE_MS));
+	assert_int_equal(0, hf_check_runs(f->fleet, NULL, 0).concurrent);
+}
+
 int
 main(void)
 {
@@ -219,6 +255,7 @@
 	    T(test_worker_faults),
 	    T(test_endpoint_faults),
 	    T(test_store_faults),
+	    T(test_tasks_queued_in_zone_out),
 	    T(test_client_interface),
 	};
 
--- a/tests/proc_resubmission.c
+++ b/tests/proc_resubmission.c
@@ -40,7 +40,7 @@
 
 	t->hn = hn_new();
 	t->fleet = hf_new_relayed(t->hn, ENTRIES, WORKERS);
-	hf_set_timeout(t->fleet, 2, TIMEOUT_MS);
+	hf_set_times(t->fleet, 2, TIMEOUT_MS, TIMEOUT_MS);
 	/* A configuration is in force two seconds after it is written. */
 	hn_sleep_ms(2000);
 	*state = t;
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -64,6 +64,37 @@
 	assert_int_equal(6, f->endpoints[1]);
 }
 
+/* Guards against the start of a task that waits at its agent when its zone is
+ * taken out, also if the agent is not connected then. */
+static void
+test_zone_taken_out(void **state)
+{
+	pd_name out[] = {(char *)(uintptr_t) "z1"};
+	struct pd_config zones = {.zones_revision = 9,
+	    .evacuated = {.evacuated_len = 1, .evacuated_val = out}};
+	struct fixture *f = *state;
+	struct fl_worker *w;
+
+	w = attach_agent(f, "w1", "z1", 1, 1, 0);
+	submit(f, "a", 3);
+	jb_zones_changed(f->jobs);
+	assert_int_equal(0, f->ntaken_back);
+	assert_true(cf_apply(f->config, &zones));
+	jb_zones_changed(f->jobs);
+	assert_int_equal(3, f->ntaken_back);
+	fl_detach(f->fleet, 1);
+	jb_detached(f->jobs, w);
+	jb_zones_changed(f->jobs);
+	assert_int_equal(3, f->ntaken_back);
+	attach_agent(f, "w1", "z1", 2, 1, 0);
+	assert_int_equal(6, f->ntaken_back);
+	/* The tasks go to another zone. */
+	attach_agent(f, "w2", "z2", 3, 3, 0);
+	report_end(f, 0, PD_END_RETURNED);
+	assert_int_equal(4, f->nstarts);
+	assert_string_equal("w2", f->start_workers[3]->name);
+}
+
 /* Guards against a step that starts before the step it depends on is done. */
 static void
 test_steps(void **state)
@@ -628,6 +659,7 @@
 #define T(fn) cmocka_unit_test_setup_teardown(fn, set_up, tear_down)
 	const struct CMUnitTest tests[] = {
 	    T(test_complete),
+	    T(test_zone_taken_out),
 	    T(test_grant_names_endpoint),
 	    T(test_answer_lost),
 	    T(test_steps),
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -223,6 +223,39 @@
 	assert_int_equal(4, f->norders);
 }
 
+/* Guards against the start of a task whose entry has taken it back, also when a
+ * start of it was under way and is rejected, and against the end of a run. */
+static void
+test_taken_back(void **state)
+{
+	static const char *const ids[] = {"a", "b", "c", "d", "e"};
+	struct fixture *f = *state;
+	struct pd_key k = {
+	    .sub = {.id = (char *)(uintptr_t) "x", .created_ms = 1}};
+	struct ru_run run;
+	unsigned i;
+
+	/* The number of the attempt tells the grants apart. */
+	for (i = 0; i < G_N_ELEMENTS(ids); i++)
+		grant_task(f, ENTRY_1, ids[i], i + 1, 100, 0);
+	assert_int_equal(4, f->norders);
+	run = run_of("a", 1);
+	ru_start_answer(f->runner, &run, RU_STARTED);
+	for (k.attempt = 1; k.attempt <= G_N_ELEMENTS(ids); k.attempt++)
+		ru_take_back(f->runner, ENTRY_1, &k);
+	assert_int_equal(1, f->nends);
+	assert_string_equal("e", f->end_ids[0]);
+	assert_int_equal(PD_END_RETURNED, f->ends[0].state);
+	run = run_of("b", 2);
+	ru_start_answer(f->runner, &run, RU_NO_ROOM);
+	assert_int_equal(2, f->nends);
+	assert_string_equal("b", f->end_ids[1]);
+	assert_int_equal(PD_END_RETURNED, f->ends[1].state);
+	pass(f, 60, ENTRY_1);
+	assert_int_equal(4, f->norders);
+	assert_int_equal(2, f->nends);
+}
+
 /* Guards against runs that go on after their expiry or beyond their run time
  * limit. */
 static void
@@ -321,6 +354,7 @@
 	    T(test_late_start_repeated_at_once),
 	    T(test_drain),
 	    T(test_endpoint_leaves),
+	    T(test_taken_back),
 	    T(test_expiry_and_limit),
 	    T(test_learns_from_all_entries),
 	    T(test_failing_endpoint),
--- a/wire/pd.h
+++ b/wire/pd.h
@@ -537,6 +537,9 @@
 #define PD_CLAIM 20
 extern  bool_t * pd_claim_1(pd_id *, CLIENT *);
 extern  bool_t * pd_claim_1_svc(pd_id *, struct svc_req *);
+#define PD_TAKE_BACK 21
+extern  void * pd_take_back_1(pd_cancel *, CLIENT *);
+extern  void * pd_take_back_1_svc(pd_cancel *, struct svc_req *);
 extern int pd_prog_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -600,6 +603,9 @@
 #define PD_CLAIM 20
 extern  bool_t * pd_claim_1();
 extern  bool_t * pd_claim_1_svc();
+#define PD_TAKE_BACK 21
+extern  void * pd_take_back_1();
+extern  void * pd_take_back_1_svc();
 extern int pd_prog_1_freeresult ();
 #endif /* K&R C */
 
--- a/wire/pd.x
+++ b/wire/pd.x
@@ -385,5 +385,6 @@
 		pd_gossip PD_GOSSIP(pd_gossip) = 18;
 		bool PD_ABANDON(pd_id) = 19;
 		bool PD_CLAIM(pd_id) = 20;
+		void PD_TAKE_BACK(pd_cancel) = 21;
 	} = 1;
 } = 0x20504431;
