--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -361,23 +361,29 @@
 	fr_answer_cancel(d->front, waiter, known);
 }
 
-/* Return: whether the job was active or waited here. */
-static bool
-cancel_here(struct di *d, const char *id)
+static void
+on_others_told(void *arg, uint64_t waiter, bool known)
 {
-	return (cw_remove(d->claims, id, answer_cancelled) ||
-	    jb_cancel(d->jobs, id));
+	(void)arg;
+	(void)waiter;
+	(void)known;
 }
 
+/* Another entry may still have a job that waits here, if it was not in reach
+ * when it was asked to give it up. */
 static void
 front_cancel(void *arg, uint64_t waiter, const char *id)
 {
 	struct di *d = arg;
 
-	if (cancel_here(d, id))
+	if (jb_cancel(d->jobs, id)) {
 		fr_answer_cancel(d->front, waiter, true);
-	else
+	} else if (cw_remove(d->claims, id, answer_cancelled)) {
+		fr_answer_cancel(d->front, waiter, true);
+		go_cancel(d->gossip, id, on_others_told, d, waiter);
+	} else {
 		go_cancel(d->gossip, id, on_gossip_cancelled, d, waiter);
+	}
 }
 
 static void
@@ -507,7 +513,8 @@
 {
 	struct di *d = arg;
 
-	return (cancel_here(d, id));
+	return (cw_remove(d->claims, id, answer_cancelled) ||
+	    jb_cancel(d->jobs, id));
 }
 
 static bool
