--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -48,6 +48,7 @@
 	bool run_started;
 	bool run_ended;
 	unsigned unanswered;  /* of the next polls that wait for an end */
+	unsigned resets;      /* of the connections of the next polls */
 	unsigned delay_ms;    /* between the list and the answer of a poll */
 	unsigned ends;        /* that the agent has seen */
 	unsigned lists;       /* that the agent has used */
@@ -158,6 +159,11 @@
 	struct timeval hold = {0, (long)f->hold_ms * 1000};
 	struct timeval delay = {0, (long)f->delay_ms * 1000};
 
+	if (f->resets > 0) {
+		f->resets--;
+		evhttp_connection_free(evhttp_request_get_connection(req));
+		return;
+	}
 	if (strstr(body, "\"ack_cursor\":1") != NULL && !f->keep_end)
 		f->run_ended = f->run_started = false;
 	if (strstr(body, "\"wait_ms\"") != NULL && !f->run_ended &&
@@ -854,6 +860,23 @@
 	assert_true(f->polls > polls);
 }
 
+/* Guards against a pause of all starts while an endpoint resets connections: on
+ * a day with such endpoints three times as many tasks started late. */
+static void
+test_check_of_connection_reset(void **state)
+{
+	struct fixture *f = *state;
+
+	use_real_clock(f);
+	start_orders(f);
+	f->resets = 2;
+	start_run(f);
+	sn_run_loop(f->base, 50);
+	assert_int_equal(0, f->resets);
+	assert_int_equal(1, f->starts);
+	assert_int_equal(RU_STARTED, f->start_result);
+}
+
 /* Guards against a start at another endpoint that has taken the address. */
 static void
 test_start_names_endpoint(void **state)
@@ -960,6 +983,7 @@
 	    T(test_clock_of_answer_without_lists),
 	    T(test_start_at_earlier_process),
 	    T(test_start_before_process_is_known),
+	    T(test_check_of_connection_reset),
 	    T(test_start_names_endpoint),
 	    T(test_idle_endpoint_replaced),
 	    T(test_polls_to_earlier_process),
