--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -66,6 +66,7 @@
 	unsigned long long other_started_ms; /* of a later process */
 	unsigned other_polls;                /* that it got */
 	unsigned other_starts;               /* likewise */
+	unsigned other_delay_ms; /* before its next answer, once */
 	char expected[32]; /* endpoint named in the last start */
 	bool keep_end;     /* ends stay listed, as if not acknowledged */
 };
@@ -222,6 +223,7 @@
 on_other_order(struct evhttp_request *req, void *arg)
 {
 	struct fixture *f = arg;
+	struct timeval delay = {0, (long)f->other_delay_ms * 1000};
 
 	if (strcmp(evhttp_request_get_uri(req), "/v1/hold") == 0)
 		f->other_polls++;
@@ -230,7 +232,12 @@
 	evbuffer_add_printf(evhttp_request_get_output_buffer(req),
 	    "{\"clock_ms\":1,\"born\":%llu,\"running\":[],\"ended\":[]}",
 	    f->other_started_ms);
-	evhttp_send_reply(req, 200, NULL, NULL);
+	if (f->other_delay_ms == 0) {
+		evhttp_send_reply(req, 200, NULL, NULL);
+		return;
+	}
+	f->other_delay_ms = 0;
+	event_base_once(f->base, -1, EV_TIMEOUT, send_delayed, req, &delay);
 }
 
 /* --- agent --- */
@@ -860,6 +867,36 @@
 	assert_true(f->polls > polls);
 }
 
+/* Guards against a start that was ordered for the earlier process of the
+ * endpoint and reaches the next one, which may be of another kind: it waited for
+ * the check of its connection while a poll found the new process, so that the
+ * check passed. */
+static void
+test_start_waits_while_process_changes(void **state)
+{
+	struct fixture *f = *state;
+	struct evhttp *other;
+
+	use_real_clock(f);
+	start_until_first_poll(f);
+	sn_run_loop(f->base, 20);
+	other = start_other_process(f);
+	f->other_started_ms = WALL_MS + 5;
+	f->other_delay_ms = 30;
+	f->start_status = 200;
+	start_run(f);
+	/* The check is on its way when the heartbeat leads to a poll. */
+	sn_run_loop(f->base, 5);
+	assert_int_equal(0, f->other_delay_ms);
+	send_heartbeat_of(f, "desk", "a", WALL_MS + 5);
+	sn_run_loop(f->base, 50);
+	evhttp_free(other);
+	assert_int_equal(1, f->heartbeats);
+	assert_int_equal(0, f->other_starts);
+	assert_int_equal(1, f->starts);
+	assert_int_equal(RU_NO_ROOM, f->start_result);
+}
+
 /* Guards against a pause of all starts while an endpoint resets connections: on
  * a day with such endpoints three times as many tasks started late. */
 static void
@@ -983,6 +1020,7 @@
 	    T(test_clock_of_answer_without_lists),
 	    T(test_start_at_earlier_process),
 	    T(test_start_before_process_is_known),
+	    T(test_start_waits_while_process_changes),
 	    T(test_check_of_connection_reset),
 	    T(test_start_names_endpoint),
 	    T(test_idle_endpoint_replaced),
