Compare the labels of a worker one by one

What callers saw: a task with a required label that has a space in it could start at a worker without it, and one that requires "b" at a worker whose label is "not b" (ROUTE).

Cause: an entry kept the labels of a worker as one text, separated by spaces, and searched it for the required one.

Evidence: test_label_with_space failed before the fix; both workers counted as suitable.

Why this fix works: labels are kept as a list and compared whole.

--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -78,7 +78,7 @@
 	g_free(w->name);
 	g_free(w->az);
 	g_free(w->service);
-	g_free(w->labels);
+	g_strfreev(w->labels);
 	g_free(w);
 }
 
@@ -138,16 +138,15 @@
 	*to = g_strdup(from);
 }
 
-/* Joins labels to one string in which each is enclosed in spaces. */
-static char *
-join_labels(const struct pd_attach *a)
+static char **
+copy_labels(const struct pd_attach *a)
 {
-	GString *s = g_string_new(" ");
+	char **labels = g_new0(char *, a->labels.labels_len + 1);
 	unsigned i;
 
 	for (i = 0; i < a->labels.labels_len; i++)
-		g_string_append_printf(s, "%s ", a->labels.labels_val[i]);
-	return (g_string_free(s, FALSE));
+		labels[i] = g_strdup(a->labels.labels_val[i]);
+	return (labels);
 }
 
 static void
@@ -180,29 +179,33 @@
 }
 
 static bool
-is_described_by(
-    const struct fl_worker *w, const struct pd_attach *a, const char *labels)
+is_described_by(const struct fl_worker *w, const struct pd_attach *a,
+    const char *const *labels)
 {
 	return (strcmp(w->az, a->az) == 0 &&
 	    strcmp(w->service, a->service) == 0 &&
-	    strcmp(w->labels, labels) == 0 && w->cpu == a->cpu &&
-	    w->mem_mb == a->mem_mb);
+	    g_strv_equal((const char *const *)w->labels, labels) &&
+	    w->cpu == a->cpu && w->mem_mb == a->mem_mb);
 }
 
 /* Sets what tasks are placed by, and logs a change of it. */
 static void
 set_description(struct fl_worker *w, const struct pd_attach *a)
 {
-	char *labels = join_labels(a);
+	char **labels = copy_labels(a);
+	g_autofree char *text = NULL;
 
-	if (w->labels != NULL && !is_described_by(w, a, labels))
+	if (w->labels != NULL &&
+	    !is_described_by(w, a, (const char *const *)labels)) {
+		text = g_strjoinv(", ", labels);
 		lg_write(LOG_NOTICE, "fleet",
 		    "worker %s is now of service %s in zone %s, %u thousandths "
-		    "of a core, %u MB, labels:%s",
-		    w->name, a->service, a->az, a->cpu, a->mem_mb, labels);
+		    "of a core, %u MB, labels: %s",
+		    w->name, a->service, a->az, a->cpu, a->mem_mb, text);
+	}
 	set_string(&w->az, a->az);
 	set_string(&w->service, a->service);
-	g_free(w->labels);
+	g_strfreev(w->labels);
 	w->labels = labels;
 	w->cpu = a->cpu;
 	w->mem_mb = a->mem_mb;
@@ -338,17 +341,8 @@
 static bool
 has_label(const struct fl_worker *w, const char *label)
 {
-	const char *at = w->labels;
-	size_t len = strlen(label);
-
-	if (len == 0)
-		return (true);
-	while ((at = strstr(at, label)) != NULL) {
-		if (at[-1] == ' ' && at[len] == ' ')
-			return (true);
-		at++;
-	}
-	return (false);
+	return (*label == '\0' ||
+	    g_strv_contains((const char *const *)w->labels, label));
 }
 
 static bool
@@ -684,29 +678,27 @@
 static void
 count_worker(GHashTable *counts, const struct fl_worker *w)
 {
-	g_auto(GStrv) labels = g_strsplit(w->labels, " ", 0);
 	unsigned i;
 
 	if (w->session == 0 || !w->accepting)
 		return;
 	increment_count(counts, w, "");
-	for (i = 0; labels[i] != NULL; i++)
-		if (labels[i][0] != '\0')
-			increment_count(counts, w, labels[i]);
+	for (i = 0; w->labels[i] != NULL; i++)
+		if (w->labels[i][0] != '\0')
+			increment_count(counts, w, w->labels[i]);
 }
 
 static void
 set_counts(GHashTable *counts, struct fl_worker *w)
 {
-	g_auto(GStrv) labels = g_strsplit(w->labels, " ", 0);
 	unsigned i;
 
 	w->service_workers = count_of(counts, w, "");
 	w->label_workers = w->service_workers;
-	for (i = 0; labels[i] != NULL; i++)
-		if (labels[i][0] != '\0')
-			w->label_workers = MIN(
-			    w->label_workers, count_of(counts, w, labels[i]));
+	for (i = 0; w->labels[i] != NULL; i++)
+		if (w->labels[i][0] != '\0')
+			w->label_workers = MIN(w->label_workers,
+			    count_of(counts, w, w->labels[i]));
 }
 
 void
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -26,7 +26,7 @@
  * @session: number of the connection to its agent, 0 for none
  * @incarnation: of its agent
  * @started_ms: wall clock at the start of its agent
- * @labels: each label enclosed in spaces
+ * @labels: ended by NULL
  * @endpoint: identifies its endpoint as it was last described, see pd_attach
  * @cpu: capacity, thousandths of a core; 0 while its endpoint is unknown
  * @cpu_others: CPU used by tasks of other entries, as of the last report
@@ -48,7 +48,7 @@
 	char *name;
 	char *az;
 	char *service;
-	char *labels;
+	char **labels;
 	uint64_t session;
 	uint64_t incarnation;
 	uint64_t started_ms;
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -194,6 +194,56 @@
 	assert_int_equal(1, f->nstarts);
 }
 
+static struct fl_worker *
+attach_labels(struct fixture *f, const char *name, uint64_t session,
+    const char *const *labels)
+{
+	pd_name copy[2] = {
+	    (char *)(uintptr_t)labels[0], (char *)(uintptr_t)labels[1]};
+	struct pd_attach a = {.cell = (char *)(uintptr_t) "c",
+	    .name = (char *)(uintptr_t)name,
+	    .az = (char *)(uintptr_t) "z1",
+	    .service = (char *)(uintptr_t) "desk",
+	    .labels = {.labels_len = 2, .labels_val = copy},
+	    .incarnation = session,
+	    .started_ms = session,
+	    .cpu = WORKER_CPU,
+	    .mem_mb = 1000,
+	    .load.accepting = true,
+	    .clock_ms = ck_mono_ms(f->clock)};
+	bool restarted;
+
+	return (fl_attach(f->fleet, &a, session, &restarted));
+}
+
+/* Guards against a start at a worker without the required label: the labels of
+ * a worker were compared as one text, in which a label with a space looks like
+ * two, and two look like one with a space. */
+static void
+test_label_with_space(void **state)
+{
+	static const char *const workers[][2] = {{"a", "r1"}, {"not b", "r1"}};
+	static const char *const required[] = {"a r1", "b", "not"};
+	struct fl_requirements req = {.service = "desk", .cpu = TASK_CPU};
+	struct fixture *f = *state;
+	double finish;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(workers); i++)
+		attach_labels(f, i == 0 ? "w1" : "w2", i + 1, workers[i]);
+	for (i = 0; i < G_N_ELEMENTS(required); i++) {
+		req.label = required[i];
+		assert_false(fl_any_suitable(f->fleet, &req));
+		assert_null(fl_choose(f->fleet, &req, &finish));
+	}
+	req.label = "not b";
+	assert_string_equal(
+	    "w2", fl_choose(f->fleet, &req, &finish)->name);
+	req.label = "a";
+	assert_string_equal(
+	    "w1", fl_choose(f->fleet, &req, &finish)->name);
+}
+
 /* Guards against starts in an evacuated availability zone. */
 static void
 test_evacuated(void **state)
@@ -279,6 +329,7 @@
 	    T(test_queue_limit),
 	    T(test_uncertain_task_on_fast_worker),
 	    T(test_disconnected_not_sampled),
+	    T(test_label_with_space),
 	    T(test_evacuated),
 	    T(test_failing_worker),
 	    T(test_spread_equal_workers),
