--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -370,7 +370,9 @@
 
 /* Guards against a malformed job that ends the process, is not answered, or is
  * taken although it cannot be sent to an agent: a text of more than 64 KiB was
- * dropped on its way, and the job was held to its deadline. */
+ * dropped on its way, and the job was held to its deadline. A label that is no
+ * text, or an order that is no list, was taken for none, so that the job ran on
+ * any worker, or at once. */
 static void
 test_malformed(void **state)
 {
@@ -381,7 +383,10 @@
 	    "{\"steps\":[{\"count\":541,\"cpu\":1}]}",
 	    "{\"steps\":[{\"count\":1,\"after\":[0]}]}",
 	    "{\"steps\":[{\"count\":1,\"after\":[-1]}]}",
-	    "{\"steps\":[{\"count\":\"1\"}]}", "\xff\xfe{}"};
+	    "{\"steps\":[{\"count\":\"1\"}]}", "\xff\xfe{}",
+	    "{\"steps\":[{\"count\":1,\"required_label\":7}]}",
+	    "{\"steps\":[{\"count\":1},{\"count\":1,\"after\":0}]}",
+	    "{\"steps\":[{\"count\":1,\"required_label\":[\"a\"]}]}"};
 	char *large = job_with_spec('x', PD_BODY_MAX + 1);
 	char *fits = job_with_spec('x', PD_BODY_MAX);
 	char *nested = g_strnfill(100000, '[');
