--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -237,11 +237,9 @@
 		assert_null(fl_choose(f->fleet, &req, &finish));
 	}
 	req.label = "not b";
-	assert_string_equal(
-	    "w2", fl_choose(f->fleet, &req, &finish)->name);
+	assert_string_equal("w2", fl_choose(f->fleet, &req, &finish)->name);
 	req.label = "a";
-	assert_string_equal(
-	    "w1", fl_choose(f->fleet, &req, &finish)->name);
+	assert_string_equal("w1", fl_choose(f->fleet, &req, &finish)->name);
 }
 
 /* Guards against starts in an evacuated availability zone. */
--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -66,7 +66,7 @@
 	unsigned long long other_started_ms; /* of a later process */
 	unsigned other_polls;                /* that it got */
 	unsigned other_starts;               /* likewise */
-	unsigned other_delay_ms; /* before its next answer, once */
+	unsigned other_delay_ms;             /* before its next answer, once */
 	char expected[32]; /* endpoint named in the last start */
 	bool keep_end;     /* ends stay listed, as if not acknowledged */
 };
@@ -868,9 +868,9 @@
 }
 
 /* Guards against a start that was ordered for the earlier process of the
- * endpoint and reaches the next one, which may be of another kind: it waited for
- * the check of its connection while a poll found the new process, so that the
- * check passed. */
+ * endpoint and reaches the next one, which may be of another kind: it waited
+ * for the check of its connection while a poll found the new process, so that
+ * the check passed. */
 static void
 test_start_waits_while_process_changes(void **state)
 {
