Send short heartbeats while the endpoint is described already

Cause: bytes between zones are priced, and dear in one of the new deployments. Each of 73 agents sends 13 entries a heartbeat every 200 ms that repeats names, labels and capacity; with its answer it has some 360 bytes.

Change: PD_RENEW carries load, clock, the hash of the description and that of the list of entries. An agent sends it instead of PD_ATTACH while the entry has answered a PD_ATTACH with the same description on the same connection within the last second; the answer can ask for one. Contact, and with it the right to run, is renewed by both in the same way.

--- a/agent/executor.c
+++ b/agent/executor.c
@@ -39,6 +39,7 @@
 	struct st_strings addresses;
 	struct st_strings seeds;
 	int64_t entry_port;
+	char *heartbeat_form;
 	char *log_level;
 };
 
@@ -59,6 +60,10 @@
 	"addresses of entries; their RPC port is entries.port"},
     {"entries.port", ST_INTEGER, AT(entry_port), 0, 65535, "0", NULL,
 	"RPC port of the entries in entries.seeds"},
+    {"entries.heartbeats", ST_STRING, AT(heartbeat_form), 1, 16, "full",
+	"full|short",
+	"whether each heartbeat to an entry describes the endpoint, or only "
+	"the first one and changes"},
     {"listen.metrics", ST_STRING, AT(metrics), 0, 21, "", NULL,
 	"IP:port of the metrics; empty for none"},
     {"log.level", ST_STRING, AT(log_level), 1, 16, "info",
@@ -464,6 +469,8 @@
 
 	e->links = lk_new(e->base, e->clock, e->settings.cell, e->settings.name,
 	    (const char *const *)seeds->pdata, seeds->len, &link_ops, e);
+	lk_set_short_heartbeats(
+	    e->links, strcmp(e->settings.heartbeat_form, "short") == 0);
 	g_ptr_array_free(seeds, TRUE);
 }
 
--- a/agent/links.c
+++ b/agent/links.c
@@ -35,6 +35,9 @@
 /* A connection that is not needed any more is closed after the entry has been
  * told for this time to grant nothing. */
 #define RELEASE_MS 1000
+/* Period of full heartbeats beside short ones. Their answers have the numbers
+ * of workers by which the agent decides to how many entries it connects. */
+#define ATTACH_PERIOD_MS 1000
 #define US_PER_MS 1000
 
 struct link {
@@ -54,8 +57,11 @@
 	uint32_t list_hash;    /* of the entries that it announced last */
 	uint64_t load_sent_ms; /* when a report with the load was sent last */
 	uint64_t described;    /* endpoint in the last heartbeat; 0: none */
-	bool heartbeat_due;    /* as soon as the pending one is answered */
-	GArray *unsent_ends;   /* struct pd_end with owned ids, to be sent */
+	uint64_t attached;     /* endpoint in the last answered PD_ATTACH */
+	uint64_t
+	    attached_ms;    /* when that was sent; 0: none on this connection */
+	bool heartbeat_due; /* as soon as the pending one is answered */
+	GArray *unsent_ends; /* struct pd_end with owned ids, to be sent */
 };
 
 struct lk {
@@ -74,6 +80,7 @@
 	struct event *timer;
 	struct event *flush_event;
 	struct event *connect_event; /* to entries that were announced */
+	bool short_heartbeats;
 	bool closing;
 };
 
@@ -101,12 +108,14 @@
 	l->open = false;
 	l->echo_ms = 0;
 	l->described = 0;
+	l->attached = 0;
+	l->attached_ms = 0;
 	l->failed = true;
 	l->heartbeat_pending = false;
 	l->heartbeat_due = false;
 }
 
-static void send_attach(struct link *l);
+static void send_heartbeat(struct link *l);
 
 static void
 link_opened(void *arg, struct cn *c)
@@ -116,7 +125,7 @@
 	l->open = true;
 	cn_set_idle(c, IDLE_TIMEOUT_MS);
 	if (!l->heartbeat_pending)
-		send_attach(l);
+		send_heartbeat(l);
 }
 
 /* Queues the report of an end, which is sent after this loop pass. */
@@ -189,7 +198,7 @@
 	    LE_CONTACT_MS);
 	/* Renews the contact before the entry grants the task again. */
 	if (!l->heartbeat_pending)
-		send_attach(l);
+		send_heartbeat(l);
 	cn_send(l->conn, PD_ENDED, (xdrproc_t)xdr_pd_ended, &report);
 }
 
@@ -436,6 +445,8 @@
 	close_other_link(l);
 	take_unsent_ends(l);
 	l->echo_ms = a->clock_ms;
+	l->attached = l->described;
+	l->attached_ms = a->clock_ms;
 	if (l->unsent_ends->len > 0)
 		event_active(k->flush_event, EV_TIMEOUT, 0);
 	k->ops->contact(k->arg, l->entry, a->clock_ms);
@@ -444,7 +455,25 @@
 		ac_observe(k->contacts, a->service_workers, a->label_workers);
 	add_announced(l, a);
 	if (l->heartbeat_due && l->open)
-		send_attach(l);
+		send_heartbeat(l);
+}
+
+static void
+on_renewed(void *arg, enum cn_error error, void *result)
+{
+	struct link *l = arg;
+	const struct pd_renewed *r = result;
+
+	l->heartbeat_pending = false;
+	if (error != CN_OK || l->links->closing)
+		return;
+	l->announced_ms = ck_mono_ms(l->links->clock);
+	l->echo_ms = r->clock_ms;
+	l->links->ops->contact(l->links->arg, l->entry, r->clock_ms);
+	if (r->attach)
+		l->attached_ms = 0;
+	if ((l->heartbeat_due || r->attach) && l->open)
+		send_heartbeat(l);
 }
 
 /* Hash of the list that an entry need not send again. Now and then it is none,
@@ -462,24 +491,55 @@
 }
 
 static void
-send_attach(struct link *l)
+send_attach(struct link *l, struct pd_attach *a)
+{
+	a->cell = l->links->cell;
+	a->entries_hash = known_list(l);
+	cn_call(l->conn, PD_ATTACH, (xdrproc_t)xdr_pd_attach, a,
+	    (xdrproc_t)xdr_pd_attached, sizeof(struct pd_attached),
+	    HEARTBEAT_TIMEOUT_MS, on_attached, l);
+}
+
+static void
+send_renew(struct link *l, const struct pd_attach *a)
+{
+	struct pd_renew r = {.endpoint = a->endpoint,
+	    .load = a->load,
+	    .clock_ms = a->clock_ms,
+	    .entries_hash = l->list_hash};
+
+	cn_call(l->conn, PD_RENEW, (xdrproc_t)xdr_pd_renew, &r,
+	    (xdrproc_t)xdr_pd_renewed, sizeof(struct pd_renewed),
+	    HEARTBEAT_TIMEOUT_MS, on_renewed, l);
+}
+
+/* Whether the entry has the description of the endpoint from this connection.
+ */
+static bool
+is_described(const struct link *l, const struct pd_attach *a)
+{
+	return (l->attached_ms != 0 && l->attached == a->endpoint &&
+	    a->clock_ms - l->attached_ms < ATTACH_PERIOD_MS);
+}
+
+static void
+send_heartbeat(struct link *l)
 {
 	struct lk *k = l->links;
 	struct pd_attach a = {0};
 
 	if (!k->ops->fill_attach(k->arg, &a))
 		return;
-	a.cell = k->cell;
 	a.clock_ms = ck_mono_ms(k->clock);
-	a.entries_hash = known_list(l);
 	l->described = a.endpoint;
 	a.load = load_for(l, &a);
 	l->heartbeat_pending = true;
 	l->heartbeat_due = false;
 	l->heartbeat_sent_ms = a.clock_ms;
-	cn_call(l->conn, PD_ATTACH, (xdrproc_t)xdr_pd_attach, &a,
-	    (xdrproc_t)xdr_pd_attached, sizeof(struct pd_attached),
-	    HEARTBEAT_TIMEOUT_MS, on_attached, l);
+	if (k->short_heartbeats && is_described(l, &a))
+		send_renew(l, &a);
+	else
+		send_attach(l, &a);
 }
 
 static bool
@@ -529,7 +589,7 @@
 	    (now || is_asked_for_entries(l) ||
 		ck_mono_ms(l->links->clock) - l->heartbeat_sent_ms >=
 		    LE_HEARTBEAT_MS)) {
-		send_attach(l);
+		send_heartbeat(l);
 	}
 }
 
@@ -605,6 +665,12 @@
 	}
 }
 
+void
+lk_set_short_heartbeats(struct lk *k, bool on)
+{
+	k->short_heartbeats = on;
+}
+
 void
 lk_send_heartbeats(struct lk *k)
 {
--- a/agent/links.h
+++ b/agent/links.h
@@ -60,6 +60,14 @@
 /** lk_report_end() - report the end of a grant; batched per loop pass */
 void lk_report_end(struct lk *l, uint64_t entry, const struct pd_end *e);
 
+/**
+ * lk_set_short_heartbeats() - send heartbeats without the description of the
+ * endpoint while it has not changed
+ *
+ * They have less than half of the bytes.
+ */
+void lk_set_short_heartbeats(struct lk *l, bool on);
+
 /** lk_send_heartbeats() - send a heartbeat to all entries now */
 void lk_send_heartbeats(struct lk *l);
 
--- a/entry/workers.c
+++ b/entry/workers.c
@@ -142,6 +142,34 @@
 	xdr_free((xdrproc_t)xdr_pd_attach, (char *)&a);
 }
 
+/* An agent that is not attached on this connection gets no reply, like one that
+ * is rejected. */
+static void
+on_renew(struct link *l, uint32_t xid, XDR *args)
+{
+	struct wo *w = l->workers;
+	struct fl_worker *from = fl_find_by_session(w->fleet, l->session);
+	struct pd_renew r = {0};
+	struct pd_renewed reply = {0};
+	unsigned n;
+	uint32_t hash;
+
+	if (!cn_decode(l->conn, args, (xdrproc_t)xdr_pd_renew, &r))
+		return;
+	if (from == NULL || !l->attached) {
+		cn_reject(l->conn, xid);
+		return;
+	}
+	w->ops->entry_addresses(w->arg, &n, &hash);
+	reply.clock_ms = r.clock_ms;
+	reply.attach = hash != r.entries_hash || from->endpoint != r.endpoint;
+	/* It is not known what the load is the load of. */
+	if (from->endpoint != r.endpoint)
+		r.load.accepting = false;
+	fl_renew(w->fleet, from, &r.load, r.clock_ms);
+	cn_reply(l->conn, xid, (xdrproc_t)xdr_pd_renewed, &reply);
+}
+
 static void
 on_call(void *arg, struct cn *c, uint32_t proc, uint32_t xid, XDR *args)
 {
@@ -149,6 +177,8 @@
 
 	if (proc == PD_ATTACH)
 		on_attach(l, xid, args);
+	else if (proc == PD_RENEW)
+		on_renew(l, xid, args);
 	else if (proc == PD_ENDED)
 		on_ended(l, args);
 	else
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -247,17 +247,26 @@
 	*restarted = false;
 	if (is_earlier_process(w, a, now))
 		return (NULL);
-	note_heartbeat(f, now);
 	*restarted = w->incarnation != 0 && w->incarnation != a->incarnation;
 	w->incarnation = a->incarnation;
 	w->started_ms = a->started_ms;
 	set_session(f, w, session);
 	set_description(w, a);
-	w->clock_offset_ms = (int64_t)a->clock_ms - (int64_t)now;
+	fl_renew(f, w, &a->load, a->clock_ms);
+	return (w);
+}
+
+void
+fl_renew(struct fl *f, struct fl_worker *w, const struct pd_load *load,
+    uint64_t clock_ms)
+{
+	uint64_t now = ck_mono_ms(f->clock);
+
+	note_heartbeat(f, now);
+	w->clock_offset_ms = (int64_t)clock_ms - (int64_t)now;
 	w->heartbeat_reply_ms = now;
 	w->heartbeat_ms = now;
-	fl_update_load(f, w, &a->load, 0);
-	return (w);
+	fl_update_load(f, w, load, 0);
 }
 
 uint64_t
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -118,6 +118,13 @@
 struct fl_worker *fl_attach(
     struct fl *f, const struct pd_attach *a, uint64_t session, bool *restarted);
 
+/**
+ * fl_renew() - handle a heartbeat that does not describe the worker
+ * @clock_ms: clock of the agent
+ */
+void fl_renew(struct fl *f, struct fl_worker *w, const struct pd_load *load,
+    uint64_t clock_ms);
+
 /** fl_detach() - handle the end of a connection. Return: its worker, NULL if
  * unknown */
 struct fl_worker *fl_detach(struct fl *f, uint64_t session);
--- a/tests/test_links.c
+++ b/tests/test_links.c
@@ -49,6 +49,9 @@
 	struct cn_listener *listener;
 	char address[SN_ADDRESS_SIZE];
 	struct cn *conn;
+	unsigned full;      /* heartbeats that describe the endpoint */
+	unsigned renewals;  /* heartbeats that do not */
+	bool wants_attach;  /* says so in the answer to the next renewal */
 	bool accepting;     /* in the last heartbeat */
 	uint64_t described; /* endpoint in the last heartbeat */
 	bool holds;         /* heartbeats; answered by answer_held() */
@@ -90,6 +93,22 @@
 	xdr_free((xdrproc_t)xdr_pd_ended, (char *)&ended);
 }
 
+static void
+on_renew(struct entry *e, struct cn *c, uint32_t xid, XDR *args)
+{
+	struct pd_renew r = {0};
+	struct pd_renewed reply = {.attach = e->wants_attach};
+
+	assert_true(cn_decode(c, args, (xdrproc_t)xdr_pd_renew, &r));
+	/* It is only sent to an entry that has the description. */
+	assert_int_equal(e->described, r.endpoint);
+	e->renewals++;
+	e->accepting = r.load.accepting;
+	e->wants_attach = false;
+	reply.clock_ms = r.clock_ms;
+	cn_reply(c, xid, (xdrproc_t)xdr_pd_renewed, &reply);
+}
+
 static void
 on_call(void *arg, struct cn *c, uint32_t proc, uint32_t xid, XDR *args)
 {
@@ -104,7 +123,12 @@
 		on_report(e, c, args);
 		return;
 	}
+	if (proc == PD_RENEW) {
+		on_renew(e, c, xid, args);
+		return;
+	}
 	assert_int_equal(PD_ATTACH, proc);
+	e->full++;
 	assert_true(cn_decode(c, args, (xdrproc_t)xdr_pd_attach, &a));
 	e->accepting = a.load.accepting;
 	e->described = a.endpoint;
@@ -494,6 +518,46 @@
 	assert_int_equal(reports + 1, e->accepting_reports);
 }
 
+/* Guards against short heartbeats to an entry that does not have the current
+ * description of the endpoint: it would place tasks by the earlier one, or wait
+ * for the next full heartbeat. */
+static void
+test_short_heartbeats(void **state)
+{
+	struct fixture *f = *state;
+	struct entry *e = &f->entries[0];
+	unsigned full;
+
+	f->announced = SEEDS;
+	f->endpoint = 1;
+	start_links(f);
+	lk_set_short_heartbeats(f->links, true);
+	sn_run_loop(f->base, RECONNECT_MS);
+	assert_int_equal(1, e->full);
+	assert_in_range(e->renewals, 2, 20);
+	/* A change is sent at once, in full. */
+	f->endpoint = 2;
+	lk_send_heartbeats(f->links);
+	sn_run_loop(f->base, ROUND_TRIP_MS);
+	assert_int_equal(2, e->described);
+	assert_int_equal(2, e->full);
+	/* So is the description that an entry asks for. */
+	e->wants_attach = true;
+	lk_send_heartbeats(f->links);
+	sn_run_loop(f->base, ROUND_TRIP_MS);
+	assert_false(e->wants_attach);
+	assert_int_equal(3, e->full);
+	/* A new connection begins with it. */
+	full = e->full;
+	cn_close(e->conn);
+	sn_run_loop(f->base, RECONNECT_MS);
+	assert_true(e->full > full);
+	/* The numbers of workers come with full heartbeats only. */
+	full = e->full;
+	sn_run_loop(f->base, SETTLE_MS);
+	assert_true(e->full > full);
+}
+
 /* Guards against a task that goes back and forth between an entry and an agent
  * that was stopped, until the next heartbeat is due. */
 static void
@@ -716,6 +780,7 @@
 	    T(test_load_report_rate),
 	    T(test_entries_announced_later),
 	    T(test_description_changes_beside_pending_heartbeat),
+	    T(test_short_heartbeats),
 	    T(test_grant_read_after_silence),
 	    T(test_contact_after_returned_grant),
 	    T(test_query_before_heartbeat_answered),
--- a/tests/test_workers.c
+++ b/tests/test_workers.c
@@ -32,6 +32,8 @@
 	uint64_t incarnation; /* of the agent process, also its start */
 	bool rejected;        /* its last heartbeat */
 	unsigned attached;    /* replies to heartbeats */
+	unsigned renewed;     /* replies to short ones */
+	unsigned asked_to_attach;
 	unsigned starts;
 	unsigned withdrawals;
 	unsigned queries;
@@ -205,6 +207,30 @@
 	sn_run_loop(a->fixture->base, SETTLE_MS);
 }
 
+static void
+on_renewed(void *arg, enum cn_error error, void *result)
+{
+	const struct pd_renewed *r = result;
+	struct agent *a = arg;
+
+	a->rejected = error == CN_REJECTED;
+	a->renewed += error == CN_OK;
+	a->asked_to_attach += error == CN_OK && r->attach;
+}
+
+static void
+renew(struct agent *a, uint64_t endpoint)
+{
+	struct pd_renew out = {.endpoint = endpoint,
+	    .load.accepting = true,
+	    .clock_ms = ck_mono_ms(a->fixture->clock)};
+
+	cn_call(a->conn, PD_RENEW, (xdrproc_t)xdr_pd_renew, &out,
+	    (xdrproc_t)xdr_pd_renewed, sizeof(struct pd_renewed), 0, on_renewed,
+	    a);
+	sn_run_loop(a->fixture->base, SETTLE_MS);
+}
+
 /* Opens a connection of an agent process and attaches it. */
 static struct agent *
 connect_agent(struct fixture *f, unsigned i, uint64_t incarnation)
@@ -285,6 +311,36 @@
 	assert_int_equal(2, late->starts);
 }
 
+/* Guards against contact by short heartbeats on a connection whose agent is not
+ * attached, which would let it go on with tasks that are granted elsewhere, and
+ * against grants by a description that the entry does not have. */
+static void
+test_short_heartbeat(void **state)
+{
+	struct fixture *f = *state;
+	struct agent *early, *late;
+
+	early = connect_agent(f, 0, 1);
+	renew(early, 0);
+	assert_int_equal(1, early->renewed);
+	assert_int_equal(0, early->asked_to_attach);
+	assert_int_equal(1, fl_usable_count(f->fleet));
+	renew(early, 7);
+	assert_int_equal(2, early->renewed);
+	assert_int_equal(1, early->asked_to_attach);
+	assert_int_equal(0, fl_usable_count(f->fleet));
+	send_heartbeat(early);
+	assert_int_equal(1, fl_usable_count(f->fleet));
+	late = connect_agent(f, 1, 2);
+	early = connect_agent(f, 2, 1);
+	assert_true(early->rejected);
+	renew(early, 0);
+	assert_int_equal(0, early->renewed);
+	assert_true(early->rejected);
+	renew(late, 0);
+	assert_int_equal(1, late->renewed);
+}
+
 int
 main(void)
 {
@@ -292,6 +348,7 @@
 	const struct CMUnitTest tests[] = {
 	    T(test_heartbeat_on_replaced_connection),
 	    T(test_earlier_agent_on_connection),
+	    T(test_short_heartbeat),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
--- a/wire/pd.h
+++ b/wire/pd.h
@@ -370,6 +370,20 @@
 };
 typedef struct pd_attached pd_attached;
 
+struct pd_renew {
+	u_quad_t endpoint;
+	pd_load load;
+	u_quad_t clock_ms;
+	u_int entries_hash;
+};
+typedef struct pd_renew pd_renew;
+
+struct pd_renewed {
+	u_quad_t clock_ms;
+	bool_t attach;
+};
+typedef struct pd_renewed pd_renewed;
+
 struct pd_start {
 	pd_key key;
 	u_int step;
@@ -540,6 +554,9 @@
 #define PD_TAKE_BACK 21
 extern  void * pd_take_back_1(pd_cancel *, CLIENT *);
 extern  void * pd_take_back_1_svc(pd_cancel *, struct svc_req *);
+#define PD_RENEW 22
+extern  pd_renewed * pd_renew_1(pd_renew *, CLIENT *);
+extern  pd_renewed * pd_renew_1_svc(pd_renew *, struct svc_req *);
 extern int pd_prog_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -606,6 +623,9 @@
 #define PD_TAKE_BACK 21
 extern  void * pd_take_back_1();
 extern  void * pd_take_back_1_svc();
+#define PD_RENEW 22
+extern  pd_renewed * pd_renew_1();
+extern  pd_renewed * pd_renew_1_svc();
 extern int pd_prog_1_freeresult ();
 #endif /* K&R C */
 
@@ -647,6 +667,8 @@
 extern  bool_t xdr_pd_load (XDR *, pd_load*);
 extern  bool_t xdr_pd_attach (XDR *, pd_attach*);
 extern  bool_t xdr_pd_attached (XDR *, pd_attached*);
+extern  bool_t xdr_pd_renew (XDR *, pd_renew*);
+extern  bool_t xdr_pd_renewed (XDR *, pd_renewed*);
 extern  bool_t xdr_pd_start (XDR *, pd_start*);
 extern  bool_t xdr_pd_end_state (XDR *, pd_end_state*);
 extern  bool_t xdr_pd_end (XDR *, pd_end*);
@@ -692,6 +714,8 @@
 extern bool_t xdr_pd_load ();
 extern bool_t xdr_pd_attach ();
 extern bool_t xdr_pd_attached ();
+extern bool_t xdr_pd_renew ();
+extern bool_t xdr_pd_renewed ();
 extern bool_t xdr_pd_start ();
 extern bool_t xdr_pd_end_state ();
 extern bool_t xdr_pd_end ();
--- a/wire/pd.x
+++ b/wire/pd.x
@@ -284,6 +284,20 @@
 	unsigned int label_workers;	/* known workers with its rarest label */
 };
 
+/* Heartbeat of an agent that has said nothing new of itself and its endpoint
+ * since its last PD_ATTACH that was answered on the connection. */
+struct pd_renew {
+	unsigned hyper endpoint;	/* as in that PD_ATTACH */
+	pd_load load;
+	unsigned hyper clock_ms;	/* clock of the agent */
+	unsigned int entries_hash;	/* of the list received last */
+};
+
+struct pd_renewed {
+	unsigned hyper clock_ms;	/* copied from pd_renew */
+	bool attach;			/* send a PD_ATTACH now */
+};
+
 struct pd_start {
 	pd_key key;
 	unsigned int step;
@@ -386,5 +400,6 @@
 		bool PD_ABANDON(pd_id) = 19;
 		bool PD_CLAIM(pd_id) = 20;
 		void PD_TAKE_BACK(pd_cancel) = 21;
+		pd_renewed PD_RENEW(pd_renew) = 22;
 	} = 1;
 } = 0x20504431;
--- a/wire/pd_xdr.c
+++ b/wire/pd_xdr.c
@@ -759,6 +759,34 @@
 	return TRUE;
 }
 
+bool_t
+xdr_pd_renew (XDR *xdrs, pd_renew *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->endpoint))
+		 return FALSE;
+	 if (!xdr_pd_load (xdrs, &objp->load))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->clock_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->entries_hash))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_pd_renewed (XDR *xdrs, pd_renewed *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->clock_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->attach))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_pd_start (XDR *xdrs, pd_start *objp)
 {
