Detect the missing wait on x86-64 and arm64

The random runs depend on rounding, which differs between the machines. On x86-64 the seeds 12, 17, 51, 62, 75 and 86 of 1 to 96 violate a rule. The range is now 12 to 26; a violation is required as before.

--- a/tests/test_cell_random.c
+++ b/tests/test_cell_random.c
@@ -107,14 +107,18 @@
 	static const struct {
 		const char *name;
 		unsigned mb_variant, tk_variant;
-		uint64_t first; /* first of 12 seeds, one of which detects it */
+		uint64_t
+		    first; /* first of the seeds, one of which detects it */
+		unsigned seeds;
 	} cases[] = {
-	    {"vote by name", MB_V_VOTE_BY_NAME, 0, 1},
-	    {"age from reply", MB_V_AGE_FROM_REPLY, 0, 2},
-	    {"concurrent list changes", MB_V_CONCURRENT_LIST_CHANGES, 0, 6},
-	    {"small quorum", MB_V_SMALL_QUORUM, 0, 1},
-	    {"no wait", 0, TK_V_NO_WAIT, 26},
-	    {"no age", 0, TK_V_IGNORE_AGENT_START, 1},
+	    {"vote by name", MB_V_VOTE_BY_NAME, 0, 1, 12},
+	    {"age from reply", MB_V_AGE_FROM_REPLY, 0, 2, 12},
+	    {"concurrent list changes", MB_V_CONCURRENT_LIST_CHANGES, 0, 6, 12},
+	    {"small quorum", MB_V_SMALL_QUORUM, 0, 1, 12},
+	    /* Rounding differs between machines: seed 12 detects it on x86-64,
+	     * 26 on arm64. */
+	    {"no wait", 0, TK_V_NO_WAIT, 12, 15},
+	    {"no age", 0, TK_V_IGNORE_AGENT_START, 1, 12},
 	};
 	struct run r;
 	uint64_t seed;
@@ -123,7 +127,8 @@
 	(void)state;
 	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
 		for (seed = cases[i].first, r.violation[0] = '\0';
-		     seed < cases[i].first + 12 && r.violation[0] == '\0';
+		     seed < cases[i].first + cases[i].seeds &&
+		     r.violation[0] == '\0';
 		     seed++)
 			r = run(seed, 4000, cases[i].mb_variant,
 			    cases[i].tk_variant);
