Decide by the distribution of run times of a queue

With it, a job that will hardly end by its deadline is refused on arrival, a running one is given up once its chance is out of proportion to the time left, and tasks are placed by the expected run time.

--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -120,6 +120,8 @@
 	g_free(job->tasks);
 	g_free(job->declared_ms);
 	g_free(job->tasks_left);
+	g_free(job->longest_ms);
+	g_free(job->stopped_ms);
 	g_array_free(job->waiters, TRUE);
 	g_array_free(job->trace, TRUE);
 	g_free(job);
@@ -191,15 +193,15 @@
 	job->labels = g_new0(char *, r->nsteps + 1);
 	job->tasks_left = g_new0(unsigned, r->nsteps);
 	job->declared_ms = g_new0(unsigned, r->nsteps);
+	job->longest_ms = g_new0(double, r->nsteps);
+	job->stopped_ms = g_new0(double, r->nsteps);
 	for (i = 0; i < r->nsteps; i++) {
 		job->labels[i] = g_strdup(r->steps[i].label);
 		job->steps[i].label = job->labels[i];
 		job->tasks_left[i] = r->steps[i].count;
 		job->declared_ms[i] = r->steps[i].size_ms;
 		job->steps[i].size_ms = (unsigned)MAX(
-		    po_expected_size(
-			&job->queue_stats->size_model, r->steps[i].size_ms),
-		    1);
+		    jb_expected_ms(job->queue_stats, r->steps[i].size_ms), 1);
 		job->ntasks += r->steps[i].count;
 	}
 	job->tasks = g_new0(struct jb_task, job->ntasks);
@@ -227,6 +229,9 @@
 	job->number = ++j->last_number;
 	job->arrived_ms = now;
 	job->submitted_ms = now;
+	job->checked_ms = now;
+	job->chance = -1;
+	job->sample_weight = 1;
 	job->deadline_ms =
 	    now + (limit > ANSWER_DELAY_MS ? limit - ANSWER_DELAY_MS : 0);
 	job->waiters = g_array_new(FALSE, FALSE, sizeof(uint64_t));
@@ -304,6 +309,8 @@
 	t->attempt++;
 	t->state = JB_GRANTED;
 	t->worker = w;
+	t->granted_ms = now;
+	t->queued = out.queue_max > 0;
 	job->any_granted = true;
 	jb_trace(j, job, t, TR_GRANTED, w, finish_ms,
 	    (double)w->cpu_own + w->cpu_others);
@@ -330,17 +337,20 @@
 }
 
 /* Whether a task that is expected to end on @w in @finish_ms may end by the
- * deadline if its run time is shorter than declared. */
+ * deadline if its run time is shorter than declared. If many run times are
+ * short and some long, one of them may fit where the mean does not. */
 static bool
 can_meet_deadline(const struct jb *j, const struct jb_job *job,
-    const struct fl_requirements *req, const struct fl_worker *w,
-    double finish_ms)
+    const struct jb_task *t, const struct fl_requirements *req,
+    const struct fl_worker *w, double finish_ms)
 {
 	double run_ms = req->size_ms * fl_run_ratio(j->fleet, w);
 
-	return ((double)ck_mono_ms(j->clock) + finish_ms -
+	if ((double)ck_mono_ms(j->clock) + finish_ms -
 		run_ms * (1 - JB_MIN_SIZE_FACTOR) <=
-	    (double)job->deadline_ms);
+	    (double)job->deadline_ms)
+		return (true);
+	return (jb_may_end_at(j, job, t->step, w, finish_ms - run_ms));
 }
 
 /* Share of the time until its target in which a job that has to wait must be
@@ -356,13 +366,13 @@
  */
 static bool
 is_worth_accepting(const struct jb *j, const struct jb_job *job,
-    const struct fl_requirements *req, const struct fl_worker *w,
-    double finish_ms)
+    const struct jb_task *t, const struct fl_requirements *req,
+    const struct fl_worker *w, double finish_ms)
 {
 	double target_left_ms =
 	    (double)job->target_at_ms - (double)ck_mono_ms(j->clock);
 
-	return (can_meet_deadline(j, job, req, w, finish_ms) &&
+	return (can_meet_deadline(j, job, t, req, w, finish_ms) &&
 	    (finish_ms <= target_left_ms * TARGET_SHARE ||
 		fl_has_room(w, req)));
 }
@@ -398,7 +408,7 @@
 			return (time_left_ms(j, job) >
 			    req.size_ms * JB_MIN_SIZE_FACTOR);
 		}
-		if (!can_meet_deadline(j, job, &req, w, finish)) {
+		if (!can_meet_deadline(j, job, t, &req, w, finish)) {
 			jb_trace(j, job, t, TR_TOO_LATE, w, finish,
 			    time_left_ms(j, job));
 			return (false);
@@ -422,7 +432,7 @@
 		return (fl_any_suitable(j->fleet, &req) ? JB_R_NO_WORKER
 							: JB_R_NO_ROOM);
 	}
-	if (!is_worth_accepting(j, job, &req, w, finish)) {
+	if (!is_worth_accepting(j, job, t, &req, w, finish)) {
 		jb_trace(
 		    j, job, t, TR_TOO_LATE, w, finish, time_left_ms(j, job));
 		return (JB_R_OVERLOAD);
@@ -445,6 +455,8 @@
 	enum jb_reason reason = JB_R_NONE;
 	unsigned i;
 
+	if (jb_is_unlikely(j, job))
+		return (JB_R_DEADLINE);
 	if (jb_delays_urgent(j, job))
 		return (JB_R_OVERLOAD);
 	for (i = 0; i < job->ntasks && reason == JB_R_NONE; i++)
--- a/sched/jobs.h
+++ b/sched/jobs.h
@@ -157,6 +157,29 @@
 struct jb *jb_new(const struct ck *clock, struct ct *counters, struct fl *fleet,
     const struct jb_ops *ops, void *arg);
 
+/** jb_set_run_times() - whether to decide by the distribution of the run times
+ * of a queue instead of their mean, see runtimes.h; call before the first job
+ */
+void jb_set_run_times(struct jb *j, bool distribution);
+
+/**
+ * jb_export_run_times() - what this entry has learned of the run times of its
+ * most active queues
+ * @list: filled; its content is released with jb_free_run_times()
+ *
+ * Return: number of summaries, at most @max.
+ */
+unsigned jb_export_run_times(
+    const struct jb *j, struct pd_run_times *list, unsigned max);
+
+/** jb_free_run_times() - free the content of a list */
+void jb_free_run_times(struct pd_run_times *list, unsigned n);
+
+/** jb_merge_run_times() - use the summaries of another entry; those that cannot
+ * be right are counted and ignored */
+void jb_merge_run_times(struct jb *j, const char *sender,
+    const struct pd_run_times *list, unsigned n);
+
 /** jb_free() - drop all jobs without answers; consumed, NULL is allowed */
 void jb_free(struct jb *j);
 
--- a/sched/jobs_impl.h
+++ b/sched/jobs_impl.h
@@ -7,11 +7,13 @@
 #include "counters.h"
 #include "histogram.h"
 #include "jobs.h"
+#include "runtimes.h"
 
 /**
  * DOC: jb - internals: jobs.c admits jobs and places tasks, jobs_queue.c keeps
  * statistics of the queues, jobs_outcome.c handles reports and ends jobs,
- * jobs_withdrawals.c withdraws grants
+ * jobs_times.c decides by the distribution of run times, jobs_withdrawals.c
+ * withdraws grants
  */
 
 /* Declared run times are off by up to 40%: a job is given up only if not even a
@@ -41,6 +43,7 @@
 	struct fl_worker *worker;
 	struct fl_worker *avoid[JB_AVOID_MAX];
 	uint64_t unreachable_since_ms;
+	uint64_t granted_ms;
 	uint16_t step;
 	uint16_t index;
 	uint16_t attempt;
@@ -49,12 +52,16 @@
 	uint8_t navoid;
 	uint8_t state;
 	bool stopped; /* a run exceeded its limit */
+	bool queued;  /* its grant may wait at the agent */
 };
 
 /**
  * struct jb_queue_stats - statistics of a queue, learned from its jobs
  * @service: service whose workers run its jobs
  * @size_model: estimates actual from declared run times
+ * @run_times: distribution of the run times; NULL unless it is used
+ * @unlikely: number of jobs whose chance to end in time was too small
+ * @recent_jobs: number of jobs, halved every few seconds
  * @level: its priority level, see lv_of()
  * @slack_ms: average time that its jobs can wait and still be in time
  * @size_ms: average expected run time of a task
@@ -64,6 +71,9 @@
 struct jb_queue_stats {
 	char *service;
 	struct po_size_model size_model;
+	struct rt *run_times;
+	unsigned unlikely;
+	unsigned recent_jobs;
 	unsigned level;
 	double slack_ms;
 	double size_ms;
@@ -83,6 +93,13 @@
 	struct jb_task *tasks;
 	unsigned *declared_ms; /* run time of a task of each step as declared */
 	unsigned *tasks_left;  /* tasks of each step that are not done */
+	/* Longest run of each step on a worker of ratio 1, of those that are
+	 * done, and of those that were stopped. */
+	double *longest_ms;
+	double *stopped_ms;
+	double chance;       /* to end in time, on arrival; negative: unknown */
+	uint64_t checked_ms; /* when its chance was last computed */
+	unsigned sample_weight; /* samples that each of its steps counts as */
 	unsigned nsteps;
 	unsigned ntasks;
 	unsigned ndone;
@@ -97,6 +114,9 @@
 	GArray *trace;    /* struct tr_event */
 	bool any_granted; /* a task was granted */
 	bool any_started; /* a task has or may have started */
+	bool unlikely;    /* ended since its chance was too small */
+	bool probe;       /* runs to its deadline whatever its chance */
+	bool run_lost;    /* a run ended without a result */
 };
 
 /** struct jb_ended_job - job that has ended, kept for its client's resubmission
@@ -138,7 +158,9 @@
 	struct hg *queued;     /* wait of a task at its agent */
 	struct hg *ran;        /* run time of a task at its endpoint */
 	uint64_t last_number;
-	double best_run_ratio; /* cached for this tick; 0: not computed yet */
+	double best_run_ratio;  /* cached for this tick; 0: not computed yet */
+	bool uses_distribution; /* of run times, instead of their mean */
+	uint64_t aged_ms;       /* when summaries were last aged */
 };
 
 /** jb_queue_table_new() - create the table for jb.queues; owned */
@@ -240,6 +262,49 @@
  * client submits it again; @id is copied */
 void jb_remember_ended(struct jb *j, const char *id, enum jb_status status);
 
+/** jb_run_times_new() - distribution for a new queue; NULL if none is used */
+struct rt *jb_run_times_new(const struct jb *j);
+
+/** jb_expected_ms() - expected run time of a step on a worker of ratio 1 */
+double jb_expected_ms(const struct jb_queue_stats *q, unsigned declared_ms);
+
+/** jb_best_run_ratio() - fl_best_run_ratio(), computed once in a tick */
+double jb_best_run_ratio(struct jb *j);
+
+/** jb_may_end_at() - whether a task of a step that starts at @w in @wait_ms has
+ * a sufficient chance to end by the deadline; false if the chance is unknown */
+bool jb_may_end_at(const struct jb *j, const struct jb_job *job, unsigned step,
+    const struct fl_worker *w, double wait_ms);
+
+/**
+ * jb_is_unlikely() - whether to refuse a job since it will hardly end by its
+ * deadline, even on the best worker
+ *
+ * The chance of a job with several steps is taken as that of its longest one,
+ * which is an upper bound.
+ */
+bool jb_is_unlikely(struct jb *j, struct jb_job *job);
+
+/** jb_is_worth_continuing() - whether the chance of a running job is in
+ * proportion to the time that its client would wait on */
+bool jb_is_worth_continuing(struct jb *j, struct jb_job *job);
+
+/** jb_learn_run() - record a run that is done, or was stopped at its limit;
+ * call while the worker of the task is still set */
+void jb_learn_run(struct jb *j, struct jb_job *job, const struct jb_task *t,
+    const struct pd_end *e);
+
+/** jb_learn_step() - learn from a step whose tasks are done */
+void jb_learn_step(struct jb_job *job, unsigned step);
+
+/** jb_learn_from_end() - learn from the end of a job; call before its grants
+ * are released */
+void jb_learn_from_end(struct jb *j, struct jb_job *job, enum jb_status status,
+    enum jb_reason reason);
+
+/** jb_age_run_times() - age what other entries have sent; call in each tick */
+void jb_age_run_times(struct jb *j);
+
 /** jb_job_free() - free a job */
 void jb_job_free(void *job);
 
--- a/sched/jobs_outcome.c
+++ b/sched/jobs_outcome.c
@@ -102,7 +102,9 @@
 	struct jb_task *t;
 	unsigned i;
 
-	if (status == JB_REFUSED)
+	jb_learn_from_end(j, job, status, reason);
+	/* A job that takes too long would not fit later either. */
+	if (status == JB_REFUSED && !job->unlikely)
 		a.retry_ms = retry_ms(j, job);
 	for (i = 0; i < job->ntasks; i++) {
 		t = &job->tasks[i];
@@ -162,6 +164,8 @@
 	t->state = JB_DONE;
 	job->tasks_left[t->step]--;
 	job->ndone++;
+	if (job->tasks_left[t->step] == 0)
+		jb_learn_step(job, t->step);
 	if (job->ndone == job->ntasks) {
 		jb_finish(j, job, JB_COMPLETED, JB_R_NONE);
 		return;
@@ -237,6 +241,8 @@
 	}
 	s = &job->steps[t->step];
 	jb_trace(j, job, t, trace_kind(e->state), w, e->queue_ms, e->run_ms);
+	if (e->state == PD_END_DONE || e->state == PD_END_STOPPED)
+		jb_learn_run(j, job, t, e);
 	jb_release_worker(job, t);
 	if (e->state != PD_END_RETURNED) {
 		job->any_started = true;
@@ -266,6 +272,7 @@
 		jb_retry_task(j, job, t);
 		break;
 	default:
+		job->run_lost = true;
 		add_avoided(t, w);
 		jb_retry_task(j, job, t);
 		break;
@@ -374,6 +381,7 @@
 	jb_trace(j, job, t, TR_RESTARTED, t->worker, 0, 0);
 	jb_release_worker(job, t);
 	job->any_started = true;
+	job->run_lost = true;
 	jb_retry_task(j, job, t);
 }
 
@@ -467,9 +475,7 @@
 		return (false);
 	/* Cached, since the loss of an availability zone makes thousands of
 	 * tasks unreachable at once. */
-	if (j->best_run_ratio == 0)
-		j->best_run_ratio = fl_best_run_ratio(j->fleet);
-	return ((double)latest_end_ms(t) + size_ms * j->best_run_ratio >
+	return ((double)latest_end_ms(t) + size_ms * jb_best_run_ratio(j) >
 	    (double)job->deadline_ms);
 }
 
@@ -524,6 +530,7 @@
 		}
 		if (t->state == JB_UNREACHABLE && now > latest_end_ms(t)) {
 			job->any_started = true;
+			job->run_lost = true;
 			jb_trace(j, job, t, TR_DROPPED, t->worker, 0, 0);
 			log_dropped_grant(j, job, t, now);
 			jb_withdraw(j, job, t);
@@ -534,6 +541,8 @@
 			repeat_query(j, t->worker, now);
 		ready = ready || t->state == JB_READY;
 	}
+	if (!jb_is_worth_continuing(j, job))
+		return (false);
 	return (!ready || jb_place(j, job));
 }
 
@@ -569,6 +578,7 @@
 	guint i;
 
 	fl_tick(j->fleet);
+	jb_age_run_times(j);
 	j->best_run_ratio = 0;
 	for (l = jobs; l != NULL; l = l->next) {
 		job = l->data;
--- a/sched/jobs_queue.c
+++ b/sched/jobs_queue.c
@@ -19,6 +19,7 @@
 {
 	struct jb_queue_stats *q = arg;
 
+	rt_free(q->run_times);
 	g_free(q->service);
 	g_free(q);
 }
@@ -37,6 +38,7 @@
 
 	if (q == NULL) {
 		q = g_new0(struct jb_queue_stats, 1);
+		q->run_times = jb_run_times_new(j);
 		g_hash_table_insert(j->queues, g_strdup(name), q);
 	}
 	if (g_strcmp0(q->service, service) != 0) {
@@ -59,6 +61,7 @@
 	q->size_ms += (job->steps[0].size_ms - q->size_ms) * weight;
 	q->cpu += (job->steps[0].cpu - q->cpu) * weight;
 	q->last_job_ms = ck_mono_ms(j->clock);
+	q->recent_jobs++;
 }
 
 /* Of the active, more urgent queues of the same service the one with the least
--- a/sched/trace.c
+++ b/sched/trace.c
@@ -36,6 +36,8 @@
 	"the agent of the task had restarted"},
     [TR_CONTACT_LOST] = {"contact_lost", NULL, NULL,
 	"the entry had lost contact with its agents"},
+    [TR_UNLIKELY] = {"unlikely", "declared_ms", "chance_permille",
+	"its chance to end in time was too small"},
 };
 
 const char *
--- a/sched/trace.h
+++ b/sched/trace.h
@@ -31,6 +31,8 @@
 	TR_DROPPED,      /* the lease of an unreachable run has ended */
 	TR_RESTARTED,    /* agent has restarted, so the run has ended */
 	TR_CONTACT_LOST, /* entry was without contact to its agents */
+	TR_UNLIKELY,     /* the chance to end in time is too small; a: declared
+			    ms, b: chance in thousandths */
 	TR_MAX,
 };
 
--- a/wire/pd.h
+++ b/wire/pd.h
@@ -451,6 +451,23 @@
 	u_int jobs;
 };
 typedef struct pd_waiting pd_waiting;
+#define PD_RUN_BINS_MAX 160
+#define PD_RUN_TIMES_MAX 16
+
+struct pd_run_times {
+	char *queue;
+	u_int samples;
+	u_int error_samples;
+	int error_mean_permille;
+	u_int error_sd_permille;
+	u_int bins_total;
+	u_int bins_first;
+	struct {
+		u_int bins_len;
+		char *bins_val;
+	} bins;
+};
+typedef struct pd_run_times pd_run_times;
 
 struct pd_gossip {
 	char *cell;
@@ -470,6 +487,10 @@
 		u_int waiting_len;
 		pd_waiting *waiting_val;
 	} waiting;
+	struct {
+		u_int run_times_len;
+		pd_run_times *run_times_val;
+	} run_times;
 };
 typedef struct pd_gossip pd_gossip;
 
@@ -654,6 +675,7 @@
 extern  bool_t xdr_pd_queue (XDR *, pd_queue*);
 extern  bool_t xdr_pd_config (XDR *, pd_config*);
 extern  bool_t xdr_pd_waiting (XDR *, pd_waiting*);
+extern  bool_t xdr_pd_run_times (XDR *, pd_run_times*);
 extern  bool_t xdr_pd_gossip (XDR *, pd_gossip*);
 
 #else /* K&R C */
@@ -699,6 +721,7 @@
 extern bool_t xdr_pd_queue ();
 extern bool_t xdr_pd_config ();
 extern bool_t xdr_pd_waiting ();
+extern bool_t xdr_pd_run_times ();
 extern bool_t xdr_pd_gossip ();
 
 #endif /* K&R C */
--- a/wire/pd.x
+++ b/wire/pd.x
@@ -349,6 +349,22 @@
 	unsigned int jobs;
 };
 
+const PD_RUN_BINS_MAX = 160;
+const PD_RUN_TIMES_MAX = 16;
+
+/* Run times of a queue, from the samples of the sender only; see struct
+ * rt_summary. Bins that are left out on both sides are empty. */
+struct pd_run_times {
+	string queue<PD_TEXT_MAX>;
+	unsigned int samples;
+	unsigned int error_samples;
+	int error_mean_permille;
+	unsigned int error_sd_permille;
+	unsigned int bins_total;	/* of the histogram of the sender */
+	unsigned int bins_first;	/* index of the first one of bins */
+	opaque bins<PD_RUN_BINS_MAX>;
+};
+
 struct pd_gossip {
 	string cell<PD_NAME_MAX>;
 	string name<PD_NAME_MAX>;
@@ -361,6 +377,7 @@
 	unsigned int entries_hash;	/* of the list of the sender */
 	pd_name entries<PD_ENTRIES_MAX>; /* empty if the other end has the same */
 	pd_waiting waiting<PD_QUEUES_MAX>;
+	pd_run_times run_times<PD_RUN_TIMES_MAX>; /* empty if sent lately */
 };
 
 program PD_PROG {
--- a/wire/pd_xdr.c
+++ b/wire/pd_xdr.c
@@ -1038,6 +1038,91 @@
 	return TRUE;
 }
 
+bool_t
+xdr_pd_run_times (XDR *xdrs, pd_run_times *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_string (xdrs, &objp->queue, PD_TEXT_MAX))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->samples))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->error_samples))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->error_mean_permille))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->error_sd_permille))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->bins_total))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->bins_first))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->samples);
+		IXDR_PUT_U_LONG(buf, objp->error_samples);
+		IXDR_PUT_LONG(buf, objp->error_mean_permille);
+		IXDR_PUT_U_LONG(buf, objp->error_sd_permille);
+		IXDR_PUT_U_LONG(buf, objp->bins_total);
+		IXDR_PUT_U_LONG(buf, objp->bins_first);
+		}
+		 if (!xdr_bytes (xdrs, (char **)&objp->bins.bins_val, (u_int *) &objp->bins.bins_len, PD_RUN_BINS_MAX))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_string (xdrs, &objp->queue, PD_TEXT_MAX))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->samples))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->error_samples))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->error_mean_permille))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->error_sd_permille))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->bins_total))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->bins_first))
+				 return FALSE;
+
+		} else {
+		objp->samples = IXDR_GET_U_LONG(buf);
+		objp->error_samples = IXDR_GET_U_LONG(buf);
+		objp->error_mean_permille = IXDR_GET_LONG(buf);
+		objp->error_sd_permille = IXDR_GET_U_LONG(buf);
+		objp->bins_total = IXDR_GET_U_LONG(buf);
+		objp->bins_first = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_bytes (xdrs, (char **)&objp->bins.bins_val, (u_int *) &objp->bins.bins_len, PD_RUN_BINS_MAX))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_string (xdrs, &objp->queue, PD_TEXT_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->samples))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->error_samples))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->error_mean_permille))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->error_sd_permille))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->bins_total))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->bins_first))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->bins.bins_val, (u_int *) &objp->bins.bins_len, PD_RUN_BINS_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_pd_gossip (XDR *xdrs, pd_gossip *objp)
 {
@@ -1067,5 +1152,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->waiting.waiting_val, (u_int *) &objp->waiting.waiting_len, PD_QUEUES_MAX,
 		sizeof (pd_waiting), (xdrproc_t) xdr_pd_waiting))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->run_times.run_times_val, (u_int *) &objp->run_times.run_times_len, PD_RUN_TIMES_MAX,
+		sizeof (pd_run_times), (xdrproc_t) xdr_pd_run_times))
+		 return FALSE;
 	return TRUE;
 }
