--- a/sched/jobs_impl.h
+++ b/sched/jobs_impl.h
@@ -272,7 +272,8 @@
 double jb_best_run_ratio(struct jb *j);
 
 /** jb_may_end_at() - whether a task of a step that starts at @w in @wait_ms has
- * a sufficient chance to end by the deadline; false if the chance is unknown */
+ * a sufficient chance to end by the deadline, or is run to learn how long it
+ * takes; false if the chance is unknown */
 bool jb_may_end_at(const struct jb *j, const struct jb_job *job, unsigned step,
     const struct fl_worker *w, double wait_ms);
 
--- a/sched/jobs_times.c
+++ b/sched/jobs_times.c
@@ -79,6 +79,8 @@
 	const struct jb_queue_stats *q = job->queue_stats;
 	double ratio = fl_run_ratio(j->fleet, w);
 
+	if (job->probe)
+		return (left_ms(j, job) > wait_ms);
 	return (is_learned(q) &&
 	    rt_chance(q->run_times, job->declared_ms[step], 0,
 		(left_ms(j, job) - wait_ms) / ratio) >= least_chance(j, job));
