--- a/entry/gossip.c
+++ b/entry/gossip.c
@@ -61,8 +61,10 @@
 	uint64_t last_heard_ms; /* 0: never */
 	uint64_t revision;      /* of the queues that it has */
 	uint64_t zones_revision;
-	uint32_t list_hash;  /* of the entries that it lists */
-	GHashTable *waiting; /* queue -> number of waiting jobs */
+	uint64_t incarnation;
+	uint64_t run_times_sent_ms; /* 0: not since it has started */
+	uint32_t list_hash;         /* of the entries that it lists */
+	GHashTable *waiting;        /* queue -> number of waiting jobs */
 };
 
 /* How long some entry has had a newer part of the configuration. */
@@ -82,6 +84,7 @@
 	GPtrArray *addresses; /* result of go_addresses(); borrowed text */
 	GPtrArray *round;     /* addresses not contacted in this round, owned */
 	struct uc *cancels;   /* that other entries were not told of */
+	size_t run_times_bytes; /* of the summaries that were sent last */
 	struct rn *rng;
 	struct event *timer;
 	struct event *seed_timer;
@@ -242,6 +245,13 @@
 		    m->address);
 	p->last_heard_ms = ck_mono_ms(g->clock);
 	p->list_hash = m->entries_hash;
+	if (p->incarnation != 0 && p->incarnation != m->incarnation)
+		p->run_times_sent_ms = 0;
+	p->incarnation = m->incarnation;
+	if (m->run_times.run_times_len > 0 &&
+	    g->ops->run_times_received != NULL)
+		g->ops->run_times_received(g->arg, p->address,
+		    m->run_times.run_times_val, m->run_times.run_times_len);
 	g_hash_table_remove_all(p->waiting);
 	for (i = 0; i < m->waiting.waiting_len; i++)
 		g_hash_table_insert(p->waiting,
@@ -298,10 +308,11 @@
 }
 
 /* Fills a message, without a configuration, to an entry that has a list of
- * entries with @list_hash. The caller frees m->waiting.waiting_val; all else is
- * borrowed. */
+ * entries with @list_hash. @p is NULL if it is not of this cell. The caller
+ * frees the message with release_message(). */
 static void
-fill_message(struct go *g, struct pd_gossip *m, uint32_t list_hash)
+fill_message(
+    struct go *g, struct pd_gossip *m, struct peer *p, uint32_t list_hash)
 {
 	const char *const *entries;
 	uint32_t hash;
@@ -320,6 +331,18 @@
 		m->entries.entries_len = n;
 	}
 	fill_waiting(g, m);
+	if (p != NULL)
+		sh_fill(&g->run_times_bytes, g_hash_table_size(g->peers),
+		    ck_mono_ms(g->clock), &p->run_times_sent_ms, m,
+		    g->ops->run_times, g->arg);
+}
+
+/* Frees what fill_message() has allocated. */
+static void
+release_message(struct pd_gossip *m)
+{
+	g_free(m->waiting.waiting_val);
+	sh_release(m);
 }
 
 struct exchange {
@@ -357,7 +380,7 @@
 	struct pd_gossip m = {0};
 	struct exchange *x;
 
-	fill_message(g, &m, p->list_hash);
+	fill_message(g, &m, p, p->list_hash);
 	x = g_new0(struct exchange, 1);
 	x->gossip = g;
 	x->address = g_strdup(p->address);
@@ -371,7 +394,7 @@
 	cn_call(p->conn, PD_GOSSIP, (xdrproc_t)xdr_pd_gossip, &m,
 	    (xdrproc_t)xdr_pd_gossip, sizeof(struct pd_gossip),
 	    x->fetch ? FETCH_TIMEOUT_MS : CALL_TIMEOUT_MS, on_gossip_reply, x);
-	g_free(m.waiting.waiting_val);
+	release_message(&m);
 }
 
 static bool
@@ -565,18 +588,21 @@
 {
 	struct pd_gossip m = {0}, reply = {0};
 	struct pd_config newer;
+	struct peer *p = NULL;
 
 	if (!cn_decode(c, args, (xdrproc_t)xdr_pd_gossip, &m))
 		return;
 	cn_set_idle(c, IDLE_ROUND_MS);
 	handle_message(g, &m);
-	fill_message(g, &reply, m.entries_hash);
+	if (strcmp(m.cell, g->self.cell) == 0)
+		p = g_hash_table_lookup(g->peers, m.address);
+	fill_message(g, &reply, p, m.entries_hash);
 	newer = newer_parts(g, &m);
 	if (m.wants_config &&
 	    (newer.revision != 0 || newer.zones_revision != 0))
 		reply.config = &newer;
 	cn_reply(c, xid, (xdrproc_t)xdr_pd_gossip, &reply);
-	g_free(reply.waiting.waiting_val);
+	release_message(&reply);
 	xdr_free((xdrproc_t)xdr_pd_gossip, (char *)&m);
 }
 
--- a/entry/gossip.h
+++ b/entry/gossip.h
@@ -5,10 +5,11 @@
 
 #include "config.h"
 #include "conn.h"
+#include "shares.h"
 
 /**
- * DOC: go - gossip between entries: the newest configuration, their addresses
- * and the number of waiting jobs per queue
+ * DOC: go - gossip between entries: the newest configuration, their addresses,
+ * the number of waiting jobs per queue and summaries of run times
  *
  * An entry whose requests the platform's store refuses gets the configuration
  * from the other entries: it asks one of those that have a newer one.
@@ -41,6 +42,10 @@
  * @cancel: cancel a job for another entry. Return: whether it was active here
  * @claim: give up a job that its client has submitted to another entry. Return:
  *     whether it may still run
+ * @run_times: summaries of the run times of this entry's own jobs; NULL for
+ *     none
+ * @run_times_received: another entry sent its summaries; NULL to ignore them.
+ *     @sender is its address
  */
 struct go_ops {
 	void (*config_received)(void *arg, const struct pd_config *config);
@@ -48,6 +53,9 @@
 	GHashTable *(*waiting_counts)(void *arg);
 	bool (*cancel)(void *arg, const char *id);
 	bool (*claim)(void *arg, const char *id);
+	sh_fill_fn run_times;
+	void (*run_times_received)(void *arg, const char *sender,
+	    const struct pd_run_times *list, unsigned n);
 };
 
 /** go_new() - connect to the seeds and start the periodic exchange; owned */
--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -46,9 +46,10 @@
 	char address[SN_ADDRESS_SIZE];
 	struct cf *config;
 	struct go *gossip;
-	GPtrArray *conns; /* accepted and still open */
-	unsigned cancels; /* that it was told of */
-	bool silent;      /* answers nothing */
+	GPtrArray *conns;      /* accepted and still open */
+	unsigned cancels;      /* that it was told of */
+	GHashTable *summaries; /* senders of run times, owned */
+	bool silent;           /* answers nothing */
 };
 
 struct fixture {
@@ -123,11 +124,35 @@
 	return (false);
 }
 
+static unsigned
+run_times(void *arg, struct pd_run_times *list, unsigned max)
+{
+	(void)arg;
+	(void)max;
+	list[0].queue = g_strdup("q");
+	list[0].samples = 100;
+	return (1);
+}
+
+static void
+run_times_received(
+    void *arg, const char *sender, const struct pd_run_times *list, unsigned n)
+{
+	struct entry *e = arg;
+
+	assert_int_equal(1, n);
+	assert_string_equal("q", list[0].queue);
+	assert_int_equal(100, list[0].samples);
+	g_hash_table_add(e->summaries, g_strdup(sender));
+}
+
 static const struct go_ops gossip_ops = {
     .config_received = config_received,
     .store_reachable = store_reachable,
     .waiting_counts = waiting_counts,
     .cancel = cancel,
+    .run_times = run_times,
+    .run_times_received = run_times_received,
 };
 
 static void
@@ -169,6 +194,8 @@
 		e = &f->entries[i];
 		e->fixture = f;
 		e->conns = g_ptr_array_new();
+		e->summaries = g_hash_table_new_full(
+		    g_str_hash, g_str_equal, g_free, NULL);
 		e->listener = sn_listen(f->base, on_accept, e, e->address);
 	}
 	for (i = 0; i < SEEDS; i++)
@@ -200,6 +227,7 @@
 	for (i = 0; i < ENTRIES; i++) {
 		stop_entry(&f->entries[i]);
 		cf_free(f->entries[i].config);
+		g_hash_table_destroy(f->entries[i].summaries);
 		g_ptr_array_free(f->entries[i].conns, TRUE);
 	}
 	event_base_loop(f->base, EVLOOP_NONBLOCK);
@@ -481,6 +509,27 @@
 		cn_close(c);
 }
 
+/* Guards against an entry that does not get the summaries of run times of all
+ * others with the first exchanges, also if it has just been restarted at the
+ * same address. */
+static void
+test_run_times_shared(void **state)
+{
+	struct fixture *f = *state;
+	struct entry *e = &f->entries[ENTRIES - 1];
+	unsigned i;
+
+	for (i = 0; i < ENTRIES; i++)
+		assert_int_equal(
+		    ENTRIES - 1, g_hash_table_size(f->entries[i].summaries));
+	go_free(e->gossip);
+	cf_free(e->config);
+	g_hash_table_remove_all(e->summaries);
+	start_entry(f, e, 2 * ENTRIES);
+	sn_run_loop(f->base, SETTLE_MS);
+	assert_int_equal(ENTRIES - 1, g_hash_table_size(e->summaries));
+}
+
 int
 main(void)
 {
@@ -495,6 +544,8 @@
 		test_zones_spread_without_queues, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
 		test_odd_address_announced, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_run_times_shared, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
 		test_seeds_start_last, set_up_stopped, tear_down),
 	};
