--- a/bench/bench_load.c
+++ b/bench/bench_load.c
@@ -2,6 +2,7 @@
 #include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "load.h"
 #include "model.h"
@@ -48,6 +49,21 @@
 	    r->core_s_wasted, r->starts, r->starts_refused, r->duplicate_runs);
 }
 
+static void
+print_placing(const struct md_load *load, const struct md_result *r)
+{
+	unsigned i;
+
+	printf(
+	    "placing          grants %u, returned %.4f, own_zone %.4f, "
+	    "stopped %u, largest tenth served",
+	    r->grants, (double)r->returned / MAX(r->grants, 1),
+	    (double)r->own_zone / MAX(r->grants, 1), r->stopped);
+	for (i = 0; i < load->nkinds; i++)
+		printf(" %.4f", r->largest_served[i]);
+	printf("\n");
+}
+
 /* Draws one curve; @value returns its height in a window. */
 static void
 plot_curve(FILE *f, const struct md_result *r, unsigned row, const char *title,
@@ -119,9 +135,16 @@
 	    arg_dbl0(NULL, "scale", "X", "multiply all arrivals");
 	struct arg_file *svg =
 	    arg_file0(NULL, "svg", "FILE", "write a plot over time");
+	struct arg_lit *placing = arg_lit0(
+	    NULL, "placing", "print what became of the grants as well");
+	struct arg_str *speeds = arg_str0(NULL, "speeds", "individual|pooled",
+	    "placing.speeds, overrides the one in the file");
+	struct arg_int *entries = arg_int0(
+	    NULL, "entries", "N", "entries, overrides those in the file");
 	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
 	struct arg_end *end = arg_end(8);
-	void *table[] = {path, seed, scale, svg, help, end};
+	void *table[] = {
+	    path, seed, scale, svg, placing, speeds, entries, help, end};
 	struct md_result *r = NULL;
 	struct md_load load;
 	char message[256];
@@ -140,8 +163,14 @@
 		load.seed = (uint64_t)seed->ival[0];
 	if (scale->count > 0)
 		ld_scale(&load, scale->dval[0]);
+	if (speeds->count > 0)
+		load.pooled = strcmp(speeds->sval[0], "pooled") == 0;
+	if (entries->count > 0 && entries->ival[0] > 0)
+		load.entries = (unsigned)entries->ival[0];
 	r = md_run(&load);
 	print_result(&load, r);
+	if (placing->count > 0)
+		print_placing(&load, r);
 	if (svg->count == 0 || plot(svg->filename[0], r))
 		code = EXIT_SUCCESS;
 out:
--- a/bench/load.c
+++ b/bench/load.c
@@ -17,7 +17,10 @@
 	int64_t entries;
 	int64_t net_ms;
 	int64_t agents_ms;
+	int64_t zones;
+	char *speeds;
 	int64_t estimate_off_percent;
+	int64_t estimate_sigma_percent;
 	int64_t uneven_percent;
 	int64_t error_permille;
 	struct st_strings kinds;
@@ -36,6 +39,14 @@
 	"network delay of a message, milliseconds"},
     {"agents_ms", ST_INTEGER, FILE_FIELD(agents_ms), 0, 10000, "0", NULL,
 	"time within which agents connect, milliseconds; 0: before arrivals"},
+    {"zones", ST_INTEGER, FILE_FIELD(zones), 1, 64, "1", NULL,
+	"number of availability zones"},
+    {"speeds", ST_STRING, FILE_FIELD(speeds), 1, 16, "individual",
+	"individual|pooled", "placing.speeds of the entries"},
+    {"estimate_sigma_percent", ST_INTEGER, FILE_FIELD(estimate_sigma_percent),
+	0, 300, "0", NULL,
+	"deviation of the logarithm of declared run times, percent; 0: "
+	"estimate_off_percent applies"},
     {"estimate_off_percent", ST_INTEGER, FILE_FIELD(estimate_off_percent), 0,
 	99, "40", NULL, "greatest relative error of declared run times"},
     {"uneven_percent", ST_INTEGER, FILE_FIELD(uneven_percent), 0, 99, "15",
@@ -71,6 +82,8 @@
     {"deadline_ms", ROW_FIELD(md_kind, deadline_ms), FIELD_COUNT},
     {"attempts", ROW_FIELD(md_kind, attempts), FIELD_COUNT},
     {"priority", ROW_FIELD(md_kind, priority), FIELD_COUNT},
+    {"tail_permille", ROW_FIELD(md_kind, tail_permille), FIELD_COUNT},
+    {"tail_factor", ROW_FIELD(md_kind, tail_factor), FIELD_REAL},
     {0},
 };
 
@@ -175,7 +188,8 @@
 		*invalid_row = f->kinds.items[i];
 		k = &load->kinds[load->nkinds++];
 		if (!read_row(*invalid_row, kind_fields, k, k->name) ||
-		    k->per_s <= 0 || k->work_ms <= 0 || k->deadline_ms == 0)
+		    k->per_s <= 0 || k->work_ms <= 0 || k->deadline_ms == 0 ||
+		    (k->tail_permille > 0 && k->tail_factor <= 0))
 			return (false);
 	}
 	for (i = 0; i < f->workers.count; i++) {
@@ -209,6 +223,9 @@
 	load->entries = (unsigned)f.entries;
 	load->net_ms = (unsigned)f.net_ms;
 	load->agents_ms = (unsigned)f.agents_ms;
+	load->zones = (unsigned)f.zones;
+	load->pooled = strcmp(f.speeds, "pooled") == 0;
+	load->estimate_sigma = (double)f.estimate_sigma_percent / PERCENT;
 	load->estimate_error = (double)f.estimate_off_percent / PERCENT;
 	load->task_variation = (double)f.uneven_percent / PERCENT;
 	load->error_share = (double)f.error_permille / PERMILLE;
--- a/bench/model.c
+++ b/bench/model.c
@@ -24,6 +24,13 @@
 	return ((uint64_t)m->load->net_ms * US_PER_MS);
 }
 
+void
+md_set_az(const struct md *m, unsigned number, char *az)
+{
+	snprintf(az, sizeof(((struct md_entry *)0)->az), "az%u",
+	    number % m->load->zones);
+}
+
 static gint
 compare_events(gconstpointer a, gconstpointer b, gpointer arg)
 {
@@ -83,6 +90,26 @@
 	return (1 + share * (2 * rn_unit(r) - 1));
 }
 
+/* Factor by which all tasks of a job take longer. */
+static double
+tail_factor(struct rn *r, const struct md_kind *k)
+{
+	if (k->tail_permille == 0 ||
+	    rn_unit(r) >= (double)k->tail_permille / PERMILLE)
+		return (1);
+	return (k->tail_factor);
+}
+
+/* Declared run time divided by the actual one. */
+static double
+declaration_factor(struct md *m)
+{
+	if (m->load->estimate_sigma > 0)
+		return (exp(
+		    m->load->estimate_sigma * standard_normal(m->arrival_rng)));
+	return (uniform_factor(m->arrival_rng, m->load->estimate_error));
+}
+
 static struct md_job *
 job_new(struct md *m, unsigned kind)
 {
@@ -97,6 +124,8 @@
 	    1, round(k->tasks * log_normal_factor(m->arrival_rng, k->spread)));
 	job->work_ms = g_new0(double, job->ntasks);
 	work = k->work_ms * log_normal_factor(m->arrival_rng, k->spread);
+	job->tail = tail_factor(m->arrival_rng, k);
+	work *= job->tail;
 	for (i = 0; i < job->ntasks; i++) {
 		job->work_ms[i] = work *
 		    uniform_factor(m->arrival_rng, m->load->task_variation);
@@ -127,9 +156,8 @@
 	    .stretch_permille = STRETCH_PERMILLE};
 	struct jb_step step = {.count = job->ntasks,
 	    .cpu = k->cpu,
-	    .size_ms = (unsigned)fmax(1,
-		job->work_ms[0] *
-		    uniform_factor(m->arrival_rng, m->load->estimate_error)),
+	    .size_ms = (unsigned)fmax(
+		1, job->work_ms[0] / job->tail * declaration_factor(m)),
 	    .label = ""};
 	struct jb_request r = {.id = job->id,
 	    .queue = &q,
@@ -255,6 +283,7 @@
 		e = &m->entries[i];
 		e->model = m;
 		e->number = i;
+		md_set_az(m, i, e->az);
 		e->config = cf_new();
 		e->fleet =
 		    fl_new(m->clock, m->counters, e->config, m->load->seed + i);
--- a/bench/model.h
+++ b/bench/model.h
@@ -35,6 +35,8 @@
  * @deadline_ms: time limit of the job
  * @attempts: number of failed runs after which a task has failed
  * @priority: of its queue, 0 is the most urgent
+ * @tail_permille: jobs of a thousand whose tasks all take longer
+ * @tail_factor: by which they take longer
  */
 struct md_kind {
 	char name[MD_NAME_MAX];
@@ -47,6 +49,8 @@
 	unsigned deadline_ms;
 	unsigned attempts;
 	unsigned priority;
+	unsigned tail_permille;
+	double tail_factor;
 };
 
 /**
@@ -97,7 +101,12 @@
  * @net_ms: network delay of a message
  * @agents_ms: agents connect in the second half of this time after the first
  *     arrivals, as after a power loss of all hosts; 0: before them
+ * @zones: number of availability zones over which entries and workers are
+ *     spread
+ * @pooled: entries place by pooled speeds, see struct fl_placing
  * @estimate_error: greatest relative error of declared run times
+ * @estimate_sigma: if not 0, declared run times are wrong by a log-normal
+ * factor of this deviation instead
  * @task_variation: greatest relative deviation of run times within a job
  * @error_share: share of the runs that fail
  */
@@ -107,7 +116,10 @@
 	unsigned entries;
 	unsigned net_ms;
 	unsigned agents_ms;
+	unsigned zones;
+	bool pooled;
 	double estimate_error;
+	double estimate_sigma;
 	double task_variation;
 	double error_share;
 	struct md_kind kinds[MD_KINDS_MAX];
@@ -165,6 +177,12 @@
  * @starts: commands to start a task
  * @starts_refused: those refused by an endpoint for lack of capacity
  * @duplicate_runs: starts of a task that was still running elsewhere
+ * @grants: grants to agents
+ * @returned: grants that agents returned without a start
+ * @stopped: runs that were stopped, also those of jobs that had ended
+ * @own_zone: grants within the zone of the entry
+ * @largest_served: completed share of the tenth of the jobs of each kind with
+ *     the most work
  */
 struct md_result {
 	struct md_outcomes all;
@@ -178,6 +196,11 @@
 	unsigned starts;
 	unsigned starts_refused;
 	unsigned duplicate_runs;
+	unsigned grants;
+	unsigned returned;
+	unsigned stopped;
+	unsigned own_zone;
+	double largest_served[MD_KINDS_MAX];
 };
 
 /** md_run() - replay a load. Return: owned result */
--- a/bench/model_impl.h
+++ b/bench/model_impl.h
@@ -46,6 +46,7 @@
 	uint64_t arrived_us;
 	uint64_t allowed_us; /* response time that counts as in time */
 	double *work_ms;     /* of each task */
+	double tail;         /* factor of its run times, not declared */
 	double run_core_s;   /* core-seconds of its runs so far */
 	bool answered;
 	enum jb_status status;
@@ -55,6 +56,7 @@
 struct md_entry {
 	struct md *model;
 	unsigned number;
+	char az[16];
 	struct cf *config;
 	struct fl *fleet;
 	struct jb *jobs;
@@ -74,6 +76,7 @@
 	struct md *model;
 	unsigned number;
 	char name[16];
+	char az[16];
 	unsigned cpu;
 	double speed;
 	double slowdown;
@@ -130,6 +133,10 @@
 void md_grant(
     struct md_entry *e, const struct fl_worker *to, const struct pd_start *s);
 
+/** md_set_az() - write the name of the availability zone of the entry or worker
+ * with a number; @az has 16 bytes */
+void md_set_az(const struct md *m, unsigned number, char *az);
+
 /** md_withdraw() - withdraw a grant from an agent */
 void md_withdraw(
     struct md_entry *e, const struct fl_worker *to, const struct pd_key *k);
--- a/bench/model_result.c
+++ b/bench/model_result.c
@@ -6,6 +6,8 @@
 #define PERMILLE 1000
 #define P99 0.99
 #define MEDIAN 0.5
+/* The largest jobs of a kind are one in so many. */
+#define LARGEST_SHARE 10
 /* Answers after this multiple of the allowed time are useless to callers. */
 #define TOO_LATE_FACTOR 3
 
@@ -100,6 +102,49 @@
 		    job->work_ms[i] * k->cpu / PERMILLE / PERMILLE;
 }
 
+static double
+work_of(const struct md_job *job)
+{
+	double ms = 0;
+	unsigned i;
+
+	for (i = 0; i < job->ntasks; i++)
+		ms += job->work_ms[i];
+	return (ms);
+}
+
+/* Most work first. */
+static gint
+compare_work(gconstpointer a, gconstpointer b)
+{
+	double x = work_of(*(struct md_job *const *)a);
+	double y = work_of(*(struct md_job *const *)b);
+
+	return (x > y ? -1 : x < y);
+}
+
+/* Completed share of the tenth of the jobs of a kind with the most work. */
+static double
+largest_served(const struct md *m, unsigned kind)
+{
+	g_autoptr(GPtrArray) jobs = g_ptr_array_new();
+	const struct md_job *job;
+	unsigned i, n, served = 0;
+
+	for (i = 0; i < m->jobs->len; i++) {
+		job = m->jobs->pdata[i];
+		if (job->kind == kind)
+			g_ptr_array_add(jobs, m->jobs->pdata[i]);
+	}
+	g_ptr_array_sort(jobs, compare_work);
+	n = (jobs->len + LARGEST_SHARE - 1) / LARGEST_SHARE;
+	for (i = 0; i < n; i++) {
+		job = jobs->pdata[i];
+		served += job->answered && job->status == JB_COMPLETED;
+	}
+	return (n == 0 ? 1 : (double)served / n);
+}
+
 static void
 count_windows(struct md *m)
 {
@@ -154,6 +199,8 @@
 	for (i = 0; i < m->nworkers; i++)
 		m->result->core_s_capacity += m->workers[i].cpu *
 		    m->workers[i].speed * m->load->seconds / PERMILLE;
+	for (i = 0; i < m->load->nkinds; i++)
+		m->result->largest_served[i] = largest_served(m, i);
 	count_windows(m);
 }
 
--- a/bench/model_worker.c
+++ b/bench/model_worker.c
@@ -318,6 +318,8 @@
 	struct md_worker *w = arg;
 	struct pd_end copy = *end;
 
+	w->model->result->returned += end->state == PD_END_RETURNED;
+	w->model->result->stopped += end->state == PD_END_STOPPED;
 	copy.key.sub.id = g_strdup(end->key.sub.id);
 	g_array_append_val(w->ended[entry - 1], copy);
 	if (!w->flush_pending)
@@ -337,7 +339,7 @@
 	struct ru_load l = ru_load(w->runner);
 	struct pd_attach a = {.cell = (char *)(uintptr_t) "cell",
 	    .name = w->name,
-	    .az = (char *)(uintptr_t) "az",
+	    .az = w->az,
 	    .service = (char *)(uintptr_t) "service",
 	    .incarnation = w->incarnation,
 	    .started_ms = w->incarnation,
@@ -395,6 +397,8 @@
 	struct md_worker *w = worker_of(m, to);
 	struct grant *g = g_new0(struct grant, 1);
 
+	m->result->grants++;
+	m->result->own_zone += strcmp(w->az, e->az) == 0;
 	g->start = *s;
 	g->start.body.body_val = NULL;
 	g->start.body.body_len = 0;
@@ -554,6 +558,7 @@
 	w->speed = g->speed;
 	w->slowdown = 1;
 	snprintf(w->name, sizeof(w->name), "w%u", number);
+	md_set_az(m, number, w->az);
 	w->runs = g_array_new(FALSE, TRUE, sizeof(struct md_run_state));
 	choose_contacts(w);
 	w->ended = g_new0(GArray *, m->load->entries);
