--- a/bench/model.c
+++ b/bench/model.c
@@ -287,6 +287,9 @@
 		e->config = cf_new();
 		e->fleet =
 		    fl_new(m->clock, m->counters, e->config, m->load->seed + i);
+		fl_set_placing(e->fleet,
+		    &(struct fl_placing){
+			.pooled = m->load->pooled, .az = e->az});
 		e->jobs = jb_new(m->clock, m->counters, e->fleet, &job_ops, e);
 	}
 }
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -3,14 +3,10 @@
 #include <math.h>
 #include <string.h>
 
-#include "clock.h"
-#include "config.h"
-#include "counters.h"
-#include "fleet.h"
+#include "fleet_impl.h"
 #include "lease.h"
 #include "level.h"
 #include "log.h"
-#include "rng.h"
 
 /* A worker without a heartbeat for three periods gets no tasks. */
 #define HEARTBEAT_MAX_AGE_MS 650
@@ -18,17 +14,9 @@
 #define WARM_UP_MS 1000
 /* Pause of the process that is longer than one between heartbeats. */
 #define PAUSE_MIN_MS 300
-/* Mean run time assumed of a worker that has not finished a task yet. */
-#define DEFAULT_MEAN_MS 150.0
-
 /* Expected wait at a worker that is just full, in mean run times: of about ten
  * running tasks the first ends after a tenth of a run time. */
 #define FULL_WAIT_SHARE 0.15
-/* Workers that are considered for a task: a smaller sample would miss the fast
- * ones. */
-#define SAMPLE_SIZE 16
-/* Workers that are considered when the sample has no free capacity. */
-#define LARGE_SAMPLE_SIZE 128
 /* Maximum age of the numbers of workers by service and label. */
 #define COUNTS_MAX_AGE_MS 1000
 /* Exponent of the load in the expected wait: the higher, the fuller a worker
@@ -44,31 +32,7 @@
  * short. */
 #define SAFE_RUN_FACTOR 1.67
 
-/* Own run times contradict the agent's report when they are this many times
- * longer, in at least this many tasks. */
-#define CONTRADICTION_FACTOR 2.5
-#define CONTRADICTION_SAMPLES 4
-
 #define PERMILLE 1000.0
-#define US_PER_MS 1000
-
-struct fl {
-	const struct ck *clock;
-	struct ct *counters;
-	const struct cf *config;
-	struct rn *rng;
-	GPtrArray *workers;     /* struct fl_worker, owned */
-	GPtrArray *connected;   /* those with a session, in any order */
-	GHashTable *by_name;    /* name -> struct fl_worker */
-	GHashTable *by_session; /* session -> struct fl_worker */
-	uint64_t counted_ms;    /* when workers were counted */
-	uint64_t warm_up_from_ms;
-	uint64_t ticked_ms;
-	uint64_t heard_ms; /* last heartbeat of any agent, or start */
-	/* Latest time without a heartbeat for longer than LE_CONTACT_MS. */
-	uint64_t silent_from_ms;
-	uint64_t silent_until_ms;
-};
 
 static void
 worker_free(void *p)
@@ -99,9 +63,27 @@
 	f->connected = g_ptr_array_new();
 	f->by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	f->by_session = g_hash_table_new(g_int64_hash, g_int64_equal);
+	f->kinds = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	f->pool = g_array_new(FALSE, TRUE, sizeof(struct sp_worker));
+	f->candidates = g_array_new(FALSE, FALSE, sizeof(struct fl_candidate));
+	f->task_ms = FL_DEFAULT_MEAN_MS;
 	return (f);
 }
 
+void
+fl_set_placing(struct fl *f, const struct fl_placing *p)
+{
+	f->pooled = p->pooled;
+	g_free(f->az);
+	f->az = g_strdup(p->az);
+}
+
+bool
+fl_is_pooled(const struct fl *f)
+{
+	return (f->pooled);
+}
+
 void
 fl_free(struct fl *f)
 {
@@ -111,6 +93,10 @@
 	g_hash_table_destroy(f->by_name);
 	g_hash_table_destroy(f->by_session);
 	g_ptr_array_free(f->workers, TRUE);
+	g_hash_table_destroy(f->kinds);
+	g_array_free(f->pool, TRUE);
+	g_array_free(f->candidates, TRUE);
+	g_free(f->az);
 	rn_free(f->rng);
 	g_free(f);
 }
@@ -124,6 +110,8 @@
 		return (w);
 	w = g_new0(struct fl_worker, 1);
 	w->name = g_strdup(name);
+	w->ratio = exp(f->speeds.mean);
+	w->ratio_error = sqrt(f->speeds.worker_var + f->speeds.kind_var);
 	g_ptr_array_add(f->workers, w);
 	g_hash_table_insert(f->by_name, w->name, w);
 	return (w);
@@ -190,13 +178,14 @@
 
 /* Sets what tasks are placed by, and logs a change of it. */
 static void
-set_description(struct fl_worker *w, const struct pd_attach *a)
+set_description(struct fl *f, struct fl_worker *w, const struct pd_attach *a)
 {
 	char **labels = copy_labels(a);
 	g_autofree char *text = NULL;
+	bool known = w->labels != NULL &&
+	    is_described_by(w, a, (const char *const *)labels);
 
-	if (w->labels != NULL &&
-	    !is_described_by(w, a, (const char *const *)labels)) {
+	if (w->labels != NULL && !known) {
 		text = g_strjoinv(", ", labels);
 		lg_write(LOG_NOTICE, "fleet",
 		    "worker %s is now of service %s in zone %s, %u thousandths "
@@ -210,6 +199,8 @@
 	w->cpu = a->cpu;
 	w->mem_mb = a->mem_mb;
 	w->endpoint = a->endpoint;
+	if (!known)
+		fl_set_kind(f, w);
 }
 
 static void
@@ -252,7 +243,7 @@
 	w->incarnation = a->incarnation;
 	w->started_ms = a->started_ms;
 	set_session(f, w, session);
-	set_description(w, a);
+	set_description(f, w, a);
 	w->clock_offset_ms = (int64_t)a->clock_ms - (int64_t)now;
 	w->heartbeat_reply_ms = now;
 	w->heartbeat_ms = now;
@@ -284,6 +275,20 @@
 	return (w);
 }
 
+static void
+note_hanging(struct fl *f, struct fl_worker *w)
+{
+	if (!f->pooled)
+		return;
+	wh_schedule_probe(&w->own, ck_mono_ms(f->clock));
+	ct_add(
+	    ct_get(f->counters, CT_COUNTER, "pd_workers_hanging_total",
+		"Workers whose agent reported that no run ends any more", ""),
+	    1);
+	lg_write(LOG_WARNING, "fleet",
+	    "worker %s ends no runs any more: it gets probes only", w->name);
+}
+
 /* A new agent process has learned nothing yet: what its predecessor reported
  * stays, as it belongs to the worker. */
 static void
@@ -292,7 +297,10 @@
 {
 	if (s->ejected && !w->reported.ejected)
 		wh_schedule_probe(&w->own, ck_mono_ms(f->clock));
+	if (s->hanging && !w->reported.hanging)
+		note_hanging(f, w);
 	w->reported.ejected = s->ejected;
+	w->reported.hanging = s->hanging;
 	if (s->samples > 0 && s->ratio_permille > 0)
 		w->reported = *s;
 }
@@ -310,6 +318,7 @@
 	memcpy(w->cpu_queued, load->cpu_queued, sizeof(w->cpu_queued));
 	w->cpu_others = all > own ? all - own : 0;
 	w->accepting = load->accepting;
+	w->reports++;
 	update_reported_speed(f, w, &load->speed);
 }
 
@@ -328,6 +337,14 @@
 	return (all > less_urgent ? all - less_urgent : 0);
 }
 
+unsigned
+fl_cpu_free(const struct fl_worker *w, unsigned priority)
+{
+	unsigned ahead = cpu_ahead(w, priority);
+
+	return (w->cpu > ahead ? w->cpu - ahead : 0);
+}
+
 unsigned
 fl_queue_limit(const struct fl_worker *w, unsigned cpu, unsigned priority)
 {
@@ -369,13 +386,14 @@
 	return (cf_evacuated(f->config, w->az));
 }
 
-static bool
-is_usable(const struct fl *f, const struct fl_worker *w, uint64_t now)
+bool
+fl_is_usable(const struct fl *f, const struct fl_worker *w, uint64_t now)
 {
 	if (w->session == 0 || !w->accepting || w->cpu == 0 ||
 	    now - w->heartbeat_ms > HEARTBEAT_MAX_AGE_MS)
 		return (false);
-	if ((w->own.ejected || w->reported.ejected) &&
+	if ((w->own.ejected || w->reported.ejected ||
+		(f->pooled && w->reported.hanging)) &&
 	    now < w->own.next_probe_ms)
 		return (false);
 	return (!fl_is_evacuated(f, w));
@@ -390,18 +408,24 @@
 
 	if (w->reported.samples < w->own.speed.samples)
 		return (true);
-	return (w->own.speed.samples >= CONTRADICTION_SAMPLES &&
-	    own_ratio > reported * CONTRADICTION_FACTOR);
+	return (w->own.speed.samples >= FL_CONTRADICTION_SAMPLES &&
+	    own_ratio > reported * FL_CONTRADICTION_FACTOR);
 }
 
 /* Expected run ratio of a worker, and the mean run time of its tasks. */
 static double
-speed_of(const struct fl_worker *w, uint64_t now_us, double *mean_ms)
+speed_of(const struct fl *f, const struct fl_worker *w, uint64_t now_us,
+    double *mean_ms)
 {
 	const struct po_speed *own = &w->own.speed;
-	double ratio = po_run_ratio(own, now_us);
+	double ratio;
 
-	*mean_ms = DEFAULT_MEAN_MS;
+	if (f->pooled) {
+		*mean_ms = f->task_ms * w->ratio;
+		return (w->ratio);
+	}
+	ratio = po_run_ratio(own, now_us);
+	*mean_ms = FL_DEFAULT_MEAN_MS;
 	if (w->reported.samples > 0 && !uses_own_speed(w, ratio)) {
 		*mean_ms = w->reported.mean_ms;
 		return (w->reported.ratio_permille / PERMILLE);
@@ -416,7 +440,7 @@
 {
 	double mean_ms;
 
-	return (speed_of(w, ck_mono_us(f->clock), &mean_ms));
+	return (speed_of(f, w, ck_mono_us(f->clock), &mean_ms));
 }
 
 /*
@@ -443,28 +467,6 @@
 	return (cpu_ahead(w, req->priority) + req->cpu <= w->cpu);
 }
 
-/**
- * enum prospect - prospects of a task at a worker
- * @PR_LATE: it is expected to end too late
- * @PR_RISKY: it is expected in time, but misses its deadline if it takes much
- *     longer than expected
- * @PR_SAFE: it is expected in time, and meets its deadline even then
- */
-enum prospect {
-	PR_LATE = 0,
-	PR_RISKY,
-	PR_SAFE,
-};
-
-/* A possible worker for a task. @finish_ms: expected time until the task ends.
- * @cost_ms: the same plus the weighted delay of other tasks. */
-struct candidate {
-	struct fl_worker *worker;
-	enum prospect prospect;
-	double finish_ms;
-	double cost_ms;
-};
-
 /*
  * Whether candidate @a is better than @b. Workers with better prospects come
  * first, so a long task whose run time is uncertain is not left to a slow
@@ -473,9 +475,9 @@
  * the fast one: waiting there delays other tasks too, and long tasks may end in
  * time on the few fast workers only.
  */
-static bool
-is_better(const struct fl_requirements *req, const struct candidate *a,
-    const struct candidate *b)
+bool
+fl_is_better(const struct fl_requirements *req, const struct fl_candidate *a,
+    const struct fl_candidate *b)
 {
 	if (b->worker == NULL)
 		return (true);
@@ -486,44 +488,45 @@
 	return (a->cost_ms < b->cost_ms);
 }
 
-/* Replaces @best if the task had better go to @w. @all: include workers that
- * the task should avoid. */
-static void
-consider(const struct fl *f, const struct fl_requirements *req,
-    struct fl_worker *w, bool all, uint64_t now_us, struct candidate *best)
+bool
+fl_evaluate(const struct fl *f, const struct fl_requirements *req,
+    struct fl_worker *w, bool all, uint64_t now_us, struct fl_candidate *out)
 {
-	struct candidate p = {.worker = w};
-	double mean, run, wait;
+	struct fl_candidate p = {.worker = w};
+	double mean, wait;
 
-	if (!is_usable(f, w, now_us / US_PER_MS) || !is_suitable(w, req) ||
-	    (!all && is_avoided(w, req)))
-		return;
-	run = req->size_ms * speed_of(w, now_us, &mean);
+	if (!fl_is_usable(f, w, now_us / FL_US_PER_MS) ||
+	    !is_suitable(w, req) || (!all && is_avoided(w, req)))
+		return (false);
+	p.run_ms = req->size_ms * speed_of(f, w, now_us, &mean);
 	wait = wait_ms(w, req, mean);
-	p.finish_ms = wait + run;
+	p.finish_ms = wait + p.run_ms;
 	p.cost_ms = p.finish_ms + wait * DELAY_WEIGHT;
 	if (p.finish_ms <= req->left_ms)
 		p.prospect =
-		    wait + run * SAFE_RUN_FACTOR <= req->deadline_left_ms
+		    wait + p.run_ms * SAFE_RUN_FACTOR <= req->deadline_left_ms
 		    ? PR_SAFE
 		    : PR_RISKY;
-	if (is_better(req, &p, best))
-		*best = p;
+	*out = p;
+	return (true);
 }
 
 /* Best of @size random connected workers, or of all if there are not more. */
-static struct candidate
+static struct fl_candidate
 best_in_sample(
     struct fl *f, const struct fl_requirements *req, unsigned size, bool all)
 {
-	struct candidate best = {0};
+	struct fl_candidate best = {0}, p;
 	uint64_t now_us = ck_mono_us(f->clock);
 	guint i, n = f->connected->len;
+	struct fl_worker *w;
 
-	for (i = 0; i < MIN(size, n); i++)
-		consider(f, req,
-		    f->connected->pdata[size < n ? rn_below(f->rng, n) : i],
-		    all, now_us, &best);
+	for (i = 0; i < MIN(size, n); i++) {
+		w = f->connected->pdata[size < n ? rn_below(f->rng, n) : i];
+		if (fl_evaluate(f, req, w, all, now_us, &p) &&
+		    fl_is_better(req, &p, &best))
+			best = p;
+	}
 	return (best);
 }
 
@@ -535,11 +538,14 @@
 struct fl_worker *
 fl_choose(struct fl *f, const struct fl_requirements *req, double *finish_ms)
 {
-	struct candidate best = best_in_sample(f, req, SAMPLE_SIZE, false);
+	struct fl_candidate best;
 
+	if (f->pooled)
+		return (fl_choose_pooled(f, req, finish_ms));
+	best = best_in_sample(f, req, FL_SAMPLE_SIZE, false);
 	if (best.worker == NULL || !fl_has_room(best.worker, req) ||
 	    best.prospect != PR_SAFE)
-		best = best_in_sample(f, req, LARGE_SAMPLE_SIZE, false);
+		best = best_in_sample(f, req, FL_LARGE_SAMPLE_SIZE, false);
 	if (best.worker == NULL)
 		best = best_in_sample(f, req, UINT_MAX, false);
 	/* Fall back to a worker that the task has failed on. */
@@ -576,7 +582,7 @@
 void
 fl_task_done(struct fl *f, struct fl_worker *w, double size_ms, double run_ms)
 {
-	if (wh_task_done(&w->own, size_ms, run_ms, ck_mono_us(f->clock)))
+	if (wh_task_done(&w->own, 0, size_ms, run_ms, ck_mono_us(f->clock)))
 		lg_write(LOG_NOTICE, "fleet",
 		    "worker %s finished a task: no longer ejected", w->name);
 }
@@ -585,7 +591,7 @@
 fl_task_stopped(struct fl *f, struct fl_worker *w, double size_ms,
     double run_ms, uint64_t job)
 {
-	wh_learn_run_time(&w->own, size_ms, run_ms, ck_mono_us(f->clock));
+	wh_learn_run_time(&w->own, 0, size_ms, run_ms, ck_mono_us(f->clock));
 	fl_task_failed(f, w, job);
 }
 
@@ -609,7 +615,7 @@
 	guint i;
 
 	for (i = 0; i < f->connected->len; i++) {
-		if (!is_usable(f, f->connected->pdata[i], now))
+		if (!fl_is_usable(f, f->connected->pdata[i], now))
 			continue;
 		ratio = fl_run_ratio(f, f->connected->pdata[i]);
 		if (best == 0 || ratio < best)
@@ -626,7 +632,7 @@
 	guint i;
 
 	for (i = 0; i < f->connected->len; i++)
-		n += is_usable(f, f->connected->pdata[i], now);
+		n += fl_is_usable(f, f->connected->pdata[i], now);
 	return (n);
 }
 
@@ -642,6 +648,8 @@
 		f->warm_up_from_ms = now;
 	}
 	f->ticked_ms = now;
+	if (f->pooled)
+		fl_pool(f);
 }
 
 bool
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -43,6 +43,10 @@
  * @label_workers: connected workers that have its rarest label
  * @reported: what its agent has learned from the tasks of all entries
  * @own: what this entry has learned from its own tasks
+ * @reports: number of reports that have come from its agent
+ * @kind: number of its service and labels, 0 if there are too many
+ * @ratio: run ratio by pooled speeds
+ * @ratio_error: standard error of the logarithm of @ratio
  */
 struct fl_worker {
 	char *name;
@@ -68,6 +72,32 @@
 	unsigned label_workers;
 	struct pd_speed reported;
 	struct wh own;
+	uint32_t reports;
+	unsigned kind;
+	double ratio;
+	double ratio_error;
+};
+
+/**
+ * struct fl_return - return of a grant by an agent
+ * @worker: borrowed
+ * @reports: its reports at the time
+ */
+struct fl_return {
+	const struct fl_worker *worker;
+	uint32_t reports;
+};
+
+/**
+ * struct fl_placing - how workers are chosen
+ * @pooled: by speeds that are compared over the fleet, see speeds.h; else by
+ *     the speed of each worker alone
+ * @az: availability zone of this entry, NULL if unknown; preferred by pooled
+ *     speeds
+ */
+struct fl_placing {
+	bool pooled;
+	const char *az;
 };
 
 /**
@@ -81,6 +111,9 @@
  * @deadline_left_ms: time after which its end is useless
  * @avoid: workers that this task has failed on, or NULL
  * @navoid: number of @avoid
+ * @returned: returns of the task, which are not repeated with pooled speeds
+ *     until a newer report has come; or NULL
+ * @nreturned: number of @returned
  */
 struct fl_requirements {
 	const char *service;
@@ -93,6 +126,8 @@
 	double deadline_left_ms;
 	struct fl_worker *const *avoid;
 	unsigned navoid;
+	const struct fl_return *returned;
+	unsigned nreturned;
 };
 
 /**
@@ -103,6 +138,13 @@
 struct fl *fl_new(const struct ck *clock, struct ct *counters,
     const struct cf *config, uint64_t seed);
 
+/** fl_set_placing() - set how workers are chosen; @p is copied. Without it they
+ * are chosen by individual speeds. */
+void fl_set_placing(struct fl *f, const struct fl_placing *p);
+
+/** fl_is_pooled() - whether workers are chosen by pooled speeds */
+bool fl_is_pooled(const struct fl *f);
+
 /** fl_free() - consumed, NULL is allowed */
 void fl_free(struct fl *f);
 
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -5,17 +5,9 @@
 
 /* Time that an answer takes to reach the client. */
 #define ANSWER_DELAY_MS 8
-/* A run is stopped after this multiple of its expected run time. */
-#define RUN_LIMIT_FACTOR 4.0
-/* Shorter limits would stop runs that only wait for the CPU. */
-#define RUN_LIMIT_MIN_MS 120
 /* The latest start of a task in time is this multiple of its expected run time
  * before its target, since run times are uncertain. */
 #define START_MARGIN_FACTOR 1.5
-/* Grants of a task that may come back from full queues; the next grant accepts
- * a queue of any length. With many entries that grant on old reports, three or
- * four were not enough to find one of the last free workers in a burst. */
-#define RETURNS_MAX 16
 /* Jobs that an entry holds at most; its memory allows about 10,000. */
 #define JOBS_MAX 4096
 /* Jobs that have ended are kept for this time, in which a client that lost the
@@ -110,7 +102,10 @@
 jb_job_free(void *p)
 {
 	struct jb_job *job = p;
+	unsigned i;
 
+	for (i = 0; i < job->ntasks; i++)
+		g_free(job->tasks[i].returned);
 	g_free(job->id);
 	g_free(job->queue);
 	g_free(job->service);
@@ -120,6 +115,7 @@
 	g_free(job->tasks);
 	g_free(job->declared_ms);
 	g_free(job->tasks_left);
+	g_free(job->longest_ms);
 	g_array_free(job->waiters, TRUE);
 	g_array_free(job->trace, TRUE);
 	g_free(job);
@@ -160,6 +156,8 @@
 	    .deadline_left_ms = (double)job->deadline_ms - now,
 	    .avoid = t->avoid,
 	    .navoid = t->navoid,
+	    .returned = t->returned,
+	    .nreturned = t->returns < JB_RETURNS_MAX ? t->nreturned : 0,
 	};
 
 	return (req);
@@ -190,6 +188,7 @@
 	job->steps = g_memdup2(r->steps, r->nsteps * sizeof(*r->steps));
 	job->labels = g_new0(char *, r->nsteps + 1);
 	job->tasks_left = g_new0(unsigned, r->nsteps);
+	job->longest_ms = g_new0(double, r->nsteps);
 	job->declared_ms = g_new0(unsigned, r->nsteps);
 	for (i = 0; i < r->nsteps; i++) {
 		job->labels[i] = g_strdup(r->steps[i].label);
@@ -272,7 +271,7 @@
 run_limit_ms(uint64_t now, const struct jb_job *job, const struct jb_task *t,
     double run_ms)
 {
-	double limit = MAX(run_ms * RUN_LIMIT_FACTOR, RUN_LIMIT_MIN_MS);
+	double limit = MAX(run_ms * JB_RUN_LIMIT_FACTOR, JB_RUN_LIMIT_MIN_MS);
 
 	if (t->stopped)
 		return (0);
@@ -295,14 +294,18 @@
 	    .mem_mb = s->mem_mb,
 	    .priority = job->priority,
 	    .size_ms = s->size_ms,
-	    .limit_ms = run_limit_ms(now, job, t, run_ms),
-	    .queue_max = t->returns < RETURNS_MAX
+	    .limit_ms = fl_is_pooled(j->fleet)
+		? 0 /* see jb_check_overrun() */
+		: run_limit_ms(now, job, t, run_ms),
+	    .queue_max = t->returns < JB_RETURNS_MAX
 		? fl_queue_limit(w, s->cpu, job->priority)
 		: UINT32_MAX,
 	};
 
 	t->attempt++;
 	t->state = JB_GRANTED;
+	t->granted_ms = now;
+	t->withdrawn = false;
 	t->worker = w;
 	job->any_granted = true;
 	jb_trace(j, job, t, TR_GRANTED, w, finish_ms,
--- a/sched/jobs_impl.h
+++ b/sched/jobs_impl.h
@@ -11,13 +11,23 @@
 /**
  * DOC: jb - internals: jobs.c admits jobs and places tasks, jobs_queue.c keeps
  * statistics of the queues, jobs_outcome.c handles reports and ends jobs,
- * jobs_withdrawals.c withdraws grants
+ * jobs_withdrawals.c withdraws grants, jobs_overruns.c finds runs that hang
  */
 
 /* Declared run times are off by up to 40%: a job is given up only if not even a
  * run time 40% shorter fits before the deadline. */
 #define JB_MIN_SIZE_FACTOR 0.6
 
+/* A run is stopped after this multiple of the time that it is expected to take.
+ */
+#define JB_RUN_LIMIT_FACTOR 4.0
+/* Shorter limits would stop runs that only wait for the CPU. */
+#define JB_RUN_LIMIT_MIN_MS 120
+/* Grants of a task that may come back from full queues; the next grant accepts
+ * a queue of any length. With many entries that grant on old reports, three or
+ * four were not enough to find one of the last free workers in a burst. */
+#define JB_RETURNS_MAX 16
+
 /* Workers that a task avoids because it has failed on them. */
 #define JB_AVOID_MAX 4
 
@@ -48,7 +58,11 @@
 	uint16_t returns; /* grants that agents returned without a start */
 	uint8_t navoid;
 	uint8_t state;
-	bool stopped; /* a run exceeded its limit */
+	bool stopped;   /* a run exceeded its limit */
+	bool withdrawn; /* the current grant is being stopped for that */
+	uint64_t granted_ms;
+	struct fl_return *returned; /* of the last @nreturned returns, owned */
+	uint8_t nreturned;
 };
 
 /**
@@ -83,6 +97,7 @@
 	struct jb_task *tasks;
 	unsigned *declared_ms; /* run time of a task of each step as declared */
 	unsigned *tasks_left;  /* tasks of each step that are not done */
+	double *longest_ms;    /* longest run of each step, at ratio 1 */
 	unsigned nsteps;
 	unsigned ntasks;
 	unsigned ndone;
@@ -220,6 +235,26 @@
 /** jb_withdrawals_free() - forget all withdrawals */
 void jb_withdrawals_free(struct jb *j);
 
+/** jb_note_return() - note that the agent of a worker has returned a task */
+void jb_note_return(struct jb_task *t, const struct fl_worker *w);
+
+/** jb_note_run() - note the run time of a task that is done, see
+ * jb_check_overrun() */
+void jb_note_run(struct jb *j, struct jb_job *job, const struct jb_task *t,
+    const struct fl_worker *w, double run_ms);
+
+/**
+ * jb_check_overrun() - withdraw a granted task whose run seems to hang, if
+ * speeds are pooled
+ *
+ * A run counts as hanging if other tasks of its step are done and it has taken
+ * four times as long as the longest of them, or if its agent reports that no
+ * run ends there any more. It is withdrawn only once, and only if a second run
+ * could still be in time. A job whose tasks are all long is not stopped.
+ */
+void jb_check_overrun(
+    struct jb *j, const struct jb_job *job, struct jb_task *t, uint64_t now);
+
 /** jb_unblock_tasks() - make the tasks ready whose dependencies are done */
 void jb_unblock_tasks(struct jb_job *job);
 
--- a/sched/jobs_outcome.c
+++ b/sched/jobs_outcome.c
@@ -249,6 +249,7 @@
 		    job->declared_ms[t->step],
 		    e->run_ms / fl_run_ratio(j->fleet, w));
 		fl_task_done(j->fleet, w, s->size_ms, e->run_ms);
+		jb_note_run(j, job, t, w, e->run_ms);
 		task_done(j, job, t);
 		break;
 	case PD_END_FAILED:
@@ -263,6 +264,7 @@
 		break;
 	case PD_END_RETURNED:
 		t->returns++;
+		jb_note_return(t, w);
 		jb_retry_task(j, job, t);
 		break;
 	default:
@@ -532,6 +534,8 @@
 		}
 		if (t->state == JB_UNREACHABLE)
 			repeat_query(j, t->worker, now);
+		if (t->state == JB_GRANTED)
+			jb_check_overrun(j, job, t, now);
 		ready = ready || t->state == JB_READY;
 	}
 	return (!ready || jb_place(j, job));
--- a/sched/runner.c
+++ b/sched/runner.c
@@ -22,8 +22,6 @@
 /* A run that starts with a shorter lease would probably end with it. */
 #define START_LEASE_MIN_MS (LE_RUN_MS / 2)
 
-#define PERMILLE 1000
-
 static void
 task_free(void *p)
 {
@@ -127,27 +125,12 @@
 	return (l);
 }
 
-static struct pd_speed
-reported_speed(const struct ru *r)
-{
-	const struct po_speed *s = &r->health.speed;
-	double ratio = po_run_ratio(s, ck_mono_us(r->clock));
-	struct pd_speed p = {.ejected = r->health.ejected};
-
-	if (s->samples == 0)
-		return (p);
-	p.samples = (unsigned)MIN(s->samples, UINT32_MAX);
-	p.ratio_permille = (unsigned)(ratio * PERMILLE);
-	p.mean_ms = (unsigned)(s->mean_ms * ratio / s->run_ratio);
-	return (p);
-}
-
 struct ru_load
 ru_load(const struct ru *r)
 {
 	struct ru_load l = ru_sum_load(r);
 
-	l.reported.speed = reported_speed(r);
+	l.reported.speed = ru_speed(r);
 	return (l);
 }
 
@@ -195,13 +178,13 @@
 	bool ejected = false;
 
 	if (state == PD_END_DONE) {
-		if (wh_task_done(&r->health, t->size_ms, run_ms, now_us))
+		if (wh_task_done(&r->health, job, t->size_ms, run_ms, now_us))
 			lg_write(LOG_NOTICE, "runner",
 			    "a task succeeded: takes more than probes again");
 	} else if (state == PD_END_FAILED) {
 		ejected = wh_task_failed(&r->health, job, ck_mono_ms(r->clock));
 	} else if (state == PD_END_STOPPED && t->limit_hit) {
-		wh_learn_run_time(&r->health, t->size_ms, run_ms, now_us);
+		wh_learn_run_time(&r->health, job, t->size_ms, run_ms, now_us);
 		ejected = wh_task_failed(&r->health, job, ck_mono_ms(r->clock));
 	}
 	if (!ejected)
@@ -239,6 +222,8 @@
 		    "running, cause %s",
 		    t->id, t->task, t->attempt, end_name(state), e.queue_ms,
 		    e.run_ms, cause_name(cause));
+	if (cause == RU_C_LISTED)
+		r->ended_ms = now;
 	if (t->started_ms != 0)
 		learn_from_end(r, t, state, e.run_ms);
 	r->ops->ended(r->arg, t->entry, &e);
--- a/sched/runner_impl.h
+++ b/sched/runner_impl.h
@@ -11,7 +11,7 @@
 
 /**
  * DOC: ru - internals: runner.c decides about grants, runner_endpoint.c tracks
- * the runs at the endpoint
+ * the runs at the endpoint, runner_speed.c reports what is learned from them
  */
 
 /* Consecutive polls without an answer after which the endpoint counts as
@@ -95,12 +95,16 @@
 	bool replaced; /* an earlier process of the endpoint may have runs */
 	uint64_t lease_until_ms; /* no run can exist after this */
 	uint64_t full_until_ms;  /* no starts before this */
+	uint64_t ended_ms;       /* when the endpoint last listed an end */
 };
 
 /** ru_sum_load() - as ru_load(), without the learned speed, which no decision
  * of the runner needs */
 struct ru_load ru_sum_load(const struct ru *r);
 
+/** ru_speed() - what has been learned from the runs, as it is reported */
+struct pd_speed ru_speed(const struct ru *r);
+
 /** ru_start_queued() - start queued tasks that fit, the most urgent first */
 void ru_start_queued(struct ru *r);
 
--- a/sched/worker_health.c
+++ b/sched/worker_health.c
@@ -6,18 +6,22 @@
 #define LEARN_MIN_SIZE_MS 10
 
 void
-wh_learn_run_time(struct wh *h, double size_ms, double run_ms, uint64_t now_us)
+wh_learn_run_time(
+    struct wh *h, uint64_t job, double size_ms, double run_ms, uint64_t now_us)
 {
-	if (size_ms >= LEARN_MIN_SIZE_MS)
-		po_learn_run_time(&h->speed, size_ms, run_ms, now_us);
+	if (size_ms < LEARN_MIN_SIZE_MS)
+		return;
+	po_learn_run_time(&h->speed, size_ms, run_ms, now_us);
+	sp_learn(&h->log_speed, job, size_ms, run_ms, now_us);
 }
 
 bool
-wh_task_done(struct wh *h, double size_ms, double run_ms, uint64_t now_us)
+wh_task_done(
+    struct wh *h, uint64_t job, double size_ms, double run_ms, uint64_t now_us)
 {
 	bool was_ejected = h->ejected;
 
-	wh_learn_run_time(h, size_ms, run_ms, now_us);
+	wh_learn_run_time(h, job, size_ms, run_ms, now_us);
 	h->failures = 0;
 	h->ejected = false;
 	return (was_ejected);
--- a/sched/worker_health.h
+++ b/sched/worker_health.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 
 #include "policy.h"
+#include "speeds.h"
 
 /**
  * DOC: wh - worker health: what is learned of a worker from the ends of its
@@ -25,6 +26,7 @@
 /**
  * struct wh - health of a worker; all zero for an unknown one
  * @speed: learned ratio of actual to expected run time
+ * @log_speed: its logarithm, with its variance
  * @failures: consecutive failures
  * @failed_job: job of the last failure
  * @ejected: gets probes only
@@ -32,6 +34,7 @@
  */
 struct wh {
 	struct po_speed speed;
+	struct sp_samples log_speed;
 	unsigned failures;
 	uint64_t failed_job;
 	bool ejected;
@@ -40,16 +43,18 @@
 
 /**
  * wh_task_done() - learn from a task that succeeded
+ * @job: identifies its job, 0 if unknown
  * @size_ms: expected run time on a worker of ratio 1
  *
  * Return: whether the worker is no longer ejected because of it.
  */
-bool wh_task_done(struct wh *h, double size_ms, double run_ms, uint64_t now_us);
+bool wh_task_done(
+    struct wh *h, uint64_t job, double size_ms, double run_ms, uint64_t now_us);
 
 /** wh_learn_run_time() - learn the speed from a run, without a judgement of
  * its result */
 void wh_learn_run_time(
-    struct wh *h, double size_ms, double run_ms, uint64_t now_us);
+    struct wh *h, uint64_t job, double size_ms, double run_ms, uint64_t now_us);
 
 /**
  * wh_task_failed() - count a task that failed or was stopped at its limit
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -51,8 +51,12 @@
 
 	slow = attach(f, "slow", 1);
 	fast = attach(f, "fast", 2);
-	report_speed(f, slow, (struct pd_speed){20, 2000, 300, false});
-	report_speed(f, fast, (struct pd_speed){20, 500, 75, false});
+	report_speed(f, slow,
+	    (struct pd_speed){
+		.samples = 20, .ratio_permille = 2000, .mean_ms = 300});
+	report_speed(f, fast,
+	    (struct pd_speed){
+		.samples = 20, .ratio_permille = 500, .mean_ms = 75});
 	submit_job(f, "a", 7, 1, 1000, 1);
 	assert_int_equal(1, f->nstarts);
 	assert_ptr_equal(fast, f->start_workers[0]);
@@ -68,7 +72,8 @@
 static void
 test_wrong_speed_from_agent(void **state)
 {
-	struct pd_speed wrong = {1000, 100, 10, false};
+	struct pd_speed wrong = {
+	    .samples = 1000, .ratio_permille = 100, .mean_ms = 10};
 	struct fixture *f = *state;
 	struct fl_worker *w, *other;
 	unsigned i;
@@ -91,7 +96,10 @@
 static void
 test_ejected_by_agent(void **state)
 {
-	struct pd_speed failing = {20, 1000, 100, true};
+	struct pd_speed failing = {.samples = 20,
+	    .ratio_permille = 1000,
+	    .mean_ms = 100,
+	    .ejected = true};
 	struct fixture *f = *state;
 	struct fl_worker *w;
 
--- a/wire/pd.h
+++ b/wire/pd.h
@@ -326,6 +326,10 @@
 	u_int ratio_permille;
 	u_int mean_ms;
 	bool_t ejected;
+	int log_mean_permille;
+	u_int log_var_permille;
+	u_int log_samples;
+	bool_t hanging;
 };
 typedef struct pd_speed pd_speed;
 
--- a/wire/pd.x
+++ b/wire/pd.x
@@ -248,6 +248,11 @@
 	unsigned int ratio_permille;	/* actual / expected run time */
 	unsigned int mean_ms;		/* mean run time */
 	bool ejected;			/* takes probes only */
+	/* The logarithm of actual / expected run time, in thousandths. */
+	int log_mean_permille;
+	unsigned int log_var_permille;	/* variance between runs */
+	unsigned int log_samples;	/* effective number; 0: none yet */
+	bool hanging;			/* no run has ended for too long */
 };
 
 struct pd_load {
--- a/wire/pd_xdr.c
+++ b/wire/pd_xdr.c
@@ -582,7 +582,7 @@
 
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 8 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->samples))
 				 return FALSE;
@@ -592,15 +592,27 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->ejected))
 				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->log_mean_permille))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->log_var_permille))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->log_samples))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->hanging))
+				 return FALSE;
 		} else {
 			IXDR_PUT_U_LONG(buf, objp->samples);
 			IXDR_PUT_U_LONG(buf, objp->ratio_permille);
 			IXDR_PUT_U_LONG(buf, objp->mean_ms);
 			IXDR_PUT_BOOL(buf, objp->ejected);
+			IXDR_PUT_LONG(buf, objp->log_mean_permille);
+			IXDR_PUT_U_LONG(buf, objp->log_var_permille);
+			IXDR_PUT_U_LONG(buf, objp->log_samples);
+			IXDR_PUT_BOOL(buf, objp->hanging);
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 8 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->samples))
 				 return FALSE;
@@ -610,11 +622,23 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->ejected))
 				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->log_mean_permille))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->log_var_permille))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->log_samples))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->hanging))
+				 return FALSE;
 		} else {
 			objp->samples = IXDR_GET_U_LONG(buf);
 			objp->ratio_permille = IXDR_GET_U_LONG(buf);
 			objp->mean_ms = IXDR_GET_U_LONG(buf);
 			objp->ejected = IXDR_GET_BOOL(buf);
+			objp->log_mean_permille = IXDR_GET_LONG(buf);
+			objp->log_var_permille = IXDR_GET_U_LONG(buf);
+			objp->log_samples = IXDR_GET_U_LONG(buf);
+			objp->hanging = IXDR_GET_BOOL(buf);
 		}
 	 return TRUE;
 	}
@@ -627,6 +651,14 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->ejected))
 		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->log_mean_permille))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->log_var_permille))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->log_samples))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->hanging))
+		 return FALSE;
 	return TRUE;
 }
 
