--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -66,7 +66,6 @@
 	f->kinds = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	f->pool = g_array_new(FALSE, TRUE, sizeof(struct sp_worker));
 	f->candidates = g_array_new(FALSE, FALSE, sizeof(struct fl_candidate));
-	f->task_ms = FL_DEFAULT_MEAN_MS;
 	return (f);
 }
 
@@ -299,6 +298,8 @@
 		wh_schedule_probe(&w->own, ck_mono_ms(f->clock));
 	if (s->hanging && !w->reported.hanging)
 		note_hanging(f, w);
+	if (f->pooled && s->log_samples > 0)
+		fl_check_report(f, w, s);
 	w->reported.ejected = s->ejected;
 	w->reported.hanging = s->hanging;
 	if (s->samples > 0 && s->ratio_permille > 0)
@@ -418,21 +419,17 @@
     double *mean_ms)
 {
 	const struct po_speed *own = &w->own.speed;
-	double ratio;
+	double ratio = po_run_ratio(own, now_us);
+	bool uses_own = w->reported.samples == 0 || uses_own_speed(w, ratio);
 
-	if (f->pooled) {
-		*mean_ms = f->task_ms * w->ratio;
-		return (w->ratio);
-	}
-	ratio = po_run_ratio(own, now_us);
 	*mean_ms = FL_DEFAULT_MEAN_MS;
-	if (w->reported.samples > 0 && !uses_own_speed(w, ratio)) {
+	if (!uses_own)
 		*mean_ms = w->reported.mean_ms;
-		return (w->reported.ratio_permille / PERMILLE);
-	}
-	if (own->samples > 0)
+	else if (own->samples > 0)
 		*mean_ms = own->mean_ms * ratio / own->run_ratio;
-	return (ratio);
+	if (f->pooled)
+		return (w->ratio);
+	return (uses_own ? ratio : w->reported.ratio_permille / PERMILLE);
 }
 
 double
--- a/sched/fleet_impl.h
+++ b/sched/fleet_impl.h
@@ -52,9 +52,7 @@
 	GArray *pool;       /* struct sp_worker, reused */
 	GArray *candidates; /* struct fl_candidate, reused */
 	struct sp_summary speeds;
-	double task_ms;     /* mean run time on a worker of ratio 1 */
 	uint64_t pooled_ms; /* when the speeds were pooled; 0: never */
-	bool az_has_room;   /* @az has free capacity */
 };
 
 /**
@@ -100,6 +98,10 @@
 /** fl_set_kind() - set the kind of a worker by its service and labels */
 void fl_set_kind(struct fl *f, struct fl_worker *w);
 
+/** fl_check_report() - count and log a report whose estimate cannot be used */
+void fl_check_report(
+    struct fl *f, const struct fl_worker *w, const struct pd_speed *s);
+
 /** fl_pool() - pool the speeds of all workers, if that was not done lately */
 void fl_pool(struct fl *f);
 
--- a/sched/fleet_pooled.c
+++ b/sched/fleet_pooled.c
@@ -9,8 +9,6 @@
 #define POOL_INTERVAL_MS 200
 /* Kinds that are told apart; workers of further ones count as one kind. */
 #define KINDS_MAX 1024
-/* Limits of the mean run times in reports. */
-#define MEAN_MAX_MS 600000
 /* Own run times contradict a report only if the means differ by this many
  * standard errors. */
 #define CONTRADICTION_ERRORS 4.0
@@ -33,6 +31,35 @@
 	w->kind = GPOINTER_TO_UINT(kind);
 }
 
+static struct sp_estimate
+reported_estimate(const struct pd_speed *s)
+{
+	struct sp_estimate e = {
+	    .mean = s->log_mean_permille / PERMILLE,
+	    .var = s->log_var_permille / PERMILLE,
+	    .samples = s->log_samples,
+	};
+
+	return (e);
+}
+
+void
+fl_check_report(
+    struct fl *f, const struct fl_worker *w, const struct pd_speed *s)
+{
+	struct sp_estimate e = reported_estimate(s);
+
+	if (s->log_samples < SP_SAMPLES_MIN || sp_is_valid(&e))
+		return;
+	ct_add(ct_get(f->counters, CT_COUNTER, "pd_speed_reports_invalid_total",
+		   "Reports of a speed that cannot be true", ""),
+	    1);
+	lg_write(LOG_DEBUG, "fleet",
+	    "worker %s reports a speed that cannot be true: logarithm %d/1000, "
+	    "variance %u/1000",
+	    w->name, s->log_mean_permille, s->log_var_permille);
+}
+
 /* Estimate of a worker: its agent's report, unless the run times of this
  * entry's own tasks are much longer. */
 static struct sp_estimate
@@ -40,11 +67,7 @@
 {
 	struct sp_estimate own =
 	    sp_estimate(&w->own.log_speed, ck_mono_us(f->clock));
-	struct sp_estimate e = {
-	    .mean = w->reported.log_mean_permille / PERMILLE,
-	    .var = w->reported.log_var_permille / PERMILLE,
-	    .samples = w->reported.log_samples,
-	};
+	struct sp_estimate e = reported_estimate(&w->reported);
 	double error;
 
 	if (!sp_is_valid(&own) || own.samples < FL_CONTRADICTION_SAMPLES)
@@ -59,29 +82,6 @@
 	return (e);
 }
 
-/* Sets the mean run time of tasks on a worker of ratio 1. Means of single
- * workers differ by chance, since a few long tasks make up much of the time. */
-static void
-set_task_ms(struct fl *f)
-{
-	const struct fl_worker *w;
-	double sum = 0;
-	unsigned n = 0;
-	guint i;
-
-	for (i = 0; i < f->connected->len; i++) {
-		w = f->connected->pdata[i];
-		if (w->reported.samples < SP_SAMPLES_MIN ||
-		    w->reported.mean_ms == 0 ||
-		    w->reported.mean_ms > MEAN_MAX_MS)
-			continue;
-		sum += log(w->reported.mean_ms / w->ratio);
-		n++;
-	}
-	if (n > 0)
-		f->task_ms = exp(sum / n);
-}
-
 static void
 set_gauges(struct fl *f)
 {
@@ -140,7 +140,6 @@
 		w->ratio = exp(p->log_ratio);
 		w->ratio_error = p->error;
 	}
-	set_task_ms(f);
 	set_gauges(f);
 	log_change(&old, &f->speeds);
 }
@@ -158,9 +157,11 @@
 }
 
 /* Fills f->candidates with the usable ones of @size random connected workers,
- * or of all if there are not more. Return: the best one. */
+ * or of all if there are not more. @returned: set to the best one that has
+ * returned the task. Return: the best one of the others. */
 static struct fl_candidate
-sample(struct fl *f, const struct fl_requirements *req, unsigned size, bool all)
+sample(struct fl *f, const struct fl_requirements *req, unsigned size, bool all,
+    struct fl_candidate *returned)
 {
 	struct fl_candidate best = {0}, c;
 	uint64_t now_us = ck_mono_us(f->clock);
@@ -168,13 +169,18 @@
 	/* Without a random start, ties would always go to the first one. */
 	guint start = rn_below(f->rng, n), at;
 
+	*returned = best;
 	g_array_set_size(f->candidates, 0);
 	for (i = 0; i < MIN(size, n); i++) {
 		at = size < n ? rn_below(f->rng, n) : (start + i) % n;
-		if (has_returned(f->connected->pdata[at], req) ||
-		    !fl_evaluate(
+		if (!fl_evaluate(
 			f, req, f->connected->pdata[at], all, now_us, &c))
 			continue;
+		if (has_returned(c.worker, req)) {
+			if (fl_is_better(req, &c, returned))
+				*returned = c;
+			continue;
+		}
 		g_array_append_val(f->candidates, c);
 		if (fl_is_better(req, &c, &best))
 			best = c;
@@ -193,39 +199,58 @@
 	    fabs(log(a->worker->ratio / b->worker->ratio)) <= error);
 }
 
+/* The best of the candidates that are not equal to @best. */
+static struct fl_candidate
+best_unequal(const struct fl *f, const struct fl_requirements *req,
+    const struct fl_candidate *best)
+{
+	struct fl_candidate other = {0};
+	const struct fl_candidate *c;
+	guint i;
+
+	for (i = 0; i < f->candidates->len; i++) {
+		c = &g_array_index(f->candidates, struct fl_candidate, i);
+		if (!is_equal(c, best) && fl_is_better(req, c, &other))
+			other = *c;
+	}
+	return (other);
+}
+
 /* Weight of a candidate in the choice among equal ones, 0 for none. Reports are
  * some 50 ms old: the more is free, the less likely it is that other entries
  * have taken it. */
 static double
-weight_of(const struct fl *f, const struct fl_requirements *req,
-    const struct fl_candidate *c, const struct fl_candidate *best, bool az_only)
+weight_of(const struct fl_requirements *req, const struct fl_candidate *c)
 {
-	double free_slots;
-
-	if (!fl_has_room(c->worker, req) || !is_equal(c, best) ||
-	    (az_only && strcmp(c->worker->az, f->az) != 0))
-		return (0);
-	free_slots =
+	double free_slots =
 	    (double)fl_cpu_free(c->worker, req->priority) / MAX(req->cpu, 1);
+
 	return (free_slots * free_slots);
 }
 
-/* Chooses at random among the candidates with free capacity that are equal to
- * the best one. Return: false if there are none. */
+/*
+ * Chooses at random among the candidates with free capacity that are equal to
+ * @best and still better than all that are not: otherwise short tasks would
+ * fill the last free capacity of the fast workers, which long ones need.
+ *
+ * Return: false if there are none.
+ */
 static bool
 choose_equal(struct fl *f, const struct fl_requirements *req,
     struct fl_candidate *best, bool az_only)
 {
+	struct fl_candidate chosen = {0}, other = best_unequal(f, req, best);
 	const struct fl_candidate *c;
-	struct fl_candidate chosen = {0};
 	double sum = 0, weight;
 	guint i;
 
 	for (i = 0; i < f->candidates->len; i++) {
 		c = &g_array_index(f->candidates, struct fl_candidate, i);
-		weight = weight_of(f, req, c, best, az_only);
-		if (weight <= 0)
+		if (!fl_has_room(c->worker, req) || !is_equal(c, best) ||
+		    !fl_is_better(req, c, &other) ||
+		    (az_only && strcmp(c->worker->az, f->az) != 0))
 			continue;
+		weight = weight_of(req, c);
 		sum += weight;
 		if (rn_unit(f->rng) * sum < weight)
 			chosen = *c;
@@ -236,24 +261,31 @@
 	return (true);
 }
 
+/*
+ * A task whose prospects are best at a worker that has returned it waits for
+ * the next report from there: the long tasks of an overloaded cell would
+ * otherwise be left to slow workers, where they cannot end in time.
+ */
 struct fl_worker *
 fl_choose_pooled(
     struct fl *f, const struct fl_requirements *req, double *finish_ms)
 {
-	struct fl_candidate best;
+	struct fl_candidate best, returned;
 
 	fl_pool(f);
-	best = sample(f, req, FL_SAMPLE_SIZE, false);
+	best = sample(f, req, FL_SAMPLE_SIZE, false, &returned);
 	if (best.worker == NULL || !fl_has_room(best.worker, req) ||
 	    best.prospect != PR_SAFE)
-		best = sample(f, req, FL_LARGE_SAMPLE_SIZE, false);
+		best = sample(f, req, FL_LARGE_SAMPLE_SIZE, false, &returned);
 	if (best.worker == NULL)
-		best = sample(f, req, UINT_MAX, false);
+		best = sample(f, req, UINT_MAX, false, &returned);
 	/* Fall back to a worker that the task has failed on. */
-	if (best.worker == NULL)
-		best = sample(f, req, UINT_MAX, true);
-	if (best.worker != NULL &&
-	    (f->az == NULL || !choose_equal(f, req, &best, true)))
+	if (best.worker == NULL && returned.worker == NULL)
+		best = sample(f, req, UINT_MAX, true, &returned);
+	*finish_ms = best.finish_ms;
+	if (best.worker == NULL || returned.prospect > best.prospect)
+		return (NULL);
+	if (f->az == NULL || !choose_equal(f, req, &best, true))
 		choose_equal(f, req, &best, false);
 	*finish_ms = best.finish_ms;
 	return (best.worker);
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -311,6 +311,9 @@
 	jb_trace(j, job, t, TR_GRANTED, w, finish_ms,
 	    (double)w->cpu_own + w->cpu_others);
 	fl_reserve(j->fleet, w, s->cpu);
+	ct_add(ct_get(j->counters, CT_COUNTER, "pd_grants_total",
+		   "Grants to agents", ""),
+	    1);
 	out.key.sub.id = job->id;
 	out.key.sub.created_ms = job->number;
 	out.key.task = (unsigned)(t - job->tasks);
--- a/sched/jobs_impl.h
+++ b/sched/jobs_impl.h
@@ -236,7 +236,7 @@
 void jb_withdrawals_free(struct jb *j);
 
 /** jb_note_return() - note that the agent of a worker has returned a task */
-void jb_note_return(struct jb_task *t, const struct fl_worker *w);
+void jb_note_return(struct jb *j, struct jb_task *t, const struct fl_worker *w);
 
 /** jb_note_run() - note the run time of a task that is done, see
  * jb_check_overrun() */
--- a/sched/jobs_outcome.c
+++ b/sched/jobs_outcome.c
@@ -264,7 +264,7 @@
 		break;
 	case PD_END_RETURNED:
 		t->returns++;
-		jb_note_return(t, w);
+		jb_note_return(j, t, w);
 		jb_retry_task(j, job, t);
 		break;
 	default:
--- a/sched/jobs_overruns.c
+++ b/sched/jobs_overruns.c
@@ -1,10 +1,13 @@
 #include "jobs_impl.h"
 
 void
-jb_note_return(struct jb_task *t, const struct fl_worker *w)
+jb_note_return(struct jb *j, struct jb_task *t, const struct fl_worker *w)
 {
 	struct fl_return r = {.worker = w, .reports = w->reports};
 
+	ct_add(ct_get(j->counters, CT_COUNTER, "pd_grants_returned_total",
+		   "Grants that agents returned without a start", ""),
+	    1);
 	if (t->returned == NULL)
 		t->returned = g_new0(struct fl_return, JB_RETURNS_MAX);
 	t->returned[(t->returns - 1) % JB_RETURNS_MAX] = r;
