--- a/sched/speeds.c
+++ b/sched/speeds.c
@@ -25,6 +25,7 @@
 /* Limits of estimates and samples; see sp_is_valid(). */
 #define RATIO_MAX 1000.0
 #define VAR_MAX 50.0
+#define VAR_MIN 1e-6
 #define SAMPLES_MAX 1e6
 #define RUN_MIN_MS 0.1
 
@@ -56,10 +57,13 @@
 	if (n * FAST_WEIGHT < 1 ||
 	    effective(s->sum, s->sum2) < n + PRIOR_SAMPLES)
 		return;
-	error = sqrt(fmax(s->var, PRIOR_VAR / PRIOR_SAMPLES) / n);
+	/* Not the variance of all samples, which a change raises. */
+	error = sqrt((s->recent_var * n + PRIOR_VAR * PRIOR_SAMPLES) /
+	    (n + PRIOR_SAMPLES) / n);
 	if (fabs(s->recent_mean - s->mean) <= CHANGE_ERRORS * error)
 		return;
 	s->mean = s->recent_mean;
+	s->var = s->recent_var;
 	s->sum = s->recent_sum;
 	s->sum2 = s->recent_sum2;
 }
@@ -91,7 +95,10 @@
 	s->recent_sum2 = s->recent_sum2 * (1 - FAST_WEIGHT) * keep *
 		(1 - FAST_WEIGHT) * keep +
 	    1;
-	s->recent_mean += (x - s->recent_mean) / s->recent_sum;
+	deviation = x - s->recent_mean;
+	s->recent_mean += deviation / s->recent_sum;
+	s->recent_var = (1 - 1 / s->recent_sum) *
+	    (s->recent_var + deviation * deviation / s->recent_sum);
 	check_change(s);
 }
 
@@ -115,15 +122,12 @@
 	    e->samples <= SAMPLES_MAX);
 }
 
-/* The variance of few samples is uncertain itself, so that of all runs counts
- * for some samples. */
+/* With skewed run times, a worker that has had no long one has both a low mean
+ * and a low variance. So the variance of all workers is the least. */
 double
 sp_variance_of_mean(const struct sp_estimate *e, double run_var)
 {
-	double var = (e->var * e->samples + run_var * PRIOR_SAMPLES) /
-	    (e->samples + PRIOR_SAMPLES);
-
-	return (var / e->samples);
+	return (fmax(fmax(e->var, run_var), VAR_MIN) / e->samples);
 }
 
 double
@@ -136,7 +140,8 @@
 	over = log(run_ms / size_ms);
 	if (sp_is_valid(e)) {
 		over -= e->mean;
-		var = sp_variance_of_mean(e, PRIOR_VAR) * e->samples;
+		var = (e->var * e->samples + PRIOR_VAR * PRIOR_SAMPLES) /
+		    (e->samples + PRIOR_SAMPLES);
 	}
 	return (over > 0 ? var / (var + over * over) : 1);
 }
--- a/sched/speeds.h
+++ b/sched/speeds.h
@@ -31,6 +31,7 @@
  * @sum: sum of the weights of the samples
  * @sum2: sum of their squares
  * @recent_mean: as @mean, over the last samples only
+ * @recent_var: as @var
  * @recent_sum: as @sum
  * @recent_sum2: as @sum2
  * @last_us: monotonic time of the last sample
@@ -43,6 +44,7 @@
 	double sum;
 	double sum2;
 	double recent_mean;
+	double recent_var;
 	double recent_sum;
 	double recent_sum2;
 	uint64_t last_us;
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -310,6 +310,41 @@
 	assert_int_equal(2 * TASK_SIZE_MS, speed.mean_ms);
 }
 
+/* Guards against a hanging endpoint that is taken for one with long tasks, and
+ * against long tasks of one job that are taken for a hang. */
+static void
+test_hanging_endpoint(void **state)
+{
+	static const char *const ids[] = {"w", "x", "y", "z"};
+	struct fixture *f = *state;
+	char id[8];
+	size_t i;
+
+	for (i = 0; i < 20; i++) {
+		g_snprintf(id, sizeof(id), "a%zu", i);
+		run_task(f, ENTRY_1, id, RU_DONE);
+		f->norders = 0;
+	}
+	/* Twenty runs took twice as long as expected. */
+	assert_in_range(
+	    ru_load(f->runner).reported.speed.log_mean_permille, 650, 750);
+	grant(f, ENTRY_1, "long");
+	answer_start(f, "long", RU_STARTED);
+	pass(f, 1400, ENTRY_1);
+	assert_false(ru_load(f->runner).reported.speed.hanging);
+	report_run_end(f, "long", 1, RU_DONE);
+	for (i = 0; i < G_N_ELEMENTS(ids); i++) {
+		grant(f, ENTRY_1, ids[i]);
+		answer_start(f, ids[i], RU_STARTED);
+	}
+	pass(f, 190, ENTRY_1);
+	assert_false(ru_load(f->runner).reported.speed.hanging);
+	pass(f, 1000, ENTRY_1);
+	assert_true(ru_load(f->runner).reported.speed.hanging);
+	report_run_end(f, "w", 1, RU_DONE);
+	assert_false(ru_load(f->runner).reported.speed.hanging);
+}
+
 /* Guards against a worker that fails all tasks and must fail some of each entry
  * before all of them avoid it, and against probes from each entry. */
 static void
@@ -357,6 +392,7 @@
 	    T(test_taken_back),
 	    T(test_expiry_and_limit),
 	    T(test_learns_from_all_entries),
+	    T(test_hanging_endpoint),
 	    T(test_failing_endpoint),
 	};
 
