--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -60,6 +60,7 @@
 	char *store;
 	char *log_level;
 	char *run_times;
+	char *speeds;
 	int64_t resubmit_ms;
 };
 
@@ -94,6 +95,10 @@
 	"mean|distribution",
 	"what jobs are admitted and given up by: the mean run time or the "
 	"distribution of run times of their queue"},
+    {"placing.speeds", ST_STRING, FIELD(speeds), 1, 16, "individual",
+	"individual|pooled",
+	"speeds by which workers are chosen: of each alone, or compared over "
+	"all"},
     {"log.level", ST_STRING, FIELD(log_level), 1, 16, "info",
 	"err|warning|notice|info|debug", "least severe level to log"},
 };
@@ -691,6 +696,10 @@
 	d->config = cf_new();
 	d->fleet = fl_new(d->clock, d->counters, d->config, rn_u64(rng));
 	rn_free(rng);
+	fl_set_placing(d->fleet,
+	    &(struct fl_placing){
+		.pooled = strcmp(d->settings.speeds, "pooled") == 0,
+		.az = d->settings.az});
 	d->jobs = jb_new(d->clock, d->counters, d->fleet, &job_ops, d);
 	jb_set_run_times(
 	    d->jobs, strcmp(d->settings.run_times, "distribution") == 0);
