--- a/entry/command.c
+++ b/entry/command.c
@@ -8,6 +8,7 @@
 #include "client.h"
 #include "codec.h"
 #include "command.h"
+#include "config_check.h"
 #include "dispatcher.h"
 #include "exits.h"
 #include "options.h"
@@ -27,6 +28,7 @@
 	TYPE_SETTINGS, /* reads a settings file, contacts no entry */
 	TYPE_VIEW,     /* queries an entry */
 	TYPE_LOGS,     /* reads log files, contacts no entry */
+	TYPE_CONFIG,   /* reads configurations, contacts no entry */
 	TYPE_CHANGE,   /* changes the configuration through an entry */
 };
 
@@ -51,6 +53,7 @@
 	struct arg_str *operator_url;
 	struct arg_file *token_file;
 	struct arg_file *logs;
+	struct arg_file *against;
 	struct arg_lit *json;
 	struct arg_int *timeout;
 	struct arg_str *change_id;
@@ -221,6 +224,64 @@
 	return (cl_post_change(&a->client, change));
 }
 
+/* Reads a whole file. Return: owned text, NULL after printing the error. */
+static char *
+read_config(const char *path, size_t *len)
+{
+	GError *error = NULL;
+	char *text = NULL;
+
+	if (!g_file_get_contents(path, &text, len, &error)) {
+		fprintf(stderr, PROGRAM " config check: %s\n", error->message);
+		g_error_free(error);
+	}
+	return (text);
+}
+
+static bool
+compare_config(struct kc *check, const char *path)
+{
+	g_autofree char *text = NULL;
+	size_t len;
+
+	text = read_config(path, &len);
+	if (text == NULL)
+		return (false);
+	if (!kc_compare(check, text)) {
+		fprintf(stderr,
+		    PROGRAM
+		    " config check: %s: is not a configuration that "
+		    "an entry can read\n",
+		    path);
+		return (false);
+	}
+	return (true);
+}
+
+static int
+run_config_check(const struct args *a)
+{
+	CLEANUP(kc_freep) struct kc *check = NULL;
+	g_autofree char *text = NULL;
+	autofree char *output = NULL;
+	struct kf *findings;
+	size_t len;
+
+	text = read_config(a->operand->sval[0], &len);
+	if (text == NULL)
+		return (EX_SETTINGS);
+	check = kc_new(text, len);
+	if (a->against->count > 0 &&
+	    !compare_config(check, a->against->filename[0]))
+		return (EX_SETTINGS);
+	findings = kc_findings(check);
+	output = a->json->count > 0 ? kf_json(findings) : kf_text(findings);
+	fputs(output, stdout);
+	if (a->json->count == 0 && kf_count(findings) == 0)
+		printf("%s is valid\n", a->operand->sval[0]);
+	return (kf_failed(findings) ? EX_FAILED : EX_DONE);
+}
+
 static const struct command commands[] = {
     {"serve", NULL, run_serve, "run an entry",
 	"Runs until SIGTERM, which starts a graceful shutdown.", TYPE_SETTINGS,
@@ -242,6 +303,17 @@
 	"FILE is JSON: {\"azs\": [], \"teams\": [], \"endpoints\": [], "
 	"\"rules\": []}.",
 	TYPE_CHANGE, 1},
+    {"config check", "FILE", run_config_check,
+	"check a configuration of the platform before it is sent",
+	"FILE is the document of the platform's store: {\"version\": 1, "
+	"\"routes\": [],\n\"services\": [], \"limits\": {}}. Prints a line "
+	"for each finding, the most severe\nfirst: error, contradiction (of "
+	"limits), unmatched (a route that serves no\nrequest), difference "
+	"(from "
+	"the version in force), note. Exit code 0 without errors\nand "
+	"contradictions, 1 with any, 2 for a usage error or an unreadable "
+	"file.",
+	TYPE_CONFIG, 1},
     {"zone out", "AZ", run_az_out, "take an availability zone out of service",
 	"No task starts there more than 3 s after the change is accepted.",
 	TYPE_CHANGE, 1},
@@ -327,6 +399,15 @@
 	    "make the change only if this is the last revision");
 }
 
+static void
+add_config_options(struct args *a, int *n)
+{
+	a->argtable[(*n)++] = a->against = arg_file0(NULL, "against", "FILE",
+	    "configuration in force, to print the differences from");
+	a->argtable[(*n)++] = a->json =
+	    arg_lit0(NULL, "json", "print the findings as JSON");
+}
+
 static bool
 build_argtable(struct args *a)
 {
@@ -340,6 +421,8 @@
 	else if (c->type == TYPE_LOGS)
 		a->argtable[n++] = a->logs = arg_filen(NULL, "log", "FILE", 0,
 		    LOGS_MAX, "log of an entry or an agent (standard input)");
+	else if (c->type == TYPE_CONFIG)
+		add_config_options(a, &n);
 	else
 		add_client_options(a, &n);
 	if (c->operand != NULL)
@@ -449,7 +532,8 @@
 	}
 	if (a->command->type == TYPE_SETTINGS)
 		result = EX_DONE;
-	else if (a->command->type == TYPE_LOGS)
+	else if (a->command->type == TYPE_LOGS ||
+	    a->command->type == TYPE_CONFIG)
 		result = check_operands(a);
 	else
 		result = init_client(a, &token);
--- a/tests/proc_command.c
+++ b/tests/proc_command.c
@@ -146,6 +146,60 @@
 	g_free(err);
 }
 
+/* Guards against wrong exit codes of the check of a configuration, by which
+ * scripts decide whether to send it. */
+static void
+test_config_check(void **state)
+{
+	static const char *const valid =
+	    "{\"version\":7,\"routes\":[],\"services\":[],\"limits\":{"
+	    "\"max_header_bytes\":16384,\"max_body_bytes\":262144,"
+	    "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
+	static const struct {
+		const char *args[ARGS_MAX];
+		int code;
+		const char *expected;
+	} cases[] = {
+	    {{"config", "check", "%S"}, 0, "is valid\n"},
+	    {{"config", "check", "%S", "--json"}, 0, "{\"findings\":[]}\n"},
+	    {{"config", "check", "%S", "--against", "%S", "--json"}, 1,
+		"\"contradiction\""},
+	    {{"config", "check", "%S", "--against", "%S"}, 1,
+		"contradiction: document: version 7 is not above 7"},
+	    {{"config", "check", "%T"}, 1, "error: document: is not JSON"},
+	    {{"config", "check", "%S", "--against", "%T"}, 2,
+		"is not a configuration"},
+	    {{"config", "check", "no-such-file"}, 2, "no-such-file"},
+	    {{"config", "check", "%S", "--against", "no-such-file"}, 2,
+		"no-such-file"},
+	    {{"config", "check"}, 2, "missing option"},
+	};
+	const char *args[ARGS_MAX + 1] = {NULL}, *arg;
+	char *out, *err;
+	size_t i, j;
+	int code;
+
+	(void)state;
+	assert_true(g_file_set_contents(settings_path, valid, -1, NULL));
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		for (j = 0; j < ARGS_MAX; j++) {
+			arg = cases[i].args[j];
+			if (g_strcmp0(arg, "%S") == 0)
+				arg = settings_path;
+			else if (g_strcmp0(arg, "%T") == 0)
+				arg = token_path;
+			args[j] = arg;
+		}
+		code = run(args, &out, &err);
+		if (code != cases[i].code ||
+		    strstr(code == 2 ? err : out, cases[i].expected) == NULL)
+			fail_msg("case %zu: exit code %d, \"%s%s\"", i, code,
+			    out, err);
+		g_free(out);
+		g_free(err);
+	}
+}
+
 /* Guards against wrong exit codes and missing messages on usage errors and when
  * the entry cannot be reached. %T stands for the path of the token file. */
 static void
@@ -215,10 +269,10 @@
 test_help(void **state)
 {
 	static const char *const commands[][3] = {{"serve"}, {"check"},
-	    {"config", "show"}, {"config", "apply"}, {"zone", "out"},
-	    {"zone", "in"}, {"endpoint", "retire"}, {"endpoint", "restore"},
-	    {"entries", "list"}, {"entries", "forget"}, {"status"},
-	    {"explain"}};
+	    {"config", "show"}, {"config", "apply"}, {"config", "check"},
+	    {"zone", "out"}, {"zone", "in"}, {"endpoint", "retire"},
+	    {"endpoint", "restore"}, {"entries", "list"}, {"entries", "forget"},
+	    {"status"}, {"explain"}};
 	const char *args[4];
 	char *out, *err;
 	size_t i, n;
@@ -248,6 +302,7 @@
 	    cmocka_unit_test(test_settings),
 	    cmocka_unit_test(test_dispatch_settings),
 	    cmocka_unit_test(test_serve_rejects_settings),
+	    cmocka_unit_test(test_config_check),
 	    cmocka_unit_test(test_usage_errors),
 	    cmocka_unit_test(test_help),
 	};
