--- a/entry/command.c
+++ b/entry/command.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 #include <jansson.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "client.h"
@@ -261,25 +262,30 @@
 static int
 run_config_check(const struct args *a)
 {
-	CLEANUP(kc_freep) struct kc *check = NULL;
 	g_autofree char *text = NULL;
-	autofree char *output = NULL;
 	struct kf *findings;
+	int result = EX_SETTINGS;
+	struct kc *check;
+	char *output;
 	size_t len;
 
 	text = read_config(a->operand->sval[0], &len);
 	if (text == NULL)
 		return (EX_SETTINGS);
 	check = kc_new(text, len);
-	if (a->against->count > 0 &&
-	    !compare_config(check, a->against->filename[0]))
-		return (EX_SETTINGS);
-	findings = kc_findings(check);
-	output = a->json->count > 0 ? kf_json(findings) : kf_text(findings);
-	fputs(output, stdout);
-	if (a->json->count == 0 && kf_count(findings) == 0)
-		printf("%s is valid\n", a->operand->sval[0]);
-	return (kf_failed(findings) ? EX_FAILED : EX_DONE);
+	if (a->against->count == 0 ||
+	    compare_config(check, a->against->filename[0])) {
+		findings = kc_findings(check);
+		output =
+		    a->json->count > 0 ? kf_json(findings) : kf_text(findings);
+		fputs(output, stdout);
+		free(output);
+		if (a->json->count == 0 && kf_count(findings) == 0)
+			printf("%s is valid\n", a->operand->sval[0]);
+		result = kf_failed(findings) ? EX_FAILED : EX_DONE;
+	}
+	kc_free(check);
+	return (result);
 }
 
 static const struct command commands[] = {
--- a/tests/test_config_check.c
+++ b/tests/test_config_check.c
@@ -8,6 +8,7 @@
 #include <glib.h>
 
 #include "answer.h"
+#include "cleanup.h"
 #include "config.h"
 #include "config_check.h"
 
@@ -220,11 +221,12 @@
 	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
 		g_autofree char *text =
 		    replace(DOCUMENT, cases[i].from, cases[i].to);
-		CLEANUP(kc_freep) struct kc *k = kc_new(text, strlen(text));
+		struct kc *k = kc_new(text, strlen(text));
 
 		assert_findings(k, text, cases[i].expected);
 		assert_int_equal(cases[i].failed, kf_failed(kc_findings(k)));
 		assert_true(cases[i].failed || is_applied(text));
+		kc_free(k);
 	}
 }
 
@@ -256,12 +258,13 @@
 		g_autofree char *error = g_strdup_printf(
 		    ": %s has %zu bytes, more than an entry accepts\n",
 		    cases[i / 2].key, cases[i / 2].max + 1);
-		CLEANUP(kc_freep) struct kc *k = kc_new(text, strlen(text));
+		struct kc *k = kc_new(text, strlen(text));
 		autofree char *found = kf_text(kc_findings(k));
 
 		assert_int_equal(over, strstr(found, error) != NULL);
 		assert_int_equal(over, kf_failed(kc_findings(k)));
 		assert_int_equal(over, !is_applied(text));
+		kc_free(k);
 	}
 }
 
@@ -273,7 +276,7 @@
 	static const char nul[] = DOCUMENT "\0x";
 	g_autoptr(GString) routes = g_string_new(NULL);
 	g_autofree char *text = NULL;
-	CLEANUP(kc_freep) struct kc *many = NULL, *cut = NULL;
+	struct kc *many, *cut;
 	unsigned i;
 
 	(void)state;
@@ -297,6 +300,8 @@
 	assert_findings(cut, "NUL byte",
 	    "error: document: has a NUL byte, an entry reads only what "
 	    "precedes it\n");
+	kc_free(many);
+	kc_free(cut);
 }
 
 /* Guards against differences from the version in force that are missing or made
@@ -336,20 +341,22 @@
 		"difference: route \"a\": \"timeout_ms\": 1500 -> 1600\n"
 		"note: document: unknown field \"note\"\n"},
 	};
-	CLEANUP(kc_freep) struct kc *same = kc_new(DOCUMENT, strlen(DOCUMENT));
+	struct kc *same = kc_new(DOCUMENT, strlen(DOCUMENT));
 	size_t i;
 
 	(void)state;
 	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
 		g_autofree char *text =
 		    replace(DOCUMENT, cases[i].from, cases[i].to);
-		CLEANUP(kc_freep) struct kc *k = kc_new(text, strlen(text));
+		struct kc *k = kc_new(text, strlen(text));
 
 		assert_true(kc_compare(k, DOCUMENT));
 		assert_findings(k, text, cases[i].expected);
+		kc_free(k);
 	}
 	assert_false(kc_compare(same, "{\"routes\":"));
 	assert_false(kc_compare(same, "{}"));
+	kc_free(same);
 }
 
 int
