--- a/bench/load.c
+++ b/bench/load.c
@@ -18,6 +18,8 @@
 	int64_t net_ms;
 	int64_t agents_ms;
 	int64_t estimate_off_percent;
+	int64_t estimate_spread_percent;
+	bool run_times;
 	int64_t uneven_percent;
 	int64_t error_permille;
 	struct st_strings kinds;
@@ -38,6 +40,12 @@
 	"time within which agents connect, milliseconds; 0: before arrivals"},
     {"estimate_off_percent", ST_INTEGER, FILE_FIELD(estimate_off_percent), 0,
 	99, "40", NULL, "greatest relative error of declared run times"},
+    {"estimate_spread_percent", ST_INTEGER, FILE_FIELD(estimate_spread_percent),
+	0, 300, "0", NULL,
+	"standard deviation of the logarithm of a further factor of declared "
+	"run times"},
+    {"run_times", ST_BOOLEAN, FILE_FIELD(run_times), 0, 1, "false", NULL,
+	"whether entries decide by the distribution of run times"},
     {"uneven_percent", ST_INTEGER, FILE_FIELD(uneven_percent), 0, 99, "15",
 	NULL, "greatest relative deviation of run times within a job"},
     {"error_permille", ST_INTEGER, FILE_FIELD(error_permille), 0, 1000, "2",
@@ -66,6 +74,8 @@
     {"tasks", ROW_FIELD(md_kind, tasks), FIELD_REAL},
     {"work_ms", ROW_FIELD(md_kind, work_ms), FIELD_REAL},
     {"spread", ROW_FIELD(md_kind, spread), FIELD_REAL},
+    {"long_share", ROW_FIELD(md_kind, long_share), FIELD_REAL},
+    {"long_x", ROW_FIELD(md_kind, long_x), FIELD_REAL},
     {"cpu", ROW_FIELD(md_kind, cpu), FIELD_COUNT},
     {"target_ms", ROW_FIELD(md_kind, target_ms), FIELD_COUNT},
     {"deadline_ms", ROW_FIELD(md_kind, deadline_ms), FIELD_COUNT},
@@ -210,6 +220,8 @@
 	load->net_ms = (unsigned)f.net_ms;
 	load->agents_ms = (unsigned)f.agents_ms;
 	load->estimate_error = (double)f.estimate_off_percent / PERCENT;
+	load->estimate_spread = (double)f.estimate_spread_percent / PERCENT;
+	load->run_times = f.run_times;
 	load->task_variation = (double)f.uneven_percent / PERCENT;
 	load->error_share = (double)f.error_permille / PERMILLE;
 	valid = read_rows(&f, load, &invalid_row);
--- a/bench/model.c
+++ b/bench/model.c
@@ -97,6 +97,8 @@
 	    1, round(k->tasks * log_normal_factor(m->arrival_rng, k->spread)));
 	job->work_ms = g_new0(double, job->ntasks);
 	work = k->work_ms * log_normal_factor(m->arrival_rng, k->spread);
+	if (k->long_share > 0 && rn_unit(m->arrival_rng) < k->long_share)
+		work *= k->long_x;
 	for (i = 0; i < job->ntasks; i++) {
 		job->work_ms[i] = work *
 		    uniform_factor(m->arrival_rng, m->load->task_variation);
@@ -113,6 +115,19 @@
 	return (job);
 }
 
+static unsigned
+declared_ms(struct md *m, const struct md_job *job)
+{
+	const struct md_load *load = m->load;
+	double ms = job->work_ms[0] *
+	    uniform_factor(m->arrival_rng, load->estimate_error);
+
+	if (load->estimate_spread > 0)
+		ms *= exp(
+		    load->estimate_spread * standard_normal(m->arrival_rng));
+	return ((unsigned)fmax(1, ms));
+}
+
 static void
 submit_job(struct md *m, unsigned kind)
 {
@@ -127,9 +142,7 @@
 	    .stretch_permille = STRETCH_PERMILLE};
 	struct jb_step step = {.count = job->ntasks,
 	    .cpu = k->cpu,
-	    .size_ms = (unsigned)fmax(1,
-		job->work_ms[0] *
-		    uniform_factor(m->arrival_rng, m->load->estimate_error)),
+	    .size_ms = declared_ms(m, job),
 	    .label = ""};
 	struct jb_request r = {.id = job->id,
 	    .queue = &q,
@@ -259,6 +272,7 @@
 		e->fleet =
 		    fl_new(m->clock, m->counters, e->config, m->load->seed + i);
 		e->jobs = jb_new(m->clock, m->counters, e->fleet, &job_ops, e);
+		jb_set_run_times(e->jobs, m->load->run_times);
 	}
 }
 
--- a/bench/model.h
+++ b/bench/model.h
@@ -30,6 +30,8 @@
  * @work_ms: mean run time of a task on a worker of speed 1
  * @spread: standard deviation of the logarithms of number of tasks and run
  *     time
+ * @long_share: share of the jobs that take @long_x times as long
+ * @long_x: factor of their run times
  * @cpu: thousandths of a core that a task needs
  * @target_ms: response time that is allowed in addition to 1.6 run times
  * @deadline_ms: time limit of the job
@@ -42,6 +44,8 @@
 	double tasks;
 	double work_ms;
 	double spread;
+	double long_share;
+	double long_x;
 	unsigned cpu;
 	unsigned target_ms;
 	unsigned deadline_ms;
@@ -98,6 +102,9 @@
  * @agents_ms: agents connect in the second half of this time after the first
  *     arrivals, as after a power loss of all hosts; 0: before them
  * @estimate_error: greatest relative error of declared run times
+ * @estimate_spread: standard deviation of the logarithm of an additional factor
+ *     of declared run times
+ * @run_times: entries decide by the distribution of run times
  * @task_variation: greatest relative deviation of run times within a job
  * @error_share: share of the runs that fail
  */
@@ -108,6 +115,8 @@
 	unsigned net_ms;
 	unsigned agents_ms;
 	double estimate_error;
+	double estimate_spread;
+	bool run_times;
 	double task_variation;
 	double error_share;
 	struct md_kind kinds[MD_KINDS_MAX];
--- a/tests/test_load.c
+++ b/tests/test_load.c
@@ -193,6 +193,67 @@
 	assert_int_equal(0, s.duplicate_runs);
 }
 
+/* Share of the jobs that are completed, of SEEDS seeds. */
+static double
+completed_share(struct md_load *load, bool run_times)
+{
+	unsigned i, submitted = 0, completed = 0;
+	struct md_result *r;
+
+	load->run_times = run_times;
+	for (i = 0; i < SEEDS; i++) {
+		load->seed = i + 1;
+		r = md_run(load);
+		assert_int_equal(0, r->duplicate_runs);
+		submitted += r->all.submitted;
+		completed += r->all.in_time + r->all.late + r->all.too_late;
+		md_result_free(r);
+	}
+	return ((double)completed / submitted);
+}
+
+/* Replays heavy tails at @scale times the load, with all times multiplied by
+ * @times. */
+static void
+assert_distribution_gains(double scale, double times)
+{
+	struct md_load load;
+	char message[256];
+	double mean, distribution;
+	unsigned i;
+
+	if (!ld_read(
+		LOADS_DIR "heavy-tails.toml", &load, message, sizeof(message)))
+		fail_msg("%s", message);
+	ld_scale(&load, scale / times);
+	for (i = 0; i < load.nkinds; i++) {
+		load.kinds[i].work_ms *= times;
+		load.kinds[i].target_ms =
+		    (unsigned)(load.kinds[i].target_ms * times);
+		load.kinds[i].deadline_ms =
+		    (unsigned)(load.kinds[i].deadline_ms * times);
+	}
+	mean = completed_share(&load, false);
+	distribution = completed_share(&load, true);
+	print_message(
+	    "load x%.1f, times x%.1f: completed %.4f by the mean, "
+	    "%.4f by the distribution\n",
+	    scale, times, mean, distribution);
+	assert_true(distribution >= mean);
+}
+
+/* Guards against decisions by the distribution of run times that serve fewer
+ * jobs than those by the mean when workers are full, also with deadlines of
+ * another length. */
+static void
+test_heavy_tails(void **state)
+{
+	(void)state;
+	assert_distribution_gains(1, 1);
+	assert_distribution_gains(1.3, 1);
+	assert_distribution_gains(1.3, 3.3);
+}
+
 /* Guards against results that depend on anything but the load. */
 static void
 test_same_seed_same_result(void **state)
@@ -238,6 +299,7 @@
 	    cmocka_unit_test(test_refusals_are_quick),
 	    cmocka_unit_test(test_many_entries),
 	    cmocka_unit_test(test_power_loss),
+	    cmocka_unit_test(test_heavy_tails),
 	    cmocka_unit_test(test_same_seed_same_result),
 	    cmocka_unit_test(test_no_concurrent_runs_of_task),
 	};
