Keep the scale of run times and run ratios

Run ratios are learned relative to expected run times, and these from run times divided by run ratios, so that a common factor was never corrected. A sample is now divided by the ratio to the power of 0.9. test_scale_is_kept failed before.

Also tests that a job that waits at its agent is not given up as a long one, and that lost runs are not counted as wrong predictions.

--- a/sched/jobs_times.c
+++ b/sched/jobs_times.c
@@ -17,6 +17,12 @@
 /* Statistics of queues that are created for summaries of other entries, which
  * may name any queue. An entry sends its most active ones only. */
 #define SHARED_QUEUES_MAX 512
+/* Run times are divided by this power of the run ratio of their worker. At 1,
+ * run ratios and run times could move apart together, as their product alone is
+ * observed: each is learned relative to the other. Below 1 the mean ratio is
+ * drawn to 1. At 0.9 a worker of ratio 2 counts as one of 1.87, half a bin
+ * less. */
+#define RATIO_EXPONENT 0.9
 /* Time after its last job in which a queue is sent to other entries. */
 #define SHARE_ACTIVE_MS 60000
 #define PERMILLE 1000
@@ -56,6 +62,19 @@
 	return (j->best_run_ratio);
 }
 
+/* Factor by which a run takes longer on a worker than what is learned of it. */
+static double
+run_factor(const struct jb *j, const struct fl_worker *w)
+{
+	return (pow(fl_run_ratio(j->fleet, w), RATIO_EXPONENT));
+}
+
+static double
+best_run_factor(struct jb *j)
+{
+	return (pow(jb_best_run_ratio(j), RATIO_EXPONENT));
+}
+
 static double
 left_ms(const struct jb *j, const struct jb_job *job)
 {
@@ -77,13 +96,13 @@
     const struct fl_worker *w, double wait_ms)
 {
 	const struct jb_queue_stats *q = job->queue_stats;
-	double ratio = fl_run_ratio(j->fleet, w);
+	double factor = run_factor(j, w);
 
 	if (job->probe)
 		return (left_ms(j, job) > wait_ms);
 	return (is_learned(q) &&
 	    rt_chance(q->run_times, job->declared_ms[step], 0,
-		(left_ms(j, job) - wait_ms) / ratio) >= least_chance(j, job));
+		(left_ms(j, job) - wait_ms) / factor) >= least_chance(j, job));
 }
 
 /*
@@ -128,7 +147,7 @@
 	if (!is_learned(job->queue_stats) || job->probe)
 		return (false);
 	chance = rt_chance(job->queue_stats->run_times, job->declared_ms[step],
-	    0, left_ms(j, job) / jb_best_run_ratio(j));
+	    0, left_ms(j, job) / best_run_factor(j));
 	if (job->chance < 0)
 		job->chance = chance;
 	return (chance < CHANCE_MIN && end_unlikely(j, job, step, chance));
@@ -140,7 +159,7 @@
 reached_ms(const struct jb *j, const struct jb_task *t)
 {
 	return ((double)(ck_mono_ms(j->clock) - t->granted_ms) /
-	    fl_run_ratio(j->fleet, t->worker));
+	    run_factor(j, t->worker));
 }
 
 /* Chance that a step ends in time whose tasks are @t to @t + @n: that of its
@@ -152,19 +171,18 @@
 	const struct rt *r = job->queue_stats->run_times;
 	double declared_ms = job->declared_ms[t->step];
 	double left = left_ms(j, job), least = INFINITY, run = 0;
-	double ratio, reached, chance;
+	double factor, reached, chance;
 	bool queued = false;
 
 	for (; n > 0; n--, t++) {
 		if (t->state != JB_GRANTED && t->state != JB_READY)
 			continue;
 		reached = t->state == JB_GRANTED ? reached_ms(j, t) : 0;
-		ratio = t->state == JB_GRANTED
-		    ? fl_run_ratio(j->fleet, t->worker)
-		    : jb_best_run_ratio(j);
-		if (reached + left / ratio >= least)
+		factor = t->state == JB_GRANTED ? run_factor(j, t->worker)
+						: best_run_factor(j);
+		if (reached + left / factor >= least)
 			continue;
-		least = reached + left / ratio;
+		least = reached + left / factor;
 		run = reached;
 		queued = t->state == JB_GRANTED && t->queued;
 	}
@@ -210,8 +228,8 @@
 	double *longest =
 	    e->state == PD_END_DONE ? job->longest_ms : job->stopped_ms;
 
-	longest[t->step] = fmax(
-	    longest[t->step], e->run_ms / fl_run_ratio(j->fleet, t->worker));
+	longest[t->step] =
+	    fmax(longest[t->step], e->run_ms / run_factor(j, t->worker));
 }
 
 void
--- a/tests/test_jobs_times.c
+++ b/tests/test_jobs_times.c
@@ -5,6 +5,7 @@
 
 #define SHORT_MS 100
 #define LONG_MS 3000
+#define MEAN_MS ((SHORT_MS + LONG_MS) / 2)
 /* A declaration that the mean lets pass: 0.6 times it fits before the deadline
  * of 1,500 ms. */
 #define DECLARED_MS 2200
@@ -81,6 +82,21 @@
 	    ct_get(f->counters, CT_COUNTER, "pd_chance_total", "", labels)));
 }
 
+static int64_t
+not_completed_count(const struct fixture *f)
+{
+	int64_t counted = 0;
+	char labels[64];
+	unsigned i;
+
+	for (i = 0; i < 10; i++) {
+		g_snprintf(labels, sizeof(labels),
+		    "tenth=\"%u\",result=\"not_completed\"", i);
+		counted += chance_count(f, labels);
+	}
+	return (counted);
+}
+
 /* Guards against starting a job that will not end by its deadline, and against
  * asking its client to come back with it. */
 static void
@@ -127,9 +143,6 @@
 test_given_up_early(void **state)
 {
 	struct fixture *f = *state;
-	int64_t counted = 0;
-	char labels[64];
-	unsigned i;
 
 	jb_set_run_times(f->jobs, true);
 	attach(f, "w1", 1);
@@ -141,12 +154,66 @@
 	assert_int_equal(JB_R_DEADLINE, f->answers[0].reason);
 	assert_int_equal(1, f->nwithdrawn);
 	assert_int_equal(1, f->nstarts);
-	for (i = 0; i < 10; i++) {
-		g_snprintf(labels, sizeof(labels),
-		    "tenth=\"%u\",result=\"not_completed\"", i);
-		counted += chance_count(f, labels);
-	}
-	assert_int_equal(1, counted);
+	assert_int_equal(1, not_completed_count(f));
+}
+
+/* Guards against giving up a job since its task seems to have run for long,
+ * while it waits at its agent. */
+static void
+test_waits_at_agent(void **state)
+{
+	struct fixture *f = *state;
+
+	jb_set_run_times(f->jobs, true);
+	attach(f, "w1", 1);
+	learn(f, MEAN_MS, MEAN_MS);
+	attach_agent(f, "w1", "z1", 1, 1, WORKER_CPU - TASK_CPU / 2);
+	submit_declared(f, MEAN_MS);
+	assert_int_equal(1, f->nstarts);
+	assert_true(wait_for_answer(f, TIMEOUT_MS) > TIMEOUT_MS * 2 / 3);
+}
+
+/* Guards against run ratios and run times that move apart together, which no
+ * single run contradicts. They start at 10 here, since declarations are ten
+ * times too small. Run times differ, as those of one size would be off by up to
+ * half a bin. */
+static void
+test_scale_is_kept(void **state)
+{
+	struct fixture *f = *state;
+	struct fl_worker *w = attach(f, "w1", 1);
+	unsigned i;
+
+	jb_set_run_times(f->jobs, true);
+	f->timeout_ms = LEARN_TIMEOUT_MS;
+	for (i = 0; i < 60000; i++)
+		run_job(f, 100, 700 + i * 37 % 600);
+	print_message("run ratio %.2f\n", fl_run_ratio(f->fleet, w));
+	assert_true(fl_run_ratio(f->fleet, w) < 1.5);
+	assert_true(fl_run_ratio(f->fleet, w) > 0.67);
+}
+
+/* Guards against counting a job as a wrong prediction whose agent was lost. */
+static void
+test_lost_run_not_counted(void **state)
+{
+	struct fixture *f = *state;
+	struct fl_worker *w = attach(f, "w1", 1);
+
+	jb_set_run_times(f->jobs, true);
+	learn(f, SHORT_MS, SHORT_MS);
+	submit_declared(f, SHORT_MS);
+	report_run(f, 0, PD_END_LOST, 50);
+	assert_int_equal(2, f->nstarts);
+	wait_for_answer(f, TIMEOUT_MS);
+	assert_int_equal(JB_GAVE_UP, f->answers[0].status);
+	submit_declared(f, SHORT_MS);
+	fl_detach(f->fleet, 1);
+	jb_detached(f->jobs, w);
+	ck_advance_ms(f->clock, TIMEOUT_MS);
+	jb_tick(f->jobs);
+	assert_int_equal(JB_GAVE_UP, f->answers[0].status);
+	assert_int_equal(0, not_completed_count(f));
 }
 
 /* Guards against other decisions than before with the setting `mean`. */
@@ -285,6 +352,12 @@
 		test_mean_is_no_reason, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
 		test_given_up_early, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_waits_at_agent, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_scale_is_kept, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_lost_run_not_counted, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(test_mean, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
 		test_shorter_jobs, set_up, tear_down),
