--- a/bench/load.c
+++ b/bench/load.c
@@ -21,6 +21,8 @@
 	char *speeds;
 	int64_t estimate_off_percent;
 	int64_t estimate_sigma_percent;
+	bool tails_declared;
+	bool run_times;
 	int64_t uneven_percent;
 	int64_t error_permille;
 	struct st_strings kinds;
@@ -49,6 +51,10 @@
 	"estimate_off_percent applies"},
     {"estimate_off_percent", ST_INTEGER, FILE_FIELD(estimate_off_percent), 0,
 	99, "40", NULL, "greatest relative error of declared run times"},
+    {"tails_declared", ST_BOOLEAN, FILE_FIELD(tails_declared), 0, 1, "false",
+	NULL, "whether declared run times include the factor of long jobs"},
+    {"run_times", ST_BOOLEAN, FILE_FIELD(run_times), 0, 1, "false", NULL,
+	"whether entries decide by the distribution of run times"},
     {"uneven_percent", ST_INTEGER, FILE_FIELD(uneven_percent), 0, 99, "15",
 	NULL, "greatest relative deviation of run times within a job"},
     {"error_permille", ST_INTEGER, FILE_FIELD(error_permille), 0, 1000, "2",
@@ -227,6 +233,8 @@
 	load->pooled = strcmp(f.speeds, "pooled") == 0;
 	load->estimate_sigma = (double)f.estimate_sigma_percent / PERCENT;
 	load->estimate_error = (double)f.estimate_off_percent / PERCENT;
+	load->tails_declared = f.tails_declared;
+	load->run_times = f.run_times;
 	load->task_variation = (double)f.uneven_percent / PERCENT;
 	load->error_share = (double)f.error_permille / PERMILLE;
 	valid = read_rows(&f, load, &invalid_row);
--- a/bench/model.c
+++ b/bench/model.c
@@ -156,8 +156,9 @@
 	    .stretch_permille = STRETCH_PERMILLE};
 	struct jb_step step = {.count = job->ntasks,
 	    .cpu = k->cpu,
-	    .size_ms = (unsigned)fmax(
-		1, job->work_ms[0] / job->tail * declaration_factor(m)),
+	    .size_ms = (unsigned)fmax(1,
+		job->work_ms[0] / (m->load->tails_declared ? 1 : job->tail) *
+		    declaration_factor(m)),
 	    .label = ""};
 	struct jb_request r = {.id = job->id,
 	    .queue = &q,
@@ -291,6 +292,7 @@
 		    &(struct fl_placing){
 			.pooled = m->load->pooled, .az = e->az});
 		e->jobs = jb_new(m->clock, m->counters, e->fleet, &job_ops, e);
+		jb_set_run_times(e->jobs, m->load->run_times);
 	}
 }
 
--- a/bench/model.h
+++ b/bench/model.h
@@ -107,6 +107,8 @@
  * @estimate_error: greatest relative error of declared run times
  * @estimate_sigma: if not 0, declared run times are wrong by a log-normal
  * factor of this deviation instead
+ * @tails_declared: declared run times include the factor of long jobs
+ * @run_times: entries decide by the distribution of run times
  * @task_variation: greatest relative deviation of run times within a job
  * @error_share: share of the runs that fail
  */
@@ -120,6 +122,8 @@
 	bool pooled;
 	double estimate_error;
 	double estimate_sigma;
+	bool tails_declared;
+	bool run_times;
 	double task_variation;
 	double error_share;
 	struct md_kind kinds[MD_KINDS_MAX];
--- a/bench/model_impl.h
+++ b/bench/model_impl.h
@@ -45,8 +45,8 @@
 	unsigned ntasks;
 	uint64_t arrived_us;
 	uint64_t allowed_us; /* response time that counts as in time */
+	double tail;         /* factor of its run times */
 	double *work_ms;     /* of each task */
-	double tail;         /* factor of its run times, not declared */
 	double run_core_s;   /* core-seconds of its runs so far */
 	bool answered;
 	enum jb_status status;
