--- a/sched/fleet_pooled.c
+++ b/sched/fleet_pooled.c
@@ -12,6 +12,10 @@
 /* Own run times contradict a report only if the means differ by this many
  * standard errors. */
 #define CONTRADICTION_ERRORS 4.0
+/* Tasks for which a worker of the own zone must have room to be preferred. At 1
+ * the last free capacity of a zone is contended for: in the model of 55 entries
+ * 3.9% instead of 3.4% of the grants were returned. */
+#define AZ_TASKS 2
 #define PERMILLE 1000.0
 #define PERCENT 100
 
@@ -228,6 +232,16 @@
 	return (free_slots * free_slots);
 }
 
+/* Whether a worker is in the zone of this entry and has more free than the task
+ * needs: other entries of the zone prefer it, too. */
+static bool
+is_preferred_az(const struct fl *f, const struct fl_requirements *req,
+    const struct fl_worker *w)
+{
+	return (strcmp(w->az, f->az) == 0 &&
+	    fl_cpu_free(w, req->priority) / AZ_TASKS >= req->cpu);
+}
+
 /*
  * Chooses at random among the candidates with free capacity that are equal to
  * @best and still better than all that are not: otherwise short tasks would
@@ -248,7 +262,7 @@
 		c = &g_array_index(f->candidates, struct fl_candidate, i);
 		if (!fl_has_room(c->worker, req) || !is_equal(c, best) ||
 		    !fl_is_better(req, c, &other) ||
-		    (az_only && strcmp(c->worker->az, f->az) != 0))
+		    (az_only && !is_preferred_az(f, req, c->worker)))
 			continue;
 		weight = weight_of(req, c);
 		sum += weight;
