--- a/sched/speeds.c
+++ b/sched/speeds.c
@@ -287,7 +287,7 @@
 struct sp_summary
 sp_pool(struct sp_worker *w, size_t n, unsigned nkinds)
 {
-	g_autofree struct kind *kinds = g_new0(struct kind, nkinds + 1);
+	struct kind *kinds = g_new0(struct kind, nkinds + 1);
 	struct sp_summary out = {0};
 	const struct kind *k;
 	double var;
@@ -317,5 +317,6 @@
 		w[i].error =
 		    sqrt(shrunk_variance(var, out.worker_var) + k->var);
 	}
+	g_free(kinds);
 	return (out);
 }
