--- a/tests/harness_fleet.c
+++ b/tests/harness_fleet.c
@@ -31,6 +31,7 @@
 	struct hn_proc *minion;
 	unsigned heartbeats_port;
 	unsigned orders_port;
+	unsigned metrics_port;
 	unsigned relay_port; /* orders_port when there is no relay */
 	unsigned relay_control_port;
 	const char *label; /* of its kind, NULL for "a" */
@@ -42,6 +43,7 @@
 	unsigned clients_port;
 	unsigned probes_port;
 	unsigned rpc_port;
+	unsigned metrics_port;
 	unsigned relay_port; /* rpc_port when there is no relay */
 	unsigned relay_control_port;
 };
@@ -71,6 +73,9 @@
 	GMutex lock;
 };
 
+/* Appended to the settings of all entries and agents. */
+static const char *more_settings = "";
+
 /* --- processes --- */
 
 /* Addresses of the entries as members of a TOML list, owned. */
@@ -98,11 +103,12 @@
 	    "[listen]\nclients = \"127.0.0.1:%u\"\n"
 	    "probes = \"127.0.0.1:%u\"\n"
 	    "rpc = \"127.0.0.1:%u\"\n"
-	    "advertised = \"127.0.0.1:%u\"\n[entries]\n"
+	    "advertised = \"127.0.0.1:%u\"\n"
+	    "metrics = \"127.0.0.1:%u\"\n[entries]\n"
 	    "addresses = [%s]\n[platform]\n"
-	    "store = \"127.0.0.1:%u\"\n",
+	    "store = \"127.0.0.1:%u\"\n%s",
 	    i, i, e->clients_port, e->probes_port, e->rpc_port, e->relay_port,
-	    seeds, f->store_relay_port);
+	    e->metrics_port, seeds, f->store_relay_port, more_settings);
 	snprintf(name, sizeof(name), "entry%u.toml", i);
 	hn_write(f->hn, name, text);
 	path = hn_path(f->hn, name);
@@ -126,8 +132,10 @@
 	    "name = \"w%u\"\navailability_zone = \"%s\"\n"
 	    "[endpoint]\nheartbeats = \"127.0.0.1:%u\"\n"
 	    "orders = \"127.0.0.1:%u\"\n[entries]\n"
-	    "addresses = [%s]\n",
-	    i, w->az, w->heartbeats_port, w->relay_port, seeds);
+	    "addresses = [%s]\n"
+	    "[listen]\nmetrics = \"127.0.0.1:%u\"\n%s",
+	    i, w->az, w->heartbeats_port, w->relay_port, seeds, w->metrics_port,
+	    more_settings);
 	snprintf(name, sizeof(name), "agent%u.toml", i);
 	hn_write(f->hn, name, text);
 	path = hn_path(f->hn, name);
@@ -311,12 +319,14 @@
 		f->entries[i].clients_port = hn_port(h);
 		f->entries[i].probes_port = hn_port(h);
 		f->entries[i].rpc_port = hn_port(h);
+		f->entries[i].metrics_port = hn_port(h);
 		f->entries[i].relay_port = start_relay(f,
 		    f->entries[i].rpc_port, &f->entries[i].relay_control_port);
 	}
 	for (i = 0; i < workers; i++) {
 		f->workers[i].heartbeats_port = hn_port(h);
 		f->workers[i].orders_port = hn_port(h);
+		f->workers[i].metrics_port = hn_port(h);
 		f->workers[i].relay_port =
 		    start_relay(f, f->workers[i].orders_port,
 			&f->workers[i].relay_control_port);
@@ -335,6 +345,12 @@
 	return (f);
 }
 
+void
+hf_more_settings(const char *text)
+{
+	more_settings = text;
+}
+
 struct hf *
 hf_new(struct hn *h, unsigned entries, unsigned workers)
 {
@@ -493,6 +509,15 @@
 	return (f->entries[i].clients_port);
 }
 
+unsigned
+hf_port(const struct hf *f, enum hf_listener listener, unsigned i)
+{
+	return (listener == HF_PROBES    ? f->entries[i].probes_port
+		: listener == HF_RPC     ? f->entries[i].rpc_port
+		: listener == HF_METRICS ? f->entries[i].metrics_port
+					 : f->workers[i].metrics_port);
+}
+
 unsigned
 hf_store_port(const struct hf *f)
 {
--- a/tests/harness_fleet.h
+++ b/tests/harness_fleet.h
@@ -24,6 +24,10 @@
 	uint64_t took_ms;
 };
 
+/** hf_more_settings() - text that fleets started from now on append to the
+ * settings of each entry and agent, borrowed */
+void hf_more_settings(const char *text);
+
 /**
  * hf_new() - start a fleet and wait until each entry has all workers
  * @h: harness, borrowed
@@ -140,6 +144,17 @@
 /** hf_clients_port() - port of an entry for clients */
 unsigned hf_clients_port(const struct hf *f, unsigned i);
 
+/** enum hf_listener - listeners without a function of their own */
+enum hf_listener {
+	HF_PROBES,
+	HF_RPC,
+	HF_METRICS,
+	HF_AGENT_METRICS,
+};
+
+/** hf_port() - port of a listener of an entry, or of an agent */
+unsigned hf_port(const struct hf *f, enum hf_listener listener, unsigned i);
+
 /** hf_store_port() - port of the fake store */
 unsigned hf_store_port(const struct hf *f);
 
