Reject jobs of more than 540 tasks in all steps together

Cause: the limit of 540 tasks was checked for each step, so that a job of 64 steps could have 34,560 tasks, and each takes some 64 bytes until the job ends. Change: the sum over all steps is limited, and a larger job gets 400.

--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -381,12 +381,16 @@
 	    "{\"steps\":[{\"count\":-1}]}",
 	    "{\"steps\":[{\"count\":99999999999999999999}]}",
 	    "{\"steps\":[{\"count\":541,\"cpu\":1}]}",
+	    "{\"steps\":[{\"count\":540,\"cpu\":1},{\"count\":1}]}",
 	    "{\"steps\":[{\"count\":1,\"after\":[0]}]}",
 	    "{\"steps\":[{\"count\":1,\"after\":[-1]}]}",
 	    "{\"steps\":[{\"count\":\"1\"}]}", "\xff\xfe{}",
 	    "{\"steps\":[{\"count\":1,\"required_label\":7}]}",
 	    "{\"steps\":[{\"count\":1},{\"count\":1,\"after\":0}]}",
 	    "{\"steps\":[{\"count\":1,\"required_label\":[\"a\"]}]}"};
+	static const char most_tasks[] =
+	    "{\"spec\":\"s\",\"best_effort\":true,\"steps\":["
+	    "{\"count\":500,\"cpu\":1},{\"count\":40,\"cpu\":1}]}";
 	char *large = job_with_spec('x', PD_BODY_MAX + 1);
 	char *fits = job_with_spec('x', PD_BODY_MAX);
 	char *nested = g_strnfill(100000, '[');
@@ -400,6 +404,7 @@
 	assert_int_equal(400, post(f, "/q/01", large));
 	assert_int_equal(0, f->deadline_ms);
 	assert_int_equal(200, post(f, "/q/01", fits));
+	assert_int_equal(200, post(f, "/q/01", most_tasks));
 	send_request(f);
 	assert_int_equal(200, read_status(f));
 	g_free(large);
