Bound the memory of the jobs that an entry holds

Cause: an entry holds up to 4,096 jobs, each with up to 65,536 bytes of text, 540 tasks and 400 events: 280 MB and more, on a host of 120 MB. Change: each job is charged with its text, its tasks and a usual number of events; a job beyond the limit of the entry is refused with 503 and the reason "memory". The limit is set by the caller; without one nothing changes. Evidence: test_jobs (test_memory).

--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -23,6 +23,8 @@
 #define ENDED_KEEP_MS 5000
 #define ENDED_MAX 4096
 #define PERMILLE 1000
+/* Events in the trace of a job for each of its tasks, with a retry or two. */
+#define TASK_EVENTS 4
 
 struct jb *
 jb_new(const struct ck *clock, struct ct *counters, struct fl *fleet,
@@ -35,6 +37,7 @@
 	j->fleet = fleet;
 	j->ops = ops;
 	j->arg = arg;
+	j->bytes_max = SIZE_MAX;
 	j->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	j->ended = g_hash_table_new(g_str_hash, g_str_equal);
 	g_queue_init(&j->ended_order);
@@ -210,6 +213,23 @@
 		}
 }
 
+/* Memory of a job, with the events of some retries in its trace. */
+static size_t
+job_bytes(const struct jb_request *r)
+{
+	size_t bytes = sizeof(struct jb_job) + r->body_len;
+	unsigned i, ntasks = 0;
+
+	for (i = 0; i < r->nsteps; i++) {
+		bytes += sizeof(*r->steps) + 2 * sizeof(unsigned) +
+		    strlen(r->steps[i].label);
+		ntasks += r->steps[i].count;
+	}
+	return (bytes + ntasks * sizeof(struct jb_task) +
+	    MIN(TR_EVENTS_MAX, (ntasks + 1) * TASK_EVENTS) *
+		sizeof(struct tr_event));
+}
+
 static struct jb_job *
 job_new(struct jb *j, const struct jb_request *r, uint64_t waiter)
 {
@@ -234,6 +254,8 @@
 	job->trace = g_array_new(FALSE, FALSE, sizeof(struct tr_event));
 	job->queue_stats = jb_queue_stats_get(j, job->queue, job->service);
 	copy_steps(job, r);
+	job->bytes = job_bytes(r);
+	j->bytes += job->bytes;
 	job->target_at_ms = now + r->queue->target_ms +
 	    jb_critical_path_ms(job) * r->queue->stretch_permille / PERMILLE;
 	jb_queue_stats_update(j, job);
@@ -522,6 +544,14 @@
 		j->ops->answer(j->arg, waiter, &refusal);
 		return;
 	}
+	if (job_bytes(r) > j->bytes_max - MIN(j->bytes, j->bytes_max)) {
+		refusal.reason = JB_R_MEMORY;
+		ct_increment(j->counters, "pd_jobs_not_done_total",
+		    "Transient jobs refused or given up", "reason",
+		    jb_reason_name(refusal.reason));
+		j->ops->answer(j->arg, waiter, &refusal);
+		return;
+	}
 	job = job_new(j, r, waiter);
 	jb_trace(j, job, NULL, TR_TAKEN, NULL,
 	    (double)job->target_at_ms - (double)job->arrived_ms,
@@ -530,6 +560,18 @@
 	jb_admit(j, job);
 }
 
+void
+jb_set_memory(struct jb *j, size_t bytes_max)
+{
+	j->bytes_max = bytes_max;
+}
+
+size_t
+jb_memory(const struct jb *j)
+{
+	return (j->bytes);
+}
+
 void
 jb_remove_waiter(struct jb *j, uint64_t waiter)
 {
--- a/sched/jobs.h
+++ b/sched/jobs.h
@@ -95,6 +95,7 @@
 	JB_R_CLIENT,    /* the client withdrew it or disconnected */
 	JB_R_STOPPING,  /* the entry is shutting down */
 	JB_R_CONTACT,   /* its client may have submitted it elsewhere */
+	JB_R_MEMORY,    /* the entry has no memory for it */
 	JB_R_MAX,
 };
 
@@ -157,6 +158,13 @@
 struct jb *jb_new(const struct ck *clock, struct ct *counters, struct fl *fleet,
     const struct jb_ops *ops, void *arg);
 
+/** jb_set_memory() - limit of jb_memory() beyond which jobs are refused, bytes;
+ * without a call there is none */
+void jb_set_memory(struct jb *j, size_t bytes_max);
+
+/** jb_memory() - bytes that the jobs hold with their tasks and texts */
+size_t jb_memory(const struct jb *j);
+
 /** jb_free() - drop all jobs without answers; consumed, NULL is allowed */
 void jb_free(struct jb *j);
 
--- a/sched/jobs_impl.h
+++ b/sched/jobs_impl.h
@@ -95,6 +95,7 @@
 	uint64_t deadline_ms;
 	GArray *waiters;  /* uint64_t */
 	GArray *trace;    /* struct tr_event */
+	size_t bytes;     /* part of jb.bytes */
 	bool any_granted; /* a task was granted */
 	bool any_started; /* a task has or may have started */
 };
@@ -138,6 +139,8 @@
 	struct hg *queued;     /* wait of a task at its agent */
 	struct hg *ran;        /* run time of a task at its endpoint */
 	uint64_t last_number;
+	size_t bytes;          /* held by all jobs */
+	size_t bytes_max;      /* more jobs are refused */
 	double best_run_ratio; /* cached for this tick; 0: not computed yet */
 };
 
--- a/sched/jobs_outcome.c
+++ b/sched/jobs_outcome.c
@@ -17,8 +17,8 @@
 jb_reason_name(enum jb_reason r)
 {
 	static const char *const names[] = {"none", "no_worker", "no_room",
-	    "overload", "deadline", "attempts", "client", "stopping",
-	    "contact"};
+	    "overload", "deadline", "attempts", "client", "stopping", "contact",
+	    "memory"};
 
 	return (r < JB_R_MAX ? names[r] : "invalid");
 }
@@ -119,6 +119,7 @@
 	if (status == JB_COMPLETED || status == JB_FAILED)
 		jb_remember_ended(j, job->id, status);
 	g_hash_table_remove(j->by_id, job->id);
+	j->bytes -= job->bytes;
 	g_hash_table_remove(j->by_number, &job->number);
 }
 
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -653,6 +653,40 @@
 	assert_int_equal(0, f->run_limits[1]);
 }
 
+/* Guards against jobs that exhaust the memory of the entry, and against
+ * memory that is not available again after a job has ended. */
+static void
+test_memory(void **state)
+{
+	struct fixture *f = *state;
+
+	attach(f, "w1", 1);
+	assert_int_equal(0, jb_memory(f->jobs));
+	submit(f, "a", 3);
+	assert_int_equal(3, f->nstarts);
+	jb_set_memory(f->jobs, 2 * jb_memory(f->jobs));
+	submit(f, "b", 4);
+	assert_int_equal(1, f->nanswers);
+	assert_int_equal(JB_REFUSED, f->answers[0].status);
+	assert_int_equal(JB_R_MEMORY, f->answers[0].reason);
+	assert_int_equal(3, f->nstarts);
+	submit(f, "c", 3);
+	assert_int_equal(6, f->nstarts);
+	submit(f, "d", 1);
+	assert_int_equal(JB_R_MEMORY, f->answers[1].reason);
+	assert_true(jb_cancel(f->jobs, "a"));
+	submit(f, "e", 3);
+	assert_int_equal(9, f->nstarts);
+	assert_true(jb_cancel(f->jobs, "c"));
+	assert_true(jb_cancel(f->jobs, "e"));
+	assert_int_equal(0, jb_memory(f->jobs));
+	/* A limit below what is held does not wrap around. */
+	submit(f, "g", 3);
+	jb_set_memory(f->jobs, 1);
+	submit(f, "h", 1);
+	assert_int_equal(JB_R_MEMORY, f->answers[f->nanswers - 1].reason);
+}
+
 int
 main(void)
 {
@@ -686,6 +720,7 @@
 	    T(test_withdrawal_lost),
 	    T(test_dropped_grant_withdrawn),
 	    T(test_long_task),
+	    T(test_memory),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
