--- a/tests/proc_flood.c
+++ b/tests/proc_flood.c
@@ -139,9 +139,8 @@
 	uint64_t end = hn_mono_ms() + FLOOD_MS;
 	unsigned long long sent = 0;
 	unsigned reconnects = 0;
-	g_autofree size_t *each = g_new0(size_t, f->sockets->len);
-	g_autofree struct pollfd *polled =
-	    g_new0(struct pollfd, f->sockets->len);
+	size_t *each = g_new0(size_t, f->sockets->len);
+	struct pollfd *polled = g_new0(struct pollfd, f->sockets->len);
 	size_t offset;
 	ssize_t n;
 	guint i;
@@ -161,7 +160,7 @@
 
 			if (polled[i].fd < 0 || polled[i].revents == 0)
 				continue;
-			offset = each[i] % len;
+			offset = each[i] % MAX(len, 1);
 			n = send(*s, repeated->str + offset,
 			    MIN(SEND_BYTES, each_max - each[i]), MSG_NOSIGNAL);
 			if (n > 0) {
@@ -179,6 +178,8 @@
 	print_message("%llu kB sent, %u connections opened again\n",
 	    sent / 1024, reconnects);
 	g_string_free(repeated, TRUE);
+	g_free(polled);
+	g_free(each);
 }
 
 static unsigned
