Bound the memory and the connections of HTTP listeners

Cause: evhttp goes on reading while it writes a response, so that what a client pipelines grows without limit while it does not read. Bodies are limited each, but not together, and connections only by the descriptors.

Change: wire/bounds.c (bd) creates the bufferevents of all HTTP listeners of both programs and follows their bytes, with what evhttp has parsed of a request. A connection with 64 KB unparsed is not read. Beyond the memory limit of the process reading pauses on all connections at once, then on those that hold much, and after 40 to 500 ms those that hold most are closed; requests that are being handled come last. Beyond its number of connections a listener closes the longest idle one, else one that has taken more than a second for its request or response, else the new one. Requests that are not complete and responses of which nothing is read for 15 s end. The buffers of the kernel are bounded on the listeners. Pauses are rate limits of libevent, because evhttp enables reading itself, and a high watermark makes libevent 2.1 call the reader without end (found with proc_flood_bodies: a process at 87% CPU).

The limits derive from the memory and the descriptors of the host; the section limits of the settings has them (docs/OPERATIONS.md). Limits that contradict each other or the host end the program with exit code 2. Decisions are in wire/bounds_rules.c, with tests without a network.

--- a/agent/executor.c
+++ b/agent/executor.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "bounds.h"
 #include "clock.h"
 #include "counters.h"
 #include "event.h"
@@ -27,6 +28,9 @@
 /* Time to send the reports of the last tasks. */
 #define DRAIN_MIN_MS 100
 #define EXIT_SETTINGS 2
+/* Shares of the connections, in thousandths; the endpoint has a few. */
+#define HEARTBEATS_SHARE 250
+#define METRICS_SHARE 125
 #define AT(field) offsetof(struct settings, field)
 
 struct settings {
@@ -40,6 +44,7 @@
 	struct st_strings seeds;
 	int64_t entry_port;
 	char *log_level;
+	struct bd_settings limits;
 };
 
 static const struct st_key keys[] = {
@@ -63,10 +68,13 @@
 	"IP:port of the metrics; empty for none"},
     {"log.level", ST_STRING, AT(log_level), 1, 16, "info",
 	"err|warning|notice|info|debug", "least severe level to log"},
+    BD_SETTINGS(AT(limits)),
 };
 
 struct ex {
 	struct settings settings;
+	struct bd_limits limits;
+	struct bd *bounds;
 	struct event_base *base;
 	struct ck *clock;
 	struct ct *counters;
@@ -487,11 +495,16 @@
 	    e->settings.orders, &endpoint_ops, e);
 	if (e->endpoint == NULL)
 		return (false);
+	e->bounds = bd_new(e->base, e->clock, e->counters, &e->limits);
+	od_set_bounds(e->endpoint, e->bounds, HEARTBEATS_SHARE);
 	if (e->settings.metrics[0] == '\0')
 		return (true);
 	e->metrics = sc_new(
 	    e->base, e->settings.metrics, e->counters, refresh_gauges, e);
-	return (e->metrics != NULL);
+	if (e->metrics == NULL)
+		return (false);
+	sc_set_bounds(e->metrics, e->bounds, METRICS_SHARE);
+	return (true);
 }
 
 static void
@@ -512,6 +525,7 @@
 		event_free(e->tick);
 	sc_free(e->metrics);
 	od_free(e->endpoint);
+	bd_free(e->bounds);
 	lk_free(e->links);
 	ru_free(e->runner);
 	ct_free(e->counters);
@@ -527,12 +541,15 @@
 int
 ex_check(const char *path)
 {
+	struct bd_limits limits;
 	struct settings s = {0};
+	bool valid;
 
 	if (!load(path, &s))
 		return (EXIT_SETTINGS);
+	valid = bd_limits_read("pimentodock-agent", &s.limits, &limits);
 	st_release(keys, G_N_ELEMENTS(keys), &s);
-	return (0);
+	return (valid ? 0 : EXIT_SETTINGS);
 }
 
 int
@@ -543,6 +560,11 @@
 
 	if (!load(path, &e.settings))
 		return (EXIT_SETTINGS);
+	if (!bd_limits_read(
+		"pimentodock-agent", &e.settings.limits, &e.limits)) {
+		st_release(keys, G_N_ELEMENTS(keys), &e.settings);
+		return (EXIT_SETTINGS);
+	}
 	json_object_seed(0);
 	lg_open("pimentodock-agent", lg_level(e.settings.log_level));
 	ev_open("agent");
--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "bounds.h"
 #include "claims.h"
 #include "clock.h"
 #include "config.h"
@@ -44,6 +45,12 @@
 #define CLAIM_RESUBMISSIONS 2
 /* Limit of clients.resubmit_ms. */
 #define RESUBMIT_MAX_MS 600000
+/* Shares of the connections, in thousandths. Agents and entries have the most
+ * connections; clients have at most 18 for each zone. */
+#define RPC_SHARE 625
+#define CLIENTS_SHARE 250
+#define PROBES_SHARE 62
+#define METRICS_SHARE 62
 #define FIELD(field) offsetof(struct settings, field)
 
 struct settings {
@@ -60,6 +67,7 @@
 	char *store;
 	char *log_level;
 	int64_t resubmit_ms;
+	struct bd_settings limits;
 };
 
 static const struct st_key keys[] = {
@@ -91,10 +99,13 @@
 	"IP:port of the platform's store"},
     {"log.level", ST_STRING, FIELD(log_level), 1, 16, "info",
 	"err|warning|notice|info|debug", "least severe level to log"},
+    BD_SETTINGS(FIELD(limits)),
 };
 
 struct di {
 	struct settings settings;
+	struct bd_limits limits;
+	struct bd *bounds;
 	struct event_base *base;
 	struct ck *clock;
 	struct ct *counters;
@@ -561,6 +572,7 @@
 
 	(void)fd;
 	(void)what;
+	bd_set_jobs_bytes(d->bounds, jb_memory(d->jobs));
 	fr_check_clients(d->front);
 	cw_tick(d->claims);
 	jb_tick(d->jobs);
@@ -650,6 +662,14 @@
 	d->gossip = go_new(d->base, d->clock, d->config, &self, &gossip_ops, d);
 }
 
+static void
+set_bounds(struct di *d)
+{
+	d->bounds = bd_new(d->base, d->clock, d->counters, &d->limits);
+	jb_set_memory(d->jobs, bd_jobs_bytes_max(d->bounds));
+	fr_set_bounds(d->front, d->bounds, CLIENTS_SHARE, PROBES_SHARE);
+}
+
 static bool
 start_modules(struct di *d)
 {
@@ -675,13 +695,17 @@
 	if (d->workers == NULL || d->front == NULL)
 		return (false);
 	wo_set_jobs(d->workers, d->jobs);
+	set_bounds(d);
 	start_gossip(d, self.incarnation);
 	d->feed = fe_new(d->base, d->settings.store, &feed_ops, d);
 	if (d->settings.metrics[0] == '\0')
 		return (true);
 	d->metrics = sc_new(
 	    d->base, d->settings.metrics, d->counters, refresh_gauges, d);
-	return (d->metrics != NULL);
+	if (d->metrics == NULL)
+		return (false);
+	sc_set_bounds(d->metrics, d->bounds, METRICS_SHARE);
+	return (true);
 }
 
 static void
@@ -706,6 +730,7 @@
 	wo_free(d->workers);
 	fr_free(d->front);
 	sc_free(d->metrics);
+	bd_free(d->bounds);
 	jb_free(d->jobs);
 	fl_free(d->fleet);
 	cf_free(d->config);
@@ -721,12 +746,15 @@
 int
 di_check(const char *path)
 {
+	struct bd_limits limits;
 	struct settings s = {0};
+	bool valid;
 
 	if (!load_settings(path, &s))
 		return (EX_SETTINGS);
+	valid = bd_limits_read("pimentodock", &s.limits, &limits);
 	st_release(keys, G_N_ELEMENTS(keys), &s);
-	return (EX_DONE);
+	return (valid ? EX_DONE : EX_SETTINGS);
 }
 
 int
@@ -737,6 +765,10 @@
 
 	if (!load_settings(path, &d.settings))
 		return (EX_SETTINGS);
+	if (!bd_limits_read("pimentodock", &d.settings.limits, &d.limits)) {
+		st_release(keys, G_N_ELEMENTS(keys), &d.settings);
+		return (EX_SETTINGS);
+	}
 	json_object_seed(0);
 	lg_open("pimentodock", lg_level(d.settings.log_level));
 	ev_open("entry");
--- a/wire/scrape.c
+++ b/wire/scrape.c
@@ -3,12 +3,16 @@
 #include <glib.h>
 #include <string.h>
 
+#include "bounds.h"
 #include "counters.h"
 #include "log.h"
 #include "scrape.h"
 
 /* Idle connections are closed after this time, in seconds. */
 #define IDLE_TIMEOUT_S 60
+/* Limits of a request, which the server may change. */
+#define HEADER_BYTES_MAX 16384
+#define BODY_BYTES_MAX 262144
 #define STATUS_OK 200
 
 struct sc {
@@ -40,6 +44,8 @@
 	}
 	evhttp_set_gencb(http, handle, arg);
 	evhttp_set_timeout(http, IDLE_TIMEOUT_S);
+	evhttp_set_max_headers_size(http, HEADER_BYTES_MAX);
+	evhttp_set_max_body_size(http, BODY_BYTES_MAX);
 	return (http);
 }
 
@@ -76,6 +82,12 @@
 	return (NULL);
 }
 
+void
+sc_set_bounds(struct sc *s, struct bd *bounds, unsigned share_permille)
+{
+	bd_http(bounds, "metrics", s->http, share_permille);
+}
+
 void
 sc_free(struct sc *s)
 {
--- a/wire/scrape.h
+++ b/wire/scrape.h
@@ -6,6 +6,7 @@
 /**
  * DOC: sc - scrape: serves the metrics over HTTP, on the event loop
  */
+struct bd;
 struct evhttp;
 struct evhttp_request;
 struct sc;
@@ -22,6 +23,10 @@
 struct sc *sc_new(struct event_base *base, const char *address,
     struct ct *counters, void (*refresh)(void *arg), void *arg);
 
+/** sc_set_bounds() - bound the connections to a share of all of the process;
+ * @bounds is borrowed */
+void sc_set_bounds(struct sc *s, struct bd *bounds, unsigned share_permille);
+
 /** sc_free() - stop serving; @s is consumed, NULL is allowed */
 void sc_free(struct sc *s);
 
