Bound the memory and the connections of the RPC listener

Cause: replies that a peer does not read were buffered without limit, each in a buffer of 4,096 bytes for some 30 bytes of content, and a connection may announce a message of 48 MB. Change: short messages are copied into the output buffer. Accepted connections are bounded by bd: a connection with 1 MB of unread replies is not read until they are, one whose message is not complete within 15 s ends, and a message may be a quarter of the memory limit (7.5 MB on a host of 120 MB). Connections that have sent something within 500 ms are not closed for new ones, so agents and entries, which send every 300 ms at least, stay connected.

--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -667,6 +667,7 @@
 {
 	d->bounds = bd_new(d->base, d->clock, d->counters, &d->limits);
 	jb_set_memory(d->jobs, bd_jobs_bytes_max(d->bounds));
+	wo_set_bounds(d->workers, d->bounds, RPC_SHARE);
 	fr_set_bounds(d->front, d->bounds, CLIENTS_SHARE, PROBES_SHARE);
 }
 
--- a/entry/workers.c
+++ b/entry/workers.c
@@ -222,6 +222,12 @@
 	w->jobs = jobs;
 }
 
+void
+wo_set_bounds(struct wo *w, struct bd *bounds, unsigned share_permille)
+{
+	cn_listener_set_bounds(w->listener, bounds, "rpc", share_permille);
+}
+
 void
 wo_free(struct wo *w)
 {
--- a/entry/workers.h
+++ b/entry/workers.h
@@ -11,6 +11,7 @@
  * DOC: wo - workers: connections from the agents that run transient jobs, and
  * the listener that agents share with other entries
  */
+struct bd;
 struct wo;
 
 /**
@@ -47,6 +48,10 @@
 /** wo_set_jobs() - set the jobs that are notified of agents; borrowed */
 void wo_set_jobs(struct wo *w, struct jb *jobs);
 
+/** wo_set_bounds() - bound the connections to a share of all of the process;
+ * @bounds is borrowed */
+void wo_set_bounds(struct wo *w, struct bd *bounds, unsigned share_permille);
+
 /** wo_free() - close all connections; consumed, NULL is allowed */
 void wo_free(struct wo *w);
 
--- a/wire/conn.c
+++ b/wire/conn.c
@@ -11,6 +11,7 @@
 #include <stdbool.h>
 #include <string.h>
 
+#include "bounds.h"
 #include "conn.h"
 #include "log.h"
 #include "pd.h"
@@ -48,6 +49,8 @@
 	const struct cn_ops *ops;
 	void *arg;
 	GHashTable *pending; /* xid to struct pending */
+	struct bd_conn *bound;
+	size_t record_max;
 	uint32_t next_xid;
 	char peer[64];
 	bool open;
@@ -61,6 +64,7 @@
 
 struct cn_listener {
 	struct evconnlistener *listener;
+	struct bd_listener *bounds; /* NULL for none */
 	cn_accept_fn accept;
 	void *arg;
 	unsigned port;
@@ -158,6 +162,7 @@
 static void
 conn_free(struct cn *c)
 {
+	bd_remove(c->bound);
 	bufferevent_free(c->bev);
 	g_hash_table_destroy(c->pending);
 	g_free(c);
@@ -234,8 +239,14 @@
 {
 	stats.sent_messages++;
 	stats.sent_bytes += len;
-	evbuffer_add_reference(
-	    bufferevent_get_output(c->bev), buf, len, write_done, buf);
+	/* The buffer of a short message is mostly empty. */
+	if (len <= ENCODE_INITIAL_BYTES) {
+		evbuffer_add(bufferevent_get_output(c->bev), buf, len);
+		g_free(buf);
+	} else {
+		evbuffer_add_reference(
+		    bufferevent_get_output(c->bev), buf, len, write_done, buf);
+	}
 }
 
 static void
@@ -470,7 +481,7 @@
 	mark = ntohl(mark);
 	len = mark & ~MARK_LAST_FRAGMENT;
 	/* The other end always sends a record as one fragment. */
-	if ((mark & MARK_LAST_FRAGMENT) == 0 || len > RECORD_MAX_BYTES) {
+	if ((mark & MARK_LAST_FRAGMENT) == 0 || len > c->record_max) {
 		c->malformed = true;
 		return (false);
 	}
@@ -538,6 +549,7 @@
 
 	c = g_new0(struct cn, 1);
 	c->base = base;
+	c->record_max = RECORD_MAX_BYTES;
 	c->bev = bufferevent_socket_new(
 	    base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
 	c->pending = g_hash_table_new(NULL, NULL);
@@ -589,7 +601,16 @@
 	struct sockaddr_in sin;
 	struct cn *c;
 
+	if (l->bounds != NULL && !bd_admit(l->bounds, fd)) {
+		evutil_closesocket(fd);
+		return;
+	}
 	c = conn_new(evconnlistener_get_base(el), fd);
+	if (l->bounds != NULL) {
+		c->bound = bd_add(l->bounds, c->bev);
+		c->record_max =
+		    MIN(RECORD_MAX_BYTES, bd_message_max(l->bounds));
+	}
 	set_nodelay(fd);
 	if (sa->sa_family == AF_INET && len >= (int)sizeof(sin)) {
 		memcpy(&sin, sa, sizeof(sin));
@@ -636,6 +657,13 @@
 	return (l->port);
 }
 
+void
+cn_listener_set_bounds(struct cn_listener *l, struct bd *bounds,
+    const char *name, unsigned share_permille)
+{
+	l->bounds = bd_rpc(bounds, name, l->listener, share_permille);
+}
+
 void
 cn_listener_free(struct cn_listener *l)
 {
--- a/wire/conn.h
+++ b/wire/conn.h
@@ -19,6 +19,7 @@
  * closed() before it returns; if it is called from opened() or while received
  * data is handled, the connection is closed after that callback.
  */
+struct bd;
 struct cn;
 struct cn_listener;
 
@@ -85,6 +86,11 @@
 /** cn_listener_port() - port that the listener is bound to */
 unsigned cn_listener_port(const struct cn_listener *l);
 
+/** cn_listener_set_bounds() - bound the connections that are accepted from now
+ * on; see bd_rpc() */
+void cn_listener_set_bounds(struct cn_listener *l, struct bd *bounds,
+    const char *name, unsigned share_permille);
+
 /** cn_listener_free() - stop accepting; consumed, NULL is allowed */
 void cn_listener_free(struct cn_listener *l);
 
