--- a/tests/proc_flood.c
+++ b/tests/proc_flood.c
@@ -428,6 +428,48 @@
 	check_fleet(f);
 }
 
+static int
+run_with_limits(struct hn *h, const char *limits, bool agent)
+{
+	g_autofree char *path = hn_path(h, "limits.toml");
+	g_autofree char *text =
+	    g_strconcat("name = \"n\"\navailability_zone = \"z\"\n",
+		agent ? "[endpoint]\nheartbeats = \"127.0.0.1:1\"\n"
+			"orders = \"127.0.0.1:1\"\n"
+		      : "[listen]\nclients = \"127.0.0.1:1\"\n"
+			"probes = \"127.0.0.1:1\"\nrpc = \"127.0.0.1:1\"\n"
+			"[platform]\nstore = \"127.0.0.1:1\"\n",
+		"[limits]\n", limits, "\n", NULL);
+
+	hn_write(h, "limits.toml", text);
+	return (agent ? hn_run(h,
+			    (const char *const[]){"agent/pimentodock-agent",
+				"--execute", "--settings", path, NULL},
+			    NULL, 5000)
+		      : hn_run(h,
+			    (const char *const[]){"entry/pimentodock",
+				"dispatch", "--settings", path, NULL},
+			    NULL, 5000));
+}
+
+/* Guards against a program that starts with limits under which it cannot
+ * serve instead of ending with exit code 2. */
+static void
+test_limits(void **state)
+{
+	struct flood *f = *state;
+	struct hn *h = f->test->hn;
+	int agent;
+
+	for (agent = 0; agent < 2; agent++) {
+		assert_int_equal(2, run_with_limits(h, "memory_mb = 4", agent));
+		assert_int_equal(
+		    2, run_with_limits(h, "descriptors = 300", agent));
+		assert_int_equal(
+		    2, run_with_limits(h, "connections = 5", agent));
+	}
+}
+
 int
 main(int argc, char **argv)
 {
@@ -442,6 +484,7 @@
 	    T(test_metrics),
 	    T(test_rpc),
 	    T(test_tasks),
+	    T(test_limits),
 	};
 	g_autofree char *pattern =
 	    argc > 1 ? g_strconcat("test_", argv[1], NULL) : NULL;
--- a/wire/bounds.c
+++ b/wire/bounds.c
@@ -142,6 +142,12 @@
 	const char *fault;
 
 	getrlimit(RLIMIT_NOFILE, &files);
+	/* The soft limit is often 1,024 where the host allows more. */
+	if (s->descriptors > 0 && files.rlim_cur < (rlim_t)s->descriptors) {
+		files.rlim_cur = MIN((rlim_t)s->descriptors, files.rlim_max);
+		setrlimit(RLIMIT_NOFILE, &files);
+		getrlimit(RLIMIT_NOFILE, &files);
+	}
 	fault = bd_limits_derive(s, files.rlim_cur, out);
 	if (fault != NULL)
 		fprintf(stderr, "%s: %s\n", program, fault);
