--- a/sched/jobs_impl.h
+++ b/sched/jobs_impl.h
@@ -125,6 +125,7 @@
 	uint64_t deadline_ms;
 	GArray *waiters;  /* uint64_t */
 	GArray *trace;    /* struct tr_event */
+	size_t bytes;     /* part of jb.bytes */
 	bool any_granted; /* a task was granted */
 	bool any_started; /* a task has or may have started */
 	bool unlikely;    /* ended since its chance was too small */
@@ -174,6 +175,8 @@
 	double best_run_ratio;  /* cached for this tick; 0: not computed yet */
 	bool uses_distribution; /* of run times, instead of their mean */
 	uint64_t aged_ms;       /* when summaries were last aged */
+	size_t bytes;          /* held by all jobs */
+	size_t bytes_max;      /* more jobs are refused */
 };
 
 /** jb_queue_table_new() - create the table for jb.queues; owned */
