--- a/bench/bench_load.c
+++ b/bench/bench_load.c
@@ -33,6 +33,18 @@
 	    c->refusal_ms);
 }
 
+/* Prints the shares in time of the quartiles and of the largest tenth. */
+static void
+print_size_classes(const char *name, const struct md_outcomes *classes)
+{
+	unsigned i;
+
+	printf("%-16s in_time by size", name);
+	for (i = 0; i < MD_CLASSES; i++)
+		printf(" %.4f", md_in_time_share(&classes[i]));
+	printf("\n");
+}
+
 static void
 print_result(const struct md_load *load, const struct md_result *r)
 {
@@ -41,6 +53,8 @@
 	for (i = 0; i < load->nkinds; i++)
 		print_class(load->kinds[i].name, &r->kinds[i]);
 	print_class("all", &r->all);
+	for (i = 0; i < load->nkinds; i++)
+		print_size_classes(load->kinds[i].name, r->classes[i]);
 	printf(
 	    "work             core_s %.0f of %.0f, done %.0f, wasted %.0f, "
 	    "starts %u, no_room %u, twice %u\n",
@@ -117,11 +131,13 @@
 	    arg_int0(NULL, "seed", "N", "seed, overrides the one in the file");
 	struct arg_dbl *scale =
 	    arg_dbl0(NULL, "scale", "X", "multiply all arrivals");
+	struct arg_lit *value = arg_lit0(NULL, "value",
+	    "entries decide by cost per need while capacity is short");
 	struct arg_file *svg =
 	    arg_file0(NULL, "svg", "FILE", "write a plot over time");
 	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
 	struct arg_end *end = arg_end(8);
-	void *table[] = {path, seed, scale, svg, help, end};
+	void *table[] = {path, seed, scale, value, svg, help, end};
 	struct md_result *r = NULL;
 	struct md_load load;
 	char message[256];
@@ -138,6 +154,8 @@
 	}
 	if (seed->count > 0)
 		load.seed = (uint64_t)seed->ival[0];
+	if (value->count > 0)
+		load.by_value = true;
 	if (scale->count > 0)
 		ld_scale(&load, scale->dval[0]);
 	r = md_run(&load);
--- a/bench/load.c
+++ b/bench/load.c
@@ -17,6 +17,9 @@
 	int64_t entries;
 	int64_t net_ms;
 	int64_t agents_ms;
+	int64_t swing_percent;
+	int64_t swing_ms;
+	char *contention;
 	int64_t estimate_off_percent;
 	int64_t uneven_percent;
 	int64_t error_permille;
@@ -36,6 +39,12 @@
 	"network delay of a message, milliseconds"},
     {"agents_ms", ST_INTEGER, FILE_FIELD(agents_ms), 0, 10000, "0", NULL,
 	"time within which agents connect, milliseconds; 0: before arrivals"},
+    {"swing_percent", ST_INTEGER, FILE_FIELD(swing_percent), 0, 99, "0", NULL,
+	"share by which arrival rates rise and fall"},
+    {"swing_ms", ST_INTEGER, FILE_FIELD(swing_ms), 0, 1000000, "0", NULL,
+	"period of that, milliseconds; 0: none"},
+    {"contention", ST_STRING, FILE_FIELD(contention), 1, 16, "slack",
+	"slack|value", "setting admission.contention of the entries"},
     {"estimate_off_percent", ST_INTEGER, FILE_FIELD(estimate_off_percent), 0,
 	99, "40", NULL, "greatest relative error of declared run times"},
     {"uneven_percent", ST_INTEGER, FILE_FIELD(uneven_percent), 0, 99, "15",
@@ -209,6 +218,9 @@
 	load->entries = (unsigned)f.entries;
 	load->net_ms = (unsigned)f.net_ms;
 	load->agents_ms = (unsigned)f.agents_ms;
+	load->swing = (double)f.swing_percent / PERCENT;
+	load->swing_ms = (unsigned)f.swing_ms;
+	load->by_value = strcmp(f.contention, "value") == 0;
 	load->estimate_error = (double)f.estimate_off_percent / PERCENT;
 	load->task_variation = (double)f.uneven_percent / PERCENT;
 	load->error_share = (double)f.error_permille / PERMILLE;
--- a/bench/model.c
+++ b/bench/model.c
@@ -154,10 +154,21 @@
 	schedule_arrival(m, e->a);
 }
 
+static double
+swing_factor(const struct md *m)
+{
+	double ms = (double)ck_mono_ms(m->clock) - START_MS;
+
+	if (m->load->swing_ms == 0)
+		return (1);
+	return (1 + m->load->swing * sin(2 * G_PI * ms / m->load->swing_ms));
+}
+
 static void
 schedule_arrival(struct md *m, unsigned kind)
 {
-	double per_s = m->load->kinds[kind].per_s * m->arrival_factor[kind];
+	double per_s = m->load->kinds[kind].per_s * m->arrival_factor[kind] *
+	    swing_factor(m);
 	double gap_s = -log(1 - rn_unit(m->arrival_rng)) / per_s;
 
 	md_schedule(m, (uint64_t)(gap_s * US_PER_S), on_arrival, kind, 0, NULL);
@@ -259,6 +270,8 @@
 		e->fleet =
 		    fl_new(m->clock, m->counters, e->config, m->load->seed + i);
 		e->jobs = jb_new(m->clock, m->counters, e->fleet, &job_ops, e);
+		if (m->load->by_value)
+			jb_admit_by_value(e->jobs);
 	}
 }
 
--- a/bench/model.h
+++ b/bench/model.h
@@ -20,6 +20,9 @@
 #define MD_DISTURBANCES_MAX 16
 /** MD_NAME_MAX - size of a name, bytes */
 #define MD_NAME_MAX 32
+/** MD_CLASSES - size classes of a kind: quartiles by core-seconds, and the
+ * largest tenth */
+#define MD_CLASSES 5
 /** MD_WINDOW_MS - length of a time window in the result */
 #define MD_WINDOW_MS 2000
 
@@ -92,6 +95,9 @@
 /**
  * struct md_load - load to replay
  * @seed: seed of all random numbers
+ * @by_value: entries decide by cost per need while capacity is short
+ * @swing: share by which the arrival rates rise and fall
+ * @swing_ms: period of it
  * @seconds: time for which jobs arrive
  * @entries: number of entries; each arrival goes to a random one
  * @net_ms: network delay of a message
@@ -107,6 +113,9 @@
 	unsigned entries;
 	unsigned net_ms;
 	unsigned agents_ms;
+	bool by_value;
+	double swing;
+	unsigned swing_ms;
 	double estimate_error;
 	double task_variation;
 	double error_share;
@@ -158,6 +167,7 @@
 /**
  * struct md_result - result of a load
  * @kinds: by kind, in the order of the load
+ * @classes: by kind and size class; only submitted and in_time
  * @core_s_offered: core-seconds, at speed 1, of all jobs
  * @core_s_completed: core-seconds of completed jobs
  * @core_s_wasted: core-seconds of runs whose job was not completed
@@ -169,6 +179,7 @@
 struct md_result {
 	struct md_outcomes all;
 	struct md_outcomes kinds[MD_KINDS_MAX];
+	struct md_outcomes classes[MD_KINDS_MAX][MD_CLASSES];
 	struct md_window *windows;
 	unsigned nwindows;
 	double core_s_offered;
--- a/bench/model_result.c
+++ b/bench/model_result.c
@@ -6,6 +6,8 @@
 #define PERMILLE 1000
 #define P99 0.99
 #define MEDIAN 0.5
+#define QUARTILES 4
+#define LARGEST_TENTH 0.9
 /* Answers after this multiple of the allowed time are useless to callers. */
 #define TOO_LATE_FACTOR 3
 
@@ -132,6 +134,57 @@
 	}
 }
 
+static double
+work_of(const struct md_job *job)
+{
+	double work = 0;
+	unsigned i;
+
+	for (i = 0; i < job->ntasks; i++)
+		work += job->work_ms[i];
+	return (work);
+}
+
+static gint
+compare_work(gconstpointer a, gconstpointer b)
+{
+	double x = work_of(*(struct md_job *const *)a);
+	double y = work_of(*(struct md_job *const *)b);
+
+	return ((x > y) - (x < y));
+}
+
+static void
+count_in_class(struct md_outcomes *c, const struct md_job *job)
+{
+	c->submitted++;
+	c->in_time += in_time(job);
+}
+
+/* Counts the jobs of a kind by size class. */
+static void
+count_classes(struct md *m, unsigned kind)
+{
+	struct md_outcomes *classes = m->result->classes[kind];
+	GPtrArray *jobs = g_ptr_array_new();
+	const struct md_job *job;
+	unsigned i;
+
+	for (i = 0; i < m->jobs->len; i++) {
+		job = m->jobs->pdata[i];
+		if (job->kind == kind)
+			g_ptr_array_add(jobs, m->jobs->pdata[i]);
+	}
+	g_ptr_array_sort(jobs, compare_work);
+	for (i = 0; i < jobs->len; i++) {
+		count_in_class(
+		    &classes[i * QUARTILES / jobs->len], jobs->pdata[i]);
+		if (i >= jobs->len * LARGEST_TENTH)
+			count_in_class(&classes[QUARTILES], jobs->pdata[i]);
+	}
+	g_ptr_array_free(jobs, TRUE);
+}
+
 void
 md_count_results(struct md *m)
 {
@@ -155,6 +208,8 @@
 		m->result->core_s_capacity += m->workers[i].cpu *
 		    m->workers[i].speed * m->load->seconds / PERMILLE;
 	count_windows(m);
+	for (i = 0; i < m->load->nkinds; i++)
+		count_classes(m, i);
 }
 
 double
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -549,6 +549,30 @@
 	return (best.worker);
 }
 
+struct fl_worker *
+fl_free_worker(const struct fl *f, const struct fl_requirements *req)
+{
+	uint64_t now = ck_mono_ms(f->clock);
+	struct fl_worker *w, *best = NULL;
+	guint i;
+
+	for (i = 0; i < f->connected->len; i++) {
+		w = f->connected->pdata[i];
+		if (is_usable(f, w, now) && is_suitable(w, req) &&
+		    fl_has_room(w, req) &&
+		    (best == NULL ||
+			fl_run_ratio(f, w) < fl_run_ratio(f, best)))
+			best = w;
+	}
+	return (best);
+}
+
+bool
+fl_is_usable(const struct fl *f, const struct fl_worker *w)
+{
+	return (is_usable(f, w, ck_mono_ms(f->clock)));
+}
+
 bool
 fl_any_suitable(const struct fl *f, const struct fl_requirements *req)
 {
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -164,6 +164,14 @@
  * the end of another one */
 bool fl_has_room(const struct fl_worker *w, const struct fl_requirements *req);
 
+/** fl_free_worker() - fastest worker where a task would start without waiting
+ * for the end of another one, NULL for none */
+struct fl_worker *fl_free_worker(
+    const struct fl *f, const struct fl_requirements *req);
+
+/** fl_is_usable() - whether a worker can take tasks now */
+bool fl_is_usable(const struct fl *f, const struct fl_worker *w);
+
 /** fl_any_suitable() - whether any worker, usable now or not, meets the
  * requirements */
 bool fl_any_suitable(const struct fl *f, const struct fl_requirements *req);
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -100,6 +100,7 @@
 	g_hash_table_destroy(j->by_id);
 	g_hash_table_destroy(j->by_number);
 	g_hash_table_destroy(j->queues);
+	cc_free(j->contention);
 	hg_free(j->took);
 	hg_free(j->queued);
 	hg_free(j->ran);
@@ -422,7 +423,8 @@
 		return (fl_any_suitable(j->fleet, &req) ? JB_R_NO_WORKER
 							: JB_R_NO_ROOM);
 	}
-	if (!is_worth_accepting(j, job, &req, w, finish)) {
+	if (!is_worth_accepting(j, job, &req, w, finish) &&
+	    !jb_may_use_free(j, job, &req)) {
 		jb_trace(
 		    j, job, t, TR_TOO_LATE, w, finish, time_left_ms(j, job));
 		return (JB_R_OVERLOAD);
@@ -445,7 +447,7 @@
 	enum jb_reason reason = JB_R_NONE;
 	unsigned i;
 
-	if (jb_delays_urgent(j, job))
+	if (j->contention == NULL && jb_delays_urgent(j, job))
 		return (JB_R_OVERLOAD);
 	for (i = 0; i < job->ntasks && reason == JB_R_NONE; i++)
 		if (job->tasks[i].state == JB_READY)
@@ -455,6 +457,14 @@
 	return (reason);
 }
 
+double
+jb_chance(const struct jb *j, const struct jb_job *job)
+{
+	(void)j;
+	(void)job;
+	return (1);
+}
+
 /* Whether a job may wait for the agents of an entry that has just started. */
 static bool
 may_wait(const struct jb *j, const struct jb_job *job, enum jb_reason reason)
@@ -475,10 +485,14 @@
 bool
 jb_admit(struct jb *j, struct jb_job *job)
 {
-	enum jb_reason reason = check_admission(j, job);
+	enum cc_decision decision = jb_contention_decide(j, job);
+	enum jb_reason reason =
+	    decision == CC_REFUSE ? JB_R_OVERLOAD : check_admission(j, job);
 
-	if (may_wait(j, job, reason) && !jb_may_be_elsewhere(j, job))
+	if ((decision == CC_WAIT || may_wait(j, job, reason)) &&
+	    !jb_may_be_elsewhere(j, job))
 		return (true);
+	jb_contention_settled(j, job, reason == JB_R_NONE);
 	if (reason == JB_R_NONE && jb_place(j, job))
 		return (true);
 	jb_give_up(j, job, reason == JB_R_NONE ? JB_R_OVERLOAD : reason);
@@ -527,6 +541,7 @@
 	    (double)job->target_at_ms - (double)job->arrived_ms,
 	    time_left_ms(j, job));
 	jb_unblock_tasks(job);
+	jb_contention_arrived(j, job);
 	jb_admit(j, job);
 }
 
--- a/sched/jobs.h
+++ b/sched/jobs.h
@@ -157,6 +157,17 @@
 struct jb *jb_new(const struct ck *clock, struct ct *counters, struct fl *fleet,
     const struct jb_ops *ops, void *arg);
 
+/**
+ * jb_admit_by_value() - decide by cost per need which jobs are turned away
+ * while capacity is short (admission.contention = "value", see contention.h);
+ * call before the first job
+ */
+void jb_admit_by_value(struct jb *j);
+
+/** jb_contention_price() - lowest cost per core-second of need that is
+ * admitted; 0 without contention */
+double jb_contention_price(const struct jb *j);
+
 /** jb_free() - drop all jobs without answers; consumed, NULL is allowed */
 void jb_free(struct jb *j);
 
--- a/sched/jobs_impl.h
+++ b/sched/jobs_impl.h
@@ -4,14 +4,16 @@
 #include <glib.h>
 
 #include "clock.h"
+#include "contention.h"
 #include "counters.h"
 #include "histogram.h"
 #include "jobs.h"
 
 /**
- * DOC: jb - internals: jobs.c admits jobs and places tasks, jobs_queue.c keeps
- * statistics of the queues, jobs_outcome.c handles reports and ends jobs,
- * jobs_withdrawals.c withdraws grants
+ * DOC: jb - internals: jobs.c admits jobs and places tasks, jobs_contention.c
+ * decides on them while capacity is short, jobs_queue.c keeps statistics of the
+ * queues, jobs_outcome.c handles reports and ends jobs, jobs_withdrawals.c
+ * withdraws grants
  */
 
 /* Declared run times are off by up to 40%: a job is given up only if not even a
@@ -93,10 +95,15 @@
 	uint64_t submitted_ms; /* when a client last submitted it */
 	uint64_t target_at_ms; /* an answer after this is late */
 	uint64_t deadline_ms;
-	GArray *waiters;  /* uint64_t */
-	GArray *trace;    /* struct tr_event */
-	bool any_granted; /* a task was granted */
-	bool any_started; /* a task has or may have started */
+	GArray *waiters;      /* uint64_t */
+	GArray *trace;        /* struct tr_event */
+	bool any_granted;     /* a task was granted */
+	bool any_started;     /* a task has or may have started */
+	double need;          /* expected core-milliseconds of all tasks */
+	double declared_need; /* the same by the declared run times */
+	double value;         /* cost of refusing it per need, see cc_value() */
+	bool waited;          /* the last decision was to wait */
+	bool settled;         /* it was admitted or turned away */
 };
 
 /** struct jb_ended_job - job that has ended, kept for its client's resubmission
@@ -139,6 +146,7 @@
 	struct hg *ran;        /* run time of a task at its endpoint */
 	uint64_t last_number;
 	double best_run_ratio; /* cached for this tick; 0: not computed yet */
+	struct cc *contention; /* NULL: decisions by slack */
 };
 
 /** jb_queue_table_new() - create the table for jb.queues; owned */
@@ -169,6 +177,38 @@
  */
 bool jb_delays_urgent(struct jb *j, struct jb_job *job);
 
+/**
+ * jb_least_slack_queue() - of the active queues of a service with a level below
+ * @end_level, the one whose jobs can wait the shortest time; NULL for none
+ */
+const struct jb_queue_stats *jb_least_slack_queue(
+    const struct jb *j, const char *service, unsigned end_level);
+
+/** jb_contention_arrived() - record the arrival of a job, which was just
+ * created; no effect if decisions are by slack */
+void jb_contention_arrived(struct jb *j, struct jb_job *job);
+
+/** jb_contention_decide() - whether to admit a job; CC_ADMIT if decisions are
+ * by slack */
+enum cc_decision jb_contention_decide(struct jb *j, struct jb_job *job);
+
+/** jb_contention_settled() - record once whether a job was admitted */
+void jb_contention_settled(struct jb *j, struct jb_job *job, bool admitted);
+
+/** jb_contention_retry_ms() - time after which to submit a job again, at least
+ * @least_ms */
+unsigned jb_contention_retry_ms(
+    struct jb *j, const struct jb_job *job, unsigned least_ms);
+
+/** jb_may_use_free() - whether a job is accepted that would be late on the
+ * worker that suits it best, since there is no contention, and another worker
+ * has free capacity and can end it by its deadline */
+bool jb_may_use_free(const struct jb *j, const struct jb_job *job,
+    const struct fl_requirements *req);
+
+/** jb_chance() - probability that a job ends in time */
+double jb_chance(const struct jb *j, const struct jb_job *job);
+
 /** jb_critical_path_ms() - expected run time of the longest chain of dependent
  * steps */
 uint64_t jb_critical_path_ms(const struct jb_job *job);
--- a/sched/jobs_outcome.c
+++ b/sched/jobs_outcome.c
@@ -103,7 +103,7 @@
 	unsigned i;
 
 	if (status == JB_REFUSED)
-		a.retry_ms = retry_ms(j, job);
+		a.retry_ms = jb_contention_retry_ms(j, job, retry_ms(j, job));
 	for (i = 0; i < job->ntasks; i++) {
 		t = &job->tasks[i];
 		if (t->state == JB_GRANTED || t->state == JB_UNREACHABLE)
@@ -545,7 +545,8 @@
 	    MIN(jb_critical_path_ms(job), job->target_at_ms));
 }
 
-/* The most urgent job first, those that are late already last. */
+/* The job with the highest cost per need first, or the most urgent one if
+ * decisions are by slack; those that are late already last. */
 static gint
 compare_waiting(gconstpointer a, gconstpointer b, gpointer now_ms)
 {
@@ -556,6 +557,8 @@
 
 	if ((x_by < now) != (y_by < now))
 		return (x_by < now ? 1 : -1);
+	if (x->value != y->value)
+		return (x->value < y->value ? 1 : -1);
 	return ((x_by > y_by) - (x_by < y_by));
 }
 
--- a/sched/jobs_queue.c
+++ b/sched/jobs_queue.c
@@ -61,10 +61,9 @@
 	q->last_job_ms = ck_mono_ms(j->clock);
 }
 
-/* Of the active, more urgent queues of the same service the one with the least
- * slack, NULL for none. */
-static const struct jb_queue_stats *
-least_slack_queue(const struct jb *j, const struct jb_job *job)
+const struct jb_queue_stats *
+jb_least_slack_queue(
+    const struct jb *j, const char *service, unsigned end_level)
 {
 	uint64_t now = ck_mono_ms(j->clock);
 	struct jb_queue_stats *q, *least = NULL;
@@ -72,9 +71,9 @@
 
 	g_hash_table_iter_init(&it, j->queues);
 	while (g_hash_table_iter_next(&it, NULL, (void **)&q))
-		if (q->level < lv_of(job->priority) &&
+		if (q->level < end_level &&
 		    now - q->last_job_ms < QUEUE_ACTIVE_MS &&
-		    strcmp(q->service, job->service) == 0 &&
+		    strcmp(q->service, service) == 0 &&
 		    (least == NULL || q->slack_ms < least->slack_ms))
 			least = q;
 	return (least);
@@ -83,7 +82,8 @@
 bool
 jb_delays_urgent(struct jb *j, struct jb_job *job)
 {
-	const struct jb_queue_stats *q = least_slack_queue(j, job);
+	const struct jb_queue_stats *q =
+	    jb_least_slack_queue(j, job->service, lv_of(job->priority));
 	struct fl_requirements req = {.label = "", .service = job->service};
 	struct fl_worker *w;
 	double finish, wait;
--- a/sched/trace.c
+++ b/sched/trace.c
@@ -36,6 +36,8 @@
 	"the agent of the task had restarted"},
     [TR_CONTACT_LOST] = {"contact_lost", NULL, NULL,
 	"the entry had lost contact with its agents"},
+    [TR_SHED] = {"shed", "price", "value",
+	"capacity was short, and others cost more to turn away"},
 };
 
 const char *
--- a/sched/trace.h
+++ b/sched/trace.h
@@ -31,6 +31,9 @@
 	TR_DROPPED,      /* the lease of an unreachable run has ended */
 	TR_RESTARTED,    /* agent has restarted, so the run has ended */
 	TR_CONTACT_LOST, /* entry was without contact to its agents */
+	TR_SHED,         /* capacity is short, and the job is below the price;
+			    a: price, b: its cost per need, in thousandths per
+			    core-second */
 	TR_MAX,
 };
 
