--- a/sched/contention.c
+++ b/sched/contention.c
@@ -8,15 +8,15 @@
 /* Arrivals and outcomes lose weight with this time constant. */
 #define AGE_MS 2000.0
 /* Contention begins when the waiting work takes this share of the slack of the
- * most urgent queue, and ends when it takes less than CALM_SHARE of it for
- * CALM_MS. Reports are up to 200 ms old, so a shorter calm may be a gap between
- * two of them. */
+ * most urgent queue. It ends when there has been no more waiting work than free
+ * capacity for CALM_MS: reports are up to 200 ms old, so a shorter time may be
+ * a gap between two of them. */
 #define CONTENDED_SHARE 0.5
-#define CALM_SHARE 0.25
 #define CALM_MS 400
 /* The admitted share of the need falls from 1 to 0 while the waiting work rises
- * from CALM_SHARE by this share of the slack. Work that is admitted shows in
- * the reports 50 to 100 ms later; a steeper fall would oscillate. */
+ * to this multiple of the slack. Admitted work shows in the reports 50 to 100
+ * ms later; at 0.6 the share oscillates and capacity stays unused, and at 3 too
+ * many jobs are late when demand is twice the capacity. */
 #define RANGE_SHARE 1.5
 /* Queues with a slack below this are treated as if they had it: reports are too
  * old to tell shorter waits apart. */
@@ -30,7 +30,7 @@
 /* Costs of jobs by priority level: a step of priority counts less than the
  * differences in need, since one caller is one caller. */
 static const double level_weights[PD_LEVELS] = {1, 0.8, 0.64, 0.512};
-/* Retry-After lies between this and twice RETRY_MAX_MS. */
+/* Limits of the begin of the interval of a retry. */
 #define RETRY_MIN_MS 200.0
 #define RETRY_MAX_MS 5000.0
 /* Bins of the logarithms of costs per need and of declared work: four to a
@@ -84,7 +84,7 @@
 	double trend;      /* change of wait_ms, ms per ms, over AGE_MS */
 	uint64_t seen_ms;  /* last state of the fleet */
 	uint64_t since_ms; /* start of the contention */
-	uint64_t busy_ms;  /* when the wait last exceeded CALM_SHARE */
+	uint64_t busy_ms;  /* when wait_ms was last above 0 */
 	bool seen;
 	bool contended;
 };
@@ -322,15 +322,12 @@
 static void
 update_contention(struct service *s, uint64_t now)
 {
-	if (s->wait_ms > slack_of(s) * CALM_SHARE)
+	if (s->wait_ms > 0 || now < s->busy_ms)
 		s->busy_ms = now;
 	if (!s->contended && s->wait_ms > slack_of(s) * CONTENDED_SHARE) {
 		s->contended = true;
 		s->since_ms = now;
-	} else if (s->contended &&
-	    (s->wait_ms <= 0 || now < s->busy_ms ||
-		now - s->busy_ms >= CALM_MS) &&
-	    s->wait_ms <= slack_of(s) * CALM_SHARE) {
+	} else if (s->contended && now - s->busy_ms >= CALM_MS) {
 		s->contended = false;
 	}
 }
@@ -340,18 +337,19 @@
 {
 	struct service *s = service_of(c, service);
 	uint64_t now = ck_mono_ms(c->clock);
-	double cpu = 0, before = s->wait_ms, elapsed;
+	double work, before = s->wait_ms, elapsed;
 	unsigned i;
 
 	s->fleet.capacity = clamp_number(f->capacity, 0, NEED_MAX);
 	s->fleet.slack_ms = clamp_number(f->slack_ms, 0, NEED_MAX);
 	s->fleet.mean_ms = clamp_number(f->mean_ms, 0, NEED_MAX);
+	work = (clamp_number(f->unseen, 0, NEED_MAX) -
+		   clamp_number(f->free, 0, NEED_MAX)) *
+	    s->fleet.mean_ms;
 	for (i = 0; i < PD_LEVELS; i++)
-		cpu += clamp_number(f->waiting[i], 0, NEED_MAX);
-	cpu -= clamp_number(f->free, 0, NEED_MAX);
-	s->wait_ms = s->fleet.capacity > 0
-	    ? cpu / s->fleet.capacity * s->fleet.mean_ms
-	    : 0;
+		work += clamp_number(f->waiting[i], 0, NEED_MAX) *
+		    clamp_number(f->run_ms[i], 0, NEED_MAX);
+	s->wait_ms = s->fleet.capacity > 0 ? work / s->fleet.capacity : 0;
 	if (s->seen && now > s->seen_ms) {
 		elapsed = (double)(now - s->seen_ms);
 		s->trend += ((s->wait_ms - before) / elapsed - s->trend) *
@@ -383,9 +381,8 @@
 static double
 fitting_share(const struct service *s)
 {
-	double over = s->wait_ms - slack_of(s) * CALM_SHARE;
-
-	return (clamp_number(1 - over / (slack_of(s) * RANGE_SHARE), 0, 1));
+	return (
+	    clamp_number(1 - s->wait_ms / (slack_of(s) * RANGE_SHARE), 0, 1));
 }
 
 /* --- price --- */
@@ -467,22 +464,47 @@
 	s->need_by_value[value_bin(job)] += need_of(job);
 }
 
+/* Waiting work at which the price is the value of a job, see fitting_share().
+ */
+static double
+wait_at_value(const struct service *s, const struct cc_job *job)
+{
+	double floor = FLOOR * share_of(&s->jobs), total = 0, above = 0;
+	unsigned i, bin = value_bin(job);
+
+	for (i = 0; i < BINS; i++) {
+		total += s->need_by_value[i];
+		if (i >= bin)
+			above += s->need_by_value[i];
+	}
+	if (total <= 0)
+		return (0);
+	return ((1 - floor) * (1 - above / total) * slack_of(s) * RANGE_SHARE);
+}
+
 /*
  * Time until the price is expected to fall below the value of a job. While the
  * waiting work shrinks, it goes on at that rate; else the contention is
  * expected to last as long again as it has lasted.
  */
-static unsigned
-retry_ms(const struct cc *c, const struct service *s, const struct cc_job *job)
+static double
+price_falls_ms(
+    const struct cc *c, const struct service *s, const struct cc_job *job)
 {
 	uint64_t now = ck_mono_ms(c->clock);
-	double over = s->wait_ms - slack_of(s) * CALM_SHARE, ms;
 
 	if (s->trend < 0)
-		ms = over / -s->trend;
-	else
-		ms = now > s->since_ms ? (double)(now - s->since_ms) : 0;
-	ms = clamp_number(ms, RETRY_MIN_MS, RETRY_MAX_MS);
+		return (
+		    fmax(s->wait_ms - wait_at_value(s, job), 0) / -s->trend);
+	return (now > s->since_ms ? (double)(now - s->since_ms) : 0);
+}
+
+/* Spreads retries over an interval as long as the time until it begins. */
+static unsigned
+retry_ms(const struct cc_job *job, double falls_ms)
+{
+	double ms = clamp_number(falls_ms, RETRY_MIN_MS, RETRY_MAX_MS);
+
 	return ((unsigned)(ms + id_fraction(job) * ms));
 }
 
@@ -492,7 +514,7 @@
 	const struct service *s = service_of(c, job->service);
 	const struct queue *q = queue_of(c, job->queue);
 	struct cc_verdict v = {.cost = cost_of(job), .need = need_of(job)};
-	double price;
+	double price, falls_ms;
 
 	if (!s->contended || s->fleet.capacity <= 0)
 		return (v);
@@ -504,8 +526,10 @@
 		v.decision = CC_FLOOR;
 		return (v);
 	}
-	v.retry_ms = retry_ms(c, s, job);
-	v.decision = job->slack_ms > 0 ? CC_WAIT : CC_REFUSE;
+	falls_ms = price_falls_ms(c, s, job);
+	v.retry_ms = retry_ms(job, falls_ms);
+	v.decision =
+	    s->trend < 0 && falls_ms < job->slack_ms ? CC_WAIT : CC_REFUSE;
 	return (v);
 }
 
--- a/sched/contention.h
+++ b/sched/contention.h
@@ -32,7 +32,10 @@
  * @free: CPU on which another task would start at once, thousandths of a core
  * @waiting: CPU of the tasks that wait at the workers, by priority level,
  *     thousandths of a core
- * @mean_ms: mean run time of a task
+ * @run_ms: mean run time of these tasks, by priority level
+ * @unseen: CPU of granted tasks that will wait and are not reported yet,
+ *     thousandths of a core
+ * @mean_ms: mean run time of all tasks
  * @slack_ms: time that jobs of the most urgent active queue can wait and still
  *     be in time
  */
@@ -40,6 +43,8 @@
 	double capacity;
 	double free;
 	double waiting[PD_LEVELS];
+	double run_ms[PD_LEVELS];
+	double unseen;
 	double mean_ms;
 	double slack_ms;
 };
@@ -69,7 +74,8 @@
  * @CC_ADMIT: no contention, or its cost per need is not below the price
  * @CC_FLOOR: admitted below the price, since its queue or size class would get
  *     less than its floor
- * @CC_WAIT: below the price; decide again later, it can still wait
+ * @CC_WAIT: below the price, which is expected to fall below its cost per need
+ *     while it can still wait; decide again later
  * @CC_REFUSE: below the price
  */
 enum cc_decision {
--- a/sched/jobs_contention.c
+++ b/sched/jobs_contention.c
@@ -58,11 +58,12 @@
 	double cpu; /* of a task, to tell free capacity that can be used */
 	double mean_weight;
 	double mean_sum;
+	double ratio_sum;
 	struct cc_fleet fleet;
 };
 
-/* The agent's report has the levels of the queued tasks; grants that it has not
- * seen yet are added to the last one. */
+/* The agent's report has the levels of the queued tasks, but not yet the latest
+ * grants. */
 static void
 add_waiting(struct cc_fleet *f, const struct fl_worker *w)
 {
@@ -76,7 +77,7 @@
 		waiting = queued;
 	for (i = 0; i < PD_LEVELS; i++)
 		f->waiting[i] += w->cpu_queued[i];
-	f->waiting[PD_LEVELS - 1] += waiting - queued;
+	f->unseen += waiting - queued;
 }
 
 static void
@@ -97,6 +98,29 @@
 		return;
 	s->mean_weight += w->cpu;
 	s->mean_sum += (double)w->cpu * w->reported.mean_ms;
+	s->ratio_sum += (double)w->cpu * w->reported.ratio_permille / PERMILLE;
+}
+
+/* Sets the run times by level to those of the tasks of the queues of a service,
+ * since the tasks that wait take longer on average than those that end. */
+static void
+set_run_times(const struct jb *j, struct sum *s)
+{
+	double ratio = s->mean_weight > 0 ? s->ratio_sum / s->mean_weight : 1;
+	double sizes[PD_LEVELS] = {0};
+	unsigned n[PD_LEVELS] = {0}, i;
+	struct jb_queue_stats *q;
+	GHashTableIter it;
+
+	g_hash_table_iter_init(&it, j->queues);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&q))
+		if (strcmp(q->service, s->service) == 0) {
+			sizes[q->level] += q->size_ms;
+			n[q->level]++;
+		}
+	for (i = 0; i < PD_LEVELS; i++)
+		s->fleet.run_ms[i] =
+		    n[i] > 0 ? sizes[i] / n[i] * ratio : s->fleet.mean_ms;
 }
 
 /* Sums up the fleet as far as the last sum is not recent. */
@@ -115,6 +139,7 @@
 	fl_each(j->fleet, add_worker, &s);
 	s.fleet.mean_ms =
 	    s.mean_weight > 0 ? s.mean_sum / s.mean_weight : DEFAULT_MEAN_MS;
+	set_run_times(j, &s);
 	cc_observe(j->contention, job->service, &s.fleet);
 }
 
