--- a/sched/contention.c
+++ b/sched/contention.c
@@ -79,7 +79,8 @@
 	uint64_t aged_ms;
 	struct tally jobs;
 	double need_by_value[BINS]; /* of arrivals */
-	struct cc_fleet fleet;
+	double capacity;            /* thousandths of a core */
+	double slack_ms;            /* of the most urgent queue */
 	double wait_ms;    /* of the waiting work; negative: free capacity */
 	double trend;      /* change of wait_ms, ms per ms, over AGE_MS */
 	uint64_t seen_ms;  /* last state of the fleet */
@@ -312,19 +313,13 @@
 
 /* --- state of the fleet --- */
 
-static double
-slack_of(const struct service *s)
-{
-	return (fmax(s->fleet.slack_ms, SLACK_MIN_MS));
-}
-
 /* Enters or leaves the state of contention. */
 static void
 update_contention(struct service *s, uint64_t now)
 {
 	if (s->wait_ms > 0 || now < s->busy_ms)
 		s->busy_ms = now;
-	if (!s->contended && s->wait_ms > slack_of(s) * CONTENDED_SHARE) {
+	if (!s->contended && s->wait_ms > s->slack_ms * CONTENDED_SHARE) {
 		s->contended = true;
 		s->since_ms = now;
 	} else if (s->contended && now - s->busy_ms >= CALM_MS) {
@@ -332,24 +327,40 @@
 	}
 }
 
+/* Time that the waiting work of a state takes all workers, without what free
+ * capacity takes up at once; negative while more capacity is free than needed.
+ */
+static double
+waiting_ms(const struct cc_fleet *f)
+{
+	double cpu = clamp_number(f->unseen, 0, NEED_MAX);
+	double mean = clamp_number(f->mean_ms, 0, NEED_MAX);
+	double work = cpu * mean, waiting, excess;
+	double capacity = clamp_number(f->capacity, 0, NEED_MAX);
+	unsigned i;
+
+	if (capacity <= 0)
+		return (0);
+	for (i = 0; i < PD_LEVELS; i++) {
+		waiting = clamp_number(f->waiting[i], 0, NEED_MAX);
+		cpu += waiting;
+		work += waiting * clamp_number(f->run_ms[i], 0, NEED_MAX);
+	}
+	excess = cpu - clamp_number(f->free, 0, NEED_MAX);
+	return (excess > 0 ? work / capacity * excess / cpu
+			   : excess / capacity * mean);
+}
+
 void
 cc_observe(struct cc *c, const char *service, const struct cc_fleet *f)
 {
 	struct service *s = service_of(c, service);
 	uint64_t now = ck_mono_ms(c->clock);
-	double work, before = s->wait_ms, elapsed;
-	unsigned i;
+	double before = s->wait_ms, elapsed;
 
-	s->fleet.capacity = clamp_number(f->capacity, 0, NEED_MAX);
-	s->fleet.slack_ms = clamp_number(f->slack_ms, 0, NEED_MAX);
-	s->fleet.mean_ms = clamp_number(f->mean_ms, 0, NEED_MAX);
-	work = (clamp_number(f->unseen, 0, NEED_MAX) -
-		   clamp_number(f->free, 0, NEED_MAX)) *
-	    s->fleet.mean_ms;
-	for (i = 0; i < PD_LEVELS; i++)
-		work += clamp_number(f->waiting[i], 0, NEED_MAX) *
-		    clamp_number(f->run_ms[i], 0, NEED_MAX);
-	s->wait_ms = s->fleet.capacity > 0 ? work / s->fleet.capacity : 0;
+	s->capacity = clamp_number(f->capacity, 0, NEED_MAX);
+	s->slack_ms = clamp_number(f->slack_ms, SLACK_MIN_MS, NEED_MAX);
+	s->wait_ms = waiting_ms(f);
 	if (s->seen && now > s->seen_ms) {
 		elapsed = (double)(now - s->seen_ms);
 		s->trend += ((s->wait_ms - before) / elapsed - s->trend) *
@@ -382,7 +393,7 @@
 fitting_share(const struct service *s)
 {
 	return (
-	    clamp_number(1 - s->wait_ms / (slack_of(s) * RANGE_SHARE), 0, 1));
+	    clamp_number(1 - s->wait_ms / (s->slack_ms * RANGE_SHARE), 0, 1));
 }
 
 /* --- price --- */
@@ -479,7 +490,7 @@
 	}
 	if (total <= 0)
 		return (0);
-	return ((1 - floor) * (1 - above / total) * slack_of(s) * RANGE_SHARE);
+	return ((1 - floor) * (1 - above / total) * s->slack_ms * RANGE_SHARE);
 }
 
 /*
@@ -516,7 +527,7 @@
 	struct cc_verdict v = {.cost = cost_of(job), .need = need_of(job)};
 	double price, falls_ms;
 
-	if (!s->contended || s->fleet.capacity <= 0)
+	if (!s->contended || s->capacity <= 0)
 		return (v);
 	price = price_position(s);
 	v.price = price_at(price);
@@ -547,8 +558,8 @@
 	q->jobs.admitted++;
 	add_credit(&q->credit, -1);
 	add_class_credits(q, job, -1);
-	if (s->fleet.capacity > 0)
-		s->wait_ms += need_of(job) * MS_PER_S / s->fleet.capacity;
+	if (s->capacity > 0)
+		s->wait_ms += need_of(job) * MS_PER_S / s->capacity;
 }
 
 const char *
