--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -16,6 +16,7 @@
 #include "fleet.h"
 #include "front.h"
 #include "gossip.h"
+#include "joblog.h"
 #include "jobs.h"
 #include "lease.h"
 #include "log.h"
@@ -27,6 +28,7 @@
 
 #define TICK_MS 20
 #define US_PER_MS 1000
+#define PERMILLE 1000
 /* The load balancer probes once a second and stops sending new connections to
  * this entry after two failed probes. */
 #define DRAIN_MIN_MS 3600
@@ -57,6 +59,7 @@
 	struct st_strings addresses;
 	struct st_strings seeds;
 	char *store;
+	char *contention;
 	char *log_level;
 	int64_t resubmit_ms;
 };
@@ -88,6 +91,10 @@
 	"addresses of other entries; their RPC port is that of listen.rpc"},
     {"platform.store", ST_STRING, FIELD(store), 9, 21, NULL, NULL,
 	"IP:port of the platform's store"},
+    {"admission.contention", ST_STRING, FIELD(contention), 1, 16, "slack",
+	"slack|value",
+	"which jobs are refused while capacity is short: those that would wait "
+	"too long, or those that cost callers least"},
     {"log.level", ST_STRING, FIELD(log_level), 1, 16, "info",
 	"err|warning|notice|info|debug", "least severe level to log"},
 };
@@ -160,57 +167,16 @@
 	fr_answer(d->front, waiter, a);
 }
 
-#define EVENT_FORMAT "{s:s,s:i,s:i,s:i,s:s*,s:"
-
-/* The kind of an event determines the names of its values, if it has any. */
-static void
-log_trace_event(const struct jb_answer *job, const struct tr_event *e)
-{
-	const char *a = tr_field_a(e->kind), *b = tr_field_b(e->kind);
-	const char *format = b != NULL ? EVENT_FORMAT "{s:i,s:i}}"
-	    : a != NULL                ? EVENT_FORMAT "{s:i}}"
-				       : EVENT_FORMAT "{}}";
-
-	ev_write_detail("jobs", tr_name(e->kind), format, "job", job->id,
-	    "at_ms", (int)e->at_ms, "task", (int)e->task, "attempt",
-	    (int)e->attempt, "worker", e->worker, "because", a, e->a, b, e->b);
-}
-
-/* First event that may have made the job fail or be late, NULL for none. */
-static const struct tr_event *
-first_problem(const struct jb_answer *a)
-{
-	unsigned i;
-
-	for (i = 0; i < a->ntrace; i++)
-		if (tr_is_problem(a->trace[i].kind))
-			return (&a->trace[i]);
-	return (NULL);
-}
-
-/* Logs jobs that did not complete in time, and a sample of the others. The
- * first problem is part of the line of the answer, since the lines of events
- * are dropped first when many jobs end at once. */
+/* Logs jobs that did not complete in time, and a sample of the others. */
 static void
 on_job_ended(void *arg, const struct jb_answer *a)
 {
-	const struct tr_event *first = first_problem(a);
 	struct di *d = arg;
-	unsigned i;
 
 	if (a->status == JB_COMPLETED && a->late_ms == 0 &&
 	    ++d->jobs_in_time % LOG_SAMPLE_INTERVAL != 0)
 		return;
-	ev_write("jobs", "answered",
-	    "{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:I,s:s*,s:s*}", "job", a->id,
-	    "queue", a->queue, "status", jb_status_name(a->status), "reason",
-	    jb_reason_name(a->reason), "took_ms", (int)a->took_ms, "late_ms",
-	    (int)a->late_ms, "workers", (int)fl_usable_count(d->fleet),
-	    "config", (json_int_t)cf_revision(d->config), "trouble",
-	    first == NULL ? NULL : tr_name(first->kind), "trouble_worker",
-	    first == NULL ? NULL : first->worker);
-	for (i = 0; i < a->ntrace; i++)
-		log_trace_event(a, &a->trace[i]);
+	jl_write(a, fl_usable_count(d->fleet), cf_revision(d->config));
 }
 
 static const struct jb_ops job_ops = {
@@ -569,6 +535,11 @@
 	ct_set(ct_get(d->counters, CT_GAUGE, "pd_jobs_active",
 		   "Transient jobs without an answer", ""),
 	    jb_active_count(d->jobs));
+	ct_set(ct_get(d->counters, CT_GAUGE, "pd_contention_price",
+		   "Cost per core-second below which jobs are refused, in "
+		   "thousandths; 0 without contention",
+		   ""),
+	    (int64_t)(jb_contention_price(d->jobs) * PERMILLE));
 	ct_set(ct_get(d->counters, CT_GAUGE, "pd_workers_usable",
 		   "Workers that take work", ""),
 	    fl_usable_count(d->fleet));
@@ -708,6 +679,8 @@
 	d->fleet = fl_new(d->clock, d->counters, d->config, rn_u64(rng));
 	rn_free(rng);
 	d->jobs = jb_new(d->clock, d->counters, d->fleet, &job_ops, d);
+	if (strcmp(d->settings.contention, "value") == 0)
+		jb_admit_by_value(d->jobs);
 	d->seeds = read_seeds(&d->settings);
 	d->workers =
 	    wo_new(d->base, d->settings.rpc, &self, d->fleet, &worker_ops, d);
--- a/sched/contention.c
+++ b/sched/contention.c
@@ -13,11 +13,14 @@
  * a gap between two of them. */
 #define CONTENDED_SHARE 0.5
 #define CALM_MS 400
-/* The admitted share of the need falls from 1 to 0 while the waiting work rises
- * to this multiple of the slack. Admitted work shows in the reports 50 to 100
- * ms later; at 0.6 the share oscillates and capacity stays unused, and at 3 too
- * many jobs are late when demand is twice the capacity. */
-#define RANGE_SHARE 1.5
+/* Waiting work that takes this multiple of the slack lowers the admitted share
+ * of the need by 1. On the loads of docs/design/contention.md, at 2 too much is
+ * refused in short bursts at a few workers, and at 6 too many jobs are late
+ * when demand is twice the capacity. */
+#define RANGE_SHARE 2.5
+/* Least admitted share and demand that estimates are based on. */
+#define ADMITTED_MIN 0.05
+#define DEMAND_MIN 0.1
 /* Queues with a slack below this are treated as if they had it: reports are too
  * old to tell shorter waits apart. */
 #define SLACK_MIN_MS 20.0
@@ -81,8 +84,10 @@
 	double need_by_value[BINS]; /* of arrivals */
 	double capacity;            /* thousandths of a core */
 	double slack_ms;            /* of the most urgent queue */
-	double wait_ms;    /* of the waiting work; negative: free capacity */
-	double trend;      /* change of wait_ms, ms per ms, over AGE_MS */
+	double wait_ms; /* of the waiting work; negative: free capacity */
+	double trend;   /* change of wait_ms, ms per ms, over AGE_MS */
+	double busy;    /* share of the capacity in use, over AGE_MS */
+	double need_admitted;
 	uint64_t seen_ms;  /* last state of the fleet */
 	uint64_t since_ms; /* start of the contention */
 	uint64_t busy_ms;  /* when wait_ms was last above 0 */
@@ -173,6 +178,7 @@
 		return;
 	s->jobs.arrived *= left;
 	s->jobs.admitted *= left;
+	s->need_admitted *= left;
 	for (i = 0; i < BINS; i++)
 		s->need_by_value[i] *= left;
 }
@@ -356,15 +362,20 @@
 {
 	struct service *s = service_of(c, service);
 	uint64_t now = ck_mono_ms(c->clock);
-	double before = s->wait_ms, elapsed;
+	double before = s->wait_ms, elapsed, weight, busy;
 
 	s->capacity = clamp_number(f->capacity, 0, NEED_MAX);
 	s->slack_ms = clamp_number(f->slack_ms, SLACK_MIN_MS, NEED_MAX);
 	s->wait_ms = waiting_ms(f);
+	busy =
+	    s->capacity > 0 ? 1 - clamp_number(f->free / s->capacity, 0, 1) : 0;
 	if (s->seen && now > s->seen_ms) {
 		elapsed = (double)(now - s->seen_ms);
-		s->trend += ((s->wait_ms - before) / elapsed - s->trend) *
-		    (1 - exp(-elapsed / AGE_MS));
+		weight = 1 - exp(-elapsed / AGE_MS);
+		s->trend += ((fmax(s->wait_ms, 0) - fmax(before, 0)) / elapsed -
+				s->trend) *
+		    weight;
+		s->busy += (busy - s->busy) * weight;
 	}
 	s->seen_ms = now;
 	s->seen = true;
@@ -387,13 +398,41 @@
 	return (service_of(c, service)->contended);
 }
 
-/* Share of the need of all arrivals that fits, from the waiting work: it is the
- * same at all entries, whatever arrives at each. */
+static double
+need_arrived(const struct service *s)
+{
+	double sum = 0;
+	unsigned i;
+
+	for (i = 0; i < BINS; i++)
+		sum += s->need_by_value[i];
+	return (sum);
+}
+
+/* Demand of all entries as a multiple of the capacity. What they admit keeps
+ * the workers busy or lets the waiting work grow; what they turn away is taken
+ * to be the same share as here. */
+static double
+demand_of(const struct service *s)
+{
+	double arrived = need_arrived(s);
+	double admitted = arrived > 0 ? s->need_admitted / arrived : 1;
+
+	return (fmax(s->busy + s->trend, 0) /
+	    clamp_number(admitted, ADMITTED_MIN, 1));
+}
+
+/*
+ * Share of the need of all arrivals that fits: what demand leaves, less what
+ * the waiting work takes up. It is computed from the state of the whole fleet,
+ * so it is about the same at all entries, whatever arrives at each.
+ */
 static double
 fitting_share(const struct service *s)
 {
-	return (
-	    clamp_number(1 - s->wait_ms / (s->slack_ms * RANGE_SHARE), 0, 1));
+	return (clamp_number(1 / fmax(demand_of(s), DEMAND_MIN) -
+		s->wait_ms / (s->slack_ms * RANGE_SHARE),
+	    0, 1));
 }
 
 /* --- price --- */
@@ -420,12 +459,9 @@
 static double
 price_position(const struct service *s)
 {
-	double total = 0, above = 0, limit;
+	double limit = need_arrived(s) * share_by_value(s), above = 0;
 	unsigned i;
 
-	for (i = 0; i < BINS; i++)
-		total += s->need_by_value[i];
-	limit = total * share_by_value(s);
 	for (i = BINS; i > 0; i--) {
 		if (above + s->need_by_value[i - 1] > limit)
 			return (i - (limit - above) / s->need_by_value[i - 1]);
@@ -480,17 +516,17 @@
 static double
 wait_at_value(const struct service *s, const struct cc_job *job)
 {
-	double floor = FLOOR * share_of(&s->jobs), total = 0, above = 0;
-	unsigned i, bin = value_bin(job);
+	double floor = FLOOR * share_of(&s->jobs), above = 0, fitting;
+	double total = need_arrived(s);
+	unsigned i;
 
-	for (i = 0; i < BINS; i++) {
-		total += s->need_by_value[i];
-		if (i >= bin)
-			above += s->need_by_value[i];
-	}
 	if (total <= 0)
 		return (0);
-	return ((1 - floor) * (1 - above / total) * s->slack_ms * RANGE_SHARE);
+	for (i = value_bin(job); i < BINS; i++)
+		above += s->need_by_value[i];
+	fitting = floor + (1 - floor) * above / total;
+	return ((1 / fmax(demand_of(s), DEMAND_MIN) - fitting) * s->slack_ms *
+	    RANGE_SHARE);
 }
 
 /*
@@ -555,6 +591,7 @@
 	if (!admitted)
 		return;
 	s->jobs.admitted++;
+	s->need_admitted += need_of(job);
 	q->jobs.admitted++;
 	add_credit(&q->credit, -1);
 	add_class_credits(q, job, -1);
