--- a/sched/contention.c
+++ b/sched/contention.c
@@ -7,6 +7,8 @@
 
 /* Arrivals and outcomes lose weight with this time constant. */
 #define AGE_MS 2000.0
+/* Services and queues without arrivals for this time make space for others. */
+#define FORGET_MS 60000
 /* Contention begins when the waiting work takes this share of the slack of the
  * most urgent queue. It ends when there has been no more waiting work than free
  * capacity for CALM_MS: reports are up to 200 ms old, so a shorter time may be
@@ -71,7 +73,7 @@
 };
 
 struct queue {
-	uint64_t aged_ms;
+	uint64_t aged_ms; /* last arrival; see is_unused() */
 	struct tally jobs;
 	double credit; /* guaranteed admissions that are left */
 	double class_credits[CL_COUNT];
@@ -79,14 +81,15 @@
 };
 
 struct service {
-	uint64_t aged_ms;
+	uint64_t aged_ms; /* last arrival; see is_unused() */
 	struct tally jobs;
 	double need_by_value[BINS]; /* of arrivals */
 	double capacity;            /* thousandths of a core */
 	double slack_ms;            /* of the most urgent queue */
-	double wait_ms; /* of the waiting work; negative: free capacity */
-	double trend;   /* change of wait_ms, ms per ms, over AGE_MS */
-	double busy;    /* share of the capacity in use, over AGE_MS */
+	double wait_ms;      /* of the waiting work; negative: free capacity */
+	double seen_wait_ms; /* the same as of the last state of the fleet */
+	double trend;        /* change of wait_ms, ms per ms, over AGE_MS */
+	double busy;         /* share of the capacity in use, over AGE_MS */
 	double need_admitted;
 	uint64_t seen_ms;  /* last state of the fleet */
 	uint64_t since_ms; /* start of the contention */
@@ -124,19 +127,39 @@
 	g_free(c);
 }
 
+/* Whether an entry of a table, of which the first member is the time when it
+ * was used last, can be forgotten. */
+static gboolean
+is_unused(gpointer name, gpointer entry, gpointer now_ms)
+{
+	uint64_t used_ms = *(const uint64_t *)entry;
+	uint64_t now = *(const uint64_t *)now_ms;
+
+	(void)name;
+	return (now > used_ms && now - used_ms > FORGET_MS);
+}
+
 /* Of @table, the entry of @name, created if there is none. The name "" stands
  * for all names for which there is no space. */
 static void *
-find_or_add(GHashTable *table, const char *name, guint max, gsize size)
+find_or_add(const struct cc *c, GHashTable *table, const char *name, guint max,
+    gsize size)
 {
 	void *p = g_hash_table_lookup(table, name);
-
-	if (p == NULL && g_hash_table_size(table) >= max) {
+	uint64_t now;
+
+	if (p != NULL)
+		return (p);
+	now = ck_mono_ms(c->clock);
+	if (g_hash_table_size(table) >= max)
+		g_hash_table_foreach_remove(table, is_unused, &now);
+	if (g_hash_table_size(table) >= max) {
 		name = "";
 		p = g_hash_table_lookup(table, name);
 	}
 	if (p == NULL) {
 		p = g_malloc0(size);
+		memcpy(p, &now, sizeof(now));
 		g_hash_table_insert(table, g_strdup(name), p);
 	}
 	return (p);
@@ -146,14 +169,14 @@
 service_of(const struct cc *c, const char *name)
 {
 	return (find_or_add(
-	    c->services, name, CC_SERVICES_MAX, sizeof(struct service)));
+	    c, c->services, name, CC_SERVICES_MAX, sizeof(struct service)));
 }
 
 static struct queue *
 queue_of(const struct cc *c, const char *name)
 {
-	return (
-	    find_or_add(c->queues, name, CC_QUEUES_MAX, sizeof(struct queue)));
+	return (find_or_add(
+	    c, c->queues, name, CC_QUEUES_MAX, sizeof(struct queue)));
 }
 
 /* Weight that remains after the time since @from_ms, which is set to @now. A
@@ -362,11 +385,12 @@
 {
 	struct service *s = service_of(c, service);
 	uint64_t now = ck_mono_ms(c->clock);
-	double before = s->wait_ms, elapsed, weight, busy;
+	double before = s->seen_wait_ms, elapsed, weight, busy;
 
 	s->capacity = clamp_number(f->capacity, 0, NEED_MAX);
 	s->slack_ms = clamp_number(f->slack_ms, SLACK_MIN_MS, NEED_MAX);
 	s->wait_ms = waiting_ms(f);
+	s->seen_wait_ms = s->wait_ms;
 	busy =
 	    s->capacity > 0 ? 1 - clamp_number(f->free / s->capacity, 0, 1) : 0;
 	if (s->seen && now > s->seen_ms) {
