--- a/sched/contention.c
+++ b/sched/contention.c
@@ -16,13 +16,14 @@
 #define CONTENDED_SHARE 0.5
 #define CALM_MS 400
 /* Waiting work that takes this multiple of the slack lowers the admitted share
- * of the need by 1. On the loads of docs/design/contention.md, at 2 too much is
- * refused in short bursts at a few workers, and at 6 too many jobs are late
- * when demand is twice the capacity. */
-#define RANGE_SHARE 2.5
-/* Least admitted share and demand that estimates are based on. */
-#define ADMITTED_MIN 0.05
-#define DEMAND_MIN 0.1
+ * of the need by 1. At 2.5 too much is refused in short bursts at a few
+ * workers.
+ */
+#define RANGE_SHARE 10.0
+/* The same for the mean of the waiting work over AGE_MS. At 0.6 too much is
+ * refused, at 2 more jobs are late when demand is twice the capacity; see
+ * docs/design/contention.md. */
+#define LASTING_RANGE_SHARE 1.2
 /* Queues with a slack below this are treated as if they had it: reports are too
  * old to tell shorter waits apart. */
 #define SLACK_MIN_MS 20.0
@@ -89,11 +90,10 @@
 	double wait_ms;      /* of the waiting work; negative: free capacity */
 	double seen_wait_ms; /* the same as of the last state of the fleet */
 	double trend;        /* change of wait_ms, ms per ms, over AGE_MS */
-	double busy;         /* share of the capacity in use, over AGE_MS */
-	double need_admitted;
-	uint64_t seen_ms;  /* last state of the fleet */
-	uint64_t since_ms; /* start of the contention */
-	uint64_t busy_ms;  /* when wait_ms was last above 0 */
+	double mean_wait_ms; /* mean over AGE_MS, free capacity counted as 0 */
+	uint64_t seen_ms;    /* last state of the fleet */
+	uint64_t since_ms;   /* start of the contention */
+	uint64_t busy_ms;    /* when wait_ms was last above 0 */
 	bool seen;
 	bool contended;
 };
@@ -201,7 +201,6 @@
 		return;
 	s->jobs.arrived *= left;
 	s->jobs.admitted *= left;
-	s->need_admitted *= left;
 	for (i = 0; i < BINS; i++)
 		s->need_by_value[i] *= left;
 }
@@ -385,21 +384,20 @@
 {
 	struct service *s = service_of(c, service);
 	uint64_t now = ck_mono_ms(c->clock);
-	double before = s->seen_wait_ms, elapsed, weight, busy;
+	double before = s->seen_wait_ms, elapsed, weight;
 
 	s->capacity = clamp_number(f->capacity, 0, NEED_MAX);
 	s->slack_ms = clamp_number(f->slack_ms, SLACK_MIN_MS, NEED_MAX);
 	s->wait_ms = waiting_ms(f);
 	s->seen_wait_ms = s->wait_ms;
-	busy =
-	    s->capacity > 0 ? 1 - clamp_number(f->free / s->capacity, 0, 1) : 0;
 	if (s->seen && now > s->seen_ms) {
 		elapsed = (double)(now - s->seen_ms);
 		weight = 1 - exp(-elapsed / AGE_MS);
 		s->trend += ((fmax(s->wait_ms, 0) - fmax(before, 0)) / elapsed -
 				s->trend) *
 		    weight;
-		s->busy += (busy - s->busy) * weight;
+		s->mean_wait_ms +=
+		    (fmax(s->wait_ms, 0) - s->mean_wait_ms) * weight;
 	}
 	s->seen_ms = now;
 	s->seen = true;
@@ -433,30 +431,19 @@
 	return (sum);
 }
 
-/* Demand of all entries as a multiple of the capacity. What they admit keeps
- * the workers busy or lets the waiting work grow; what they turn away is taken
- * to be the same share as here. */
-static double
-demand_of(const struct service *s)
-{
-	double arrived = need_arrived(s);
-	double admitted = arrived > 0 ? s->need_admitted / arrived : 1;
-
-	return (fmax(s->busy + s->trend, 0) /
-	    clamp_number(admitted, ADMITTED_MIN, 1));
-}
-
 /*
- * Share of the need of all arrivals that fits: what demand leaves, less what
- * the waiting work takes up. It is computed from the state of the whole fleet,
- * so it is about the same at all entries, whatever arrives at each.
+ * Share of the need of all arrivals that fits. Waiting work lowers it at once
+ * by a little, so that a short burst is let in, and by more when it has lasted.
+ * It depends on the reports of the fleet only, so it is about the same at all
+ * entries, whatever arrives at each.
  */
 static double
 fitting_share(const struct service *s)
 {
-	return (clamp_number(1 / fmax(demand_of(s), DEMAND_MIN) -
-		s->wait_ms / (s->slack_ms * RANGE_SHARE),
-	    0, 1));
+	double wait = fmax(s->wait_ms, 0) / RANGE_SHARE +
+	    s->mean_wait_ms / LASTING_RANGE_SHARE;
+
+	return (clamp_number(1 - wait / s->slack_ms, 0, 1));
 }
 
 /* --- price --- */
@@ -549,8 +536,8 @@
 	for (i = value_bin(job); i < BINS; i++)
 		above += s->need_by_value[i];
 	fitting = floor + (1 - floor) * above / total;
-	return ((1 / fmax(demand_of(s), DEMAND_MIN) - fitting) * s->slack_ms *
-	    RANGE_SHARE);
+	return ((1 - fitting) * s->slack_ms /
+	    (1 / RANGE_SHARE + 1 / LASTING_RANGE_SHARE));
 }
 
 /*
@@ -615,7 +602,6 @@
 	if (!admitted)
 		return;
 	s->jobs.admitted++;
-	s->need_admitted += need_of(job);
 	q->jobs.admitted++;
 	add_credit(&q->credit, -1);
 	add_class_credits(q, job, -1);
