--- a/sched/contention.c
+++ b/sched/contention.c
@@ -47,7 +47,7 @@
 #define VALUE_EXPONENT_MIN (-20.0)
 /* Jobs by which the size classes of a queue are known: older ones lose weight.
  */
-#define SIZES_WEIGHT (1 / 200.0)
+#define SIZED_MAX 200
 #define NEED_MAX 1e9
 /* Mixes the hashes of ids, which differ in few bits for consecutive ids. */
 #define ID_MULTIPLIER 2654435761U
@@ -78,6 +78,7 @@
 	struct tally jobs;
 	double credit; /* guaranteed admissions that are left */
 	double class_credits[CL_COUNT];
+	unsigned sized;    /* jobs in sizes, up to SIZED_MAX */
 	float sizes[BINS]; /* share of the jobs by declared work */
 };
 
@@ -272,19 +273,18 @@
 	return (bin_of(clamp_number(job->declared, 1, NEED_MAX), 0));
 }
 
+/* The first jobs count alike, so that the sizes are known soon. */
 static void
 learn_size(struct queue *q, const struct cc_job *job)
 {
-	bool first = q->sizes[0] == 0 && q->jobs.arrived == 0;
-	double total = 0, weight;
+	float weight = 1.0F / (float)(q->sized + 1);
 	unsigned i;
 
-	for (i = 0; first && i < BINS; i++)
-		total += q->sizes[i];
-	weight = first && total == 0 ? 1 : SIZES_WEIGHT;
+	if (q->sized < SIZED_MAX)
+		q->sized++;
 	for (i = 0; i < BINS; i++)
-		q->sizes[i] *= (float)(1 - weight);
-	q->sizes[size_bin(job)] += (float)weight;
+		q->sizes[i] *= 1 - weight;
+	q->sizes[size_bin(job)] += weight;
 }
 
 /* Share of the jobs of a queue that declare less work, half of those in the
