--- a/bench/load.c
+++ b/bench/load.c
@@ -19,6 +19,9 @@
 	int64_t agents_ms;
 	int64_t zones;
 	char *speeds;
+	int64_t swing_percent;
+	int64_t swing_ms;
+	char *contention;
 	int64_t estimate_off_percent;
 	int64_t estimate_sigma_percent;
 	bool tails_declared;
@@ -49,6 +52,12 @@
 	0, 300, "0", NULL,
 	"deviation of the logarithm of declared run times, percent; 0: "
 	"estimate_off_percent applies"},
+    {"swing_percent", ST_INTEGER, FILE_FIELD(swing_percent), 0, 99, "0", NULL,
+	"share by which arrival rates rise and fall"},
+    {"swing_ms", ST_INTEGER, FILE_FIELD(swing_ms), 0, 1000000, "0", NULL,
+	"period of that, milliseconds; 0: none"},
+    {"contention", ST_STRING, FILE_FIELD(contention), 1, 16, "slack",
+	"slack|value", "setting admission.contention of the entries"},
     {"estimate_off_percent", ST_INTEGER, FILE_FIELD(estimate_off_percent), 0,
 	99, "40", NULL, "greatest relative error of declared run times"},
     {"tails_declared", ST_BOOLEAN, FILE_FIELD(tails_declared), 0, 1, "false",
@@ -232,6 +241,9 @@
 	load->zones = (unsigned)f.zones;
 	load->pooled = strcmp(f.speeds, "pooled") == 0;
 	load->estimate_sigma = (double)f.estimate_sigma_percent / PERCENT;
+	load->swing = (double)f.swing_percent / PERCENT;
+	load->swing_ms = (unsigned)f.swing_ms;
+	load->by_value = strcmp(f.contention, "value") == 0;
 	load->estimate_error = (double)f.estimate_off_percent / PERCENT;
 	load->tails_declared = f.tails_declared;
 	load->run_times = f.run_times;
--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -29,6 +29,7 @@
 
 #define TICK_MS 20
 #define US_PER_MS 1000
+#define PERMILLE 1000
 /* The load balancer probes once a second and stops sending new connections to
  * this entry after two failed probes. */
 #define DRAIN_MIN_MS 3600
@@ -65,6 +66,7 @@
 	struct st_strings addresses;
 	struct st_strings seeds;
 	char *store;
+	char *contention;
 	char *log_level;
 	char *run_times;
 	char *speeds;
@@ -107,6 +109,10 @@
 	"individual|pooled|auto",
 	"speeds by which workers are chosen: of each alone, compared over all, "
 	"or compared while they are found to be equal"},
+    {"admission.contention", ST_STRING, FIELD(contention), 1, 16, "slack",
+	"slack|value",
+	"which jobs are refused while capacity is short: those that would wait "
+	"too long, or those that cost callers least"},
     {"log.level", ST_STRING, FIELD(log_level), 1, 16, "info",
 	"err|warning|notice|info|debug", "least severe level to log"},
     BD_SETTINGS(FIELD(limits)),
@@ -569,6 +575,11 @@
 	ct_set(ct_get(d->counters, CT_GAUGE, "pd_jobs_active",
 		   "Transient jobs without an answer", ""),
 	    jb_active_count(d->jobs));
+	ct_set(ct_get(d->counters, CT_GAUGE, "pd_contention_price",
+		   "Cost per core-second below which jobs are refused, in "
+		   "thousandths; 0 without contention",
+		   ""),
+	    (int64_t)(jb_contention_price(d->jobs) * PERMILLE));
 	ct_set(ct_get(d->counters, CT_GAUGE, "pd_workers_usable",
 		   "Workers that take work", ""),
 	    fl_usable_count(d->fleet));
@@ -725,6 +736,8 @@
 	d->jobs = jb_new(d->clock, d->counters, d->fleet, &job_ops, d);
 	jb_set_run_times(
 	    d->jobs, strcmp(d->settings.run_times, "distribution") == 0);
+	if (strcmp(d->settings.contention, "value") == 0)
+		jb_admit_by_value(d->jobs);
 	d->seeds = read_seeds(&d->settings);
 	d->workers =
 	    wo_new(d->base, d->settings.rpc, &self, d->fleet, &worker_ops, d);
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -399,7 +399,7 @@
 }
 
 bool
-fl_is_usable(const struct fl *f, const struct fl_worker *w, uint64_t now)
+fl_is_usable_at(const struct fl *f, const struct fl_worker *w, uint64_t now)
 {
 	if (w->session == 0 || !w->accepting || w->cpu == 0 ||
 	    now - w->heartbeat_ms > HEARTBEAT_MAX_AGE_MS)
@@ -503,7 +503,7 @@
 	struct fl_candidate p = {.worker = w};
 	double mean, wait;
 
-	if (!fl_is_usable(f, w, now_us / FL_US_PER_MS) ||
+	if (!fl_is_usable_at(f, w, now_us / FL_US_PER_MS) ||
 	    !is_suitable(w, req) || (!all && is_avoided(w, req)))
 		return (false);
 	p.run_ms = req->size_ms * speed_of(f, w, now_us, &mean);
@@ -563,6 +563,30 @@
 	return (best.worker);
 }
 
+struct fl_worker *
+fl_free_worker(const struct fl *f, const struct fl_requirements *req)
+{
+	uint64_t now = ck_mono_ms(f->clock);
+	struct fl_worker *w, *best = NULL;
+	guint i;
+
+	for (i = 0; i < f->connected->len; i++) {
+		w = f->connected->pdata[i];
+		if (fl_is_usable_at(f, w, now) && is_suitable(w, req) &&
+		    fl_has_room(w, req) &&
+		    (best == NULL ||
+			fl_run_ratio(f, w) < fl_run_ratio(f, best)))
+			best = w;
+	}
+	return (best);
+}
+
+bool
+fl_is_usable(const struct fl *f, const struct fl_worker *w)
+{
+	return (fl_is_usable_at(f, w, ck_mono_ms(f->clock)));
+}
+
 bool
 fl_any_suitable(const struct fl *f, const struct fl_requirements *req)
 {
@@ -623,7 +647,7 @@
 	guint i;
 
 	for (i = 0; i < f->connected->len; i++) {
-		if (!fl_is_usable(f, f->connected->pdata[i], now))
+		if (!fl_is_usable_at(f, f->connected->pdata[i], now))
 			continue;
 		ratio = fl_run_ratio(f, f->connected->pdata[i]);
 		if (best == 0 || ratio < best)
@@ -640,7 +664,7 @@
 	guint i;
 
 	for (i = 0; i < f->connected->len; i++)
-		n += fl_is_usable(f, f->connected->pdata[i], now);
+		n += fl_is_usable_at(f, f->connected->pdata[i], now);
 	return (n);
 }
 
--- a/sched/fleet_impl.h
+++ b/sched/fleet_impl.h
@@ -94,8 +94,9 @@
 /** fl_cpu_free() - CPU that is free at a worker for tasks of @priority */
 unsigned fl_cpu_free(const struct fl_worker *w, unsigned priority);
 
-/** fl_is_usable() - whether a worker can take tasks now */
-bool fl_is_usable(const struct fl *f, const struct fl_worker *w, uint64_t now);
+/** fl_is_usable_at() - fl_is_usable() at @now, milliseconds */
+bool fl_is_usable_at(
+    const struct fl *f, const struct fl_worker *w, uint64_t now);
 
 /** fl_set_kind() - set the kind of a worker by its service and labels */
 void fl_set_kind(struct fl *f, struct fl_worker *w);
--- a/sched/jobs.h
+++ b/sched/jobs.h
@@ -186,6 +186,16 @@
 
 /** jb_memory() - bytes that the jobs hold with their tasks and texts */
 size_t jb_memory(const struct jb *j);
+/**
+ * jb_admit_by_value() - decide by cost per need which jobs are turned away
+ * while capacity is short (admission.contention = "value", see contention.h);
+ * call before the first job
+ */
+void jb_admit_by_value(struct jb *j);
+
+/** jb_contention_price() - lowest cost per core-second of need that is
+ * admitted; 0 without contention */
+double jb_contention_price(const struct jb *j);
 
 /** jb_free() - drop all jobs without answers; consumed, NULL is allowed */
 void jb_free(struct jb *j);
--- a/sched/trace.c
+++ b/sched/trace.c
@@ -38,6 +38,8 @@
 	"the entry had lost contact with its agents"},
     [TR_UNLIKELY] = {"unlikely", "declared_ms", "chance_permille",
 	"its chance to end in time was too small"},
+    [TR_SHED] = {"shed", "price", "value",
+	"capacity was short, and others cost more to turn away"},
 };
 
 const char *
--- a/sched/trace.h
+++ b/sched/trace.h
@@ -33,6 +33,9 @@
 	TR_CONTACT_LOST, /* entry was without contact to its agents */
 	TR_UNLIKELY,     /* the chance to end in time is too small; a: declared
 			    ms, b: chance in thousandths */
+	TR_SHED,         /* capacity is short, and the job is below the price;
+			    a: price, b: its cost per need, in thousandths per
+			    core-second */
 	TR_MAX,
 };
 
