--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -10,6 +10,7 @@
 #include "clock.h"
 #include "config.h"
 #include "counters.h"
+#include "dispatch_settings.h"
 #include "dispatcher.h"
 #include "event.h"
 #include "exits.h"
@@ -44,82 +45,15 @@
  * many times clients.resubmit_ms. One with a shorter deadline has all but ended
  * when its client submits it again. */
 #define CLAIM_RESUBMISSIONS 2
-/* Limit of clients.resubmit_ms. */
-#define RESUBMIT_MAX_MS 600000
 /* Shares of the connections, in thousandths. Agents and entries have the most
  * connections; clients have at most 18 for each zone. */
 #define RPC_SHARE 625
 #define CLIENTS_SHARE 250
 #define PROBES_SHARE 62
 #define METRICS_SHARE 62
-#define FIELD(field) offsetof(struct settings, field)
-
-struct settings {
-	char *cell;
-	char *name;
-	char *az;
-	char *clients;
-	char *probes;
-	char *rpc;
-	char *advertised;
-	char *metrics;
-	struct st_strings addresses;
-	struct st_strings seeds;
-	char *store;
-	char *contention;
-	char *log_level;
-	char *run_times;
-	char *speeds;
-	int64_t resubmit_ms;
-	struct bd_settings limits;
-};
-
-static const struct st_key keys[] = {
-    {"cell", ST_STRING, FIELD(cell), 1, PD_NAME_MAX, "default", NULL,
-	"name of the cell, the same at all its entries and agents"},
-    {"name", ST_STRING, FIELD(name), 1, PD_NAME_MAX, NULL, NULL,
-	"name of this entry"},
-    {"availability_zone", ST_STRING, FIELD(az), 1, PD_NAME_MAX, NULL, NULL,
-	"availability zone of this host"},
-    {"listen.clients", ST_STRING, FIELD(clients), 9, 21, NULL, NULL,
-	"IP:port for clients"},
-    {"listen.probes", ST_STRING, FIELD(probes), 9, 21, NULL, NULL,
-	"IP:port for the balancer's probes"},
-    {"listen.rpc", ST_STRING, FIELD(rpc), 9, 21, NULL, NULL,
-	"IP:port for agents and other entries"},
-    {"clients.resubmit_ms", ST_INTEGER, FIELD(resubmit_ms), LE_UNREACHABLE_MS,
-	RESUBMIT_MAX_MS, "1300", NULL,
-	"time after which clients submit a job again whose connection broke, "
-	"milliseconds: no run of it may be left then"},
-    {"listen.advertised", ST_STRING, FIELD(advertised), 0, 21, "", NULL,
-	"IP:port by which agents and entries reach listen.rpc; empty for it"},
-    {"listen.metrics", ST_STRING, FIELD(metrics), 0, 21, "", NULL,
-	"IP:port of the metrics; empty for none"},
-    {"entries.addresses", ST_STRINGS, FIELD(addresses), 0, PD_ENTRIES_MAX, "",
-	NULL, "RPC addresses of other entries, IP:port"},
-    {"entries.seeds", ST_STRINGS, FIELD(seeds), 0, PD_ENTRIES_MAX, "", NULL,
-	"addresses of other entries; their RPC port is that of listen.rpc"},
-    {"platform.store", ST_STRING, FIELD(store), 9, 21, NULL, NULL,
-	"IP:port of the platform's store"},
-    {"admission.run_times", ST_STRING, FIELD(run_times), 1, 16, "mean",
-	"mean|distribution",
-	"what jobs are admitted and given up by: the mean run time or the "
-	"distribution of run times of their queue"},
-    {"placing.speeds", ST_STRING, FIELD(speeds), 1, 16, "individual",
-	"individual|pooled|auto",
-	"speeds by which workers are chosen: of each alone, compared over all, "
-	"or compared while they are found to be equal"},
-    {"admission.contention", ST_STRING, FIELD(contention), 1, 16, "slack",
-	"slack|value",
-	"which jobs are refused while capacity is short: those that would wait "
-	"too long, or those that cost callers least"},
-    {"log.level", ST_STRING, FIELD(log_level), 1, 16, "info",
-	"err|warning|notice|info|debug", "least severe level to log"},
-    BD_SETTINGS(FIELD(limits)),
-};
 
 struct di {
-	struct settings settings;
+	struct ds_settings settings;
 	struct bd_limits limits;
 	struct bd *bounds;
 	struct event_base *base;
@@ -624,7 +558,7 @@
 }
 
 static GPtrArray *
-read_seeds(const struct settings *s)
+read_seeds(const struct ds_settings *s)
 {
 	const char *port = strrchr(s->rpc, ':');
 
@@ -632,23 +566,16 @@
 	    &s->addresses, &s->seeds, port == NULL ? "" : port + 1));
 }
 
-static bool
-load_settings(const char *path, struct settings *s)
-{
-	return (
-	    pr_load_settings("pimentodock", path, keys, G_N_ELEMENTS(keys), s));
-}
-
 /* Applies the log level and new addresses of entries. Other changes take effect
  * at the next start, and an invalid file changes nothing. */
 static void
-reload_settings(struct di *d)
+reds_load(struct di *d)
 {
-	struct settings s = {0};
+	struct ds_settings s = {0};
 	GPtrArray *seeds;
 	guint i;
 
-	if (!load_settings(d->path, &s)) {
+	if (!ds_load(d->path, &s)) {
 		lg_write(LOG_ERR, "dispatch",
 		    "SIGHUP: the settings are not valid, the old ones stay");
 		return;
@@ -664,7 +591,7 @@
 	for (i = 0; i < seeds->len; i++)
 		go_add_seed(d->gossip, seeds->pdata[i]);
 	g_ptr_array_free(seeds, TRUE);
-	st_release(keys, G_N_ELEMENTS(keys), &s);
+	ds_release(&s);
 	lg_write(LOG_NOTICE, "dispatch", "SIGHUP: settings read");
 }
 
@@ -675,7 +602,7 @@
 
 	(void)what;
 	if (signal == SIGHUP) {
-		reload_settings(d);
+		reds_load(d);
 		return;
 	}
 	if (d->stopping_ms != 0)
@@ -798,13 +725,13 @@
 di_check(const char *path)
 {
 	struct bd_limits limits;
-	struct settings s = {0};
+	struct ds_settings s = {0};
 	bool valid;
 
-	if (!load_settings(path, &s))
+	if (!ds_load(path, &s))
 		return (EX_SETTINGS);
 	valid = bd_limits_read("pimentodock", &s.limits, &limits);
-	st_release(keys, G_N_ELEMENTS(keys), &s);
+	ds_release(&s);
 	return (valid ? EX_DONE : EX_SETTINGS);
 }
 
@@ -814,10 +741,10 @@
 	struct di d = {.path = path};
 	int result = EX_FAILED;
 
-	if (!load_settings(path, &d.settings))
+	if (!ds_load(path, &d.settings))
 		return (EX_SETTINGS);
 	if (!bd_limits_read("pimentodock", &d.settings.limits, &d.limits)) {
-		st_release(keys, G_N_ELEMENTS(keys), &d.settings);
+		ds_release(&d.settings);
 		return (EX_SETTINGS);
 	}
 	json_object_seed(0);
@@ -833,7 +760,7 @@
 		result = EX_DONE;
 	}
 	stop_modules(&d);
-	st_release(keys, G_N_ELEMENTS(keys), &d.settings);
+	ds_release(&d.settings);
 	lg_write(LOG_NOTICE, "dispatch", "stopped");
 	return (result);
 }
