--- a/entry/command.c
+++ b/entry/command.c
@@ -288,18 +288,19 @@
 	return (result);
 }
 
+/* A command comes before one whose name it begins with. */
 static const struct command commands[] = {
     {"serve", NULL, run_serve, "run an entry",
 	"Runs until SIGTERM, which starts a graceful shutdown.", TYPE_SETTINGS,
 	0},
-    {"dispatch", NULL, run_dispatch,
-	"run an entry of transient jobs on the platform",
-	"Runs until SIGTERM, which starts a graceful shutdown.", TYPE_SETTINGS,
-	0},
     {"dispatch check", NULL, run_dispatch_check,
 	"check a settings file of dispatch and start nothing",
 	"On an error, prints the file, line, key and what is allowed.",
 	TYPE_SETTINGS, 0},
+    {"dispatch", NULL, run_dispatch,
+	"run an entry of transient jobs on the platform",
+	"Runs until SIGTERM, which starts a graceful shutdown.", TYPE_SETTINGS,
+	0},
     {"check", NULL, run_check, "check a settings file and start nothing",
 	"On an error, prints the file, line, key and what is allowed.",
 	TYPE_SETTINGS, 0},
--- a/tests/proc_command.c
+++ b/tests/proc_command.c
@@ -173,6 +173,9 @@
 	    {{"config", "check", "%S", "--against", "no-such-file"}, 2,
 		"no-such-file"},
 	    {{"config", "check"}, 2, "missing option"},
+	    /* A command of two words whose first one is another command. */
+	    {{"dispatch", "check", "--settings", "no-such-file"}, 2,
+		"no-such-file"},
 	};
 	const char *args[ARGS_MAX + 1] = {NULL}, *arg;
 	char *out, *err;
