--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -13,8 +13,8 @@
 record=review/6/record.txt
 JOBS=20
 # Time between two jobs, and from the first one to the resets.
-GAP_MS=8
-RESET_MS=160
+GAP_MS=5
+RESET_MS=100
 FREEZE_AFTER_MS=950
 FREEZE_MS=4000
 
