--- a/review/cell-2.sh
+++ b/review/cell-2.sh
@@ -90,11 +90,28 @@
 \"max_body_bytes\":262144}}"
 }
 
-# start_entry I: start entry I with the command of the deploy file
+# relay NAME TARGET: start a relay to a port; its port and that of its control
+# go to the variables relay_port and relay_control
+relay() {
+	local ports
+	start "$1" "$stand_ins/fake_relay" --target "127.0.0.1:$2"
+	ports=$(ready "$1") || exit 2
+	read -r relay_port relay_control <<<"$ports"
+}
+
+# control PORT QUERY: change the behaviour of a relay
+control() {
+	curl -s -f -o /dev/null -X PUT "http://127.0.0.1:$1/control?$2" ||
+	    cannot_run "a relay cannot be controlled"
+}
+
+# start_entry I: start entry I with the command of the deploy file. Other
+# entries reach it at the port advertised[I], if it is set, and it reaches the
+# store at store_port[I]
 start_entry() {
-	local seeds='' i=$1 p
-	for p in "${rpc[@]}"; do
-		seeds+="${seeds:+, }\"127.0.0.1:$p\""
+	local seeds='' i=$1 j
+	for j in 0 1 2; do
+		seeds+="${seeds:+, }\"127.0.0.1:${advertised[j]:-${rpc[j]}}\""
 	done
 	cat >"$folder/entry-$i.toml" <<-EOF
 	name = "front-${zones[i]}-1"
@@ -105,12 +122,13 @@
 	clients = "127.0.0.1:${clients[i]}"
 	probes = "127.0.0.1:${probes[i]}"
 	rpc = "127.0.0.1:${rpc[i]}"
+	advertised = "127.0.0.1:${advertised[i]:-${rpc[i]}}"
 	[entries]
 	addresses = [$seeds]
 	[admission]
 	run_times = "distribution"
 	[platform]
-	store = "127.0.0.1:$store"
+	store = "127.0.0.1:${store_port[i]:-$store}"
 	[placing]
 	speeds = "auto"
 	[limits]
@@ -122,11 +140,14 @@
 	entry_pid[i]=$pid
 }
 
-# start_worker I: start endpoint I and its agent, with the command of the
-# deploy file
+# start_worker I: start endpoint I, in zone I modulo 3, and its agent, with the
+# command of the deploy file. It reaches entry J of another zone at the port
+# from_afar[J], if it is set
 start_worker() {
-	local seeds='' i=$1 p zone=${zones[$1 % 3]} beats orders
-	for p in "${rpc[@]}"; do
+	local seeds='' i=$1 j p zone=${zones[$1 % 3]} beats orders
+	for j in 0 1 2; do
+		p=${rpc[j]}
+		[ "$j" = $((i % 3)) ] || p=${from_afar[j]:-$p}
 		seeds+="${seeds:+, }\"127.0.0.1:$p\""
 	done
 	free_port; beats=$port
@@ -167,8 +188,26 @@
 	    1500 "$body" "$@"
 }
 
+# start_relays: relays between entry 0 and the store, between the entries, and
+# between entry 0 and the workers of other zones; their control ports go to
+# controls
+start_relays() {
+	local i
+	controls=()
+	for i in 0 1 2; do
+		relay "relay-$i" "${rpc[i]}"
+		advertised[i]=$relay_port
+		controls+=("$relay_control")
+	done
+	from_afar[0]=${advertised[0]}
+	relay relay-store "$store"
+	store_port[0]=$relay_port
+	controls+=("$relay_control")
+}
+
 # start_cell WORKERS ROUTE...: three entries, and workers in their zones; waits
-# until each entry has completed a job of as many tasks as there are workers
+# until each entry has completed a job of several tasks for each worker. With
+# relays=yes it starts relays, too
 start_cell() {
 	local workers=$1 i n
 	shift
@@ -185,6 +224,7 @@
 	start store "$stand_ins/fake_platform"
 	store=$(ready store) || exit 2
 	configure "$@"
+	[ -z "${relays:-}" ] || start_relays
 	for i in 0 1 2; do start_entry $i; done
 	for i in $(seq "$workers"); do start_worker "$i"; done
 	: >"$folder/runs.log"
