--- a/review/cell-2.sh
+++ b/review/cell-2.sh
@@ -9,6 +9,8 @@
 folder=$(mktemp -d)
 pids=()
 TROUBLE=${TROUBLE:-1}
+# How long clients wait, and the timeout of the queues.
+wait_ms=1500
 
 end_all() {
 	{
@@ -77,7 +79,7 @@
 route() {
 	printf '{"name":"%s","host":"%s","path_prefix":"%s","kind":"unsafe",' \
 	    "$1" "$2" "$3"
-	printf '"timeout_ms":1500,"target_latency_ms":60,"priority":0,'
+	printf '"timeout_ms":%s,"target_latency_ms":60,"priority":0,' "$wait_ms"
 	printf '"service":"desk","max_attempts":4,"stretch":1.6}'
 }
 
@@ -147,6 +149,7 @@
 	local seeds='' i=$1 j p zone=${zones[$1 % 3]} beats orders
 	for j in 0 1 2; do
 		p=${rpc[j]}
+		p=${near[j]:-$p}
 		[ "$j" = $((i % 3)) ] || p=${from_afar[j]:-$p}
 		seeds+="${seeds:+, }\"127.0.0.1:$p\""
 	done
@@ -180,12 +183,12 @@
 }
 
 # send ENTRY METHOD HOST PATH BODY [fin|rst AFTER_MS]: one request of a client
-# that waits for 1,500 ms
+# that waits for wait_ms
 send() {
 	local entry=$1 method=$2 host=$3 path=$4 body=$5
 	shift 5
 	"$stand_ins/client_2" "${clients[entry]}" "$method" "$host" "$path" \
-	    1500 "$body" "$@"
+	    "$wait_ms" "$body" "$@"
 }
 
 # start_relays: relays between entry 0 and the store, between the entries, and
@@ -205,9 +208,23 @@
 	controls+=("$relay_control")
 }
 
+# start_bridges: relays before entries 0 and 1 that can cut off the other one of
+# the two; all others reach them through these relays, too
+start_bridges() {
+	local i
+	for i in 0 1; do
+		start "bridge-$i" "$stand_ins/bridge_2" "${rpc[i]}" \
+		    "front-${zones[1 - i]}-1"
+		bridge_pid[i]=$pid
+		advertised[i]=$(ready "bridge-$i") || exit 2
+		from_afar[i]=${advertised[i]}
+		near[i]=${advertised[i]}
+	done
+}
+
 # start_cell WORKERS ROUTE...: three entries, and workers in their zones; waits
 # until each entry has completed a job of several tasks for each worker. With
-# relays=yes it starts relays, too
+# relays=NAME it calls start_NAME before it starts them
 start_cell() {
 	local workers=$1 i n
 	shift
@@ -224,7 +241,7 @@
 	start store "$stand_ins/fake_platform"
 	store=$(ready store) || exit 2
 	configure "$@"
-	[ -z "${relays:-}" ] || start_relays
+	[ -z "${relays:-}" ] || "start_$relays"
 	for i in 0 1 2; do start_entry $i; done
 	for i in $(seq "$workers"); do start_worker "$i"; done
 	: >"$folder/runs.log"
