--- a/review/cell-2.sh
+++ b/review/cell-2.sh
@@ -65,14 +65,19 @@
 	do :; done
 }
 
+# call PORT METHOD PATH BODY: one call of the platform or of a test's control
+call() {
+	local answer
+	answer=$("$stand_ins/client_2" "$1" "$2" 127.0.0.1 "$3" 2000 "$4")
+	[[ $answer == *' 200 '* ]] || cannot_run "$2 $3: $answer"
+}
+
 # store_put KEY VALUE: write a row of the operators
 store_put() {
 	local value
 	value=$(printf %s "$2" | base64 -w 0)
-	curl -s -f -o /dev/null -X POST \
-	    -d "{\"writes\":[{\"table\":\"op\",\"part\":\"\",\"key\":\"$1\",
-\"value\":\"$value\"}]}" "http://127.0.0.1:$store/v1/rows-tx" ||
-	    cannot_run "the store takes no row"
+	call "$store" POST /v1/rows-tx "{\"writes\":[{\"table\":\"op\",
+\"part\":\"\",\"key\":\"$1\",\"value\":\"$value\"}]}"
 }
 
 # route NAME HOST PREFIX: print a route of the configuration
@@ -103,8 +108,7 @@
 
 # control PORT QUERY: change the behaviour of a relay
 control() {
-	curl -s -f -o /dev/null -X PUT "http://127.0.0.1:$1/control?$2" ||
-	    cannot_run "a relay cannot be controlled"
+	call "$1" PUT "/control?$2" ""
 }
 
 # start_entry I: start entry I with the command of the deploy file. Other
