Notice connections of clients that are reset at once

Cause: while a request is handled its connection is not read, and its end was awaited with an event for EV_CLOSED. libevent raises that for EPOLLRDHUP, but for a socket with an error, and so after each reset, EV_READ and EV_WRITE only. The reset was noticed by the silence of the client, after 1,150 ms, which leaves no time for the loss of an entry (650 ms) or an agent (600 ms). Evidence: with the reset alone a run was stopped 1,166 ms after its start, 1,071 ms after the reset; with a close instead no client was given up for its silence. A lost withdrawal is ruled out, as the run would have ended by itself.

--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -308,10 +308,19 @@
 }
 
 static void
-front_client_closed(void *arg, uint64_t waiter)
+front_client_gone(void *arg, uint64_t waiter, enum fr_end end)
 {
+	static const char *const ends[] = {
+	    [FR_END_CLOSED] = "closed",
+	    [FR_END_RESET] = "reset",
+	    [FR_END_SILENT] = "silent",
+	};
 	struct di *d = arg;
 
+	ct_increment(d->counters, "pd_clients_gone_total",
+	    "Clients that did not wait for the response, by the end of their "
+	    "connection",
+	    "end", ends[end]);
 	jb_remove_waiter(d->jobs, waiter);
 }
 
@@ -338,7 +347,7 @@
     .find_queue = front_find_queue,
     .submit = front_submit,
     .cancel = front_cancel,
-    .client_closed = front_client_closed,
+    .client_gone = front_client_gone,
     .waiting_count = front_waiting_count,
     .ready = front_ready,
 };
--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -4,6 +4,7 @@
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -42,6 +43,7 @@
 	bool holds_jobs;      /* the dispatcher does not answer */
 	unsigned deadline_ms; /* of the last job */
 	unsigned closed;      /* jobs whose client has gone */
+	enum fr_end end;      /* of the last of them */
 	int client;
 };
 
@@ -92,12 +94,13 @@
 }
 
 static void
-client_closed(void *arg, uint64_t waiter)
+client_gone(void *arg, uint64_t waiter, enum fr_end end)
 {
 	struct fixture *f = arg;
 
 	(void)waiter;
 	f->closed++;
+	f->end = end;
 }
 
 static unsigned
@@ -109,7 +112,7 @@
 }
 
 static const struct fr_ops ops = {is_configured, is_config_expected, find_queue,
-    submit, cancel, client_closed, count_waiting, is_configured};
+    submit, cancel, client_gone, count_waiting, is_configured};
 
 static int
 connect_to(const char *address)
@@ -258,6 +261,72 @@
 	f->client = socket(AF_INET, SOCK_STREAM, 0);
 }
 
+static void
+reset_client(struct fixture *f)
+{
+	static const struct linger discard = {.l_onoff = 1};
+
+	setsockopt(f->client, SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
+	close(f->client);
+	f->client = socket(AF_INET, SOCK_STREAM, 0);
+}
+
+/* Guards against a job that goes on after the connection of its client was
+ * reset: with the loss of its entry or agent a second later, it ran beside the
+ * job that the client had submitted again. */
+static void
+test_client_reset(void **state)
+{
+	struct fixture *f = *state;
+
+	f->has_config = true;
+	f->holds_jobs = true;
+	send_request(f);
+	assert_int_equal(0, read_status(f));
+	assert_int_equal(1, fr_pending(f->front));
+	reset_client(f);
+	run_loop(f);
+	assert_int_equal(1, f->closed);
+	assert_int_equal(FR_END_RESET, f->end);
+	assert_int_equal(0, fr_pending(f->front));
+}
+
+/* Guards against the same while the request waits for the configuration, or is
+ * passed on again. */
+static void
+test_client_reset_while_waiting(void **state)
+{
+	struct fixture *f = *state;
+
+	f->holds_jobs = true;
+	send_request(f);
+	assert_int_equal(0, read_status(f));
+	fr_resume_waiting(f->front);
+	assert_int_equal(1, fr_pending(f->front));
+	reset_client(f);
+	run_loop(f);
+	assert_int_equal(0, fr_pending(f->front));
+	f->has_config = true;
+	fr_resume_waiting(f->front);
+	run_loop(f);
+	assert_int_equal(0, f->deadline_ms);
+}
+
+/* Guards against taking the job of a client whose connection was reset before
+ * the request was read. */
+static void
+test_client_reset_before_read(void **state)
+{
+	struct fixture *f = *state;
+
+	f->has_config = true;
+	send_request(f);
+	reset_client(f);
+	run_loop(f);
+	assert_int_equal(0, f->deadline_ms);
+	assert_int_equal(0, fr_pending(f->front));
+}
+
 /* Lets the client's socket drop all that it receives, as in a partition: it
  * acknowledges nothing. */
 static void
@@ -441,6 +510,9 @@
 	    T(test_no_configuration),
 	    T(test_client_gone),
 	    T(test_client_gone_before_read),
+	    T(test_client_reset),
+	    T(test_client_reset_while_waiting),
+	    T(test_client_reset_before_read),
 	    T(test_client_cut_off),
 	    T(test_client_waits),
 	    T(test_request_read_late),
@@ -448,5 +520,7 @@
 	    T(test_id_not_utf8),
 	};
 
+	/* Responses to connections that were reset. */
+	signal(SIGPIPE, SIG_IGN);
 	return (cmocka_run_group_tests(tests, NULL, NULL));
 }
