--- a/agent/executor.c
+++ b/agent/executor.c
@@ -19,6 +19,7 @@
 #include "runner.h"
 #include "scrape.h"
 #include "settings.h"
+#include "zones.h"
 
 #define PART "agent"
 #define TICK_MS 20
@@ -44,6 +45,7 @@
 	struct st_strings seeds;
 	int64_t entry_port;
 	char *heartbeat_form;
+	int64_t evacuate_ms;
 	char *log_level;
 	struct bd_settings limits;
 };
@@ -69,6 +71,9 @@
 	"full|short",
 	"whether each heartbeat to an entry describes the endpoint, or only "
 	"the first one and changes"},
+    {"zones.evacuate_ms", ST_INTEGER, AT(evacuate_ms), 1000, 600000, "5000",
+	NULL,
+	"time after an evacuation from which nothing may start in the zone"},
     {"listen.metrics", ST_STRING, AT(metrics), 0, 21, "", NULL,
 	"IP:port of the metrics; empty for none"},
     {"log.level", ST_STRING, AT(log_level), 1, 16, "info",
@@ -84,6 +89,7 @@
 	struct ck *clock;
 	struct ct *counters;
 	struct ru *runner;
+	struct zn *zones;
 	struct od *endpoint;
 	struct lk *links;
 	struct sc *metrics;
@@ -141,10 +147,41 @@
 	struct ru_load after = ru_load(e->runner);
 
 	if (before->reported.accepting != after.reported.accepting ||
+	    before->reported.zone != after.reported.zone ||
 	    before->description != after.description)
 		lk_send_heartbeats(e->links);
 }
 
+static const char *
+zone_of(const struct ex *e)
+{
+	return (e->endpoint_az != NULL ? e->endpoint_az : e->settings.az);
+}
+
+/* Passes the state of the zone of the endpoint on. Return: whether it changed.
+ */
+static bool
+update_zone(struct ex *e)
+{
+	static const char *const names[] = {
+	    [PD_ZONE_IN] = "in use",
+	    [PD_ZONE_LEAVING] =
+		"evacuated, still used by entries that have "
+		"no other",
+	    [PD_ZONE_OUT] = "out",
+	};
+	enum pd_zone_state zone;
+
+	zn_set_az(e->zones, zone_of(e));
+	zone = zn_state(e->zones);
+	if (zone == ru_load(e->runner).reported.zone)
+		return (false);
+	lg_write(LOG_NOTICE, PART, "zone %s is %s, revision %llu", zone_of(e),
+	    names[zone], (unsigned long long)zn_revision(e->zones));
+	ru_set_zone(e->runner, zone);
+	return (true);
+}
+
 /* Hash of the process and of all that entries place tasks by, not 0. */
 static uint64_t
 hash_description(const struct od_heartbeat *a)
@@ -184,6 +221,7 @@
 	g_ptr_array_set_size(e->labels, 0);
 	for (i = 0; i < a->nlabels; i++)
 		g_ptr_array_add(e->labels, g_strdup(a->labels[i]));
+	update_zone(e);
 	ru_update_endpoint(e->runner, &endpoint);
 	send_heartbeats_if_changed(e, &before);
 }
@@ -292,7 +330,7 @@
 	struct ru_load l = ru_load(e->runner);
 
 	a->name = e->settings.name;
-	a->az = e->endpoint_az != NULL ? e->endpoint_az : e->settings.az;
+	a->az = (char *)(uintptr_t)zone_of(e);
 	a->incarnation = e->incarnation;
 	a->started_ms = e->started_ms;
 	a->service = e->service;
@@ -306,10 +344,12 @@
 }
 
 static void
-on_contact(void *arg, uint64_t entry, uint64_t clock_ms)
+on_contact(void *arg, uint64_t entry, uint64_t clock_ms,
+    const struct pd_zones_known *zones)
 {
 	struct ex *e = arg;
 
+	zn_confirm(e->zones, clock_ms, zones);
 	ru_entry_contact(e->runner, entry, clock_ms);
 }
 
@@ -345,6 +385,16 @@
 	ru_take_back(e->runner, entry, k);
 }
 
+/* Handled in the tick, since a link is in use here. */
+static void
+on_zones(void *arg, const struct pd_zones *z)
+{
+	struct ex *e = arg;
+
+	if (zn_apply(e->zones, z))
+		event_active(e->tick, EV_TIMEOUT, 0);
+}
+
 static enum pd_end_state
 on_state(void *arg, uint64_t entry, const struct pd_key *k)
 {
@@ -368,6 +418,7 @@
     .start = on_grant,
     .withdraw = on_withdraw,
     .take_back = on_take_back,
+    .zones = on_zones,
     .state = on_state,
     .has_grants = on_has_grants,
 };
@@ -389,6 +440,14 @@
 	ct_set(ct_get(e->counters, CT_GAUGE, "pd_agent_links",
 		   "Entries that are connected", ""),
 	    lk_connected(e->links));
+	ct_set(ct_get(e->counters, CT_GAUGE, "pd_agent_zone",
+		   "Zone of the endpoint: 0 in use, 1 evacuated but used by "
+		   "entries that have no other, 2 out",
+		   ""),
+	    l.reported.zone);
+	ct_set(ct_get(e->counters, CT_GAUGE, "pd_zones_revision",
+		   "Availability zones out, as heard from entries", ""),
+	    (int64_t)zn_revision(e->zones));
 }
 
 static void
@@ -399,6 +458,8 @@
 
 	(void)fd;
 	(void)what;
+	if (update_zone(e))
+		lk_send_heartbeats(e->links);
 	ru_tick(e->runner);
 	if (e->stop_requested_ms == 0)
 		return;
@@ -497,6 +558,7 @@
 	e->started_ms = ck_wall_ms(e->clock);
 	e->counters = ct_new();
 	e->runner = ru_new(e->clock, e->counters, &runner_ops, e);
+	e->zones = zn_new(e->clock, (unsigned)e->settings.evacuate_ms);
 	start_links(e);
 	e->endpoint = od_new(e->base, e->clock, e->settings.heartbeats,
 	    e->settings.orders, &endpoint_ops, e);
@@ -535,6 +597,7 @@
 	bd_free(e->bounds);
 	lk_free(e->links);
 	ru_free(e->runner);
+	zn_free(e->zones);
 	ct_free(e->counters);
 	ck_free(e->clock);
 	g_ptr_array_free(e->labels, TRUE);
--- a/agent/links.c
+++ b/agent/links.c
@@ -268,6 +268,18 @@
 	xdr_free((xdrproc_t)xdr_pd_cancel, (char *)&list);
 }
 
+static void
+on_zones(struct link *l, XDR *args)
+{
+	struct lk *k = l->links;
+	struct pd_zones z = {0};
+
+	if (!cn_decode(l->conn, args, (xdrproc_t)xdr_pd_zones, &z))
+		return;
+	k->ops->zones(k->arg, &z);
+	xdr_free((xdrproc_t)xdr_pd_zones, (char *)&z);
+}
+
 static void
 link_call(void *arg, struct cn *c, uint32_t proc, uint32_t xid, XDR *args)
 {
@@ -281,6 +293,8 @@
 		on_keys(l, args, l->links->ops->take_back);
 	else if (proc == PD_RECONCILE)
 		on_reconcile(l, xid, args);
+	else if (proc == PD_ZONES)
+		on_zones(l, args);
 	else
 		cn_reject(c, xid);
 }
@@ -449,7 +463,7 @@
 	l->attached_ms = a->clock_ms;
 	if (l->unsent_ends->len > 0)
 		event_active(k->flush_event, EV_TIMEOUT, 0);
-	k->ops->contact(k->arg, l->entry, a->clock_ms);
+	k->ops->contact(k->arg, l->entry, a->clock_ms, &a->zones);
 	/* An entry has not counted a worker that has just connected. */
 	if (l->unneeded_ms == 0 && a->service_workers > 0)
 		ac_observe(k->contacts, a->service_workers, a->label_workers);
@@ -469,7 +483,7 @@
 		return;
 	l->announced_ms = ck_mono_ms(l->links->clock);
 	l->echo_ms = r->clock_ms;
-	l->links->ops->contact(l->links->arg, l->entry, r->clock_ms);
+	l->links->ops->contact(l->links->arg, l->entry, r->clock_ms, &r->zones);
 	if (r->attach)
 		l->attached_ms = 0;
 	if ((l->heartbeat_due || r->attach) && l->open)
--- a/agent/links.h
+++ b/agent/links.h
@@ -19,21 +19,25 @@
  * struct lk_ops - callbacks; @entry is the incarnation of an entry
  * @fill_attach: fill a heartbeat except for cell, clock and entries; text is
  *     borrowed. Return: false while the agent is not ready to attach
- * @contact: an entry answered the heartbeat sent at @clock_ms
+ * @contact: an entry answered the heartbeat sent at @clock_ms; @zones: what it
+ *     knew of zones that are out
  * @gone: the process of an entry has ended
  * @start: a grant arrived
  * @withdraw: a grant is no longer needed
  * @take_back: a grant is to be returned unless it has started
+ * @zones: an entry told which availability zones are out
  * @state: return the state of a grant
  * @has_grants: return whether an entry has grants here
  */
 struct lk_ops {
 	bool (*fill_attach)(void *arg, struct pd_attach *a);
-	void (*contact)(void *arg, uint64_t entry, uint64_t clock_ms);
+	void (*contact)(void *arg, uint64_t entry, uint64_t clock_ms,
+	    const struct pd_zones_known *zones);
 	void (*gone)(void *arg, uint64_t entry);
 	void (*start)(void *arg, uint64_t entry, const struct pd_start *s);
 	void (*withdraw)(void *arg, uint64_t entry, const struct pd_key *k);
 	void (*take_back)(void *arg, uint64_t entry, const struct pd_key *k);
+	void (*zones)(void *arg, const struct pd_zones *z);
 	enum pd_end_state (*state)(
 	    void *arg, uint64_t entry, const struct pd_key *k);
 	bool (*has_grants)(void *arg, uint64_t entry);
--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -74,6 +74,10 @@
 	struct cw *claims;
 	uint64_t jobs_in_time; /* jobs that completed in time */
 	bool store_reachable;
+	uint64_t store_asked_ms;     /* when the feed sent its last request */
+	uint64_t zones_confirmed_ms; /* when the last one was sent whose answer
+				      * has confirmed the zones; 0: none */
+	bool has_workers;            /* to go on with, as of the last tick */
 	uint64_t stopping_ms; /* when the stop signal arrived, 0 before */
 };
 
@@ -333,12 +337,14 @@
 	    go_waiting_count(d->gossip, queue));
 }
 
+/* Without workers every job is refused, so clients are better served elsewhere.
+ * If no entry has any, the load balancer uses all entries. */
 static bool
 front_ready(void *arg)
 {
 	struct di *d = arg;
 
-	return (d->stopping_ms == 0 && front_has_config(d));
+	return (d->stopping_ms == 0 && front_has_config(d) && d->has_workers);
 }
 
 static const struct fr_ops front_ops = {
@@ -357,6 +363,7 @@
 static void
 apply_config(struct di *d, const struct pd_config *c, const char *source)
 {
+	uint64_t zones_revision = cf_zones_revision(d->config);
 	const struct pd_config *current;
 
 	if (!cf_apply(d->config, c))
@@ -368,6 +375,8 @@
 	    current->queues.queues_len,
 	    (unsigned long long)current->zones_revision,
 	    current->evacuated.evacuated_len);
+	if (current->zones_revision != zones_revision)
+		wo_send_zones(d->workers);
 	jb_zones_changed(d->jobs);
 	fr_set_limits(d->front, current->header_bytes, current->body_bytes);
 	if (cf_complete(d->config))
@@ -386,6 +395,16 @@
 	struct di *d = arg;
 
 	cf_confirm(d->config, revision, zones_revision);
+	if (zones_revision != 0)
+		d->zones_confirmed_ms = d->store_asked_ms;
+}
+
+static void
+feed_requested(void *arg)
+{
+	struct di *d = arg;
+
+	d->store_asked_ms = ck_mono_ms(d->clock);
 }
 
 static void
@@ -411,6 +430,7 @@
 
 static const struct fe_ops feed_ops = {
     .config = feed_config,
+    .requested = feed_requested,
     .config_unchanged = feed_config_unchanged,
     .config_rejected = feed_config_rejected,
     .store_reachable = feed_store_reachable,
@@ -503,9 +523,28 @@
 	go_handle_call(d->gossip, c, proc, xid, args);
 }
 
+static void
+workers_zones(
+    void *arg, struct pd_zones_known *known, struct pd_zones *evacuated)
+{
+	struct di *d = arg;
+	const struct pd_config *c = cf_current(d->config);
+
+	known->revision = c->zones_revision;
+	known->age_ms = d->zones_confirmed_ms == 0
+	    ? PD_AGE_UNKNOWN
+	    : (unsigned)(ck_mono_ms(d->clock) - d->zones_confirmed_ms);
+	if (evacuated == NULL)
+		return;
+	evacuated->revision = c->zones_revision;
+	evacuated->evacuated.evacuated_len = c->evacuated.evacuated_len;
+	evacuated->evacuated.evacuated_val = c->evacuated.evacuated_val;
+}
+
 static const struct wo_ops worker_ops = {
     .entry_addresses = workers_entry_addresses,
     .entry_call = workers_entry_call,
+    .zones = workers_zones,
 };
 
 /* --- the process --- */
@@ -560,6 +599,8 @@
 	fr_check_clients(d->front);
 	cw_tick(d->claims);
 	jb_tick(d->jobs);
+	d->has_workers =
+	    fl_usable_count(d->fleet) > 0 && !fl_is_leaving(d->fleet);
 	if (!front_has_config(d) && !front_config_expected(d))
 		fr_resume_waiting(d->front);
 	if (d->stopping_ms != 0)
--- a/entry/workers.c
+++ b/entry/workers.c
@@ -59,6 +59,7 @@
 	unsigned n;
 	uint32_t hash;
 
+	w->ops->zones(w->arg, &reply.zones, NULL);
 	entries = w->ops->entry_addresses(w->arg, &n, &hash);
 	if (hash != a->entries_hash) {
 		reply.entries.entries_val = (pd_name *)(uintptr_t)entries;
@@ -67,6 +68,18 @@
 	cn_reply(l->conn, xid, (xdrproc_t)xdr_pd_attached, &reply);
 }
 
+/* Tells an agent which availability zones are out, if that is known. */
+static void
+send_zones(struct link *l)
+{
+	struct pd_zones_known known;
+	struct pd_zones z;
+
+	l->workers->ops->zones(l->workers->arg, &known, &z);
+	if (z.revision != 0)
+		cn_send(l->conn, PD_ZONES, (xdrproc_t)xdr_pd_zones, &z);
+}
+
 /* Closes the connection that an agent had before. Messages that are still on
  * their way on it would make it the current one again. */
 static void
@@ -86,10 +99,14 @@
     struct fl_worker *f, bool restarted)
 {
 	struct wo *w = l->workers;
+	bool is_new = !l->attached || restarted;
 
 	fl_count_workers(w->fleet);
+	/* First, since the reply confirms them. */
+	if (is_new)
+		send_zones(l);
 	reply_attach(l, xid, a, f);
-	if (l->attached && !restarted)
+	if (!is_new)
 		return;
 	lg_write(LOG_NOTICE, "workers",
 	    "agent %s is connected, capacity %u thousandths of a core", a->name,
@@ -161,6 +178,7 @@
 		return;
 	}
 	w->ops->entry_addresses(w->arg, &n, &hash);
+	w->ops->zones(w->arg, &reply.zones, NULL);
 	reply.clock_ms = r.clock_ms;
 	reply.attach = hash != r.entries_hash || from->endpoint != r.endpoint;
 	/* It is not known what the load is the load of. */
@@ -319,6 +337,18 @@
 	}
 }
 
+void
+wo_send_zones(struct wo *w)
+{
+	GHashTableIter it;
+	struct link *l;
+
+	g_hash_table_iter_init(&it, w->links);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&l))
+		if (l->attached)
+			send_zones(l);
+}
+
 struct reconcile_call {
 	struct wo *workers;
 	uint64_t session;
--- a/entry/workers.h
+++ b/entry/workers.h
@@ -19,12 +19,16 @@
  * @entry_addresses: addresses of the entries, sent to agents whose list
  *     differs in its hash; borrowed until the next call
  * @entry_call: handle a call from another entry
+ * @zones: the availability zones that are out, for agents; @evacuated is
+ *     borrowed until the next change, and may be NULL
  */
 struct wo_ops {
 	const char *const *(*entry_addresses)(
 	    void *arg, unsigned *n, uint32_t *hash);
 	void (*entry_call)(
 	    void *arg, struct cn *c, uint32_t proc, uint32_t xid, XDR *args);
+	void (*zones)(void *arg, struct pd_zones_known *known,
+	    struct pd_zones *evacuated);
 };
 
 /** struct wo_identity - this entry. Text is borrowed */
@@ -67,6 +71,9 @@
 void wo_send_take_back(struct wo *w, const struct fl_worker *to,
     const struct pd_key *keys, unsigned n);
 
+/** wo_send_zones() - tell all agents which availability zones are out */
+void wo_send_zones(struct wo *w);
+
 /** wo_reconcile() - ask the agent of a worker for the state of grants; its
  * reply goes to jb_grants_ended() */
 void wo_reconcile(struct wo *w, const struct fl_worker *to,
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -317,6 +317,8 @@
 		w->reported = *s;
 }
 
+static void update_leaving(struct fl *f);
+
 void
 fl_update_load(struct fl *f, struct fl_worker *w, const struct pd_load *load,
     unsigned cpu_ending)
@@ -330,6 +332,10 @@
 	memcpy(w->cpu_queued, load->cpu_queued, sizeof(w->cpu_queued));
 	w->cpu_others = all > own ? all - own : 0;
 	w->accepting = load->accepting;
+	if (w->zone != load->zone) {
+		w->zone = load->zone;
+		update_leaving(f);
+	}
 	w->reports++;
 	update_reported_speed(f, w, &load->speed);
 }
@@ -395,11 +401,18 @@
 bool
 fl_is_evacuated(const struct fl *f, const struct fl_worker *w)
 {
-	return (cf_evacuated(f->config, w->az));
+	return (w->zone == PD_ZONE_OUT || cf_evacuated(f->config, w->az));
 }
 
 bool
-fl_is_usable_at(const struct fl *f, const struct fl_worker *w, uint64_t now)
+fl_is_leaving(const struct fl *f)
+{
+	return (f->leaving);
+}
+
+/* Whether a worker can take tasks now, in whichever state its zone is. */
+static bool
+takes_tasks(const struct fl *f, const struct fl_worker *w, uint64_t now)
 {
 	if (w->session == 0 || !w->accepting || w->cpu == 0 ||
 	    now - w->heartbeat_ms > HEARTBEAT_MAX_AGE_MS)
@@ -411,6 +424,37 @@
 	return (!fl_is_evacuated(f, w));
 }
 
+bool
+fl_is_usable_at(const struct fl *f, const struct fl_worker *w, uint64_t now)
+{
+	return (
+	    takes_tasks(f, w, now) && (w->zone == PD_ZONE_IN || f->leaving));
+}
+
+/* Uses workers that are leaving only while there are no others. */
+static void
+update_leaving(struct fl *f)
+{
+	uint64_t now = ck_mono_ms(f->clock);
+	const struct fl_worker *w;
+	bool leaving = false;
+	guint i;
+
+	for (i = 0; i < f->connected->len; i++) {
+		w = f->connected->pdata[i];
+		if (!takes_tasks(f, w, now))
+			continue;
+		leaving = w->zone == PD_ZONE_LEAVING;
+		if (!leaving)
+			break;
+	}
+	if (leaving && !f->leaving)
+		lg_write(LOG_WARNING, "fleet",
+		    "no workers but in zones that are being evacuated, of "
+		    "which this entry has not heard");
+	f->leaving = leaving;
+}
+
 /* Whether the run times of this entry's own tasks count instead of the agent's
  * report. */
 static bool
@@ -680,6 +724,7 @@
 		f->warm_up_from_ms = now;
 	}
 	f->ticked_ms = now;
+	update_leaving(f);
 	if (f->pools)
 		fl_pool(f);
 }
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -34,6 +34,7 @@
  * @cpu_used: CPU of the started tasks, as of the last report
  * @cpu_queued: CPU of the queued tasks by level, as of the last report
  * @accepting: accepts new tasks
+ * @zone: state of its zone as its agent has heard, from any entry
  * @clock_offset_ms: agent's clock minus this entry's clock, too low by the
  *     time that a message takes
  * @heartbeat_reply_ms: when this entry last replied to a heartbeat
@@ -64,6 +65,7 @@
 	unsigned cpu_used;
 	unsigned cpu_queued[PD_LEVELS];
 	bool accepting;
+	enum pd_zone_state zone;
 	int64_t clock_offset_ms;
 	uint64_t heartbeat_reply_ms;
 	uint64_t heartbeat_ms;
@@ -177,7 +179,8 @@
 /** fl_session_of() - connection of an agent, 0 for none */
 uint64_t fl_session_of(const struct fl *f, const char *name);
 
-/** fl_is_evacuated() - whether the availability zone of a worker is out */
+/** fl_is_evacuated() - whether nothing may start at a worker since its
+ * availability zone is out, as this entry or its agent has heard */
 bool fl_is_evacuated(const struct fl *f, const struct fl_worker *w);
 
 /** fl_find_by_session() - worker of a connection. Return: NULL if unknown */
@@ -259,6 +262,11 @@
  * there are none */
 double fl_best_run_ratio(const struct fl *f);
 
+/** fl_is_leaving() - whether tasks can only be granted in zones that are being
+ * evacuated, of which this entry has not heard: it is cut off, and will soon
+ * have no worker */
+bool fl_is_leaving(const struct fl *f);
+
 /** fl_usable_count() - number of workers that can take tasks now */
 unsigned fl_usable_count(const struct fl *f);
 
--- a/sched/fleet_impl.h
+++ b/sched/fleet_impl.h
@@ -54,6 +54,7 @@
 	GArray *pool;       /* struct sp_worker, reused */
 	GArray *candidates; /* struct fl_candidate, reused */
 	struct sp_summary speeds;
+	bool leaving;       /* see fl_is_leaving() */
 	uint64_t pooled_ms; /* when the speeds were pooled; 0: never */
 };
 
--- a/sched/runner.c
+++ b/sched/runner.c
@@ -108,6 +108,7 @@
 	    .reported.accepting = r->endpoint_known && r->accepting &&
 		!r->draining && !r->replaced &&
 		r->unanswered < RU_UNANSWERED_MAX,
+	    .reported.zone = r->zone,
 	    .old_runs_ended = r->old_runs_ended};
 	const struct ru_task *t;
 	guint i;
@@ -303,9 +304,10 @@
 	struct ru_run run;
 	unsigned mem;
 
-	if (!r->endpoint_known || !r->accepting || !r->old_runs_ended ||
-	    r->replaced || r->unanswered >= RU_UNANSWERED_MAX ||
-	    now < r->full_until_ms || ru_lease_ms(r) < START_LEASE_MIN_MS)
+	if (!r->endpoint_known || !r->accepting || r->zone == PD_ZONE_OUT ||
+	    !r->old_runs_ended || r->replaced ||
+	    r->unanswered >= RU_UNANSWERED_MAX || now < r->full_until_ms ||
+	    ru_lease_ms(r) < START_LEASE_MIN_MS)
 		return;
 	for (;;) {
 		l = ru_sum_load(r);
@@ -398,9 +400,17 @@
 			   "as it was before",
 			   ""),
 		    1);
-	if (full || !l.reported.accepting || l.queued >= QUEUE_MAX ||
-	    s->endpoint != r->description || s->cpu > l.cpu ||
-	    now >= s->expires_ms || !wh_accepts(&r->health, now)) {
+	if (r->zone == PD_ZONE_OUT)
+		ct_add(
+		    ct_get(r->counters, CT_COUNTER, "pd_grants_zone_out_total",
+			"Grants returned since the zone is out, which their "
+			"entry has not heard",
+			""),
+		    1);
+	if (full || !l.reported.accepting || r->zone == PD_ZONE_OUT ||
+	    l.queued >= QUEUE_MAX || s->endpoint != r->description ||
+	    s->cpu > l.cpu || now >= s->expires_ms ||
+	    !wh_accepts(&r->health, now)) {
 		ru_end(r, t, PD_END_RETURNED, RU_C_NOT_STARTED);
 		return;
 	}
@@ -512,6 +522,16 @@
 	}
 }
 
+void
+ru_set_zone(struct ru *r, enum pd_zone_state zone)
+{
+	r->zone = zone;
+	if (zone == PD_ZONE_OUT)
+		ru_return_queued(r);
+	else
+		ru_start_queued(r);
+}
+
 void
 ru_drain(struct ru *r)
 {
--- a/sched/runner.h
+++ b/sched/runner.h
@@ -121,6 +121,14 @@
 /** ru_update_endpoint() - handle a heartbeat of the endpoint */
 void ru_update_endpoint(struct ru *r, const struct ru_endpoint *e);
 
+/**
+ * ru_set_zone() - set the state of the availability zone of the endpoint
+ *
+ * In one that is out nothing starts, whichever entry has granted it: runs go
+ * on, and all else is returned.
+ */
+void ru_set_zone(struct ru *r, enum pd_zone_state zone);
+
 /**
  * ru_endpoint_gone() - handle that the endpoint takes no more tasks
  *
--- a/sched/runner_endpoint.c
+++ b/sched/runner_endpoint.c
@@ -383,7 +383,8 @@
 	if (answer == RU_NO_ANSWER) {
 		ru_stop_task(r, t, PD_END_LOST);
 	} else if (t->phase == RU_STOPPING || answer == RU_REJECTED ||
-	    t->taken_back || t->description != r->description) {
+	    t->taken_back || r->zone == PD_ZONE_OUT ||
+	    t->description != r->description) {
 		ru_end(r, t, PD_END_RETURNED, RU_C_NOT_STARTED);
 	} else {
 		if (answer == RU_OLD_RUN)
--- a/sched/runner_impl.h
+++ b/sched/runner_impl.h
@@ -91,7 +91,8 @@
 	bool endpoint_known;
 	bool accepting;
 	bool draining;
-	bool old_runs_ended; /* of an earlier process of the agent */
+	enum pd_zone_state zone; /* of the endpoint */
+	bool old_runs_ended;     /* of an earlier process of the agent */
 	bool replaced; /* an earlier process of the endpoint may have runs */
 	uint64_t lease_until_ms; /* no run can exist after this */
 	uint64_t full_until_ms;  /* no starts before this */
--- a/tests/harness_fleet.c
+++ b/tests/harness_fleet.c
@@ -13,7 +13,7 @@
 
 #include <cmocka.h>
 
-#include "harness_fleet.h"
+#include "harness_fleet_impl.h"
 
 #define PATH_PREFIX "/q/"
 #define TASK_CPU 6000
@@ -24,79 +24,18 @@
 #define RETRY_DELAY_MS 1300
 #define TRIES_MAX 3
 #define SENDERS 48
-#define JOBS_MAX 20000
-
-struct worker {
-	struct hn_proc *agent;
-	struct hn_proc *minion;
-	unsigned heartbeats_port;
-	unsigned orders_port;
-	unsigned metrics_port;
-	unsigned relay_port; /* orders_port when there is no relay */
-	unsigned relay_control_port;
-	const char *label; /* of its kind, NULL for "a" */
-	char az[8];
-};
-
-struct entry {
-	struct hn_proc *proc;
-	unsigned clients_port;
-	unsigned probes_port;
-	unsigned rpc_port;
-	unsigned metrics_port;
-	unsigned relay_port; /* rpc_port when there is no relay */
-	unsigned relay_control_port;
-};
-
-struct hf {
-	struct hn *hn;
-	struct hn_proc *store;
-	unsigned store_port;
-	unsigned store_relay_port; /* store_port when there is no relay */
-	unsigned store_relay_control_port;
-	bool relayed;
-	unsigned timeout_ms;        /* of the queues */
-	unsigned target_ms;         /* likewise */
-	const char *required_label; /* of jobs, "" for none */
-	unsigned nentries;
-	unsigned nworkers;
-	unsigned next_suffix; /* makes names of logs and ids of jobs unique */
-	struct entry entries[HF_NODES_MAX];
-	struct worker workers[HF_NODES_MAX];
-	char *log; /* path of the log that all endpoints write */
-	GThreadPool *senders;
-	GThread *loader;
-	unsigned per_s;
-	gint load_stopped;
-	gint njobs;
-	struct hf_job jobs[JOBS_MAX];
-	GMutex lock;
-};
 
 /* Appended to the settings of all entries and agents. */
 static const char *more_settings = "";
 
 /* --- processes --- */
 
-/* Addresses of the entries as members of a TOML list, owned. */
-static char *
-entry_list(const struct hf *f)
-{
-	GString *list = g_string_new("");
-	unsigned k;
-
-	for (k = 0; k < f->nentries; k++)
-		g_string_append_printf(list, "%s\"127.0.0.1:%u\"",
-		    k == 0 ? "" : ",", f->entries[k].relay_port);
-	return (g_string_free(list, FALSE));
-}
-
 static void
 start_entry(struct hf *f, unsigned i)
 {
 	struct entry *e = &f->entries[i];
 	char name[32], *path, *text;
-	char *seeds = entry_list(f);
+	char *seeds = hf_entries_for_entries(f);
 
 	text = g_strdup_printf(
 	    "name = \"e%u\"\navailability_zone = \"z%u\"\n"
@@ -108,7 +47,7 @@
 	    "addresses = [%s]\n[platform]\n"
 	    "store = \"127.0.0.1:%u\"\n%s",
 	    i, i, e->clients_port, e->probes_port, e->rpc_port, e->relay_port,
-	    e->metrics_port, seeds, f->store_relay_port, more_settings);
+	    e->metrics_port, seeds, hf_store_port_for(f, i), more_settings);
 	snprintf(name, sizeof(name), "entry%u.toml", i);
 	hn_write(f->hn, name, text);
 	path = hn_path(f->hn, name);
@@ -126,7 +65,7 @@
 {
 	struct worker *w = &f->workers[i];
 	char name[32], *path, *text;
-	char *seeds = entry_list(f);
+	char *seeds = hf_entries_for_agent(f, i);
 
 	text = g_strdup_printf(
 	    "name = \"w%u\"\navailability_zone = \"%s\"\n"
@@ -264,44 +203,14 @@
 	return (true);
 }
 
-/* Starts a relay in front of @target if the fleet is relayed. @control is set
- * to its control port. Return: its port, or @target without a relay. */
-static unsigned
-start_relay(struct hf *f, unsigned target, unsigned *control)
-{
-	char name[32], address[32];
-	unsigned ports[2];
-
-	if (!f->relayed)
-		return (target);
-	snprintf(name, sizeof(name), "relay-%u", f->next_suffix++);
-	snprintf(address, sizeof(address), "127.0.0.1:%u", target);
-	hn_wait_ready(hn_start(f->hn, name,
-			  (const char *const[]){
-			      "fakes/fake_relay", "--target", address, NULL}),
-	    ports, 2);
-	*control = ports[1];
-	return (ports[0]);
-}
-
-void
-hf_control_relay(
-    struct hf *f, enum hf_relay_target target, unsigned i, const char *control)
-{
-	hn_control(target == HF_ENTRY   ? f->entries[i].relay_control_port
-		: target == HF_ENDPOINT ? f->workers[i].relay_control_port
-					: f->store_relay_control_port,
-	    control);
-}
-
 static struct hf *
-fleet_new(struct hn *h, unsigned entries, unsigned workers, bool relayed)
+fleet_new(struct hn *h, unsigned entries, unsigned workers, enum hf_net net)
 {
 	struct hf *f = g_new0(struct hf, 1);
 	unsigned i;
 
 	f->hn = h;
-	f->relayed = relayed;
+	f->net = net;
 	f->timeout_ms = DEADLINE_MS;
 	f->target_ms = TARGET_MS;
 	f->required_label = "";
@@ -312,24 +221,20 @@
 	f->store = hn_start(
 	    h, "store", (const char *const[]){"fakes/fake_platform", NULL});
 	hn_wait_ready(f->store, &f->store_port, 1);
-	f->store_relay_port =
-	    start_relay(f, f->store_port, &f->store_relay_control_port);
+	hf_start_store_relay(f);
 	hf_set_queues(f, 1, 0);
 	for (i = 0; i < entries; i++) {
 		f->entries[i].clients_port = hn_port(h);
 		f->entries[i].probes_port = hn_port(h);
 		f->entries[i].rpc_port = hn_port(h);
 		f->entries[i].metrics_port = hn_port(h);
-		f->entries[i].relay_port = start_relay(f,
-		    f->entries[i].rpc_port, &f->entries[i].relay_control_port);
+		hf_start_entry_relay(f, i);
 	}
 	for (i = 0; i < workers; i++) {
 		f->workers[i].heartbeats_port = hn_port(h);
 		f->workers[i].orders_port = hn_port(h);
 		f->workers[i].metrics_port = hn_port(h);
-		f->workers[i].relay_port =
-		    start_relay(f, f->workers[i].orders_port,
-			&f->workers[i].relay_control_port);
+		hf_start_endpoint_relay(f, i);
 		snprintf(f->workers[i].az, sizeof(f->workers[i].az), "z%u",
 		    i % entries);
 	}
@@ -354,13 +259,19 @@
 struct hf *
 hf_new(struct hn *h, unsigned entries, unsigned workers)
 {
-	return (fleet_new(h, entries, workers, false));
+	return (fleet_new(h, entries, workers, HF_NET_DIRECT));
 }
 
 struct hf *
 hf_new_relayed(struct hn *h, unsigned entries, unsigned workers)
 {
-	return (fleet_new(h, entries, workers, true));
+	return (fleet_new(h, entries, workers, HF_NET_RELAYED));
+}
+
+struct hf *
+hf_new_separable(struct hn *h, unsigned entries, unsigned workers)
+{
+	return (fleet_new(h, entries, workers, HF_NET_SEPARABLE));
 }
 
 int
@@ -622,7 +533,7 @@
 	struct hf_job *job;
 	int n;
 
-	while (!g_atomic_int_get(&f->load_stopped) && f->njobs < JOBS_MAX) {
+	while (!g_atomic_int_get(&f->load_stopped) && f->njobs < HF_JOBS_MAX) {
 		n = g_atomic_int_add(&f->njobs, 1);
 		job = &f->jobs[n];
 		snprintf(job->id, sizeof(job->id), "%016x", n + 1);
--- a/tests/harness_fleet.h
+++ b/tests/harness_fleet.h
@@ -40,6 +40,15 @@
  * address, each endpoint and the store */
 struct hf *hf_new_relayed(struct hn *h, unsigned entries, unsigned workers);
 
+/** hf_new_separable() - like hf_new(), with relays by which the first entry can
+ * be cut off, see hf_cut_first_entry() */
+struct hf *hf_new_separable(struct hn *h, unsigned entries, unsigned workers);
+
+/** hf_cut_first_entry() - cut the first entry off from the store, the other
+ * entries and the agents of other zones, or end that. It still reaches the
+ * agents of its own zone, which reach the other entries */
+void hf_cut_first_entry(struct hf *f, bool cut);
+
 /** enum hf_relay_target - what a relay is in front of */
 enum hf_relay_target {
 	HF_ENTRY,
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -275,6 +275,58 @@
 	assert_string_equal("w2", f->start_workers[0]->name);
 }
 
+static void
+report_zone(struct fixture *f, struct fl_worker *w, enum pd_zone_state zone)
+{
+	struct pd_ended report = {.load.accepting = true, .load.zone = zone};
+
+	jb_grants_ended(f->jobs, w, &report);
+}
+
+/* Guards against grants to a worker whose agent has heard from another entry
+ * that its zone is out, and against jobs that wait for it. */
+static void
+test_evacuation_heard_by_agent(void **state)
+{
+	struct fixture *f = *state;
+	struct fl_worker *w = attach(f, "w1", 1);
+
+	report_zone(f, w, PD_ZONE_OUT);
+	assert_int_equal(0, fl_usable_count(f->fleet));
+	assert_false(fl_is_leaving(f->fleet));
+	submit(f, "a", 1);
+	assert_int_equal(JB_REFUSED, f->answers[0].status);
+	assert_int_equal(JB_R_NO_WORKER, f->answers[0].reason);
+	report_zone(f, w, PD_ZONE_IN);
+	submit(f, "b", 1);
+	assert_int_equal(1, f->nstarts);
+}
+
+/* Guards against refusing jobs before the clients of an entry that is cut off
+ * with its zone could move, and against use of that zone while there is
+ * another. */
+static void
+test_leaving(void **state)
+{
+	struct fixture *f = *state;
+	struct fl_worker *w1 = attach(f, "w1", 1), *w2 = attach(f, "w2", 2);
+
+	report_zone(f, w1, PD_ZONE_LEAVING);
+	assert_false(fl_is_leaving(f->fleet));
+	submit(f, "a", 1);
+	submit(f, "b", 1);
+	assert_int_equal(2, f->nstarts);
+	assert_ptr_equal(w2, f->start_workers[0]);
+	assert_ptr_equal(w2, f->start_workers[1]);
+	report_zone(f, w2, PD_ZONE_OUT);
+	assert_true(fl_is_leaving(f->fleet));
+	submit(f, "c", 1);
+	assert_int_equal(3, f->nstarts);
+	assert_ptr_equal(w1, f->start_workers[2]);
+	report_zone(f, w2, PD_ZONE_IN);
+	assert_false(fl_is_leaving(f->fleet));
+}
+
 /* Guards against granting tasks to a worker that fails them all, and against
  * ejecting a worker because of one job that always fails. */
 static void
@@ -337,6 +389,8 @@
 	    T(test_disconnected_not_sampled),
 	    T(test_label_with_space),
 	    T(test_evacuated),
+	    T(test_evacuation_heard_by_agent),
+	    T(test_leaving),
 	    T(test_failing_worker),
 	    T(test_spread_equal_workers),
 	};
--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -41,6 +41,7 @@
 	bool has_config;
 	bool config_expected;
 	bool holds_jobs;      /* the dispatcher does not answer */
+	bool no_worker;       /* the dispatcher refuses jobs */
 	unsigned deadline_ms; /* of the last job */
 	unsigned closed;      /* jobs whose client has gone */
 	enum fr_end end;      /* of the last of them */
@@ -82,6 +83,10 @@
 	f->deadline_ms = job->request.deadline_ms;
 	if (f->holds_jobs)
 		return;
+	if (f->no_worker) {
+		a.status = JB_REFUSED;
+		a.reason = JB_R_NO_WORKER;
+	}
 	fr_answer(f->front, waiter, &a);
 }
 
@@ -111,8 +116,16 @@
 	return (0);
 }
 
+static bool
+is_ready(void *arg)
+{
+	struct fixture *f = arg;
+
+	return (f->has_config && !f->no_worker);
+}
+
 static const struct fr_ops ops = {is_configured, is_config_expected, find_queue,
-    submit, cancel, client_gone, count_waiting, is_configured};
+    submit, cancel, client_gone, count_waiting, is_ready};
 
 static int
 connect_to(const char *address)
@@ -401,6 +414,28 @@
 	assert_int_equal(0, fr_pending(f->front));
 }
 
+/* Guards against clients that stay with an entry that has no worker, since
+ * their connections stay with it. */
+static void
+test_client_moved(void **state)
+{
+	struct fixture *f = *state;
+	char text[512] = "";
+
+	f->has_config = true;
+	send_request(f);
+	run_loop(f);
+	assert_true(recv(f->client, text, sizeof(text) - 1, MSG_DONTWAIT) > 0);
+	assert_null(strstr(text, "Connection: close"));
+	f->no_worker = true;
+	send_request(f);
+	run_loop(f);
+	memset(text, 0, sizeof(text));
+	assert_true(recv(f->client, text, sizeof(text) - 1, MSG_DONTWAIT) > 0);
+	assert_non_null(strstr(text, " 503 "));
+	assert_non_null(strstr(text, "Connection: close"));
+}
+
 /* Sends a job with the given body on a connection of its own. Return: status of
  * the response. */
 static int
@@ -516,6 +551,7 @@
 	    T(test_client_cut_off),
 	    T(test_client_waits),
 	    T(test_request_read_late),
+	    T(test_client_moved),
 	    T(test_malformed),
 	    T(test_id_not_utf8),
 	};
--- a/tests/test_links.c
+++ b/tests/test_links.c
@@ -73,10 +73,12 @@
 	struct lk *links;
 	struct entry entries[ENTRIES];
 	const char *addresses[ENTRIES + ODD_ADDRESSES];
-	unsigned announced;  /* entries that are announced to the agent */
-	uint64_t busy_entry; /* has grants at the agent */
-	unsigned started;    /* grants that the agent took */
-	uint64_t endpoint;   /* description of the endpoint */
+	unsigned announced;      /* entries that are announced to the agent */
+	uint64_t busy_entry;     /* has grants at the agent */
+	unsigned started;        /* grants that the agent took */
+	uint64_t endpoint;       /* description of the endpoint */
+	uint64_t zones_revision; /* that an entry sent last */
+	unsigned zones_out;      /* zones with it */
 };
 
 static void
@@ -189,8 +191,10 @@
 }
 
 static void
-on_contact(void *arg, uint64_t entry, uint64_t clock_ms)
+on_contact(void *arg, uint64_t entry, uint64_t clock_ms,
+    const struct pd_zones_known *zones)
 {
+	(void)zones;
 	(void)arg;
 	(void)entry;
 	(void)clock_ms;
@@ -231,6 +235,15 @@
 	lk_report_end(f->links, entry, &end);
 }
 
+static void
+on_zones(void *arg, const struct pd_zones *z)
+{
+	struct fixture *f = arg;
+
+	f->zones_revision = z->revision;
+	f->zones_out = z->evacuated.evacuated_len;
+}
+
 static enum pd_end_state
 grant_state(void *arg, uint64_t entry, const struct pd_key *k)
 {
@@ -245,6 +258,7 @@
     .gone = on_gone,
     .start = on_start,
     .withdraw = on_withdraw,
+    .zones = on_zones,
     .state = grant_state,
     .has_grants = has_grants};
 
@@ -769,6 +783,29 @@
 	assert_connected_beside(*state, "255.255.255.255", 1);
 }
 
+/* Guards against an agent that hears of zones that are out from no entry but
+ * the one that grants. */
+static void
+test_zones_of_any_entry(void **state)
+{
+	pd_name zones[] = {(char *)(uintptr_t) "z1", (char *)(uintptr_t) "z2"};
+	struct pd_zones z = {.revision = 5,
+	    .evacuated = {.evacuated_len = 2, .evacuated_val = zones}};
+	struct fixture *f = *state;
+	unsigned i;
+
+	f->announced = SEEDS;
+	start_links(f);
+	sn_run_loop(f->base, SETTLE_MS);
+	for (i = 0; i < SEEDS; i++, z.revision++) {
+		cn_send(
+		    f->entries[i].conn, PD_ZONES, (xdrproc_t)xdr_pd_zones, &z);
+		sn_run_loop(f->base, BUSY_MS);
+		assert_int_equal(z.revision, f->zones_revision);
+		assert_int_equal(2, f->zones_out);
+	}
+}
+
 int
 main(void)
 {
@@ -788,6 +825,7 @@
 	    T(test_end_while_disconnected),
 	    T(test_end_before_query),
 	    T(test_end_for_earlier_entry),
+	    T(test_zones_of_any_entry),
 	    T(test_port_out_of_range),
 	    T(test_address_without_route),
 	};
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -256,6 +256,45 @@
 	assert_int_equal(2, f->nends);
 }
 
+/* Guards against starts in a zone that is out, of grants by an entry that has
+ * not heard of it: before and after, and after a start that was rejected. */
+static void
+test_zone_out(void **state)
+{
+	static const char *const ids[] = {"a", "b", "c", "d", "e"};
+	struct fixture *f = *state;
+	unsigned i;
+
+	for (i = 0; i < G_N_ELEMENTS(ids); i++)
+		grant(f, ENTRY_1, ids[i]);
+	assert_int_equal(4, f->norders);
+	answer_start(f, "a", RU_STARTED);
+	/* Until then, entries that have no other zone use it. */
+	ru_set_zone(f->runner, PD_ZONE_LEAVING);
+	assert_int_equal(PD_ZONE_LEAVING, ru_load(f->runner).reported.zone);
+	assert_int_equal(0, f->nends);
+	ru_set_zone(f->runner, PD_ZONE_OUT);
+	assert_int_equal(PD_ZONE_OUT, ru_load(f->runner).reported.zone);
+	assert_int_equal(1, f->nends);
+	assert_string_equal("e", f->end_ids[0]);
+	assert_int_equal(PD_END_RETURNED, f->ends[0].state);
+	answer_start(f, "b", RU_NO_ROOM);
+	assert_int_equal(2, f->nends);
+	assert_string_equal("b", f->end_ids[1]);
+	assert_int_equal(PD_END_RETURNED, f->ends[1].state);
+	grant(f, ENTRY_2, "f");
+	assert_int_equal(3, f->nends);
+	assert_string_equal("f", f->end_ids[2]);
+	assert_int_equal(PD_END_RETURNED, f->ends[2].state);
+	pass(f, 60, ENTRY_1);
+	/* Runs go on, and tasks start again once the zone is back. */
+	assert_int_equal(4, f->norders);
+	assert_int_equal(3, f->nends);
+	ru_set_zone(f->runner, PD_ZONE_IN);
+	grant(f, ENTRY_1, "g");
+	assert_int_equal(5, f->norders);
+}
+
 /* Guards against runs that go on after their expiry or beyond their run time
  * limit. */
 static void
@@ -390,6 +429,7 @@
 	    T(test_drain),
 	    T(test_endpoint_leaves),
 	    T(test_taken_back),
+	    T(test_zone_out),
 	    T(test_expiry_and_limit),
 	    T(test_learns_from_all_entries),
 	    T(test_hanging_endpoint),
--- a/tests/test_workers.c
+++ b/tests/test_workers.c
@@ -22,6 +22,7 @@
 /* Longer than some messages take on the local host. */
 #define SETTLE_MS 50
 #define AGENT_CPU 64000
+#define ZONES_AGE_MS 123
 
 struct fixture;
 
@@ -35,6 +36,12 @@
 	unsigned renewed;     /* replies to short ones */
 	unsigned asked_to_attach;
 	unsigned starts;
+	unsigned zones;              /* messages about zones that are out */
+	unsigned zones_at_reply;     /* before the last answer to a heartbeat */
+	unsigned starts_before;      /* grants before the last of them */
+	uint64_t zones_revision;     /* in the last of them */
+	struct pd_zones_known known; /* in the last answer to a heartbeat */
+	unsigned out;                /* zones in it */
 	unsigned withdrawals;
 	unsigned queries;
 };
@@ -60,7 +67,24 @@
 	return (NULL);
 }
 
-static const struct wo_ops worker_ops = {.entry_addresses = entry_addresses};
+static void
+zones_in_force(
+    void *arg, struct pd_zones_known *known, struct pd_zones *evacuated)
+{
+	struct fixture *f = arg;
+	const struct pd_config *c = cf_current(f->config);
+
+	known->revision = c->zones_revision;
+	known->age_ms = ZONES_AGE_MS;
+	if (evacuated == NULL)
+		return;
+	evacuated->revision = c->zones_revision;
+	evacuated->evacuated.evacuated_len = c->evacuated.evacuated_len;
+	evacuated->evacuated.evacuated_val = c->evacuated.evacuated_val;
+}
+
+static const struct wo_ops worker_ops = {
+    .entry_addresses = entry_addresses, .zones = zones_in_force};
 
 static void
 send_start(void *arg, struct fl_worker *w, const struct pd_start *s)
@@ -109,14 +133,27 @@
     .answer = ignore_answer,
     .ended = ignore_end};
 
+static void
+on_zones(struct agent *a, struct cn *c, XDR *args)
+{
+	struct pd_zones z = {0};
+
+	assert_true(cn_decode(c, args, (xdrproc_t)xdr_pd_zones, &z));
+	a->zones++;
+	a->starts_before = a->starts;
+	a->zones_revision = z.revision;
+	a->out = z.evacuated.evacuated_len;
+	xdr_free((xdrproc_t)xdr_pd_zones, (char *)&z);
+}
+
 static void
 on_call(void *arg, struct cn *c, uint32_t proc, uint32_t xid, XDR *args)
 {
 	struct agent *a = arg;
 
-	(void)c;
 	(void)xid;
-	(void)args;
+	if (proc == PD_ZONES)
+		on_zones(a, c, args);
 	a->starts += proc == PD_START;
 	a->withdrawals += proc == PD_WITHDRAW;
 	a->queries += proc == PD_RECONCILE;
@@ -180,11 +217,15 @@
 static void
 on_attached(void *arg, enum cn_error error, void *result)
 {
+	const struct pd_attached *reply = result;
 	struct agent *a = arg;
 
-	(void)result;
 	a->rejected = error == CN_REJECTED;
 	a->attached += error == CN_OK;
+	if (error != CN_OK)
+		return;
+	a->known = reply->zones;
+	a->zones_at_reply = a->zones;
 }
 
 static void
@@ -215,6 +256,8 @@
 
 	a->rejected = error == CN_REJECTED;
 	a->renewed += error == CN_OK;
+	if (error == CN_OK)
+		a->known = r->zones;
 	a->asked_to_attach += error == CN_OK && r->attach;
 }
 
@@ -341,6 +384,55 @@
 	assert_int_equal(1, late->renewed);
 }
 
+static void
+set_zones(struct fixture *f, uint64_t revision, unsigned out)
+{
+	pd_name zones[] = {(char *)(uintptr_t) "z2"};
+	struct pd_config c = {.zones_revision = revision,
+	    .evacuated = {.evacuated_len = out, .evacuated_val = zones}};
+
+	assert_true(cf_apply(f->config, &c));
+	wo_send_zones(f->workers);
+	sn_run_loop(f->base, SETTLE_MS);
+}
+
+/* Guards against agents that do not hear which zones are out: when they
+ * connect, before the first grant, and when that changes. */
+static void
+test_zones_sent(void **state)
+{
+	struct fixture *f = *state;
+	struct agent *a, *again;
+
+	/* What is not known is not sent. */
+	a = connect_agent(f, 0, 1);
+	assert_int_equal(0, a->zones);
+	set_zones(f, 4, 1);
+	assert_int_equal(1, a->zones);
+	assert_int_equal(4, a->zones_revision);
+	assert_int_equal(1, a->out);
+	submit(f, "a");
+	assert_int_equal(1, a->starts);
+	again = connect_agent(f, 1, 2);
+	assert_int_equal(1, again->starts);
+	assert_int_equal(1, again->zones);
+	assert_int_equal(0, again->starts_before);
+	/* The answer to the first heartbeat confirms them. */
+	assert_int_equal(1, again->zones_at_reply);
+	set_zones(f, 9, 0);
+	assert_int_equal(2, again->zones);
+	assert_int_equal(9, again->zones_revision);
+	assert_int_equal(0, again->out);
+	/* Answers to heartbeats of both forms confirm them. */
+	send_heartbeat(again);
+	assert_int_equal(9, again->known.revision);
+	assert_int_equal(ZONES_AGE_MS, again->known.age_ms);
+	again->known.revision = 0;
+	renew(again, 0);
+	assert_int_equal(9, again->known.revision);
+	assert_int_equal(ZONES_AGE_MS, again->known.age_ms);
+}
+
 int
 main(void)
 {
@@ -349,6 +441,7 @@
 	    T(test_heartbeat_on_replaced_connection),
 	    T(test_earlier_agent_on_connection),
 	    T(test_short_heartbeat),
+	    T(test_zones_sent),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
--- a/wire/pd.h
+++ b/wire/pd.h
@@ -333,14 +333,29 @@
 };
 typedef struct pd_speed pd_speed;
 
+enum pd_zone_state {
+	PD_ZONE_IN = 0,
+	PD_ZONE_LEAVING = 1,
+	PD_ZONE_OUT = 2,
+};
+typedef enum pd_zone_state pd_zone_state;
+
 struct pd_load {
 	u_int cpu_used;
 	u_int cpu_queued[PD_LEVELS];
 	bool_t accepting;
+	pd_zone_state zone;
 	pd_speed speed;
 };
 typedef struct pd_load pd_load;
 
+struct pd_zones_known {
+	u_quad_t revision;
+	u_int age_ms;
+};
+typedef struct pd_zones_known pd_zones_known;
+#define PD_AGE_UNKNOWN 4294967295
+
 struct pd_attach {
 	char *cell;
 	char *name;
@@ -371,6 +386,7 @@
 	} entries;
 	u_int service_workers;
 	u_int label_workers;
+	pd_zones_known zones;
 };
 typedef struct pd_attached pd_attached;
 
@@ -385,6 +401,7 @@
 struct pd_renewed {
 	u_quad_t clock_ms;
 	bool_t attach;
+	pd_zones_known zones;
 };
 typedef struct pd_renewed pd_renewed;
 
@@ -464,6 +481,15 @@
 };
 typedef struct pd_config pd_config;
 
+struct pd_zones {
+	u_quad_t revision;
+	struct {
+		u_int evacuated_len;
+		pd_name *evacuated_val;
+	} evacuated;
+};
+typedef struct pd_zones pd_zones;
+
 struct pd_waiting {
 	char *queue;
 	u_int jobs;
@@ -582,6 +608,9 @@
 #define PD_RENEW 22
 extern  pd_renewed * pd_renew_1(pd_renew *, CLIENT *);
 extern  pd_renewed * pd_renew_1_svc(pd_renew *, struct svc_req *);
+#define PD_ZONES 23
+extern  void * pd_zones_1(pd_zones *, CLIENT *);
+extern  void * pd_zones_1_svc(pd_zones *, struct svc_req *);
 extern int pd_prog_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -651,6 +680,9 @@
 #define PD_RENEW 22
 extern  pd_renewed * pd_renew_1();
 extern  pd_renewed * pd_renew_1_svc();
+#define PD_ZONES 23
+extern  void * pd_zones_1();
+extern  void * pd_zones_1_svc();
 extern int pd_prog_1_freeresult ();
 #endif /* K&R C */
 
@@ -689,7 +721,9 @@
 extern  bool_t xdr_pd_lookup (XDR *, pd_lookup*);
 extern  bool_t xdr_pd_name (XDR *, pd_name*);
 extern  bool_t xdr_pd_speed (XDR *, pd_speed*);
+extern  bool_t xdr_pd_zone_state (XDR *, pd_zone_state*);
 extern  bool_t xdr_pd_load (XDR *, pd_load*);
+extern  bool_t xdr_pd_zones_known (XDR *, pd_zones_known*);
 extern  bool_t xdr_pd_attach (XDR *, pd_attach*);
 extern  bool_t xdr_pd_attached (XDR *, pd_attached*);
 extern  bool_t xdr_pd_renew (XDR *, pd_renew*);
@@ -700,6 +734,7 @@
 extern  bool_t xdr_pd_ended (XDR *, pd_ended*);
 extern  bool_t xdr_pd_queue (XDR *, pd_queue*);
 extern  bool_t xdr_pd_config (XDR *, pd_config*);
+extern  bool_t xdr_pd_zones (XDR *, pd_zones*);
 extern  bool_t xdr_pd_waiting (XDR *, pd_waiting*);
 extern  bool_t xdr_pd_run_times (XDR *, pd_run_times*);
 extern  bool_t xdr_pd_gossip (XDR *, pd_gossip*);
@@ -737,7 +772,9 @@
 extern bool_t xdr_pd_lookup ();
 extern bool_t xdr_pd_name ();
 extern bool_t xdr_pd_speed ();
+extern bool_t xdr_pd_zone_state ();
 extern bool_t xdr_pd_load ();
+extern bool_t xdr_pd_zones_known ();
 extern bool_t xdr_pd_attach ();
 extern bool_t xdr_pd_attached ();
 extern bool_t xdr_pd_renew ();
@@ -748,6 +785,7 @@
 extern bool_t xdr_pd_ended ();
 extern bool_t xdr_pd_queue ();
 extern bool_t xdr_pd_config ();
+extern bool_t xdr_pd_zones ();
 extern bool_t xdr_pd_waiting ();
 extern bool_t xdr_pd_run_times ();
 extern bool_t xdr_pd_gossip ();
--- a/wire/pd.x
+++ b/wire/pd.x
@@ -255,13 +255,29 @@
 	bool hanging;			/* no run has ended for too long */
 };
 
+/* State of the availability zone of an endpoint. */
+enum pd_zone_state {
+	PD_ZONE_IN = 0,
+	PD_ZONE_LEAVING = 1,	/* evacuated: takes what fits nowhere else */
+	PD_ZONE_OUT = 2		/* evacuated: nothing starts */
+};
+
 struct pd_load {
 	unsigned int cpu_used;
 	unsigned int cpu_queued[PD_LEVELS];	/* by level, 0 is most urgent */
 	bool accepting;
+	pd_zone_state zone;	/* of the endpoint, as the agent has heard */
 	pd_speed speed;
 };
 
+/* What an entry knows of the availability zones that are out. */
+struct pd_zones_known {
+	unsigned hyper revision;	/* of the store, up to which; 0: nothing */
+	unsigned int age_ms;		/* since the store confirmed it */
+};
+
+const PD_AGE_UNKNOWN = 4294967295;
+
 /* Sent when a connection opens and repeated as a heartbeat. */
 struct pd_attach {
 	string cell<PD_NAME_MAX>;
@@ -287,6 +303,7 @@
 	pd_name entries<PD_ENTRIES_MAX>; /* empty if the hash is equal */
 	unsigned int service_workers;	/* known workers of the same service */
 	unsigned int label_workers;	/* known workers with its rarest label */
+	pd_zones_known zones;
 };
 
 /* Heartbeat of an agent that has said nothing new of itself and its endpoint
@@ -301,6 +318,7 @@
 struct pd_renewed {
 	unsigned hyper clock_ms;	/* copied from pd_renew */
 	bool attach;			/* send a PD_ATTACH now */
+	pd_zones_known zones;
 };
 
 struct pd_start {
@@ -363,6 +381,13 @@
 	pd_name evacuated<PD_AZS_MAX>;
 };
 
+/* Availability zones that are out, sent to an agent when it connects and when
+ * they change. */
+struct pd_zones {
+	unsigned hyper revision;	/* of the store, for evacuated */
+	pd_name evacuated<PD_AZS_MAX>;
+};
+
 struct pd_waiting {
 	string queue<PD_TEXT_MAX>;
 	unsigned int jobs;
@@ -423,5 +448,6 @@
 		bool PD_CLAIM(pd_id) = 20;
 		void PD_TAKE_BACK(pd_cancel) = 21;
 		pd_renewed PD_RENEW(pd_renew) = 22;
+		void PD_ZONES(pd_zones) = 23;
 	} = 1;
 } = 0x20504431;
--- a/wire/pd_xdr.c
+++ b/wire/pd_xdr.c
@@ -662,6 +662,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_pd_zone_state (XDR *xdrs, pd_zone_state *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_pd_load (XDR *xdrs, pd_load *objp)
 {
@@ -692,6 +702,8 @@
 		}
 		IXDR_PUT_BOOL(buf, objp->accepting);
 		}
+		 if (!xdr_pd_zone_state (xdrs, &objp->zone))
+			 return FALSE;
 		 if (!xdr_pd_speed (xdrs, &objp->speed))
 			 return FALSE;
 		return TRUE;
@@ -718,6 +730,8 @@
 		}
 		objp->accepting = IXDR_GET_BOOL(buf);
 		}
+		 if (!xdr_pd_zone_state (xdrs, &objp->zone))
+			 return FALSE;
 		 if (!xdr_pd_speed (xdrs, &objp->speed))
 			 return FALSE;
 	 return TRUE;
@@ -730,11 +744,25 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->accepting))
 		 return FALSE;
+	 if (!xdr_pd_zone_state (xdrs, &objp->zone))
+		 return FALSE;
 	 if (!xdr_pd_speed (xdrs, &objp->speed))
 		 return FALSE;
 	return TRUE;
 }
 
+bool_t
+xdr_pd_zones_known (XDR *xdrs, pd_zones_known *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_pd_attach (XDR *xdrs, pd_attach *objp)
 {
@@ -788,6 +816,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->label_workers))
 		 return FALSE;
+	 if (!xdr_pd_zones_known (xdrs, &objp->zones))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -816,6 +846,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->attach))
 		 return FALSE;
+	 if (!xdr_pd_zones_known (xdrs, &objp->zones))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -1086,6 +1118,19 @@
 	return TRUE;
 }
 
+bool_t
+xdr_pd_zones (XDR *xdrs, pd_zones *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->evacuated.evacuated_val, (u_int *) &objp->evacuated.evacuated_len, PD_AZS_MAX,
+		sizeof (pd_name), (xdrproc_t) xdr_pd_name))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_pd_waiting (XDR *xdrs, pd_waiting *objp)
 {
