Read evacuated zones at agents while no entry confirms them

No entry had heard of the evacuation, so none could tell an agent.

Change: an agent that no entry has confirmed the zones to for 3 s reads them from the store, each 1.5 s, or after 1 to 4 s if that fails. Entries go on as before while the store is down for agents, too: nothing is refused for want of a confirmation. Refusing everything instead was ruled out, since a store that is down looks the same to an entry.

--- a/agent/executor.c
+++ b/agent/executor.c
@@ -19,6 +19,7 @@
 #include "runner.h"
 #include "scrape.h"
 #include "settings.h"
+#include "zone_reader.h"
 #include "zones.h"
 
 #define PART "agent"
@@ -46,6 +47,7 @@
 	int64_t entry_port;
 	char *heartbeat_form;
 	int64_t evacuate_ms;
+	char *store;
 	char *log_level;
 	struct bd_settings limits;
 };
@@ -74,6 +76,9 @@
     {"zones.evacuate_ms", ST_INTEGER, AT(evacuate_ms), 1000, 600000, "5000",
 	NULL,
 	"time after an evacuation from which nothing may start in the zone"},
+    {"platform.store", ST_STRING, AT(store), 0, 21, "", NULL,
+	"IP:port of the platform's store, which is asked for evacuations while "
+	"no entry answers for them; empty for none"},
     {"listen.metrics", ST_STRING, AT(metrics), 0, 21, "", NULL,
 	"IP:port of the metrics; empty for none"},
     {"log.level", ST_STRING, AT(log_level), 1, 16, "info",
@@ -90,6 +95,7 @@
 	struct ct *counters;
 	struct ru *runner;
 	struct zn *zones;
+	struct zr *zone_reader; /* NULL without the address of the store */
 	struct od *endpoint;
 	struct lk *links;
 	struct sc *metrics;
@@ -395,6 +401,18 @@
 		event_active(e->tick, EV_TIMEOUT, 0);
 }
 
+static void
+on_zones_read(void *arg, uint64_t asked_ms, const struct pd_zones *z)
+{
+	struct pd_zones_known known = {.revision = z->revision};
+	struct ex *e = arg;
+
+	zn_apply(e->zones, z);
+	zn_confirm(e->zones, asked_ms, &known);
+}
+
+static const struct zr_ops zone_ops = {.zones = on_zones_read};
+
 static enum pd_end_state
 on_state(void *arg, uint64_t entry, const struct pd_key *k)
 {
@@ -458,6 +476,8 @@
 
 	(void)fd;
 	(void)what;
+	if (e->zone_reader != NULL)
+		zr_tick(e->zone_reader, zn_age_ms(e->zones));
 	if (update_zone(e))
 		lk_send_heartbeats(e->links);
 	ru_tick(e->runner);
@@ -566,6 +586,9 @@
 		return (false);
 	e->bounds = bd_new(e->base, e->clock, e->counters, &e->limits);
 	od_set_bounds(e->endpoint, e->bounds, HEARTBEATS_SHARE);
+	if (e->settings.store[0] != '\0')
+		e->zone_reader =
+		    zr_new(e->base, e->clock, e->settings.store, &zone_ops, e);
 	if (e->settings.metrics[0] == '\0')
 		return (true);
 	e->metrics = sc_new(
@@ -593,6 +616,7 @@
 	if (e->tick != NULL)
 		event_free(e->tick);
 	sc_free(e->metrics);
+	zr_free(e->zone_reader);
 	od_free(e->endpoint);
 	bd_free(e->bounds);
 	lk_free(e->links);
--- a/sched/zones.c
+++ b/sched/zones.c
@@ -13,6 +13,7 @@
 	struct cf *config; /* without queues */
 	char *az;
 	unsigned evacuate_ms;
+	uint64_t started_ms;
 	uint64_t confirmed_ms; /* last confirmation of these or older zones */
 	uint64_t in_use_ms;    /* the zone was in use until then; 0: unknown */
 };
@@ -25,6 +26,7 @@
 	z->clock = clock;
 	z->config = cf_new();
 	z->az = g_strdup("");
+	z->started_ms = ck_mono_ms(clock);
 	z->evacuate_ms = evacuate_ms;
 	return (z);
 }
@@ -75,6 +77,13 @@
 	z->confirmed_ms = MAX(z->confirmed_ms, asked_ms - known->age_ms);
 }
 
+unsigned
+zn_age_ms(const struct zn *z)
+{
+	return ((unsigned)(ck_mono_ms(z->clock) -
+	    MAX(z->confirmed_ms, z->started_ms)));
+}
+
 enum pd_zone_state
 zn_state(const struct zn *z)
 {
--- a/sched/zones.h
+++ b/sched/zones.h
@@ -43,6 +43,9 @@
 void zn_confirm(
     struct zn *z, uint64_t asked_ms, const struct pd_zones_known *known);
 
+/** zn_age_ms() - time since the zones were last confirmed, or since zn_new() */
+unsigned zn_age_ms(const struct zn *z);
+
 /** zn_state() - state of the availability zone of the endpoint now */
 enum pd_zone_state zn_state(const struct zn *z);
 
--- a/tests/harness_fleet.c
+++ b/tests/harness_fleet.c
@@ -72,9 +72,10 @@
 	    "[endpoint]\nheartbeats = \"127.0.0.1:%u\"\n"
 	    "orders = \"127.0.0.1:%u\"\n[entries]\n"
 	    "addresses = [%s]\n"
+	    "[platform]\nstore = \"127.0.0.1:%u\"\n"
 	    "[listen]\nmetrics = \"127.0.0.1:%u\"\n%s",
-	    i, w->az, w->heartbeats_port, w->relay_port, seeds, w->metrics_port,
-	    more_settings);
+	    i, w->az, w->heartbeats_port, w->relay_port, seeds, f->store_port,
+	    w->metrics_port, more_settings);
 	snprintf(name, sizeof(name), "agent%u.toml", i);
 	hn_write(f->hn, name, text);
 	path = hn_path(f->hn, name);
@@ -302,6 +303,12 @@
 	return (f->entries[i].proc);
 }
 
+struct hn_proc *
+hf_store(struct hf *f)
+{
+	return (f->store);
+}
+
 struct hn_proc *
 hf_agent(struct hf *f, unsigned i)
 {
--- a/tests/harness_fleet.h
+++ b/tests/harness_fleet.h
@@ -164,6 +164,9 @@
 /** hf_port() - port of a listener of an entry, or of an agent */
 unsigned hf_port(const struct hf *f, enum hf_listener listener, unsigned i);
 
+/** hf_store() - process of the fake store */
+struct hn_proc *hf_store(struct hf *f);
+
 /** hf_store_port() - port of the fake store */
 unsigned hf_store_port(const struct hf *f);
 
--- a/tests/proc_stale_zones.c
+++ b/tests/proc_stale_zones.c
@@ -28,6 +28,8 @@
 #define AT_ONCE_MS 200
 #define SPEC "run_ms=50 cpu=6000"
 #define RUN_MS 50
+/* So many that some go to each zone in use, and all fit in two zones. */
+#define WIDE_TASKS 24
 #define LONG_RUN_MS 1000
 #define LONG_SPEC "run_ms=1000 cpu=6000"
 #define LONG_TIMEOUT_MS 60000
@@ -46,14 +48,25 @@
 	return (0);
 }
 
+static int
+set_up_relayed(void **state)
+{
+	struct hf_test *t = g_new0(struct hf_test, 1);
+
+	t->hn = hn_new();
+	t->fleet = hf_new_relayed(t->hn, ENTRIES, WORKERS);
+	*state = t;
+	return (0);
+}
+
 /* Submits a job at the first entry. Return: status of the answer. */
 static int
-submit(struct hf *f, unsigned number)
+submit(struct hf *f, unsigned number, unsigned tasks)
 {
 	char id[17];
 
 	snprintf(id, sizeof(id), "%016x", 0xd000 + number);
-	return (hf_submit(f, 0, id, SPEC, ZONE_WORKERS, RUN_MS, NULL));
+	return (hf_submit(f, 0, id, SPEC, tasks, RUN_MS, NULL));
 }
 
 static void *
@@ -83,13 +96,13 @@
 	assert_false(hf_is_ready(f, 0));
 	assert_true(hf_is_ready(f, 1));
 	for (i = 0; hn_wall_ms() < out_ms + MOVED_MS; i++) {
-		assert_int_equal(200, submit(f, i));
+		assert_int_equal(200, submit(f, i, ZONE_WORKERS));
 		hn_sleep_ms(50);
 	}
 	hn_sleep_ms((unsigned)(out_ms + EVACUATE_MS - hn_wall_ms()));
 	for (; hn_wall_ms() < out_ms + EVACUATE_MS + HEARD_MS; i++) {
 		sent_ms = hn_mono_ms();
-		assert_int_equal(503, submit(f, i));
+		assert_int_equal(503, submit(f, i, ZONE_WORKERS));
 		assert_in_range(hn_mono_ms() - sent_ms, 0, AT_ONCE_MS);
 		hn_sleep_ms(50);
 	}
@@ -151,8 +164,60 @@
 	assert_true(hf_starts_in_zone(f, "z0", back_ms) > 0);
 }
 
+/* Guards against starts in a zone that is out when no entry hears of it, since
+ * the store answers none of them, but answers agents. */
+static void
+test_no_entry_hears(void **state)
+{
+	struct hf_test *t = *state;
+	struct hf *f = t->fleet;
+	uint64_t out_ms;
+	unsigned i, started;
+
+	hf_control_relay(f, HF_STORE, 0, "mode=silent");
+	hn_sleep_ms(200);
+	hf_evacuate(f, "z0", true);
+	out_ms = hn_wall_ms();
+	for (i = 0; hn_wall_ms() < out_ms + EVACUATE_MS + HEARD_MS; i++) {
+		assert_int_equal(200, submit(f, i, WIDE_TASKS));
+		hn_sleep_ms(50);
+	}
+	assert_int_equal(0, hf_starts_in_zone(f, "z0", out_ms + EVACUATE_MS));
+	/* They hear likewise that it is back. */
+	hf_evacuate(f, "z0", false);
+	hn_sleep_ms(4 * HEARD_MS);
+	out_ms = hn_wall_ms();
+	for (started = 0; started == 0 && hn_wall_ms() < out_ms + EVACUATE_MS;
+	     i++) {
+		assert_int_equal(200, submit(f, i, WIDE_TASKS));
+		started = hf_starts_in_zone(f, "z0", out_ms);
+	}
+	assert_true(started > 0);
+}
+
+/* Guards against tasks that are refused while the store is down for everyone.
+ */
+static void
+test_store_down(void **state)
+{
+	struct hf_test *t = *state;
+	struct hf *f = t->fleet;
+	uint64_t down_ms = hn_wall_ms();
+	unsigned i;
+
+	hn_signal(hf_store(f), SIGSTOP);
+	for (i = 0; hn_wall_ms() < down_ms + 2 * EVACUATE_MS; i++) {
+		assert_int_equal(200, submit(f, i, WIDE_TASKS));
+		hn_sleep_ms(100);
+	}
+	assert_true(hf_starts_in_zone(f, "z0", down_ms + EVACUATE_MS) > 0);
+	hn_signal(hf_store(f), SIGCONT);
+}
+
 #define TEST(name)                                                             \
 	cmocka_unit_test_setup_teardown(name, set_up, hf_test_tear_down)
+#define RELAYED(name)                                                          \
+	cmocka_unit_test_setup_teardown(name, set_up_relayed, hf_test_tear_down)
 
 int
 main(void)
@@ -161,6 +226,8 @@
 	    TEST(test_evacuation_not_heard),
 	    TEST(test_tasks_queued_before_evacuation),
 	    TEST(test_return_not_heard),
+	    RELAYED(test_no_entry_hears),
+	    RELAYED(test_store_down),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
--- a/tests/test_zones.c
+++ b/tests/test_zones.c
@@ -149,6 +149,27 @@
 	assert_int_equal(PD_ZONE_OUT, zn_state(f->zones));
 }
 
+/* Guards against reads of the store while entries confirm the zones, right
+ * after the start, and against none while only an older revision is confirmed.
+ */
+static void
+test_age(void **state)
+{
+	struct fixture *f = *state;
+
+	ck_advance_ms(f->clock, 700);
+	assert_int_equal(700, zn_age_ms(f->zones));
+	apply(f, 5, NULL);
+	confirm(f, 5, 200);
+	assert_int_equal(200, zn_age_ms(f->zones));
+	apply(f, 6, NULL);
+	ck_advance_ms(f->clock, 1000);
+	confirm(f, 5, 0);
+	assert_int_equal(1200, zn_age_ms(f->zones));
+	confirm(f, 6, 100);
+	assert_int_equal(100, zn_age_ms(f->zones));
+}
+
 /* Guards against time that was granted for another zone. */
 static void
 test_endpoint_of_other_zone(void **state)
@@ -175,6 +196,7 @@
 	    T(test_time_from_last_confirmation),
 	    T(test_confirmations_of_older_revision),
 	    T(test_first_contact_with_entry_cut_off),
+	    T(test_age),
 	    T(test_endpoint_of_other_zone),
 	};
 
