--- a/agent/executor.c
+++ b/agent/executor.c
@@ -95,7 +95,8 @@
 	struct ct *counters;
 	struct ru *runner;
 	struct zn *zones;
-	struct zr *zone_reader; /* NULL without the address of the store */
+	enum pd_zone_state zone; /* as passed on to the runner */
+	struct zr *zone_reader;  /* NULL without the address of the store */
 	struct od *endpoint;
 	struct lk *links;
 	struct sc *metrics;
@@ -180,8 +181,9 @@
 
 	zn_set_az(e->zones, zone_of(e));
 	zone = zn_state(e->zones);
-	if (zone == ru_load(e->runner).reported.zone)
+	if (zone == e->zone)
 		return (false);
+	e->zone = zone;
 	lg_write(LOG_NOTICE, PART, "zone %s is %s, revision %llu", zone_of(e),
 	    names[zone], (unsigned long long)zn_revision(e->zones));
 	ru_set_zone(e->runner, zone);
--- a/agent/links.c
+++ b/agent/links.c
@@ -5,7 +5,7 @@
 #include "conn.h"
 #include "contacts.h"
 #include "lease.h"
-#include "links.h"
+#include "links_impl.h"
 #include "log.h"
 
 /* A heartbeat without an answer after this time counts as lost. */
@@ -40,50 +40,6 @@
 #define ATTACH_PERIOD_MS 1000
 #define US_PER_MS 1000
 
-struct link {
-	struct lk *links;
-	char *address;
-	struct cn *conn;
-	bool open;
-	bool heartbeat_pending;
-	bool seed;
-	bool failed;                /* the last attempt got no answer */
-	uint64_t rank;              /* order of preference, lowest first */
-	uint64_t entry;             /* incarnation, 0 while unknown */
-	uint64_t heartbeat_sent_ms; /* clock in the last heartbeat */
-	uint64_t echo_ms; /* latest clock echoed on this connection; 0: none */
-	uint64_t announced_ms; /* when it answered or was announced last */
-	uint64_t unneeded_ms;  /* since when it is not needed; 0: it is */
-	uint32_t list_hash;    /* of the entries that it announced last */
-	uint64_t load_sent_ms; /* when a report with the load was sent last */
-	uint64_t described;    /* endpoint in the last heartbeat; 0: none */
-	uint64_t attached;     /* endpoint in the last answered PD_ATTACH */
-	uint64_t
-	    attached_ms;    /* when that was sent; 0: none on this connection */
-	bool heartbeat_due; /* as soon as the pending one is answered */
-	GArray *unsent_ends; /* struct pd_end with owned ids, to be sent */
-};
-
-struct lk {
-	struct event_base *base;
-	const struct ck *clock;
-	char *cell;
-	char *name;
-	struct ac *contacts;
-	const struct lk_ops *ops;
-	void *arg;
-	GHashTable *table; /* address -> struct link, owned */
-	GPtrArray *ranked; /* the same links by rank */
-	uint64_t list_requested_ms;
-	uint64_t started_ms;
-	uint64_t discovered_ms; /* when an address was last added */
-	struct event *timer;
-	struct event *flush_event;
-	struct event *connect_event; /* to entries that were announced */
-	bool short_heartbeats;
-	bool closing;
-};
-
 static void
 clear_unsent_ends(struct link *l)
 {
@@ -115,8 +71,6 @@
 	l->heartbeat_due = false;
 }
 
-static void send_heartbeat(struct link *l);
-
 static void
 link_opened(void *arg, struct cn *c)
 {
@@ -125,7 +79,7 @@
 	l->open = true;
 	cn_set_idle(c, IDLE_TIMEOUT_MS);
 	if (!l->heartbeat_pending)
-		send_heartbeat(l);
+		lk_send_heartbeat(l);
 }
 
 /* Queues the report of an end, which is sent after this loop pass. */
@@ -139,8 +93,8 @@
 	event_active(l->links->flush_event, EV_TIMEOUT, 0);
 }
 
-static bool
-in_contact(const struct link *l)
+bool
+lk_in_contact(const struct link *l)
 {
 	return (l->echo_ms != 0 &&
 	    ck_mono_ms(l->links->clock) <= l->echo_ms + LE_CONTACT_MS);
@@ -159,8 +113,8 @@
 	return (load);
 }
 
-static struct pd_load
-current_load_for(const struct link *l)
+struct pd_load
+lk_current_load(const struct link *l)
 {
 	struct pd_attach a = {0};
 
@@ -169,8 +123,8 @@
 }
 
 /* Sends the load and all ends that are not sent yet. */
-static void
-send_ends(struct link *l, struct pd_load load)
+void
+lk_send_ends(struct link *l, struct pd_load load)
 {
 	struct pd_ended e = {.load = load};
 	guint sent = 0;
@@ -184,119 +138,11 @@
 	clear_unsent_ends(l);
 }
 
-static void
-return_grant(struct link *l, const struct pd_start *s)
-{
-	struct pd_end e = {.key = s->key, .state = PD_END_RETURNED};
-	struct pd_ended report = {.load = current_load_for(l),
-	    .list = {.list_len = 1, .list_val = &e}};
-
-	lg_write(LOG_NOTICE, "links",
-	    "job %s task %u attempt %u: grant returned, no contact with entry "
-	    "%s for %d ms",
-	    s->key.sub.id, s->key.task, s->key.attempt, l->address,
-	    LE_CONTACT_MS);
-	/* Renews the contact before the entry grants the task again. */
-	if (!l->heartbeat_pending)
-		send_heartbeat(l);
-	cn_send(l->conn, PD_ENDED, (xdrproc_t)xdr_pd_ended, &report);
-}
-
-/* A grant that is read without contact may be older than LE_UNREACHABLE_MS: its
- * entry may have granted the task elsewhere. Contact that is made later does
- * not prove the opposite, so the grant is not kept until then. */
-static void
-on_start(struct link *l, XDR *args)
-{
-	struct lk *k = l->links;
-	struct pd_start s = {0};
-
-	if (!cn_decode(l->conn, args, (xdrproc_t)xdr_pd_start, &s))
-		return;
-	if (in_contact(l))
-		k->ops->start(k->arg, l->entry, &s);
-	else
-		return_grant(l, &s);
-	xdr_free((xdrproc_t)xdr_pd_start, (char *)&s);
-}
-
-/* Calls @handle for each grant of a list. */
-static void
-on_keys(struct link *l, XDR *args,
-    void (*handle)(void *arg, uint64_t entry, const struct pd_key *k))
-{
-	struct lk *k = l->links;
-	struct pd_cancel list = {0};
-	unsigned i;
-
-	if (!cn_decode(l->conn, args, (xdrproc_t)xdr_pd_cancel, &list))
-		return;
-	for (i = 0; i < list.list.list_len; i++)
-		handle(k->arg, l->entry, &list.list.list_val[i]);
-	xdr_free((xdrproc_t)xdr_pd_cancel, (char *)&list);
-}
-
-/* Before the first reply to a heartbeat of this connection it is not known
- * which entry asks; it asks again. */
-static void
-on_reconcile(struct link *l, uint32_t xid, XDR *args)
-{
-	struct lk *k = l->links;
-	struct pd_cancel list = {0};
-	struct pd_ended reply = {0};
-	unsigned i;
-
-	if (l->echo_ms == 0) {
-		cn_reject(l->conn, xid);
-		return;
-	}
-	if (!cn_decode(l->conn, args, (xdrproc_t)xdr_pd_cancel, &list))
-		return;
-	reply.list.list_val = g_new0(struct pd_end, list.list.list_len + 1);
-	reply.list.list_len = list.list.list_len;
-	for (i = 0; i < list.list.list_len; i++) {
-		reply.list.list_val[i].key = list.list.list_val[i];
-		reply.list.list_val[i].state =
-		    k->ops->state(k->arg, l->entry, &list.list.list_val[i]);
-	}
-	reply.load = current_load_for(l);
-	/* A grant that has just ended is not known here any more. */
-	if (l->unsent_ends->len > 0)
-		send_ends(l, reply.load);
-	cn_reply(l->conn, xid, (xdrproc_t)xdr_pd_ended, &reply);
-	g_free(reply.list.list_val);
-	xdr_free((xdrproc_t)xdr_pd_cancel, (char *)&list);
-}
-
-static void
-on_zones(struct link *l, XDR *args)
-{
-	struct lk *k = l->links;
-	struct pd_zones z = {0};
-
-	if (!cn_decode(l->conn, args, (xdrproc_t)xdr_pd_zones, &z))
-		return;
-	k->ops->zones(k->arg, &z);
-	xdr_free((xdrproc_t)xdr_pd_zones, (char *)&z);
-}
-
 static void
 link_call(void *arg, struct cn *c, uint32_t proc, uint32_t xid, XDR *args)
 {
-	struct link *l = arg;
-
-	if (proc == PD_START)
-		on_start(l, args);
-	else if (proc == PD_WITHDRAW)
-		on_keys(l, args, l->links->ops->withdraw);
-	else if (proc == PD_TAKE_BACK)
-		on_keys(l, args, l->links->ops->take_back);
-	else if (proc == PD_RECONCILE)
-		on_reconcile(l, xid, args);
-	else if (proc == PD_ZONES)
-		on_zones(l, args);
-	else
-		cn_reject(c, xid);
+	(void)c;
+	lk_handle_call(arg, proc, xid, args);
 }
 
 static const struct cn_ops link_ops = {
@@ -469,7 +315,7 @@
 		ac_observe(k->contacts, a->service_workers, a->label_workers);
 	add_announced(l, a);
 	if (l->heartbeat_due && l->open)
-		send_heartbeat(l);
+		lk_send_heartbeat(l);
 }
 
 static void
@@ -487,7 +333,7 @@
 	if (r->attach)
 		l->attached_ms = 0;
 	if ((l->heartbeat_due || r->attach) && l->open)
-		send_heartbeat(l);
+		lk_send_heartbeat(l);
 }
 
 /* Hash of the list that an entry need not send again. Now and then it is none,
@@ -536,8 +382,8 @@
 	    a->clock_ms - l->attached_ms < ATTACH_PERIOD_MS);
 }
 
-static void
-send_heartbeat(struct link *l)
+void
+lk_send_heartbeat(struct link *l)
 {
 	struct lk *k = l->links;
 	struct pd_attach a = {0};
@@ -603,7 +449,7 @@
 	    (now || is_asked_for_entries(l) ||
 		ck_mono_ms(l->links->clock) - l->heartbeat_sent_ms >=
 		    LE_HEARTBEAT_MS)) {
-		send_heartbeat(l);
+		lk_send_heartbeat(l);
 	}
 }
 
@@ -742,7 +588,7 @@
 			!is_load_report_due(l, now, period_ms)))
 			continue;
 		l->load_sent_ms = now;
-		send_ends(l, load_for(l, &a));
+		lk_send_ends(l, load_for(l, &a));
 	}
 }
 
--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -10,6 +10,7 @@
 #include "clock.h"
 #include "config.h"
 #include "counters.h"
+#include "dispatch_gauges.h"
 #include "dispatch_settings.h"
 #include "dispatcher.h"
 #include "event.h"
@@ -30,7 +31,6 @@
 
 #define TICK_MS 20
 #define US_PER_MS 1000
-#define PERMILLE 1000
 /* The load balancer probes once a second and stops sending new connections to
  * this entry after two failed probes. */
 #define DRAIN_MIN_MS 3600
@@ -74,11 +74,9 @@
 	struct cw *claims;
 	uint64_t jobs_in_time; /* jobs that completed in time */
 	bool store_reachable;
-	uint64_t store_asked_ms;     /* when the feed sent its last request */
-	uint64_t zones_confirmed_ms; /* when the last one was sent whose answer
-				      * has confirmed the zones; 0: none */
-	bool has_workers;            /* to go on with, as of the last tick */
-	uint64_t stopping_ms; /* when the stop signal arrived, 0 before */
+	uint64_t store_asked_ms; /* when the feed sent its last request */
+	bool has_workers;        /* to go on with, as of the last tick */
+	uint64_t stopping_ms;    /* when the stop signal arrived, 0 before */
 };
 
 /* --- callbacks of the jobs --- */
@@ -314,17 +312,12 @@
 static void
 front_client_gone(void *arg, uint64_t waiter, enum fr_end end)
 {
-	static const char *const ends[] = {
-	    [FR_END_CLOSED] = "closed",
-	    [FR_END_RESET] = "reset",
-	    [FR_END_SILENT] = "silent",
-	};
 	struct di *d = arg;
 
 	ct_increment(d->counters, "pd_clients_gone_total",
 	    "Clients that did not wait for the response, by the end of their "
 	    "connection",
-	    "end", ends[end]);
+	    "end", fr_end_name(end));
 	jb_remove_waiter(d->jobs, waiter);
 }
 
@@ -396,7 +389,7 @@
 
 	cf_confirm(d->config, revision, zones_revision);
 	if (zones_revision != 0)
-		d->zones_confirmed_ms = d->store_asked_ms;
+		cf_confirm_zones(d->config, d->store_asked_ms);
 }
 
 static void
@@ -523,27 +516,26 @@
 	go_handle_call(d->gossip, c, proc, xid, args);
 }
 
-static void
-workers_zones(
-    void *arg, struct pd_zones_known *known, struct pd_zones *evacuated)
+static struct pd_zones_known
+workers_zones_known(void *arg)
 {
 	struct di *d = arg;
-	const struct pd_config *c = cf_current(d->config);
 
-	known->revision = c->zones_revision;
-	known->age_ms = d->zones_confirmed_ms == 0
-	    ? PD_AGE_UNKNOWN
-	    : (unsigned)(ck_mono_ms(d->clock) - d->zones_confirmed_ms);
-	if (evacuated == NULL)
-		return;
-	evacuated->revision = c->zones_revision;
-	evacuated->evacuated.evacuated_len = c->evacuated.evacuated_len;
-	evacuated->evacuated.evacuated_val = c->evacuated.evacuated_val;
+	return (cf_zones_known(d->config, ck_mono_ms(d->clock)));
+}
+
+static struct pd_zones
+workers_zones(void *arg)
+{
+	struct di *d = arg;
+
+	return (cf_zones(d->config));
 }
 
 static const struct wo_ops worker_ops = {
     .entry_addresses = workers_entry_addresses,
     .entry_call = workers_entry_call,
+    .zones_known = workers_zones_known,
     .zones = workers_zones,
 };
 
@@ -554,26 +546,7 @@
 {
 	struct di *d = arg;
 
-	ct_set(ct_get(d->counters, CT_GAUGE, "pd_jobs_active",
-		   "Transient jobs without an answer", ""),
-	    jb_active_count(d->jobs));
-	ct_set(ct_get(d->counters, CT_GAUGE, "pd_contention_price",
-		   "Cost per core-second below which jobs are refused, in "
-		   "thousandths; 0 without contention",
-		   ""),
-	    (int64_t)(jb_contention_price(d->jobs) * PERMILLE));
-	ct_set(ct_get(d->counters, CT_GAUGE, "pd_workers_usable",
-		   "Workers that take work", ""),
-	    fl_usable_count(d->fleet));
-	ct_set(ct_get(d->counters, CT_GAUGE, "pd_config_revision",
-		   "Configuration in force", ""),
-	    (int64_t)cf_revision(d->config));
-	ct_set(ct_get(d->counters, CT_GAUGE, "pd_zones_revision",
-		   "Availability zones out in force", ""),
-	    (int64_t)cf_zones_revision(d->config));
-	ct_set(ct_get(d->counters, CT_GAUGE, "pd_config_queues",
-		   "Queues of the configuration in force", ""),
-	    cf_current(d->config)->queues.queues_len);
+	dg_refresh(d->counters, d->jobs, d->fleet, d->config);
 }
 
 static void
--- a/entry/workers.c
+++ b/entry/workers.c
@@ -59,7 +59,7 @@
 	unsigned n;
 	uint32_t hash;
 
-	w->ops->zones(w->arg, &reply.zones, NULL);
+	reply.zones = w->ops->zones_known(w->arg);
 	entries = w->ops->entry_addresses(w->arg, &n, &hash);
 	if (hash != a->entries_hash) {
 		reply.entries.entries_val = (pd_name *)(uintptr_t)entries;
@@ -72,10 +72,8 @@
 static void
 send_zones(struct link *l)
 {
-	struct pd_zones_known known;
-	struct pd_zones z;
+	struct pd_zones z = l->workers->ops->zones(l->workers->arg);
 
-	l->workers->ops->zones(l->workers->arg, &known, &z);
 	if (z.revision != 0)
 		cn_send(l->conn, PD_ZONES, (xdrproc_t)xdr_pd_zones, &z);
 }
@@ -178,7 +176,7 @@
 		return;
 	}
 	w->ops->entry_addresses(w->arg, &n, &hash);
-	w->ops->zones(w->arg, &reply.zones, NULL);
+	reply.zones = w->ops->zones_known(w->arg);
 	reply.clock_ms = r.clock_ms;
 	reply.attach = hash != r.entries_hash || from->endpoint != r.endpoint;
 	/* It is not known what the load is the load of. */
--- a/entry/workers.h
+++ b/entry/workers.h
@@ -19,16 +19,16 @@
  * @entry_addresses: addresses of the entries, sent to agents whose list
  *     differs in its hash; borrowed until the next call
  * @entry_call: handle a call from another entry
- * @zones: the availability zones that are out, for agents; @evacuated is
- *     borrowed until the next change, and may be NULL
+ * @zones_known: what is known of the availability zones that are out
+ * @zones: these zones, borrowed until the next change
  */
 struct wo_ops {
 	const char *const *(*entry_addresses)(
 	    void *arg, unsigned *n, uint32_t *hash);
 	void (*entry_call)(
 	    void *arg, struct cn *c, uint32_t proc, uint32_t xid, XDR *args);
-	void (*zones)(void *arg, struct pd_zones_known *known,
-	    struct pd_zones *evacuated);
+	struct pd_zones_known (*zones_known)(void *arg);
+	struct pd_zones (*zones)(void *arg);
 };
 
 /** struct wo_identity - this entry. Text is borrowed */
--- a/sched/config.c
+++ b/sched/config.c
@@ -8,6 +8,7 @@
 	struct pd_config current;
 	GHashTable *index; /* key of host and prefix -> struct pd_queue */
 	GArray *lengths;   /* size_t, lengths of the prefixes, longest first */
+	uint64_t zones_confirmed_ms; /* 0: not yet */
 };
 
 struct cf *
@@ -195,6 +196,35 @@
 	raise_revision(&c->current.zones_revision, zones_revision);
 }
 
+void
+cf_confirm_zones(struct cf *c, uint64_t at_ms)
+{
+	c->zones_confirmed_ms = at_ms;
+}
+
+struct pd_zones_known
+cf_zones_known(const struct cf *c, uint64_t now_ms)
+{
+	struct pd_zones_known known = {
+	    .revision = c->current.zones_revision, .age_ms = PD_AGE_UNKNOWN};
+
+	if (c->zones_confirmed_ms != 0)
+		known.age_ms = (unsigned)(now_ms - c->zones_confirmed_ms);
+	return (known);
+}
+
+struct pd_zones
+cf_zones(const struct cf *c)
+{
+	struct pd_zones zones = {
+	    .revision = c->current.zones_revision,
+	    .evacuated = {.evacuated_len = c->current.evacuated.evacuated_len,
+		.evacuated_val = c->current.evacuated.evacuated_val},
+	};
+
+	return (zones);
+}
+
 bool
 cf_fits(const struct pd_config *config)
 {
--- a/sched/config.h
+++ b/sched/config.h
@@ -36,6 +36,19 @@
  */
 void cf_confirm(struct cf *c, uint64_t revision, uint64_t zones_revision);
 
+/**
+ * cf_confirm_zones() - the zones that are out were those of the store at a time
+ * @at_ms: or later, by the clock of this process
+ */
+void cf_confirm_zones(struct cf *c, uint64_t at_ms);
+
+/** cf_zones_known() - what this entry knows of the zones that are out at
+ * @now_ms, for the answers to heartbeats of agents */
+struct pd_zones_known cf_zones_known(const struct cf *c, uint64_t now_ms);
+
+/** cf_zones() - the zones that are out; borrowed until the next cf_apply() */
+struct pd_zones cf_zones(const struct cf *c);
+
 /**
  * cf_fits() - whether a configuration keeps the limits of wire/pd.x, so that it
  * can be sent to other entries
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -17,8 +17,6 @@
 /* Expected wait at a worker that is just full, in mean run times: of about ten
  * running tasks the first ends after a tenth of a run time. */
 #define FULL_WAIT_SHARE 0.15
-/* Maximum age of the numbers of workers by service and label. */
-#define COUNTS_MAX_AGE_MS 1000
 /* Exponent of the load in the expected wait: the higher, the fuller a worker
  * is before the expected wait rises. */
 #define LOAD_EXPONENT 6
@@ -285,6 +283,63 @@
 	return (w);
 }
 
+bool
+fl_is_evacuated(const struct fl *f, const struct fl_worker *w)
+{
+	return (w->zone == PD_ZONE_OUT || cf_evacuated(f->config, w->az));
+}
+
+bool
+fl_is_leaving(const struct fl *f)
+{
+	return (f->leaving);
+}
+
+/* Whether a worker can take tasks now, in whichever state its zone is. */
+static bool
+takes_tasks(const struct fl *f, const struct fl_worker *w, uint64_t now)
+{
+	if (w->session == 0 || !w->accepting || w->cpu == 0 ||
+	    now - w->heartbeat_ms > HEARTBEAT_MAX_AGE_MS)
+		return (false);
+	if ((w->own.ejected || w->reported.ejected ||
+		(f->pooled && w->reported.hanging)) &&
+	    now < w->own.next_probe_ms)
+		return (false);
+	return (!fl_is_evacuated(f, w));
+}
+
+bool
+fl_is_usable_at(const struct fl *f, const struct fl_worker *w, uint64_t now)
+{
+	return (
+	    takes_tasks(f, w, now) && (w->zone == PD_ZONE_IN || f->leaving));
+}
+
+/* Uses workers that are leaving only while there are no others. */
+static void
+update_leaving(struct fl *f)
+{
+	uint64_t now = ck_mono_ms(f->clock);
+	const struct fl_worker *w;
+	bool leaving = false;
+	guint i;
+
+	for (i = 0; i < f->connected->len; i++) {
+		w = f->connected->pdata[i];
+		if (!takes_tasks(f, w, now))
+			continue;
+		leaving = w->zone == PD_ZONE_LEAVING;
+		if (!leaving)
+			break;
+	}
+	if (leaving && !f->leaving)
+		lg_write(LOG_WARNING, "fleet",
+		    "no workers but in zones that are being evacuated, of "
+		    "which this entry has not heard");
+	f->leaving = leaving;
+}
+
 static void
 note_hanging(struct fl *f, struct fl_worker *w)
 {
@@ -317,8 +372,6 @@
 		w->reported = *s;
 }
 
-static void update_leaving(struct fl *f);
-
 void
 fl_update_load(struct fl *f, struct fl_worker *w, const struct pd_load *load,
     unsigned cpu_ending)
@@ -398,63 +451,6 @@
 	    w->mem_mb >= req->mem_mb && has_label(w, req->label));
 }
 
-bool
-fl_is_evacuated(const struct fl *f, const struct fl_worker *w)
-{
-	return (w->zone == PD_ZONE_OUT || cf_evacuated(f->config, w->az));
-}
-
-bool
-fl_is_leaving(const struct fl *f)
-{
-	return (f->leaving);
-}
-
-/* Whether a worker can take tasks now, in whichever state its zone is. */
-static bool
-takes_tasks(const struct fl *f, const struct fl_worker *w, uint64_t now)
-{
-	if (w->session == 0 || !w->accepting || w->cpu == 0 ||
-	    now - w->heartbeat_ms > HEARTBEAT_MAX_AGE_MS)
-		return (false);
-	if ((w->own.ejected || w->reported.ejected ||
-		(f->pooled && w->reported.hanging)) &&
-	    now < w->own.next_probe_ms)
-		return (false);
-	return (!fl_is_evacuated(f, w));
-}
-
-bool
-fl_is_usable_at(const struct fl *f, const struct fl_worker *w, uint64_t now)
-{
-	return (
-	    takes_tasks(f, w, now) && (w->zone == PD_ZONE_IN || f->leaving));
-}
-
-/* Uses workers that are leaving only while there are no others. */
-static void
-update_leaving(struct fl *f)
-{
-	uint64_t now = ck_mono_ms(f->clock);
-	const struct fl_worker *w;
-	bool leaving = false;
-	guint i;
-
-	for (i = 0; i < f->connected->len; i++) {
-		w = f->connected->pdata[i];
-		if (!takes_tasks(f, w, now))
-			continue;
-		leaving = w->zone == PD_ZONE_LEAVING;
-		if (!leaving)
-			break;
-	}
-	if (leaving && !f->leaving)
-		lg_write(LOG_WARNING, "fleet",
-		    "no workers but in zones that are being evacuated, of "
-		    "which this entry has not heard");
-	f->leaving = leaving;
-}
-
 /* Whether the run times of this entry's own tasks count instead of the agent's
  * report. */
 static bool
@@ -736,73 +732,6 @@
 	return (ck_mono_ms(f->clock) - f->warm_up_from_ms < WARM_UP_MS);
 }
 
-static char *
-service_and_label(const struct fl_worker *w, const char *label)
-{
-	return (g_strdup_printf("%s %s", w->service, label));
-}
-
-static void
-increment_count(
-    GHashTable *counts, const struct fl_worker *w, const char *label)
-{
-	char *key = service_and_label(w, label);
-	unsigned n = GPOINTER_TO_UINT(g_hash_table_lookup(counts, key));
-
-	g_hash_table_insert(counts, key, GUINT_TO_POINTER(n + 1));
-}
-
-static unsigned
-count_of(GHashTable *counts, const struct fl_worker *w, const char *label)
-{
-	g_autofree char *key = service_and_label(w, label);
-
-	return (GPOINTER_TO_UINT(g_hash_table_lookup(counts, key)));
-}
-
-static void
-count_worker(GHashTable *counts, const struct fl_worker *w)
-{
-	unsigned i;
-
-	if (w->session == 0 || !w->accepting)
-		return;
-	increment_count(counts, w, "");
-	for (i = 0; w->labels[i] != NULL; i++)
-		if (w->labels[i][0] != '\0')
-			increment_count(counts, w, w->labels[i]);
-}
-
-static void
-set_counts(GHashTable *counts, struct fl_worker *w)
-{
-	unsigned i;
-
-	w->service_workers = count_of(counts, w, "");
-	w->label_workers = w->service_workers;
-	for (i = 0; w->labels[i] != NULL; i++)
-		if (w->labels[i][0] != '\0')
-			w->label_workers = MIN(w->label_workers,
-			    count_of(counts, w, w->labels[i]));
-}
-
-void
-fl_count_workers(struct fl *f)
-{
-	g_autoptr(GHashTable) counts =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	uint64_t now = ck_mono_ms(f->clock);
-	guint i;
-
-	if (now - f->counted_ms < COUNTS_MAX_AGE_MS)
-		return;
-	f->counted_ms = now;
-	for (i = 0; i < f->workers->len; i++)
-		count_worker(counts, f->workers->pdata[i]);
-	for (i = 0; i < f->workers->len; i++)
-		set_counts(counts, f->workers->pdata[i]);
-}
-
 void
 fl_each(struct fl *f, void (*visit)(void *arg, struct fl_worker *w), void *arg)
 {
--- a/sched/fleet_impl.h
+++ b/sched/fleet_impl.h
@@ -12,7 +12,8 @@
 
 /**
  * DOC: fl - internals: fleet.c keeps the workers and chooses by individual
- * speeds, fleet_pooled.c pools the speeds and chooses by them
+ * speeds, fleet_pooled.c pools the speeds and chooses by them, fleet_counts.c
+ * counts the workers
  */
 
 /* Workers that are considered for a task: a smaller sample would miss the fast
--- a/tests/test_workers.c
+++ b/tests/test_workers.c
@@ -22,6 +22,7 @@
 /* Longer than some messages take on the local host. */
 #define SETTLE_MS 50
 #define AGENT_CPU 64000
+#define CONFIRMED_MS 100000
 #define ZONES_AGE_MS 123
 
 struct fixture;
@@ -67,24 +68,27 @@
 	return (NULL);
 }
 
-static void
-zones_in_force(
-    void *arg, struct pd_zones_known *known, struct pd_zones *evacuated)
+static struct pd_zones_known
+zones_known(void *arg)
 {
 	struct fixture *f = arg;
-	const struct pd_config *c = cf_current(f->config);
 
-	known->revision = c->zones_revision;
-	known->age_ms = ZONES_AGE_MS;
-	if (evacuated == NULL)
-		return;
-	evacuated->revision = c->zones_revision;
-	evacuated->evacuated.evacuated_len = c->evacuated.evacuated_len;
-	evacuated->evacuated.evacuated_val = c->evacuated.evacuated_val;
+	return (cf_zones_known(f->config, CONFIRMED_MS + ZONES_AGE_MS));
+}
+
+static struct pd_zones
+zones_in_force(void *arg)
+{
+	struct fixture *f = arg;
+
+	return (cf_zones(f->config));
 }
 
 static const struct wo_ops worker_ops = {
-    .entry_addresses = entry_addresses, .zones = zones_in_force};
+    .entry_addresses = entry_addresses,
+    .zones_known = zones_known,
+    .zones = zones_in_force,
+};
 
 static void
 send_start(void *arg, struct fl_worker *w, const struct pd_start *s)
@@ -182,6 +186,7 @@
 	f->clock = ck_new_system();
 	f->counters = ct_new();
 	f->config = cf_new();
+	cf_confirm_zones(f->config, CONFIRMED_MS);
 	f->fleet = fl_new(f->clock, f->counters, f->config, 1);
 	f->jobs = jb_new(f->clock, f->counters, f->fleet, &job_ops, f);
 	sn_address(f->address, sn_free_port());
