Count the time that the store has waited for a change

Cause: the time in which agents still take tasks counts from the last confirmation that the zone was in use, and that was dated to the request of the last answer. The store answers a second later if nothing has changed, so the date was up to 2.2 s old and as little as 2.3 s were left; the load balancer needs up to 3 s to send clients elsewhere.

Change: an empty answer of the feed is dated a second after its request, as the store has waited that long for a change. 3.3 s are left.

--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -383,13 +383,16 @@
 }
 
 static void
-feed_config_unchanged(void *arg, uint64_t revision, uint64_t zones_revision)
+feed_config_unchanged(
+    void *arg, uint64_t revision, uint64_t zones_revision, unsigned waited_ms)
 {
 	struct di *d = arg;
+	uint64_t now = ck_mono_ms(d->clock);
 
 	cf_confirm(d->config, revision, zones_revision);
 	if (zones_revision != 0)
-		cf_confirm_zones(d->config, d->store_asked_ms);
+		cf_confirm_zones(
+		    d->config, MIN(d->store_asked_ms + waited_ms, now));
 }
 
 static void
--- a/tests/feed_fixture.h
+++ b/tests/feed_fixture.h
@@ -39,8 +39,9 @@
 	struct fe *feed;
 	struct cf *config;
 	unsigned rejected;
-	gint64 tick_us;  /* when the event loop ran last */
-	gint64 pause_us; /* longest time that it did not run */
+	unsigned waited_ms; /* of the last answer */
+	gint64 tick_us;     /* when the event loop ran last */
+	gint64 pause_us;    /* longest time that it did not run */
 };
 
 static inline void
@@ -87,10 +88,13 @@
 }
 
 static inline void
-on_unchanged(void *arg, uint64_t revision, uint64_t zones_revision)
+on_unchanged(
+    void *arg, uint64_t revision, uint64_t zones_revision, unsigned waited_ms)
 {
 	struct fixture *f = arg;
 
+	f->waited_ms = waited_ms;
+
 	cf_confirm(f->config, revision, zones_revision);
 }
 
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -158,6 +158,28 @@
 	assert_int_equal(3, cf_revision(f->config));
 }
 
+/* Guards against zones that count as confirmed for longer ago than they are,
+ * since the store answers late if nothing changes, or for less. */
+static void
+test_time_waited_for_change(void **state)
+{
+	struct fixture *f = *state;
+
+	add_answer(f, 3, false, json_array());
+	follow(f);
+	assert_int_equal(0, f->waited_ms);
+	fe_free(f->feed);
+	add_answer(f, 3, false, json_array());
+	add_answer(f, 4, false, json_array());
+	follow(f);
+	assert_int_equal(1000, f->waited_ms);
+	fe_free(f->feed);
+	add_answer(f, 3, false, json_array());
+	add_answer(f, 4, false, json_pack("[o]", row("evacuate/z1", "{}")));
+	follow(f);
+	assert_int_equal(0, f->waited_ms);
+}
+
 /* Guards against an entry that misses heartbeats of its agents, so that they
  * stop its tasks, while it decodes a large configuration. */
 static void
@@ -216,6 +238,8 @@
 		test_same_configuration_newer, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
 		test_rejected_configuration_confirmed, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_time_waited_for_change, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
 		test_zone_of_unusable_name, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
