--- a/tests/proc_client_end.c
+++ b/tests/proc_client_end.c
@@ -36,6 +36,10 @@
 /* From the end of the connection to the loss: agents that have lost their entry
  * then stop its runs after the client has submitted the job again. */
 #define LOST_MS 950
+/* A configuration is in force so long after it is written. */
+#define CONFIG_MS 2000
+/* The ends of all runs are in the log after this time. */
+#define LOGGED_MS 1000
 /* Runs are stopped within this time after the end of the connection. */
 #define STOPPED_MS 400
 
@@ -47,8 +51,7 @@
 	t->hn = hn_new();
 	t->fleet = hf_new(t->hn, ENTRIES, WORKERS);
 	hf_set_times(t->fleet, 2, TIMEOUT_MS, TIMEOUT_MS);
-	/* A configuration is in force two seconds after it is written. */
-	hn_sleep_ms(2000);
+	hn_sleep_ms(CONFIG_MS);
 	*state = t;
 	return (0);
 }
@@ -100,7 +103,7 @@
 	other = hf_send_job(f, 1, OTHER_JOB, OTHER_SPEC, 1, OTHER_RUN_MS);
 	assert_int_equal(200, hf_submit(f, 1, JOB, SPEC, TASKS, RUN_MS, NULL));
 	close(other);
-	hn_sleep_ms(1000);
+	hn_sleep_ms(LOGGED_MS);
 	assert_int_equal(0, hf_check_runs(f, NULL, 0).concurrent);
 }
 
@@ -116,21 +119,30 @@
 	assert_int_equal(0, running(t->fleet));
 }
 
-/* Guards against a second run beside the first one when the entry is frozen
- * soon after the reset. */
+/* Resets the connection of a job, sends a signal to a process LOST_MS later,
+ * and submits the job again. */
 static void
-test_reset_then_entry_frozen(void **state)
+reset_then_signal(struct hf *f, struct hn_proc *p, int sig)
 {
-	struct hf_test *t = *state;
-	struct hf *f = t->fleet;
 	int s = submit_first(f);
 	uint64_t ended_ms = hn_mono_ms();
 
 	reset(s);
 	hn_sleep_ms(LOST_MS);
-	hn_signal(hf_entry(f, 0), SIGSTOP);
+	hn_signal(p, sig);
 	resubmit(f, ended_ms);
-	hn_signal(hf_entry(f, 0), SIGCONT);
+}
+
+/* Guards against a second run beside the first one when the entry is frozen
+ * soon after the reset. */
+static void
+test_reset_then_entry_frozen(void **state)
+{
+	struct hf_test *t = *state;
+	struct hn_proc *entry = hf_entry(t->fleet, 0);
+
+	reset_then_signal(t->fleet, entry, SIGSTOP);
+	hn_signal(entry, SIGCONT);
 }
 
 /* Guards against the same when the entry is killed. */
@@ -138,14 +150,8 @@
 test_reset_then_entry_killed(void **state)
 {
 	struct hf_test *t = *state;
-	struct hf *f = t->fleet;
-	int s = submit_first(f);
-	uint64_t ended_ms = hn_mono_ms();
 
-	reset(s);
-	hn_sleep_ms(LOST_MS);
-	hn_signal(hf_entry(f, 0), SIGKILL);
-	resubmit(f, ended_ms);
+	reset_then_signal(t->fleet, hf_entry(t->fleet, 0), SIGKILL);
 }
 
 /* Guards against the same when an agent is killed: its endpoint ends the runs
@@ -154,14 +160,8 @@
 test_reset_then_agent_killed(void **state)
 {
 	struct hf_test *t = *state;
-	struct hf *f = t->fleet;
-	int s = submit_first(f);
-	uint64_t ended_ms = hn_mono_ms();
 
-	reset(s);
-	hn_sleep_ms(LOST_MS);
-	hn_signal(hf_agent(f, 0), SIGKILL);
-	resubmit(f, ended_ms);
+	reset_then_signal(t->fleet, hf_agent(t->fleet, 0), SIGKILL);
 }
 
 #define TEST(name)                                                             \
--- a/tests/proc_stale_zones.c
+++ b/tests/proc_stale_zones.c
@@ -24,6 +24,15 @@
 /* The load balancer has noticed that an entry is not ready: two probes failed,
  * one a second. */
 #define MOVED_MS 2500
+/* Messages on their way have passed or are lost this long after a cut. */
+#define CUT_MS 200
+/* An entry gives up agents that are cut off, and its jobs there, by then. */
+#define CONTACT_LOST_MS 1500
+/* The tasks of a job are at the agents by then. */
+#define QUEUED_MS 500
+#define JOB_PERIOD_MS 50
+/* A configuration is in force so long after it is written. */
+#define CONFIG_MS 2000
 /* A refusal at once takes no longer than this. */
 #define AT_ONCE_MS 200
 #define SPEC "run_ms=50 cpu=6000"
@@ -88,7 +97,7 @@
 	unsigned i;
 
 	hf_cut_first_entry(f, true);
-	hn_sleep_ms(200);
+	hn_sleep_ms(CUT_MS);
 	hf_evacuate(f, "z0", true);
 	out_ms = hn_wall_ms();
 	hn_sleep_ms(HEARD_MS);
@@ -97,14 +106,14 @@
 	assert_true(hf_is_ready(f, 1));
 	for (i = 0; hn_wall_ms() < out_ms + MOVED_MS; i++) {
 		assert_int_equal(200, submit(f, i, ZONE_WORKERS));
-		hn_sleep_ms(50);
+		hn_sleep_ms(JOB_PERIOD_MS);
 	}
 	hn_sleep_ms((unsigned)(out_ms + EVACUATE_MS - hn_wall_ms()));
 	for (; hn_wall_ms() < out_ms + EVACUATE_MS + HEARD_MS; i++) {
 		sent_ms = hn_mono_ms();
 		assert_int_equal(503, submit(f, i, ZONE_WORKERS));
 		assert_in_range(hn_mono_ms() - sent_ms, 0, AT_ONCE_MS);
-		hn_sleep_ms(50);
+		hn_sleep_ms(JOB_PERIOD_MS);
 	}
 	assert_int_equal(0, hf_starts_in_zone(f, "z0", out_ms + EVACUATE_MS));
 }
@@ -120,12 +129,11 @@
 	GThread *client;
 
 	hf_set_times(f, 2, LONG_TIMEOUT_MS, LONG_TIMEOUT_MS);
-	/* A configuration is in force two seconds after it is written. */
-	hn_sleep_ms(2000);
+	hn_sleep_ms(CONFIG_MS);
 	hf_cut_first_entry(f, true);
-	hn_sleep_ms(1500);
+	hn_sleep_ms(CONTACT_LOST_MS);
 	client = g_thread_new("client", submit_long, f);
-	hn_sleep_ms(500);
+	hn_sleep_ms(QUEUED_MS);
 	hf_evacuate(f, "z0", true);
 	out_ms = hn_wall_ms();
 	hn_sleep_ms(EVACUATE_MS + 2 * LONG_RUN_MS);
@@ -148,7 +156,7 @@
 	hf_evacuate(f, "z0", true);
 	hn_sleep_ms(HEARD_MS);
 	hf_cut_first_entry(f, true);
-	hn_sleep_ms(200);
+	hn_sleep_ms(CUT_MS);
 	hf_evacuate(f, "z0", false);
 	hn_sleep_ms(HEARD_MS);
 	/* The first entry tells the new processes what it knows. */
@@ -175,12 +183,12 @@
 	unsigned i, started;
 
 	hf_control_relay(f, HF_STORE, 0, "mode=silent");
-	hn_sleep_ms(200);
+	hn_sleep_ms(CUT_MS);
 	hf_evacuate(f, "z0", true);
 	out_ms = hn_wall_ms();
 	for (i = 0; hn_wall_ms() < out_ms + EVACUATE_MS + HEARD_MS; i++) {
 		assert_int_equal(200, submit(f, i, WIDE_TASKS));
-		hn_sleep_ms(50);
+		hn_sleep_ms(JOB_PERIOD_MS);
 	}
 	assert_int_equal(0, hf_starts_in_zone(f, "z0", out_ms + EVACUATE_MS));
 	/* They hear likewise that it is back. */
@@ -208,7 +216,7 @@
 	hn_signal(hf_store(f), SIGSTOP);
 	for (i = 0; hn_wall_ms() < down_ms + 2 * EVACUATE_MS; i++) {
 		assert_int_equal(200, submit(f, i, WIDE_TASKS));
-		hn_sleep_ms(100);
+		hn_sleep_ms(JOB_PERIOD_MS);
 	}
 	assert_true(hf_starts_in_zone(f, "z0", down_ms + EVACUATE_MS) > 0);
 	hn_signal(hf_store(f), SIGCONT);
