Log both limits of a job, and all jobs on request

The entry gives a job up after the lesser of the deadline that its client states and the time-out of its queue. Its log had only the result, so it did not tell whether clients wait no longer or the entry does not. The trace of a job has an event "limits" with both now, and log.jobs = "all" logs the jobs that complete in time as well, to compare sizes.

No decision changes.

--- a/entry/dispatch_settings.c
+++ b/entry/dispatch_settings.c
@@ -50,6 +50,8 @@
 	"too long, or those that cost callers least"},
     {"log.level", ST_STRING, FIELD(log_level), 1, 16, "info",
 	"err|warning|notice|info|debug", "least severe level to log"},
+    {"log.jobs", ST_STRING, FIELD(log_jobs), 1, 16, "sample", "sample|all",
+	"which of the jobs that complete in time are logged with their events"},
     BD_SETTINGS(FIELD(limits)),
 };
 
--- a/entry/dispatch_settings.h
+++ b/entry/dispatch_settings.h
@@ -26,6 +26,7 @@
 	char *store;
 	char *contention;
 	char *log_level;
+	char *log_jobs;
 	char *run_times;
 	char *speeds;
 	int64_t resubmit_ms;
--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -73,6 +73,7 @@
 	GPtrArray *seeds; /* RPC addresses, owned */
 	struct cw *claims;
 	uint64_t jobs_in_time; /* jobs that completed in time */
+	bool logs_all_jobs;
 	bool store_reachable;
 	uint64_t store_asked_ms; /* when the feed sent its last request */
 	bool has_workers;        /* to go on with, as of the last tick */
@@ -124,13 +125,14 @@
 	fr_answer(d->front, waiter, a);
 }
 
-/* Logs jobs that did not complete in time, and a sample of the others. */
+/* Logs jobs that did not complete in time, and all or a sample of the others.
+ */
 static void
 on_job_ended(void *arg, const struct jb_answer *a)
 {
 	struct di *d = arg;
 
-	if (a->status == JB_COMPLETED && a->late_ms == 0 &&
+	if (a->status == JB_COMPLETED && a->late_ms == 0 && !d->logs_all_jobs &&
 	    ++d->jobs_in_time % LOG_SAMPLE_INTERVAL != 0)
 		return;
 	jl_write(a, fl_usable_count(d->fleet), cf_revision(d->config));
@@ -243,13 +245,11 @@
 static bool
 must_claim(const struct di *d, const struct fr_job *job)
 {
-	unsigned limit_ms =
-	    MIN(job->request.deadline_ms, job->request.queue->timeout_ms);
-
 	if (cw_contains(d->claims, job->request.id))
 		return (true);
 	return (!job->resumed && !jb_is_active(d->jobs, job->request.id) &&
-	    limit_ms > CLAIM_RESUBMISSIONS * d->settings.resubmit_ms);
+	    jb_limit_ms(&job->request) >
+		CLAIM_RESUBMISSIONS * d->settings.resubmit_ms);
 }
 
 static void
@@ -592,8 +592,14 @@
 	    &s->addresses, &s->seeds, port == NULL ? "" : port + 1));
 }
 
-/* Applies the log level and new addresses of entries. Other changes take effect
- * at the next start, and an invalid file changes nothing. */
+static bool
+logs_all_jobs(const struct ds_settings *s)
+{
+	return (strcmp(s->log_jobs, "all") == 0);
+}
+
+/* Applies the log settings and new addresses of entries. Other changes take
+ * effect at the next start, and an invalid file changes nothing. */
 static void
 reds_load(struct di *d)
 {
@@ -613,6 +619,7 @@
 		lg_write(LOG_WARNING, "dispatch",
 		    "SIGHUP: addresses change at the next start only");
 	lg_open("pimentodock", lg_level(s.log_level));
+	d->logs_all_jobs = logs_all_jobs(&s);
 	seeds = read_seeds(&s);
 	for (i = 0; i < seeds->len; i++)
 		go_add_seed(d->gossip, seeds->pdata[i]);
@@ -689,6 +696,7 @@
 	d->jobs = jb_new(d->clock, d->counters, d->fleet, &job_ops, d);
 	jb_set_run_times(
 	    d->jobs, strcmp(d->settings.run_times, "distribution") == 0);
+	d->logs_all_jobs = logs_all_jobs(&d->settings);
 	if (strcmp(d->settings.contention, "value") == 0)
 		jb_admit_by_value(d->jobs);
 	d->seeds = read_seeds(&d->settings);
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -230,12 +230,20 @@
 		sizeof(struct tr_event));
 }
 
+unsigned
+jb_limit_ms(const struct jb_request *r)
+{
+	if (r->deadline_ms == 0)
+		return (r->queue->timeout_ms);
+	return (MIN(r->deadline_ms, r->queue->timeout_ms));
+}
+
 static struct jb_job *
 job_new(struct jb *j, const struct jb_request *r, uint64_t waiter)
 {
 	struct jb_job *job = g_new0(struct jb_job, 1);
 	uint64_t now = ck_mono_ms(j->clock);
-	unsigned limit = MIN(r->deadline_ms, r->queue->timeout_ms);
+	unsigned limit = jb_limit_ms(r);
 
 	job->id = g_strdup(r->id);
 	job->queue = g_strdup(r->queue->name);
@@ -584,6 +592,8 @@
 	jb_trace(j, job, NULL, TR_TAKEN, NULL,
 	    (double)job->target_at_ms - (double)job->arrived_ms,
 	    time_left_ms(j, job));
+	jb_trace(j, job, NULL, TR_LIMITS, NULL, r->deadline_ms,
+	    r->queue->timeout_ms);
 	jb_unblock_tasks(job);
 	jb_contention_arrived(j, job);
 	jb_admit(j, job);
--- a/sched/jobs.h
+++ b/sched/jobs.h
@@ -55,7 +55,7 @@
  * struct jb_request - a submitted job; copied by jb_submit()
  * @id: chosen by the client
  * @queue: queue that it was submitted to
- * @deadline_ms: time that the client waits
+ * @deadline_ms: time that the client waits, 0 if it does not say
  * @body: sent to the endpoint with each task
  */
 struct jb_request {
@@ -68,6 +68,9 @@
 	size_t body_len;
 };
 
+/** jb_limit_ms() - time from its arrival after which a job is given up */
+unsigned jb_limit_ms(const struct jb_request *r);
+
 /**
  * enum jb_status - how a job ended
  * @JB_COMPLETED: every task is done
--- a/sched/trace.c
+++ b/sched/trace.c
@@ -12,6 +12,7 @@
 	const char *problem;
 } kinds[] = {
     [TR_TAKEN] = {"taken", "in_time_ms", "deadline_ms", NULL},
+    [TR_LIMITS] = {"limits", "client_ms", "queue_ms", NULL},
     [TR_CROWDED] = {"crowded", "urgent_wait_ms", "urgent_limit_ms",
 	"more urgent queues would have waited too long"},
     [TR_GRANTED] = {"granted", "expected_ms", "worker_load", NULL},
--- a/sched/trace.h
+++ b/sched/trace.h
@@ -15,6 +15,8 @@
  * agent; a and b are the values of struct tr_event */
 enum tr_kind {
 	TR_TAKEN = 0,    /* job arrived; a: ms to target, b: ms to deadline */
+	TR_LIMITS,       /* a: ms that the client waits, 0 if it does not say,
+			    b: time-out of the queue in ms */
 	TR_CROWDED,      /* job would delay more urgent queues; a: ms that their
 			    tasks would wait, b: ms that they may */
 	TR_GRANTED,      /* a: expected ms until the end, b: CPU in use there */
--- a/tests/jobs_fixture.h
+++ b/tests/jobs_fixture.h
@@ -50,7 +50,10 @@
 	uint64_t endpoints[RECORDS_MAX]; /* that the grants are for */
 	uint64_t endpoint;               /* in heartbeats of agents */
 	unsigned priority;               /* of the jobs that are submitted */
-	unsigned timeout_ms;             /* likewise */
+	unsigned timeout_ms;             /* likewise, of their queue */
+	unsigned client_ms; /* that their clients wait, 0: as @timeout_ms */
+	bool client_silent; /* their clients do not say how long they wait */
+	int32_t limits[2];  /* values of the last TR_LIMITS */
 };
 
 static inline void
@@ -99,8 +102,22 @@
 static inline void
 on_ended(void *arg, const struct jb_answer *a)
 {
-	(void)arg;
-	(void)a;
+	struct fixture *f = arg;
+	unsigned i;
+
+	for (i = 0; i < a->ntrace; i++)
+		if (a->trace[i].kind == TR_LIMITS) {
+			f->limits[0] = a->trace[i].a;
+			f->limits[1] = a->trace[i].b;
+		}
+}
+
+static inline unsigned
+stated_deadline_ms(const struct fixture *f)
+{
+	if (f->client_silent)
+		return (0);
+	return (f->client_ms != 0 ? f->client_ms : f->timeout_ms);
 }
 
 static inline void
@@ -227,7 +244,7 @@
 	};
 	struct jb_request r = {.id = id,
 	    .queue = &q,
-	    .deadline_ms = f->timeout_ms,
+	    .deadline_ms = stated_deadline_ms(f),
 	    .steps = s,
 	    .nsteps = steps,
 	    .body = "b",
