tests: jobs whose clients wait longer than the time-out of their queue

The model of a cell counts the fifth below the largest tenth as a size class of its own, and the share of a class that is served, in time or not.

--- a/bench/bench_load.c
+++ b/bench/bench_load.c
@@ -34,7 +34,8 @@
 	    c->refusal_ms);
 }
 
-/* Prints the shares in time of the quartiles and of the largest tenth. */
+/* Prints the shares in time and served of the quartiles, of the largest tenth
+ * and of the fifth below it. */
 static void
 print_size_classes(const char *name, const struct md_outcomes *classes)
 {
@@ -43,6 +44,9 @@
 	printf("%-16s in_time by size", name);
 	for (i = 0; i < MD_CLASSES; i++)
 		printf(" %.4f", md_in_time_share(&classes[i]));
+	printf(" served");
+	for (i = 0; i < MD_CLASSES; i++)
+		printf(" %.4f", md_served_share(&classes[i]));
 	printf("\n");
 }
 
--- a/bench/load.c
+++ b/bench/load.c
@@ -95,6 +95,7 @@
     {"cpu", ROW_FIELD(md_kind, cpu), FIELD_COUNT},
     {"target_ms", ROW_FIELD(md_kind, target_ms), FIELD_COUNT},
     {"deadline_ms", ROW_FIELD(md_kind, deadline_ms), FIELD_COUNT},
+    {"waits_factor", ROW_FIELD(md_kind, waits_factor), FIELD_REAL},
     {"attempts", ROW_FIELD(md_kind, attempts), FIELD_COUNT},
     {"priority", ROW_FIELD(md_kind, priority), FIELD_COUNT},
     {"tail_permille", ROW_FIELD(md_kind, tail_permille), FIELD_COUNT},
--- a/bench/model.c
+++ b/bench/model.c
@@ -134,6 +134,7 @@
 		    job->work_ms[i] * k->cpu / PERMILLE / PERMILLE;
 	}
 	job->arrived_us = ck_mono_us(m->clock);
+	job->waits_ms = (unsigned)(k->deadline_ms + k->waits_factor * longest);
 	job->allowed_us =
 	    (uint64_t)((longest * STRETCH_PERMILLE / PERMILLE + k->target_ms) *
 		US_PER_MS);
@@ -162,7 +163,7 @@
 	    .label = ""};
 	struct jb_request r = {.id = job->id,
 	    .queue = &q,
-	    .deadline_ms = k->deadline_ms,
+	    .deadline_ms = job->waits_ms,
 	    .steps = &step,
 	    .nsteps = 1,
 	    .body = "",
--- a/bench/model.h
+++ b/bench/model.h
@@ -20,9 +20,13 @@
 #define MD_DISTURBANCES_MAX 16
 /** MD_NAME_MAX - size of a name, bytes */
 #define MD_NAME_MAX 32
-/** MD_CLASSES - size classes of a kind: quartiles by core-seconds, and the
- * largest tenth */
-#define MD_CLASSES 5
+/** MD_CLASSES - size classes of a kind: quartiles by core-seconds, the largest
+ * tenth, and the fifth below it */
+#define MD_CLASSES 6
+/** MD_LARGEST_TENTH, MD_FIFTH_BELOW - numbers of the classes that overlap the
+ * quartiles */
+#define MD_LARGEST_TENTH 4
+#define MD_FIFTH_BELOW 5
 /** MD_WINDOW_MS - length of a time window in the result */
 #define MD_WINDOW_MS 2000
 
@@ -35,7 +39,9 @@
  *     time
  * @cpu: thousandths of a core that a task needs
  * @target_ms: response time that is allowed in addition to 1.6 run times
- * @deadline_ms: time limit of the job
+ * @deadline_ms: time-out of its queue
+ * @waits_factor: clients wait this many times the longest run time of their job
+ *     beyond @deadline_ms
  * @attempts: number of failed runs after which a task has failed
  * @priority: of its queue, 0 is the most urgent
  * @tail_permille: jobs of a thousand whose tasks all take longer
@@ -50,6 +56,7 @@
 	unsigned cpu;
 	unsigned target_ms;
 	unsigned deadline_ms;
+	double waits_factor;
 	unsigned attempts;
 	unsigned priority;
 	unsigned tail_permille;
@@ -183,7 +190,7 @@
 /**
  * struct md_result - result of a load
  * @kinds: by kind, in the order of the load
- * @classes: by kind and size class; only submitted and in_time
+ * @classes: by kind and size class, without response times
  * @core_s_offered: core-seconds, at speed 1, of all jobs
  * @core_s_completed: core-seconds of completed jobs
  * @core_s_wasted: core-seconds of runs whose job was not completed
@@ -224,6 +231,10 @@
 /** md_result_free() - consumed, NULL is allowed */
 void md_result_free(struct md_result *r);
 
+/** md_served_share() - share of jobs completed, in time or not, 1 without jobs
+ */
+double md_served_share(const struct md_outcomes *c);
+
 /** md_in_time_share() - share of jobs completed in time, 1 without jobs */
 double md_in_time_share(const struct md_outcomes *c);
 
--- a/bench/model_impl.h
+++ b/bench/model_impl.h
@@ -45,6 +45,7 @@
 	unsigned ntasks;
 	uint64_t arrived_us;
 	uint64_t allowed_us; /* response time that counts as in time */
+	unsigned waits_ms;   /* time that its client waits */
 	double tail;         /* factor of its run times */
 	double *work_ms;     /* of each task */
 	double run_core_s;   /* core-seconds of its runs so far */
--- a/bench/model_result.c
+++ b/bench/model_result.c
@@ -10,6 +10,7 @@
 #define LARGEST_SHARE 10
 #define QUARTILES 4
 #define LARGEST_TENTH 0.9
+#define FIFTH_BELOW 0.7
 /* Answers after this multiple of the allowed time are useless to callers. */
 #define TOO_LATE_FACTOR 3
 
@@ -61,14 +62,11 @@
 }
 
 static void
-count_job(const struct md_job *job, struct md_outcomes *c, struct times *t)
+count_outcome(const struct md_job *job, struct md_outcomes *c)
 {
-	double ms = (double)job->response_us / US_PER_MS;
-
 	c->submitted++;
 	switch (job->answered ? job->status : JB_GAVE_UP) {
 	case JB_COMPLETED:
-		g_array_append_val(t->done, ms);
 		if (job->response_us <= job->allowed_us)
 			c->in_time++;
 		else if (job->response_us <= TOO_LATE_FACTOR * job->allowed_us)
@@ -77,7 +75,6 @@
 			c->too_late++;
 		break;
 	case JB_REFUSED:
-		g_array_append_val(t->refused, ms);
 		c->refused++;
 		break;
 	case JB_FAILED:
@@ -89,6 +86,18 @@
 	}
 }
 
+static void
+count_job(const struct md_job *job, struct md_outcomes *c, struct times *t)
+{
+	double ms = (double)job->response_us / US_PER_MS;
+
+	count_outcome(job, c);
+	if (job->answered && job->status == JB_COMPLETED)
+		g_array_append_val(t->done, ms);
+	else if (job->answered && job->status == JB_REFUSED)
+		g_array_append_val(t->refused, ms);
+}
+
 static void
 count_work(struct md *m, const struct md_job *job)
 {
@@ -178,13 +187,6 @@
 	}
 }
 
-static void
-count_in_class(struct md_outcomes *c, const struct md_job *job)
-{
-	c->submitted++;
-	c->in_time += in_time(job);
-}
-
 /* Counts the jobs of a kind by size class. */
 static void
 count_classes(struct md *m, unsigned kind)
@@ -201,10 +203,12 @@
 	}
 	g_ptr_array_sort(jobs, compare_work);
 	for (i = 0; i < jobs->len; i++) {
-		count_in_class(
-		    &classes[i * QUARTILES / jobs->len], jobs->pdata[i]);
+		job = jobs->pdata[i];
+		count_outcome(job, &classes[i * QUARTILES / jobs->len]);
 		if (i >= jobs->len * LARGEST_TENTH)
-			count_in_class(&classes[QUARTILES], jobs->pdata[i]);
+			count_outcome(job, &classes[MD_LARGEST_TENTH]);
+		else if (i >= jobs->len * FIFTH_BELOW)
+			count_outcome(job, &classes[MD_FIFTH_BELOW]);
 	}
 	g_ptr_array_free(jobs, TRUE);
 }
@@ -238,6 +242,14 @@
 		count_classes(m, i);
 }
 
+double
+md_served_share(const struct md_outcomes *c)
+{
+	return (c->submitted == 0
+		? 1
+		: (double)(c->in_time + c->late + c->too_late) / c->submitted);
+}
+
 double
 md_in_time_share(const struct md_outcomes *c)
 {
--- a/tests/test_jobs_limits.c
+++ b/tests/test_jobs_limits.c
@@ -23,12 +23,79 @@
 	assert_int_equal(0, f->limits[0]);
 }
 
+/* Lets time pass with heartbeats of the worker. */
+static void
+pass(struct fixture *f, const char *worker, unsigned ms)
+{
+	unsigned i;
+
+	for (i = 0; i < ms; i += 20) {
+		ck_advance_ms(f->clock, 20);
+		handle_heartbeat(f, worker, "z1", 1, 1, 0, false);
+		jb_tick(f->jobs);
+	}
+}
+
+/* Guards against a job that is given up while its tasks run and its client
+ * still waits. */
+static void
+test_client_waits_longer_than_queue(void **state)
+{
+	struct fixture *f = *state;
+
+	attach(f, "w1", 1);
+	f->client_ms = 4 * TIMEOUT_MS;
+	submit(f, "a", 1);
+	pass(f, "w1", 2 * TIMEOUT_MS);
+	assert_int_equal(0, f->nanswers);
+	assert_int_equal(0, f->nwithdrawn);
+	report_end(f, 0, PD_END_DONE);
+	assert_int_equal(1, f->nanswers);
+	assert_int_equal(JB_COMPLETED, f->answers[0].status);
+}
+
+/* Guards against a job that goes on after its client has stopped waiting. */
+static void
+test_client_waits_less_than_queue(void **state)
+{
+	struct fixture *f = *state;
+
+	attach(f, "w1", 1);
+	f->client_ms = CLIENT_MS;
+	submit(f, "a", 1);
+	pass(f, "w1", CLIENT_MS);
+	assert_int_equal(1, f->nanswers);
+	assert_int_equal(JB_GAVE_UP, f->answers[0].status);
+	assert_int_equal(1, f->nwithdrawn);
+}
+
+/* Guards against a job without an end, since its client does not say how long
+ * it waits. */
+static void
+test_queue_limits_client_without_deadline(void **state)
+{
+	struct fixture *f = *state;
+
+	attach(f, "w1", 1);
+	f->client_silent = true;
+	submit(f, "a", 1);
+	pass(f, "w1", TIMEOUT_MS);
+	assert_int_equal(1, f->nanswers);
+	assert_int_equal(JB_GAVE_UP, f->answers[0].status);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test_setup_teardown(
 		test_limits_logged, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_client_waits_longer_than_queue, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_client_waits_less_than_queue, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_queue_limits_client_without_deadline, set_up, tear_down),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
