Give jobs the time that their clients wait, not the time-out of their queue

Cause: the entry took the lesser of the deadline that the client states and the time-out of the queue, one time for jobs of all sizes, as the limit of the whole job. Ruled out: time lost before and between runs (completed jobs are answered 0 to 6 ms after their longest run), and clients that leave (the event "limits" in the log).

The limit is the stated deadline now; the time-out of the queue limits the wait for the first grant, and the whole job if the client states nothing.

--- a/bench/model.c
+++ b/bench/model.c
@@ -402,12 +402,25 @@
 	ck_free(m->clock);
 }
 
+/* Time in which the last jobs are answered. */
+static unsigned
+longest_wait_ms(const struct md *m)
+{
+	const struct md_job *job;
+	unsigned longest = 0, i;
+
+	for (i = 0; i < m->jobs->len; i++) {
+		job = m->jobs->pdata[i];
+		longest = MAX(longest, job->waits_ms);
+	}
+	return (longest);
+}
+
 struct md_result *
 md_run(const struct md_load *load)
 {
 	uint64_t us = (uint64_t)load->seconds * US_PER_S;
 	struct md m = {.load = load};
-	unsigned i, drain_ms = 0;
 
 	lg_open("model", LOG_CRIT);
 	m.clock = ck_new_manual(
@@ -430,9 +443,9 @@
 	run_until(&m, (uint64_t)START_MS * US_PER_MS);
 	m.arrivals_end_us = (uint64_t)START_MS * US_PER_MS + us;
 	schedule_load(&m);
-	for (i = 0; i < load->nkinds; i++)
-		drain_ms = MAX(drain_ms, load->kinds[i].deadline_ms);
-	run_until(&m, m.arrivals_end_us + (uint64_t)drain_ms * US_PER_MS);
+	run_until(&m, m.arrivals_end_us);
+	run_until(
+	    &m, m.arrivals_end_us + (uint64_t)longest_wait_ms(&m) * US_PER_MS);
 	md_count_results(&m);
 	model_free(&m);
 	return (m.result);
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -233,9 +233,7 @@
 unsigned
 jb_limit_ms(const struct jb_request *r)
 {
-	if (r->deadline_ms == 0)
-		return (r->queue->timeout_ms);
-	return (MIN(r->deadline_ms, r->queue->timeout_ms));
+	return (r->deadline_ms != 0 ? r->deadline_ms : r->queue->timeout_ms);
 }
 
 static struct jb_job *
@@ -260,6 +258,7 @@
 	job->sample_weight = 1;
 	job->deadline_ms =
 	    now + (limit > ANSWER_DELAY_MS ? limit - ANSWER_DELAY_MS : 0);
+	job->wait_until_ms = MIN(job->deadline_ms, now + r->queue->timeout_ms);
 	job->waiters = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	g_array_append_val(job->waiters, waiter);
 	job->trace = g_array_new(FALSE, FALSE, sizeof(struct tr_event));
--- a/sched/jobs.h
+++ b/sched/jobs.h
@@ -68,7 +68,10 @@
 	size_t body_len;
 };
 
-/** jb_limit_ms() - time from its arrival after which a job is given up */
+/**
+ * jb_limit_ms() - time from its arrival after which a job is given up: as long
+ * as its client waits, or the time-out of its queue if the client does not say
+ */
 unsigned jb_limit_ms(const struct jb_request *r);
 
 /**
--- a/sched/jobs_impl.h
+++ b/sched/jobs_impl.h
@@ -123,19 +123,20 @@
 	uint64_t submitted_ms; /* when a client last submitted it */
 	uint64_t target_at_ms; /* an answer after this is late */
 	uint64_t deadline_ms;
-	GArray *waiters;      /* uint64_t */
-	GArray *trace;        /* struct tr_event */
-	size_t bytes;         /* part of jb.bytes */
-	bool any_granted;     /* a task was granted */
-	bool any_started;     /* a task has or may have started */
-	bool unlikely;        /* ended since its chance was too small */
-	bool probe;           /* runs to its deadline whatever its chance */
-	bool run_lost;        /* a run ended without a result */
-	double need;          /* expected core-milliseconds of all tasks */
-	double declared_need; /* the same by the declared run times */
-	double value;         /* cost of refusing it per need, see cc_value() */
-	bool waited;          /* the last decision was to wait */
-	bool settled;         /* it was admitted or turned away */
+	uint64_t wait_until_ms; /* refused if no task is granted by then */
+	GArray *waiters;        /* uint64_t */
+	GArray *trace;          /* struct tr_event */
+	size_t bytes;           /* part of jb.bytes */
+	bool any_granted;       /* a task was granted */
+	bool any_started;       /* a task has or may have started */
+	bool unlikely;          /* ended since its chance was too small */
+	bool probe;             /* runs to its deadline whatever its chance */
+	bool run_lost;          /* a run ended without a result */
+	double need;            /* expected core-milliseconds of all tasks */
+	double declared_need;   /* the same by the declared run times */
+	double value; /* cost of refusing it per need, see cc_value() */
+	bool waited;  /* the last decision was to wait */
+	bool settled; /* it was admitted or turned away */
 };
 
 /** struct jb_ended_job - job that has ended, kept for its client's resubmission
--- a/sched/jobs_outcome.c
+++ b/sched/jobs_outcome.c
@@ -589,9 +589,10 @@
 	j->best_run_ratio = 0;
 	for (l = jobs; l != NULL; l = l->next) {
 		job = l->data;
-		if (now < job->deadline_ms && !job->any_granted)
+		if (now < job->wait_until_ms && !job->any_granted)
 			g_ptr_array_add(waiting, job);
-		else if (now >= job->deadline_ms || !check_tasks(j, job, now))
+		else if (now >= job->deadline_ms || !job->any_granted ||
+		    !check_tasks(j, job, now))
 			jb_give_up(j, job, JB_R_DEADLINE);
 	}
 	g_list_free(jobs);
--- a/tests/test_config_check.c
+++ b/tests/test_config_check.c
@@ -131,7 +131,7 @@
 		true},
 	    {"\"timeout_ms\":1500", "\"timeout_ms\":0",
 		"contradiction: route \"a\": timeout_ms is 0, no job can "
-		"finish in time\n",
+		"wait for a worker\n",
 		true},
 	    {"\"timeout_ms\":1500", "\"timeout_ms\":59",
 		"contradiction: route \"a\": timeout_ms 59 is less than "
--- a/tests/test_jobs_limits.c
+++ b/tests/test_jobs_limits.c
@@ -3,6 +3,7 @@
 /* Tests the time after which a job is given up. */
 
 #define CLIENT_MS 900
+#define QUEUE_MS 300
 
 /* Guards against logs that do not tell whether the client or the queue set the
  * time after which a job was given up. */
@@ -23,7 +24,7 @@
 	assert_int_equal(0, f->limits[0]);
 }
 
-/* Lets time pass with heartbeats of the worker. */
+/* Lets time pass, with heartbeats of the worker unless it is NULL. */
 static void
 pass(struct fixture *f, const char *worker, unsigned ms)
 {
@@ -31,7 +32,8 @@
 
 	for (i = 0; i < ms; i += 20) {
 		ck_advance_ms(f->clock, 20);
-		handle_heartbeat(f, worker, "z1", 1, 1, 0, false);
+		if (worker != NULL)
+			handle_heartbeat(f, worker, "z1", 1, 1, 0, false);
 		jb_tick(f->jobs);
 	}
 }
@@ -84,6 +86,25 @@
 	assert_int_equal(JB_GAVE_UP, f->answers[0].status);
 }
 
+/* Guards against a job that waits for a worker beyond the time-out of its
+ * queue. */
+static void
+test_queue_limits_wait_for_worker(void **state)
+{
+	struct fixture *f = *state;
+
+	/* After a pause an entry waits for its agents for a second. */
+	ck_advance_ms(f->clock, WARM_UP_MS);
+	f->timeout_ms = QUEUE_MS;
+	f->client_ms = 4 * TIMEOUT_MS;
+	submit(f, "a", 1);
+	pass(f, NULL, QUEUE_MS - 20);
+	assert_int_equal(0, f->nanswers);
+	pass(f, NULL, 20);
+	assert_int_equal(1, f->nanswers);
+	assert_int_equal(JB_REFUSED, f->answers[0].status);
+}
+
 int
 main(void)
 {
@@ -96,6 +117,8 @@
 		test_client_waits_less_than_queue, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
 		test_queue_limits_client_without_deadline, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_queue_limits_wait_for_worker, set_up, tear_down),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
