End jobs that take longer than a stopping entry goes on

Related to the stated deadlines: an entry that got SIGTERM ends after 5.5 s, and all its jobs had ended after 1.5 s. Jobs may take longer now, and the clients of those that were left lost their connections without an answer.

The remaining time of the process limits its jobs (jb_stop_at()): those that run are given up 100 ms before its end, with an answer, and new ones that would hardly end by then are refused with the reason "stopping" and a Retry-After. They tell nothing about the run times of their queue. test_job_longer_than_stop and test_job_refused_by_stop in test_jobs_limits cover it; there was no call for this before.

--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -35,10 +35,12 @@
  * this entry after two failed probes. */
 #define DRAIN_MIN_MS 3600
 /* Connections without a request in progress are closed this long after the
- * signal. A request that arrives just before still has its full 1.5 s. */
+ * signal. A request that arrives just before still has 1.9 s. */
 #define CLOSE_IDLE_AFTER_MS 3500
 /* The platform kills the process 6 s after SIGTERM. */
 #define DRAIN_MAX_MS 5500
+/* The last jobs are given up so long before, to send their answers. */
+#define DRAIN_ANSWER_MS 100
 /* One in so many jobs that complete in time is logged with all its events. */
 #define LOG_SAMPLE_INTERVAL 32
 /* A job is asked for at the other entries if its deadline is longer than this
@@ -643,6 +645,7 @@
 	lg_write(LOG_NOTICE, "dispatch", "signal %d: stopping, %u jobs",
 	    (int)signal, jb_active_count(d->jobs));
 	d->stopping_ms = ck_mono_ms(d->clock);
+	jb_stop_at(d->jobs, d->stopping_ms + DRAIN_MAX_MS - DRAIN_ANSWER_MS);
 	fr_drain(d->front);
 }
 
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -30,6 +30,7 @@
 	j->ops = ops;
 	j->arg = arg;
 	j->bytes_max = SIZE_MAX;
+	j->stop_ms = UINT64_MAX;
 	j->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	j->ended = g_hash_table_new(g_str_hash, g_str_equal);
 	g_queue_init(&j->ended_order);
@@ -236,6 +237,31 @@
 	return (r->deadline_ms != 0 ? r->deadline_ms : r->queue->timeout_ms);
 }
 
+void
+jb_limit_by_stop(const struct jb *j, struct jb_job *job)
+{
+	job->deadline_ms = MIN(job->deadline_ms, j->stop_ms);
+	job->wait_until_ms = MIN(job->wait_until_ms, j->stop_ms);
+}
+
+bool
+jb_is_limited_by_stop(const struct jb *j, const struct jb_job *job)
+{
+	return (job->deadline_ms == j->stop_ms);
+}
+
+void
+jb_stop_at(struct jb *j, uint64_t at_ms)
+{
+	GHashTableIter it;
+	struct jb_job *job;
+
+	j->stop_ms = at_ms;
+	g_hash_table_iter_init(&it, j->by_number);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&job))
+		jb_limit_by_stop(j, job);
+}
+
 static struct jb_job *
 job_new(struct jb *j, const struct jb_request *r, uint64_t waiter)
 {
@@ -259,6 +285,7 @@
 	job->deadline_ms =
 	    now + (limit > ANSWER_DELAY_MS ? limit - ANSWER_DELAY_MS : 0);
 	job->wait_until_ms = MIN(job->deadline_ms, now + r->queue->timeout_ms);
+	jb_limit_by_stop(j, job);
 	job->waiters = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	g_array_append_val(job->waiters, waiter);
 	job->trace = g_array_new(FALSE, FALSE, sizeof(struct tr_event));
@@ -491,7 +518,8 @@
 	unsigned i;
 
 	if (jb_is_unlikely(j, job))
-		return (JB_R_DEADLINE);
+		return (jb_is_limited_by_stop(j, job) ? JB_R_STOPPING
+						      : JB_R_DEADLINE);
 	if (j->contention == NULL && jb_delays_urgent(j, job))
 		return (JB_R_OVERLOAD);
 	for (i = 0; i < job->ntasks && reason == JB_R_NONE; i++)
--- a/sched/jobs.h
+++ b/sched/jobs.h
@@ -203,6 +203,15 @@
  * admitted; 0 without contention */
 double jb_contention_price(const struct jb *j);
 
+/**
+ * jb_stop_at() - the process ends at a time of the clock, milliseconds
+ *
+ * Jobs that have not ended by then are given up, so that their clients get an
+ * answer. New ones that would hardly end are refused, to be submitted
+ * elsewhere.
+ */
+void jb_stop_at(struct jb *j, uint64_t at_ms);
+
 /** jb_free() - drop all jobs without answers; consumed, NULL is allowed */
 void jb_free(struct jb *j);
 
--- a/sched/jobs_impl.h
+++ b/sched/jobs_impl.h
@@ -184,6 +184,7 @@
 	size_t bytes;           /* held by all jobs */
 	size_t bytes_max;       /* more jobs are refused */
 	struct cc *contention;  /* NULL: decisions by slack */
+	uint64_t stop_ms;       /* when the process ends, UINT64_MAX: unknown */
 };
 
 /** jb_queue_table_new() - create the table for jb.queues; owned */
@@ -313,6 +314,13 @@
 void jb_check_overrun(
     struct jb *j, const struct jb_job *job, struct jb_task *t, uint64_t now);
 
+/** jb_limit_by_stop() - end a job before the process ends */
+void jb_limit_by_stop(const struct jb *j, struct jb_job *job);
+
+/** jb_is_limited_by_stop() - whether a job would have more time in a process
+ * that goes on */
+bool jb_is_limited_by_stop(const struct jb *j, const struct jb_job *job);
+
 /** jb_unblock_tasks() - make the tasks ready whose dependencies are done */
 void jb_unblock_tasks(struct jb_job *job);
 
--- a/sched/jobs_outcome.c
+++ b/sched/jobs_outcome.c
@@ -104,7 +104,9 @@
 
 	jb_learn_from_end(j, job, status, reason);
 	/* A job that takes too long would not fit later either. */
-	if (status == JB_REFUSED && !job->unlikely)
+	if (status == JB_REFUSED && reason == JB_R_STOPPING)
+		a.retry_ms = RETRY_MIN_MS;
+	else if (status == JB_REFUSED && !job->unlikely)
 		a.retry_ms = jb_contention_retry_ms(j, job, retry_ms(j, job));
 	for (i = 0; i < job->ntasks; i++) {
 		t = &job->tasks[i];
--- a/sched/jobs_times.c
+++ b/sched/jobs_times.c
@@ -90,6 +90,9 @@
 {
 	jb_trace(j, job, NULL, TR_UNLIKELY, NULL, job->declared_ms[step],
 	    chance * PERMILLE);
+	/* It tells nothing about the queue, and may fit elsewhere. */
+	if (jb_is_limited_by_stop(j, job))
+		return (true);
 	if (++job->queue_stats->unlikely % PROBE_INTERVAL == 0) {
 		job->probe = true;
 		job->sample_weight = job->any_granted ? 1 : PROBE_INTERVAL;
--- a/tests/test_jobs_limits.c
+++ b/tests/test_jobs_limits.c
@@ -4,6 +4,12 @@
 
 #define CLIENT_MS 900
 #define QUEUE_MS 300
+/* Jobs after which their distribution counts. */
+#define LEARNED 60
+/* Answers of jobs that have ended are kept for this time. */
+#define KEPT_MS 6000
+/* Half of the run time of each job. */
+#define STOP_MS 50
 
 /* Guards against logs that do not tell whether the client or the queue set the
  * time after which a job was given up. */
@@ -105,6 +111,50 @@
 	assert_int_equal(JB_REFUSED, f->answers[0].status);
 }
 
+/* Guards against a connection that is cut without an answer, since its job
+ * takes longer than the process goes on after the signal to stop. */
+static void
+test_job_longer_than_stop(void **state)
+{
+	struct fixture *f = *state;
+
+	attach(f, "w1", 1);
+	f->client_ms = 4 * TIMEOUT_MS;
+	submit(f, "a", 1);
+	jb_stop_at(f->jobs, ck_mono_ms(f->clock) + 2 * TIMEOUT_MS);
+	pass(f, "w1", 2 * TIMEOUT_MS - 20);
+	assert_int_equal(0, f->nanswers);
+	pass(f, "w1", 20);
+	assert_int_equal(1, f->nanswers);
+	assert_int_equal(JB_GAVE_UP, f->answers[0].status);
+	assert_int_equal(1, f->nwithdrawn);
+}
+
+/* Guards against a job that is started though it cannot end before the process
+ * does: another entry has the time. */
+static void
+test_job_refused_by_stop(void **state)
+{
+	struct fixture *f = *state;
+	unsigned i;
+
+	jb_set_run_times(f->jobs, true);
+	attach(f, "w1", 1);
+	f->client_ms = 4 * TIMEOUT_MS;
+	for (i = 0; i < LEARNED; i++) {
+		submit(f, "a", 1);
+		report_end(f, i, PD_END_DONE);
+		ck_advance_ms(f->clock, KEPT_MS);
+		attach(f, "w1", 1);
+		jb_tick(f->jobs);
+	}
+	jb_stop_at(f->jobs, ck_mono_ms(f->clock) + STOP_MS);
+	submit(f, "b", 1);
+	assert_int_equal(JB_REFUSED, f->answers[LEARNED].status);
+	assert_int_equal(JB_R_STOPPING, f->answers[LEARNED].reason);
+	assert_true(f->answers[LEARNED].retry_ms > 0);
+}
+
 int
 main(void)
 {
@@ -119,6 +169,10 @@
 		test_queue_limits_client_without_deadline, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
 		test_queue_limits_wait_for_worker, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_job_longer_than_stop, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_job_refused_by_stop, set_up, tear_down),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
