Send the last responses before a stopping entry exits

A job that was answered in the last tick before the exit (given up at its deadline, or at the end of the process) had its response queued, and the loop ended before it was written: the client saw a connection without an answer.

--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -561,7 +561,7 @@
 
 	if (elapsed_ms > CLOSE_IDLE_AFTER_MS)
 		fr_close_idle(d->front);
-	if ((elapsed_ms > DRAIN_MIN_MS && fr_pending(d->front) == 0) ||
+	if ((elapsed_ms > DRAIN_MIN_MS && fr_is_drained(d->front)) ||
 	    elapsed_ms > DRAIN_MAX_MS)
 		event_base_loopbreak(d->base);
 }
--- a/tests/proc_dispatch.c
+++ b/tests/proc_dispatch.c
@@ -245,6 +245,33 @@
 	assert_int_equal(0, hf_check_runs(f->fleet, NULL, 0).concurrent);
 }
 
+static void *
+submit_endless_job(void *arg)
+{
+	return (GINT_TO_POINTER(hf_submit(arg, 0, "00000000000000e2",
+	    "run_ms=30000 cpu=6000", 1, LONG_RUN_MS, NULL)));
+}
+
+/* The platform kills a process so long after the signal to stop. */
+#define STOP_MAX_MS 6000
+
+/* Guards against a client that loses its connection without an answer, since
+ * its job takes longer than the entry goes on after the signal to stop. */
+static void
+test_job_longer_than_stop(void **state)
+{
+	struct hf_test *f = *state;
+	GThread *client;
+
+	hf_set_times(f->fleet, 2, LONG_TIMEOUT_MS, LONG_TIMEOUT_MS);
+	hn_sleep_ms(CONFIG_MS);
+	client = g_thread_new("client", submit_endless_job, f->fleet);
+	hn_sleep_ms(500);
+	hn_signal(hf_entry(f->fleet, 0), SIGTERM);
+	assert_int_equal(504, GPOINTER_TO_INT(g_thread_join(client)));
+	assert_int_equal(0, hn_wait(hf_entry(f->fleet, 0), STOP_MAX_MS));
+}
+
 int
 main(void)
 {
@@ -256,6 +283,7 @@
 	    T(test_endpoint_faults),
 	    T(test_store_faults),
 	    T(test_tasks_queued_in_zone_out),
+	    T(test_job_longer_than_stop),
 	    T(test_client_interface),
 	};
 
