Name the end of the process as the reason of the jobs that it ends

A job that a stopping entry gives up said "deadline" in answer, log and counters; it says "stopping" now, and is no sample of the run times of its queue.

--- a/sched/jobs_outcome.c
+++ b/sched/jobs_outcome.c
@@ -141,6 +141,8 @@
 	    jb_may_be_elsewhere(j, job)) {
 		jb_trace(j, job, NULL, TR_CONTACT_LOST, NULL, 0, 0);
 		reason = JB_R_CONTACT;
+	} else if (reason == JB_R_DEADLINE && jb_is_limited_by_stop(j, job)) {
+		reason = JB_R_STOPPING;
 	}
 	jb_finish(j, job, job->any_started ? JB_GAVE_UP : JB_REFUSED, reason);
 }
--- a/tests/test_jobs_limits.c
+++ b/tests/test_jobs_limits.c
@@ -127,6 +127,7 @@
 	pass(f, "w1", 20);
 	assert_int_equal(1, f->nanswers);
 	assert_int_equal(JB_GAVE_UP, f->answers[0].status);
+	assert_int_equal(JB_R_STOPPING, f->answers[0].reason);
 	assert_int_equal(1, f->nwithdrawn);
 }
 
