--- a/entry/dispatcher.c
+++ b/entry/dispatcher.c
@@ -41,8 +41,6 @@
 #define DRAIN_MAX_MS 5500
 /* The last jobs are given up so long before, to send their answers. */
 #define DRAIN_ANSWER_MS 100
-/* One in so many jobs that complete in time is logged with all its events. */
-#define LOG_SAMPLE_INTERVAL 32
 /* A job is asked for at the other entries if its deadline is longer than this
  * many times clients.resubmit_ms. One with a shorter deadline has all but ended
  * when its client submits it again. */
@@ -74,8 +72,7 @@
 	const char *path; /* of the settings file */
 	GPtrArray *seeds; /* RPC addresses, owned */
 	struct cw *claims;
-	uint64_t jobs_in_time; /* jobs that completed in time */
-	bool logs_all_jobs;
+	struct jl job_log;
 	bool store_reachable;
 	uint64_t store_asked_ms; /* when the feed sent its last request */
 	bool has_workers;        /* to go on with, as of the last tick */
@@ -127,17 +124,13 @@
 	fr_answer(d->front, waiter, a);
 }
 
-/* Logs jobs that did not complete in time, and all or a sample of the others.
- */
 static void
 on_job_ended(void *arg, const struct jb_answer *a)
 {
 	struct di *d = arg;
 
-	if (a->status == JB_COMPLETED && a->late_ms == 0 && !d->logs_all_jobs &&
-	    ++d->jobs_in_time % LOG_SAMPLE_INTERVAL != 0)
-		return;
-	jl_write(a, fl_usable_count(d->fleet), cf_revision(d->config));
+	if (jl_is_logged(&d->job_log, a))
+		jl_write(a, fl_usable_count(d->fleet), cf_revision(d->config));
 }
 
 static const struct jb_ops job_ops = {
@@ -621,7 +614,7 @@
 		lg_write(LOG_WARNING, "dispatch",
 		    "SIGHUP: addresses change at the next start only");
 	lg_open("pimentodock", lg_level(s.log_level));
-	d->logs_all_jobs = logs_all_jobs(&s);
+	d->job_log.all = logs_all_jobs(&s);
 	seeds = read_seeds(&s);
 	for (i = 0; i < seeds->len; i++)
 		go_add_seed(d->gossip, seeds->pdata[i]);
@@ -699,7 +692,7 @@
 	d->jobs = jb_new(d->clock, d->counters, d->fleet, &job_ops, d);
 	jb_set_run_times(
 	    d->jobs, strcmp(d->settings.run_times, "distribution") == 0);
-	d->logs_all_jobs = logs_all_jobs(&d->settings);
+	d->job_log.all = logs_all_jobs(&d->settings);
 	if (strcmp(d->settings.contention, "value") == 0)
 		jb_admit_by_value(d->jobs);
 	d->seeds = read_seeds(&d->settings);
--- a/entry/job_log.c
+++ b/entry/job_log.c
@@ -3,8 +3,18 @@
 #include "event.h"
 #include "job_log.h"
 
+/* One in so many jobs that complete in time is logged with all its events. */
+#define SAMPLE_INTERVAL 32
 #define EVENT_FORMAT "{s:s,s:i,s:i,s:i,s:s*,s:"
 
+bool
+jl_is_logged(struct jl *l, const struct jb_answer *a)
+{
+	if (l->all || a->status != JB_COMPLETED || a->late_ms > 0)
+		return (true);
+	return (++l->in_time % SAMPLE_INTERVAL == 0);
+}
+
 /* The kind of an event determines the names of its values, if it has any. */
 static void
 log_trace_event(const struct jb_answer *job, const struct tr_event *e)
