--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -518,8 +518,7 @@
 	unsigned i;
 
 	if (jb_is_unlikely(j, job))
-		return (jb_is_limited_by_stop(j, job) ? JB_R_STOPPING
-						      : JB_R_DEADLINE);
+		return (JB_R_DEADLINE);
 	if (j->contention == NULL && jb_delays_urgent(j, job))
 		return (JB_R_OVERLOAD);
 	for (i = 0; i < job->ntasks && reason == JB_R_NONE; i++)
