model: one count of the largest tenth

md_result.largest_served was the share that the size class of the largest tenth has now, too. The class takes its rounding (up), so the assertion of test_heavy_tails compares the same figures as before.

--- a/bench/bench_load.c
+++ b/bench/bench_load.c
@@ -78,7 +78,8 @@
 	    r->grants, (double)r->returned / MAX(r->grants, 1),
 	    (double)r->own_zone / MAX(r->grants, 1), r->stopped);
 	for (i = 0; i < load->nkinds; i++)
-		printf(" %.4f", r->largest_served[i]);
+		printf(
+		    " %.4f", md_served_share(&r->classes[i][MD_LARGEST_TENTH]));
 	printf("\n");
 }
 
--- a/bench/model.h
+++ b/bench/model.h
@@ -202,8 +202,6 @@
  * @returned: grants that agents returned without a start
  * @stopped: runs that were stopped, also those of jobs that had ended
  * @own_zone: grants within the zone of the entry
- * @largest_served: completed share of the tenth of the jobs of each kind with
- *     the most work
  */
 struct md_result {
 	struct md_outcomes all;
@@ -222,7 +220,6 @@
 	unsigned returned;
 	unsigned stopped;
 	unsigned own_zone;
-	double largest_served[MD_KINDS_MAX];
 };
 
 /** md_run() - replay a load. Return: owned result */
--- a/bench/model_result.c
+++ b/bench/model_result.c
@@ -9,8 +9,9 @@
 /* The largest jobs of a kind are one in so many. */
 #define LARGEST_SHARE 10
 #define QUARTILES 4
-#define LARGEST_TENTH 0.9
-#define FIFTH_BELOW 0.7
+/* The fifth below the largest jobs of a kind ends with those that are among the
+ * largest so many tenths. */
+#define FIFTH_BELOW_TENTHS 3
 /* Answers after this multiple of the allowed time are useless to callers. */
 #define TOO_LATE_FACTOR 3
 
@@ -133,28 +134,6 @@
 	return ((x > y) - (x < y));
 }
 
-/* Completed share of the tenth of the jobs of a kind with the most work. */
-static double
-largest_served(const struct md *m, unsigned kind)
-{
-	g_autoptr(GPtrArray) jobs = g_ptr_array_new();
-	const struct md_job *job;
-	unsigned i, n, served = 0;
-
-	for (i = 0; i < m->jobs->len; i++) {
-		job = m->jobs->pdata[i];
-		if (job->kind == kind)
-			g_ptr_array_add(jobs, m->jobs->pdata[i]);
-	}
-	g_ptr_array_sort(jobs, compare_work);
-	n = (jobs->len + LARGEST_SHARE - 1) / LARGEST_SHARE;
-	for (i = 0; i < n; i++) {
-		job = jobs->pdata[jobs->len - 1 - i];
-		served += job->answered && job->status == JB_COMPLETED;
-	}
-	return (n == 0 ? 1 : (double)served / n);
-}
-
 static void
 count_windows(struct md *m)
 {
@@ -194,7 +173,7 @@
 	struct md_outcomes *classes = m->result->classes[kind];
 	GPtrArray *jobs = g_ptr_array_new();
 	const struct md_job *job;
-	unsigned i;
+	unsigned i, largest, below;
 
 	for (i = 0; i < m->jobs->len; i++) {
 		job = m->jobs->pdata[i];
@@ -202,12 +181,14 @@
 			g_ptr_array_add(jobs, m->jobs->pdata[i]);
 	}
 	g_ptr_array_sort(jobs, compare_work);
+	largest = (jobs->len + LARGEST_SHARE - 1) / LARGEST_SHARE;
+	below = jobs->len * FIFTH_BELOW_TENTHS / LARGEST_SHARE;
 	for (i = 0; i < jobs->len; i++) {
 		job = jobs->pdata[i];
 		count_outcome(job, &classes[i * QUARTILES / jobs->len]);
-		if (i >= jobs->len * LARGEST_TENTH)
+		if (i >= jobs->len - largest)
 			count_outcome(job, &classes[MD_LARGEST_TENTH]);
-		else if (i >= jobs->len * FIFTH_BELOW)
+		else if (i >= jobs->len - below)
 			count_outcome(job, &classes[MD_FIFTH_BELOW]);
 	}
 	g_ptr_array_free(jobs, TRUE);
@@ -235,8 +216,6 @@
 	for (i = 0; i < m->nworkers; i++)
 		m->result->core_s_capacity += m->workers[i].cpu *
 		    m->workers[i].speed * m->load->seconds / PERMILLE;
-	for (i = 0; i < m->load->nkinds; i++)
-		m->result->largest_served[i] = largest_served(m, i);
 	count_windows(m);
 	for (i = 0; i < m->load->nkinds; i++)
 		count_classes(m, i);
--- a/tests/test_load_tails.c
+++ b/tests/test_load_tails.c
@@ -47,7 +47,8 @@
 		assert_true(md_in_time_share(&pooled->kinds[i]) >=
 		    md_in_time_share(&individual->kinds[i]));
 		assert_true(
-		    pooled->largest_served[i] >= individual->largest_served[i]);
+		    md_served_share(&pooled->classes[i][MD_LARGEST_TENTH]) >=
+		    md_served_share(&individual->classes[i][MD_LARGEST_TENTH]));
 	}
 	assert_int_equal(0, pooled->duplicate_runs);
 	md_result_free(individual);
