--- a/tests/jobs_fixture.h
+++ b/tests/jobs_fixture.h
@@ -29,6 +29,8 @@
 #define WORKER_CPU 64000
 #define TARGET_MS 60
 #define TIMEOUT_MS 1500
+/* Period of jb_tick(). */
+#define TICK_MS 20
 
 struct fixture {
 	struct ck *clock;
@@ -222,6 +224,21 @@
 	return (attach_agent(f, name, "z1", session, session, 0));
 }
 
+/* Passes time, with heartbeats of an agent unless its name is NULL. */
+static inline void
+pass_time(struct fixture *f, const char *name, uint64_t session, unsigned ms)
+{
+	unsigned i;
+
+	for (i = 0; i < ms; i += TICK_MS) {
+		ck_advance_ms(f->clock, TICK_MS);
+		if (name != NULL)
+			handle_heartbeat(
+			    f, name, "z1", session, session, 0, false);
+		jb_tick(f->jobs);
+	}
+}
+
 static inline void
 submit_job(struct fixture *f, const char *id, uint64_t waiter, unsigned count,
     unsigned size_ms, unsigned steps)
--- a/tests/test_jobs_contact.c
+++ b/tests/test_jobs_contact.c
@@ -6,7 +6,6 @@
 #define LONG_TIMEOUT_MS 15000
 /* Longer than it takes a client to submit its job to another entry. */
 #define CUT_MS 5500
-#define TICK_MS 20
 
 static int
 set_up_long(void **state)
@@ -23,25 +22,14 @@
 static void
 pass_cut_off(struct fixture *f, unsigned ms)
 {
-	unsigned i;
-
-	for (i = 0; i < ms; i += TICK_MS) {
-		ck_advance_ms(f->clock, TICK_MS);
-		jb_tick(f->jobs);
-	}
+	pass_time(f, NULL, 0, ms);
 }
 
 /* Passes time in which only the agent "w2" sends heartbeats. */
 static void
 pass_with_w2(struct fixture *f, unsigned ms)
 {
-	unsigned i;
-
-	for (i = 0; i < ms; i += TICK_MS) {
-		ck_advance_ms(f->clock, TICK_MS);
-		handle_heartbeat(f, "w2", "z1", 2, 2, 0, false);
-		jb_tick(f->jobs);
-	}
+	pass_time(f, "w2", 2, ms);
 }
 
 static void
--- a/tests/test_jobs_limits.c
+++ b/tests/test_jobs_limits.c
@@ -30,20 +30,6 @@
 	assert_int_equal(0, f->limits[0]);
 }
 
-/* Lets time pass, with heartbeats of the worker unless it is NULL. */
-static void
-pass(struct fixture *f, const char *worker, unsigned ms)
-{
-	unsigned i;
-
-	for (i = 0; i < ms; i += 20) {
-		ck_advance_ms(f->clock, 20);
-		if (worker != NULL)
-			handle_heartbeat(f, worker, "z1", 1, 1, 0, false);
-		jb_tick(f->jobs);
-	}
-}
-
 /* Guards against a job that is given up while its tasks run and its client
  * still waits. */
 static void
@@ -54,7 +40,7 @@
 	attach(f, "w1", 1);
 	f->client_ms = 4 * TIMEOUT_MS;
 	submit(f, "a", 1);
-	pass(f, "w1", 2 * TIMEOUT_MS);
+	pass_time(f, "w1", 1, 2 * TIMEOUT_MS);
 	assert_int_equal(0, f->nanswers);
 	assert_int_equal(0, f->nwithdrawn);
 	report_end(f, 0, PD_END_DONE);
@@ -71,7 +57,7 @@
 	attach(f, "w1", 1);
 	f->client_ms = CLIENT_MS;
 	submit(f, "a", 1);
-	pass(f, "w1", CLIENT_MS);
+	pass_time(f, "w1", 1, CLIENT_MS);
 	assert_int_equal(1, f->nanswers);
 	assert_int_equal(JB_GAVE_UP, f->answers[0].status);
 	assert_int_equal(1, f->nwithdrawn);
@@ -87,7 +73,7 @@
 	attach(f, "w1", 1);
 	f->client_silent = true;
 	submit(f, "a", 1);
-	pass(f, "w1", TIMEOUT_MS);
+	pass_time(f, "w1", 1, TIMEOUT_MS);
 	assert_int_equal(1, f->nanswers);
 	assert_int_equal(JB_GAVE_UP, f->answers[0].status);
 }
@@ -104,9 +90,9 @@
 	f->timeout_ms = QUEUE_MS;
 	f->client_ms = 4 * TIMEOUT_MS;
 	submit(f, "a", 1);
-	pass(f, NULL, QUEUE_MS - 20);
+	pass_time(f, NULL, 0, QUEUE_MS - TICK_MS);
 	assert_int_equal(0, f->nanswers);
-	pass(f, NULL, 20);
+	pass_time(f, NULL, 0, TICK_MS);
 	assert_int_equal(1, f->nanswers);
 	assert_int_equal(JB_REFUSED, f->answers[0].status);
 }
@@ -122,9 +108,9 @@
 	f->client_ms = 4 * TIMEOUT_MS;
 	submit(f, "a", 1);
 	jb_stop_at(f->jobs, ck_mono_ms(f->clock) + 2 * TIMEOUT_MS);
-	pass(f, "w1", 2 * TIMEOUT_MS - 20);
+	pass_time(f, "w1", 1, 2 * TIMEOUT_MS - TICK_MS);
 	assert_int_equal(0, f->nanswers);
-	pass(f, "w1", 20);
+	pass_time(f, "w1", 1, TICK_MS);
 	assert_int_equal(1, f->nanswers);
 	assert_int_equal(JB_GAVE_UP, f->answers[0].status);
 	assert_int_equal(JB_R_STOPPING, f->answers[0].reason);
