--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -14,3 +14,5 @@
 		target/base/libpd_base.a $(pkg-config --libs $packages) \
 		-largtable2 -lxxhash -lm -lpthread
 done
+cc -std=gnu11 -O2 -Wall -Wextra -o "$out/zone_relay" \
+	review/zone_relay.c -lpthread
