--- a/review/cell-3.sh
+++ b/review/cell-3.sh
@@ -1,4 +1,4 @@
-# Functions for the scripts review/11 to review/15: a small deployment on
+# Functions for the scripts review/11 to review/13: a small deployment on
 # loopback addresses, started with the commands of deploy/system.toml and
 # settings that are rendered from its templates.
 #
@@ -146,8 +146,7 @@
 	echo "$text"
 }
 
-# start_entry I SEED_IP...; with ADVERTISED set, other processes reach the
-# entry through that port of its address.
+# start_entry I SEED_IP...
 start_entry() {
 	local i=$1 ip seeds
 	ip=$(entry_ip "$i")
@@ -158,8 +157,6 @@
 		-e "s|{{node_name}}|front-$i|; s|{{zone}}|z$i|; s|{{ip}}|$ip|g" \
 		-e "s|{{listen.front}}|$ip:$FRONT_PORT|; s|{{listen.ready}}|$ip:$READY_PORT|" \
 		-e "s|{{#seeds}}.*{{/seeds}}|$seeds|; s|memory_mb = {{.}}|memory_mb = 260|"
-	[ -z "${ADVERTISED:-}" ] || sed -i \
-		"s|^rpc = .*|&\nadvertised = \"$ip:$ADVERTISED\"|" "$WORK/entry$i.toml"
 	start "entry$i" "$ENTRY" dispatch --settings "$WORK/entry$i.toml"
 }
 
@@ -194,7 +191,7 @@
 		accepts 127.0.0.1 $((BASE_PORT + i)) && return 1
 	done
 	for ip in 127.0.0.1{1..5}; do
-		for i in 1 2 3 4 5 6; do
+		for i in 1 2 3 4 5; do
 			accepts "$ip" $((BASE_PORT + i)) && return 1
 		done
 	done
